--- /dev/null
+++ b/packages/config/include/porttiller/config/ObjectSet.h
@@ -0,0 +1,93 @@
+// The configuration objects that a node holds, ordered by the platform's
+// store-wide revision. The set at revision R is the same on every node, so a
+// revision number alone tells two nodes who is behind.
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <tl/expected.hpp>
+#include <vector>
+
+namespace porttiller {
+
+struct ObjectKey
+{
+  std::string mKind;
+  std::string mName;
+
+  friend auto operator<=>(const ObjectKey&, const ObjectKey&) = default;
+};
+
+// One version of one object; a deleted one is a tombstone without a spec.
+struct Object
+{
+  ObjectKey mKey;
+  std::uint64_t mVersion = 0; // the store's revision when it was written
+  bool mDeleted = false;
+  std::string mSpecJson;
+
+  friend auto operator<=>(const Object&, const Object&) = default;
+};
+
+// All changes after revision mFrom up to and including mTo. With mFull set,
+// the whole set at mTo, whatever mFrom says.
+struct ObjectDelta
+{
+  std::uint64_t mFrom = 0;
+  std::uint64_t mTo = 0;
+  bool mFull = false;
+  std::vector<Object> mObjects;
+
+  friend bool operator==(const ObjectDelta&, const ObjectDelta&) = default;
+};
+
+enum class ApplyError
+{
+  kStale, // nothing in it is newer than the set
+  kGap    // changes between the set and the delta are missing
+};
+
+struct ObjectSetOptions
+{
+  // Tombstones kept for deltas; older nodes get the full set instead.
+  std::size_t mMaxTombstones = 4096;
+};
+
+// Owned by the configuration controller, under its lock.
+class ObjectSet
+{
+public:
+  explicit ObjectSet(ObjectSetOptions aOptions = {});
+
+  std::uint64_t Revision() const { return mRevision; }
+  // Hash over all objects, to check that equal revisions mean equal sets.
+  std::uint64_t Digest() const { return mDigest; }
+  std::size_t Size() const { return mObjects.size(); }
+
+  // Moves the set forward to aDelta.mTo in one step, or leaves it untouched.
+  // Returns the keys that changed.
+  tl::expected<std::vector<ObjectKey>, ApplyError> Apply(
+    const ObjectDelta& aDelta);
+
+  // What a node at revision aFrom lacks.
+  ObjectDelta Since(std::uint64_t aFrom) const;
+
+  // Null when absent or deleted.
+  const Object* Find(const ObjectKey& aKey) const;
+
+private:
+  void Put(const Object& aObject, std::vector<ObjectKey>& aChanged);
+  void DropAbsent(const ObjectDelta& aFull, std::vector<ObjectKey>& aChanged);
+  void TrimTombstones();
+
+  ObjectSetOptions mOptions;
+  std::uint64_t mRevision = 0;
+  std::uint64_t mDigest = 0;
+  std::uint64_t mCompacted = 0; // deltas from before this are full
+  std::map<ObjectKey, Object> mObjects;
+  std::map<std::uint64_t, ObjectKey> mTombstones; // by version
+};
+
+} // namespace porttiller
--- /dev/null
+++ b/packages/config/include/porttiller/config/Snapshot.h
@@ -0,0 +1,62 @@
+// The configuration in force: typed, cross-checked, and switched in one step.
+#pragma once
+
+#include "porttiller/config/ObjectSet.h"
+#include "porttiller/config/Resources.h"
+#include "porttiller/config/RouteTable.h"
+
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace porttiller {
+
+struct ServiceEntry
+{
+  ServiceSpec mSpec;
+  std::vector<BackendServerSpec> mServers;
+};
+
+// A version that did not pass; the object's last good version stays in force.
+struct Rejection
+{
+  ObjectKey mKey;
+  std::uint64_t mVersion = 0;
+  FieldErrors mErrors;
+
+  friend bool operator==(const Rejection&, const Rejection&) = default;
+};
+
+// Immutable and shared by const reference between all threads.
+struct Snapshot
+{
+  std::uint64_t mRevision = 0;
+  std::uint64_t mDigest = 0;
+  std::map<ServiceName, ServiceEntry> mServices;
+  std::map<BoxName, BoxSpec> mBoxes;
+  RouteTable mRoutes;
+  std::vector<Rejection> mRejections;
+
+  const ServiceEntry* FindService(const ServiceName& aName) const;
+  const BoxSpec* FindBox(const BoxName& aName) const;
+};
+
+using SnapshotPtr = std::shared_ptr<const Snapshot>;
+
+// Keeps each object's last good typed form and builds snapshots from them.
+// Owned by the configuration controller, under its lock.
+class SnapshotBuilder
+{
+public:
+  // Takes over the keys that changed in aObjects; parses nothing else.
+  SnapshotPtr Build(const ObjectSet& aObjects,
+                    const std::vector<ObjectKey>& aChanged);
+
+private:
+  void Take(const ObjectSet& aObjects, const ObjectKey& aKey);
+
+  std::map<ObjectKey, Resource> mGood;
+  std::map<ObjectKey, Rejection> mRejected;
+};
+
+} // namespace porttiller
--- /dev/null
+++ b/packages/config/src/Settings.cpp
@@ -0,0 +1,171 @@
+#include "porttiller/config/Settings.h"
+
+#include "porttiller/config/JsonText.h"
+
+#include <Poco/JSON/Array.h>
+#include <sstream>
+
+namespace porttiller {
+
+namespace {
+
+constexpr IntegerRange kThreads{ .mMin = 2, .mMax = 4096 };
+constexpr IntegerRange kBodyBytes{ .mMin = 1024, .mMax = 64 << 20 };
+constexpr IntegerRange kHeaders{ .mMin = 8, .mMax = 1000 };
+constexpr IntegerRange kHeaderBytes{ .mMin = 1024, .mMax = 1 << 20 };
+constexpr IntegerRange kConnections{ .mMin = 1, .mMax = 1024 };
+constexpr IntegerRange kDrainMs{ .mMin = 100, .mMax = 600'000 };
+constexpr IntegerRange kIntervalMs{ .mMin = 10, .mMax = 60'000 };
+constexpr unsigned kIndent = 2;
+
+int
+ReadInt(FieldReader& aReader,
+        const std::string& aName,
+        IntegerRange aRange,
+        int aDefault)
+{
+  return static_cast<int>(aReader.IntegerOr(aName, aRange, aDefault));
+}
+
+Millis
+ReadMillis(FieldReader& aReader,
+           const std::string& aName,
+           IntegerRange aRange,
+           Millis aDefault)
+{
+  return Millis(aReader.IntegerOr(aName, aRange, aDefault.count()));
+}
+
+CallerSettings
+ReadCallers(FieldReader aReader)
+{
+  CallerSettings settings;
+  settings.mAddress = aReader.AddressOr("address", settings.mAddress);
+  settings.mThreads = ReadInt(aReader, "threads", kThreads, settings.mThreads);
+  settings.mMaxBodyBytes =
+    ReadInt(aReader, "max_body_bytes", kBodyBytes, settings.mMaxBodyBytes);
+  settings.mMaxHeaders =
+    ReadInt(aReader, "max_headers", kHeaders, settings.mMaxHeaders);
+  settings.mMaxHeaderBytes = ReadInt(
+    aReader, "max_header_bytes", kHeaderBytes, settings.mMaxHeaderBytes);
+  aReader.RefuseUnknown();
+  return settings;
+}
+
+PeerSettings
+ReadPeers(FieldReader aReader)
+{
+  PeerSettings settings;
+  settings.mHomeAddress =
+    aReader.AddressOr("home_address", settings.mHomeAddress);
+  settings.mControlAddress =
+    aReader.AddressOr("control_address", settings.mControlAddress);
+  settings.mThreads = ReadInt(aReader, "threads", kThreads, settings.mThreads);
+  settings.mConnectionsPerBox = ReadInt(
+    aReader, "connections_per_box", kConnections, settings.mConnectionsPerBox);
+  settings.mSeeds = aReader.Addresses("seeds");
+  aReader.RefuseUnknown();
+  return settings;
+}
+
+TimingSettings
+ReadTiming(FieldReader aReader)
+{
+  TimingSettings settings;
+  settings.mDrain = ReadMillis(aReader, "drain_ms", kDrainMs, settings.mDrain);
+  settings.mProbeInterval = ReadMillis(
+    aReader, "probe_interval_ms", kIntervalMs, settings.mProbeInterval);
+  settings.mProbeTimeout = ReadMillis(
+    aReader, "probe_timeout_ms", kIntervalMs, settings.mProbeTimeout);
+  settings.mAttemptPatience = ReadMillis(
+    aReader, "attempt_patience_ms", kIntervalMs, settings.mAttemptPatience);
+  settings.mRevokeTimeout = ReadMillis(
+    aReader, "revoke_timeout_ms", kIntervalMs, settings.mRevokeTimeout);
+  aReader.RefuseUnknown();
+  return settings;
+}
+
+std::string
+ReadLogLevel(FieldReader& aReader, const std::string& aDefault)
+{
+  auto level = aReader.StringOr("log_level", aDefault);
+  if (level != "debug" && level != "info" && level != "warning" &&
+      level != "error") {
+    aReader.Fail("log_level",
+                 "must be \"debug\", \"info\", \"warning\" or \"error\"");
+  }
+  return level;
+}
+
+} // namespace
+
+tl::expected<Settings, FieldErrors>
+ParseSettings(const std::string& aText)
+{
+  auto document = ParseJsonObject(aText);
+  if (!document) {
+    return tl::make_unexpected(document.error());
+  }
+  FieldErrors errors;
+  FieldReader reader(*document, "", errors);
+  Settings settings;
+  settings.mBox = BoxName(reader.String("box"));
+  if (settings.mBox.Value().find('/') != std::string::npos) {
+    reader.Fail("box", "must not contain \"/\"");
+  }
+  settings.mZone = AvailabilityZone(reader.String("zone"));
+  settings.mCallers = ReadCallers(reader.Child("callers"));
+  settings.mPeers = ReadPeers(reader.Child("peers"));
+  settings.mTiming = ReadTiming(reader.Child("timing"));
+  settings.mAdminAddress =
+    reader.AddressOr("admin_address", settings.mAdminAddress);
+  settings.mPlatformAddress = reader.Address("platform_address");
+  settings.mLogLevel = ReadLogLevel(reader, settings.mLogLevel);
+  reader.RefuseUnknown();
+  if (!errors.empty()) {
+    return tl::make_unexpected(std::move(errors));
+  }
+  return settings;
+}
+
+std::string
+ToJsonText(const Settings& aSettings)
+{
+  Poco::JSON::Object callers;
+  callers.set("address", aSettings.mCallers.mAddress);
+  callers.set("threads", aSettings.mCallers.mThreads);
+  callers.set("max_body_bytes", aSettings.mCallers.mMaxBodyBytes);
+  callers.set("max_headers", aSettings.mCallers.mMaxHeaders);
+  callers.set("max_header_bytes", aSettings.mCallers.mMaxHeaderBytes);
+  Poco::JSON::Object peers;
+  peers.set("home_address", aSettings.mPeers.mHomeAddress);
+  peers.set("control_address", aSettings.mPeers.mControlAddress);
+  peers.set("threads", aSettings.mPeers.mThreads);
+  peers.set("connections_per_box", aSettings.mPeers.mConnectionsPerBox);
+  Poco::JSON::Array seeds;
+  for (const auto& seed : aSettings.mPeers.mSeeds) {
+    seeds.add(seed);
+  }
+  peers.set("seeds", seeds);
+  const auto& times = aSettings.mTiming;
+  Poco::JSON::Object timing;
+  timing.set("drain_ms", times.mDrain.count());
+  timing.set("probe_interval_ms", times.mProbeInterval.count());
+  timing.set("probe_timeout_ms", times.mProbeTimeout.count());
+  timing.set("attempt_patience_ms", times.mAttemptPatience.count());
+  timing.set("revoke_timeout_ms", times.mRevokeTimeout.count());
+  Poco::JSON::Object document;
+  document.set("box", aSettings.mBox.Value());
+  document.set("zone", aSettings.mZone.Value());
+  document.set("callers", callers);
+  document.set("peers", peers);
+  document.set("timing", timing);
+  document.set("admin_address", aSettings.mAdminAddress);
+  document.set("platform_address", aSettings.mPlatformAddress);
+  document.set("log_level", aSettings.mLogLevel);
+  std::ostringstream text;
+  document.stringify(text, kIndent);
+  return text.str();
+}
+
+} // namespace porttiller
--- /dev/null
+++ b/packages/config/src/Snapshot.cpp
@@ -0,0 +1,121 @@
+#include "porttiller/config/Snapshot.h"
+
+namespace porttiller {
+
+namespace {
+
+// Adds one resource to a snapshot. Services are added before what names them;
+// a reference to a missing service is reported and the object left out.
+class Adder
+{
+public:
+  Adder(Snapshot& aSnapshot, const ObjectKey& aKey)
+    : mSnapshot(aSnapshot)
+    , mKey(aKey)
+  {
+  }
+
+  void operator()(const ServiceSpec& aSpec) const
+  {
+    mSnapshot.mServices[aSpec.mName].mSpec = aSpec;
+  }
+
+  void operator()(const BoxSpec& aSpec) const
+  {
+    mSnapshot.mBoxes.emplace(aSpec.mName, aSpec);
+  }
+
+  void operator()(const BackendServerSpec& aSpec) const
+  {
+    const auto it = mSnapshot.mServices.find(aSpec.mService);
+    if (it == mSnapshot.mServices.end()) {
+      RejectReference();
+      return;
+    }
+    it->second.mServers.push_back(aSpec);
+  }
+
+  void operator()(const RouteSpec& aSpec) const
+  {
+    if (!mSnapshot.mServices.contains(aSpec.mService)) {
+      RejectReference();
+      return;
+    }
+    mSnapshot.mRoutes.Add(aSpec);
+  }
+
+private:
+  void RejectReference() const
+  {
+    mSnapshot.mRejections.push_back(
+      { .mKey = mKey,
+        .mVersion = 0,
+        .mErrors = { { "spec.service", "names no service in force" } } });
+  }
+
+  Snapshot& mSnapshot;
+  const ObjectKey& mKey;
+};
+
+} // namespace
+
+const ServiceEntry*
+Snapshot::FindService(const ServiceName& aName) const
+{
+  const auto it = mServices.find(aName);
+  return it == mServices.end() ? nullptr : &it->second;
+}
+
+const BoxSpec*
+Snapshot::FindBox(const BoxName& aName) const
+{
+  const auto it = mBoxes.find(aName);
+  return it == mBoxes.end() ? nullptr : &it->second;
+}
+
+void
+SnapshotBuilder::Take(const ObjectSet& aObjects, const ObjectKey& aKey)
+{
+  mRejected.erase(aKey);
+  const auto* object = aObjects.Find(aKey);
+  if (object == nullptr) {
+    mGood.erase(aKey);
+    return;
+  }
+  auto resource = ParseResource(aKey.mKind, aKey.mName, object->mSpecJson);
+  if (resource) {
+    mGood.insert_or_assign(aKey, std::move(*resource));
+    return;
+  }
+  mRejected[aKey] = { .mKey = aKey,
+                      .mVersion = object->mVersion,
+                      .mErrors = resource.error() };
+}
+
+SnapshotPtr
+SnapshotBuilder::Build(const ObjectSet& aObjects,
+                       const std::vector<ObjectKey>& aChanged)
+{
+  for (const auto& key : aChanged) {
+    Take(aObjects, key);
+  }
+  auto snapshot = std::make_shared<Snapshot>();
+  snapshot->mRevision = aObjects.Revision();
+  snapshot->mDigest = aObjects.Digest();
+  for (const auto& [key, resource] : mGood) {
+    if (std::holds_alternative<ServiceSpec>(resource)) {
+      std::visit(Adder(*snapshot, key), resource);
+    }
+  }
+  for (const auto& [key, resource] : mGood) {
+    if (!std::holds_alternative<ServiceSpec>(resource)) {
+      std::visit(Adder(*snapshot, key), resource);
+    }
+  }
+  for (const auto& [key, rejection] : mRejected) {
+    snapshot->mRejections.push_back(rejection);
+  }
+  return snapshot;
+}
+
+} // namespace porttiller
--- /dev/null
+++ b/packages/config/tests/ObjectSetTest.cpp
@@ -0,0 +1,125 @@
+#include "porttiller/config/ObjectSet.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+using namespace porttiller;
+
+namespace {
+
+// The store as the platform keeps it: the oracle for every node's set.
+class Store
+{
+public:
+  void Write(const std::string& aName, bool aDelete)
+  {
+    ++mRevision;
+    mLog.push_back({ .mKey = { "Service", aName },
+                     .mVersion = mRevision,
+                     .mDeleted = aDelete,
+                     .mSpecJson = aDelete ? "" : std::to_string(mRevision) });
+  }
+
+  std::map<std::string, Object> LiveAt(std::uint64_t aRevision) const
+  {
+    std::map<std::string, Object> live;
+    for (const auto& object : mLog) {
+      if (object.mVersion > aRevision) {
+        break;
+      }
+      live.erase(object.mKey.mName);
+      if (!object.mDeleted) {
+        live[object.mKey.mName] = object;
+      }
+    }
+    return live;
+  }
+
+  ObjectDelta Changes(std::uint64_t aFrom, std::uint64_t aTo) const
+  {
+    ObjectDelta delta{ .mFrom = aFrom, .mTo = aTo, .mFull = false };
+    for (const auto& object : mLog) {
+      if (object.mVersion > aFrom && object.mVersion <= aTo) {
+        delta.mObjects.push_back(object);
+      }
+    }
+    return delta;
+  }
+
+  std::uint64_t Revision() const { return mRevision; }
+
+private:
+  std::uint64_t mRevision = 0;
+  std::vector<Object> mLog;
+};
+
+void
+CheckMatches(const ObjectSet& aSet, const Store& aStore)
+{
+  const auto live = aStore.LiveAt(aSet.Revision());
+  for (const char* name : { "a", "b", "c", "d" }) {
+    const auto* object = aSet.Find({ "Service", name });
+    const auto it = live.find(name);
+    RC_ASSERT((object != nullptr) == (it != live.end()));
+    if (object != nullptr) {
+      RC_ASSERT(*object == it->second);
+    }
+  }
+}
+
+} // namespace
+
+TEST_CASE("Every node's set is the store's at the node's revision")
+{
+  // Three nodes take deltas from the store and from one another, late, doubled
+  // and in any order, and restart empty; revisions never go back in one life.
+  const bool ok = rc::check([] {
+    Store store;
+    std::vector<ObjectSet> nodes(3, ObjectSet({ .mMaxTombstones = 2 }));
+    std::vector<ObjectDelta> inFlight;
+    const auto steps = *rc::gen::inRange(1, 60);
+    for (int step = 0; step < steps; ++step) {
+      auto& node = nodes[*rc::gen::inRange<std::size_t>(0, nodes.size())];
+      const auto before = node.Revision();
+      switch (*rc::gen::inRange(0, 6)) {
+        case 0:
+          store.Write(*rc::gen::element<std::string>("a", "b", "c", "d"),
+                      *rc::gen::inRange(0, 3) == 0);
+          break;
+        case 1: // from the platform's watch
+          static_cast<void>(
+            node.Apply(store.Changes(before, store.Revision())));
+          break;
+        case 2: // a peer answers some earlier question
+          inFlight.push_back(
+            nodes[*rc::gen::inRange<std::size_t>(0, nodes.size())].Since(
+              *rc::gen::inRange<std::uint64_t>(0, store.Revision() + 1)));
+          break;
+        case 3:
+          if (!inFlight.empty()) { // delivered, and maybe again later
+            static_cast<void>(node.Apply(
+              inFlight[*rc::gen::inRange<std::size_t>(0, inFlight.size())]));
+          }
+          break;
+        case 4:
+          if (*rc::gen::inRange(0, 4) == 0) {
+            node = ObjectSet({ .mMaxTombstones = 2 });
+            continue;
+          }
+          break;
+        default:
+          break;
+      }
+      RC_ASSERT(node.Revision() >= before);
+      CheckMatches(node, store);
+    }
+    for (const auto& left : nodes) {
+      for (const auto& right : nodes) {
+        if (left.Revision() == right.Revision()) {
+          RC_ASSERT(left.Digest() == right.Digest());
+        }
+      }
+    }
+  });
+  CHECK(ok);
+}
--- /dev/null
+++ b/packages/node/include/porttiller/node/AdminServer.h
@@ -0,0 +1,31 @@
+// The operators' HTTP server of one daemon: /metrics, /state and /health.
+#pragma once
+
+#include "porttiller/node/HttpServing.h"
+#include "porttiller/node/Metrics.h"
+
+#include <functional>
+#include <memory>
+
+namespace porttiller {
+
+struct AdminSources
+{
+  std::function<std::string()> mState; // JSON
+  std::function<bool()> mDraining;
+};
+
+// Owned by the node.
+class AdminServer
+{
+public:
+  static tl::expected<std::unique_ptr<AdminServer>, std::string> Make(
+    const std::string& aAddress,
+    const Metrics& aMetrics,
+    AdminSources aSources);
+
+private:
+  std::unique_ptr<HttpListener> mListener;
+};
+
+} // namespace porttiller
--- /dev/null
+++ b/packages/node/include/porttiller/node/Dispatcher.h
@@ -0,0 +1,98 @@
+// Sends one attempt to the home of its server and finds out what became of it.
+#pragma once
+
+#include "porttiller/config/Settings.h"
+#include "porttiller/config/Snapshot.h"
+#include "porttiller/node/EntryView.h"
+#include "porttiller/node/Home.h"
+#include "porttiller/node/Metrics.h"
+#include "porttiller/peer/PeerTransport.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <variant>
+
+namespace porttiller {
+
+// The server ran it; this is its whole answer.
+struct AttemptAnswered
+{
+  HttpAnswer mHttp;
+};
+
+// It was not run and will not be.
+struct AttemptNotRun
+{
+  Refusal mRefusal = Refusal::kNone;
+  Millis mRetryAfter{ 0 };
+};
+
+// It may have been run, or may be running.
+struct AttemptUnknown
+{
+  std::string mReason;
+};
+
+using AttemptResult =
+  std::variant<AttemptAnswered, AttemptNotRun, AttemptUnknown>;
+
+// What became of an earlier attempt, told by its home.
+struct AttemptFate
+{
+  AttemptState mState = AttemptState::kForgotten;
+  Outcome mOutcome = Outcome::kUnknown;
+  RecordedAnswerPtr mAnswer;
+};
+
+// Owned by the node. Thread-safe.
+class Dispatcher
+{
+public:
+  Dispatcher(const Settings& aSettings,
+             Home& aHome,
+             EntryView& aView,
+             PeerTransport& aTransport,
+             Metrics& aMetrics);
+
+  // Sends aRequest, filling in its home's incarnation. aMayMoveOn is asked
+  // when the attempt takes long and runs: true gives it up as unknown.
+  AttemptResult Send(const BoxSpec& aBox,
+                     HomeRequest aRequest,
+                     const std::function<bool()>& aMayMoveOn);
+
+  // Asks the home to make sure that the attempt never runs.
+  AttemptFate Revoke(const BoxSpec& aBox,
+                     Incarnation aNamed,
+                     const AttemptId& aAttempt,
+                     const std::string& aRequestKey);
+
+private:
+  HttpPool& PoolOf(const BoxSpec& aBox);
+  AttemptResult SendLocal(const HomeRequest& aRequest);
+  AttemptResult SendRemote(const BoxSpec& aBox,
+                           const HomeRequest& aRequest,
+                           const std::function<bool()>& aMayMoveOn);
+  AttemptResult Await(const BoxSpec& aBox,
+                      const HomeRequest& aRequest,
+                      HttpExchange& aExchange,
+                      const std::function<bool()>& aMayMoveOn);
+  AttemptResult Read(const BoxSpec& aBox,
+                     const HomeRequest& aRequest,
+                     HttpExchange& aExchange);
+  AttemptResult Settle(const BoxSpec& aBox,
+                       const HomeRequest& aRequest,
+                       const std::string& aReason);
+  void Learn(const BoxSpec& aBox, const HttpAnswer& aHttp);
+
+  const Settings& mSettings;
+  Home& mHome;
+  EntryView& mView;
+  PeerTransport& mTransport;
+  Metrics& mMetrics;
+  std::mutex mPoolsMutex;
+  std::map<std::string, std::unique_ptr<HttpPool>> mPools; // by address
+};
+
+} // namespace porttiller
--- /dev/null
+++ b/packages/node/include/porttiller/node/EntryView.h
@@ -0,0 +1,113 @@
+// What an entry has learned of the servers and boxes that it sends to: from
+// answers, from refusals and from failures of the path. All of it is a hint;
+// the home decides.
+#pragma once
+
+#include "porttiller/config/Snapshot.h"
+#include "porttiller/node/HomeTypes.h"
+#include "porttiller/policy/Balancer.h"
+#include "porttiller/policy/RetryBudget.h"
+
+#include <array>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace porttiller {
+
+// A home's life and clock as an entry knows them.
+struct HomeLife
+{
+  Incarnation mIncarnation;
+  std::optional<Millis> mClockOffset; // the home's clock less the entry's
+};
+
+// How one request has fared so far; owned by its AttemptFilter run.
+struct RequestProgress
+{
+  std::set<BackendServerName> mTried;
+  std::set<BackendServerName> mDemoted; // would serve as the last resort
+};
+
+// Thread-safe: services and boxes are in shards, each under its own lock.
+class EntryView
+{
+public:
+  EntryView(AvailabilityZone aZone, BalancerOptions aOptions);
+
+  // The server for the next attempt; null when none is left.
+  const BackendServerSpec* Choose(const Snapshot& aSnapshot,
+                                  const ServiceEntry& aService,
+                                  const RequestProgress& aProgress,
+                                  TimePoint aNow);
+
+  void OnSent(const BackendServerSpec& aServer);
+  void OnEnded(const BackendServerSpec& aServer);
+  void OnLoad(const BackendServerSpec& aServer, double aLoad);
+  void OnRefused(const BackendServerSpec& aServer,
+                 Refusal aRefusal,
+                 Millis aRetryAfter,
+                 TimePoint aNow);
+
+  // The way to a box fails or works; never held against its servers.
+  void OnPathFailure(const BoxName& aBox, TimePoint aNow);
+  void OnPathSuccess(const BoxName& aBox);
+  HomeLife LifeOf(const BoxName& aBox) const;
+  void SetLife(const BoxName& aBox, const HomeLife& aLife);
+  // What membership knows of a box: dead and leaving ones are used last.
+  void SetBoxUsable(const BoxName& aBox, bool aUsable);
+
+  void OnFirstAttempt(const ServiceSpec& aService);
+  bool TryRetry(const ServiceName& aService);
+
+  std::string Dump() const;
+
+private:
+  static constexpr std::size_t kShards = 16;
+
+  struct ServerView
+  {
+    int mInFlight = 0;
+    double mLoad = 0.0;
+    Standing mStanding = Standing::kOpen;
+    TimePoint mStandingUntil;
+  };
+
+  struct ServiceShard
+  {
+    mutable std::mutex mMutex;
+    std::map<BackendServerName, ServerView> mServers;
+    std::map<ServiceName, RetryBudget> mBudgets;
+  };
+
+  struct BoxView
+  {
+    HomeLife mLife;
+    int mFailures = 0; // in a row
+    TimePoint mAvoidUntil;
+    bool mUsable = true;
+  };
+
+  struct BoxShard
+  {
+    mutable std::mutex mMutex;
+    std::map<BoxName, BoxView> mBoxes;
+  };
+
+  ServiceShard& ShardOf(const ServiceName& aService) const;
+  BoxShard& ShardOf(const BoxName& aBox) const;
+  bool PathAvoided(const BoxName& aBox, TimePoint aNow) const;
+  Candidate MakeCandidate(const Snapshot& aSnapshot,
+                          const BackendServerSpec& aServer,
+                          const RequestProgress& aProgress,
+                          TimePoint aNow) const;
+
+  const AvailabilityZone mZone;
+  const BalancerOptions mOptions;
+  mutable std::array<ServiceShard, kShards> mServices;
+  mutable std::array<BoxShard, kShards> mBoxes;
+};
+
+} // namespace porttiller
--- /dev/null
+++ b/packages/node/include/porttiller/node/Filters.h
@@ -0,0 +1,52 @@
+// The filter chain of the entry role: each filter either fills in the context
+// or ends the request with an answer.
+#pragma once
+
+#include "porttiller/node/AttemptFilter.h"
+#include "porttiller/node/RequestContext.h"
+
+#include <variant>
+#include <vector>
+
+namespace porttiller {
+
+// Refuses what could be read in two ways, or is too large.
+class FramingFilter
+{
+public:
+  std::optional<CallerAnswer> Apply(RequestContext& aContext) const;
+};
+
+// Finds the route and its service.
+class RouteFilter
+{
+public:
+  std::optional<CallerAnswer> Apply(RequestContext& aContext) const;
+};
+
+// Reads the caller's deadline, repeatability, key and token.
+class TermsFilter
+{
+public:
+  std::optional<CallerAnswer> Apply(RequestContext& aContext) const;
+};
+
+// Reads the body whole.
+class BodyFilter
+{
+public:
+  std::optional<CallerAnswer> Apply(RequestContext& aContext) const;
+};
+
+using Filter = std::variant<FramingFilter,
+                            RouteFilter,
+                            TermsFilter,
+                            BodyFilter,
+                            TokenFilter,
+                            AttemptFilter>;
+
+// The answer of the first filter that has one; the last always has.
+CallerAnswer
+ApplyFilters(const std::vector<Filter>& aFilters, RequestContext& aContext);
+
+} // namespace porttiller
--- /dev/null
+++ b/packages/node/include/porttiller/node/Home.h
@@ -0,0 +1,61 @@
+// The home role: the only door to the backend servers of this box.
+#pragma once
+
+#include "porttiller/config/Snapshot.h"
+#include "porttiller/node/HomeTypes.h"
+#include "porttiller/node/LocalServer.h"
+#include "porttiller/policy/AttemptRegistry.h"
+
+#include <array>
+#include <map>
+#include <mutex>
+#include <vector>
+
+namespace porttiller {
+
+// Thread-safe: the attempt record is in shards by entry box, each under its
+// own lock; each server has a lock of its own.
+class Home
+{
+public:
+  Home(BoxName aBox, Incarnation aIncarnation);
+
+  Incarnation OwnIncarnation() const { return mIncarnation; }
+
+  // Runs an attempt at most once; answers when it ended or was refused.
+  HomeAnswer Handle(const HomeRequest& aRequest);
+
+  // After this an attempt that has not begun never will.
+  AttemptReport Revoke(const AttemptId& aAttempt, Incarnation aNamed);
+  AttemptReport Query(const AttemptId& aAttempt, Incarnation aNamed) const;
+
+  // Servers of this box as configured; kept ones keep their state.
+  void Apply(const Snapshot& aSnapshot);
+  // The whole box leaves: every new attempt is refused.
+  void SetLeaving();
+
+  LocalServerPtr Find(const BackendServerName& aName) const;
+  std::vector<LocalServerPtr> Servers() const;
+  int InFlight() const;
+
+private:
+  static constexpr std::size_t kShards = 8;
+
+  struct Shard
+  {
+    mutable std::mutex mMutex;
+    AttemptRegistry mRegistry;
+  };
+
+  Shard& ShardOf(const AttemptId& aAttempt) const;
+  HomeAnswer RunAdmitted(const HomeRequest& aRequest, Shard& aShard);
+
+  const BoxName mBox;
+  const Incarnation mIncarnation;
+  mutable std::array<Shard, kShards> mShards;
+  mutable std::mutex mServersMutex;
+  std::map<BackendServerName, LocalServerPtr> mServers;
+  bool mLeaving = false; // under mServersMutex
+};
+
+} // namespace porttiller
--- /dev/null
+++ b/packages/node/include/porttiller/node/HomeServer.h
@@ -0,0 +1,34 @@
+// The home role's HTTP server: attempts from other boxes' entries.
+#pragma once
+
+#include "porttiller/config/Settings.h"
+#include "porttiller/node/Home.h"
+#include "porttiller/node/HttpServing.h"
+
+#include <memory>
+
+namespace porttiller {
+
+// Owned by the node.
+class HomeServer
+{
+public:
+  static tl::expected<std::unique_ptr<HomeServer>, std::string> Make(
+    const Settings& aSettings,
+    Home& aHome);
+
+  // Waits until every attempt has its answer.
+  void Stop();
+
+private:
+  HomeServer(const Settings& aSettings, Home& aHome);
+
+  void Serve(Poco::Net::HTTPServerRequest& aRequest,
+             Poco::Net::HTTPServerResponse& aResponse);
+
+  const Settings& mSettings;
+  Home& mHome;
+  std::unique_ptr<HttpListener> mListener;
+};
+
+} // namespace porttiller
--- /dev/null
+++ b/packages/node/include/porttiller/node/HomeTypes.h
@@ -0,0 +1,62 @@
+// What an entry asks of a home and what the home answers.
+#pragma once
+
+#include "porttiller/core/Ids.h"
+#include "porttiller/core/Outcome.h"
+#include "porttiller/core/Time.h"
+#include "porttiller/node/HttpTypes.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace porttiller {
+
+// Why a home did not run an attempt.
+enum class Refusal
+{
+  kNone,
+  kIncarnation, // the attempt names another life of the home
+  kNoServer,    // the server is not on this box
+  kLeaving,     // the server or its box is leaving
+  kEjected,     // set aside; no work at all
+  kDemoted,     // set aside, but would serve as the last resort
+  kOverloaded,  // no slot before the deadline, or given up for another
+  kExpired,     // the deadline had passed
+  kRevoked,     // revoked before it arrived
+  kDuplicate,   // this attempt was here before
+  kStale,       // too old to know whether it was here before
+  kUnreachable  // said by the entry: the home could not be reached
+};
+
+std::string_view
+ToText(Refusal aRefusal);
+
+std::optional<Refusal>
+ParseRefusal(std::string_view aText);
+
+struct HomeRequest
+{
+  AttemptId mAttempt;
+  Incarnation mHomeIncarnation;
+  BackendServerName mServer;
+  Priority mPriority = Priority::kNormal;
+  bool mRepeatable = false;
+  bool mLastResort = false;
+  TimePoint mDeadline; // on the clock of the process that holds the value
+  std::string mRequestKey;
+  std::string mRoute; // the class of call, for detection
+  HttpRequestData mHttp;
+};
+
+struct HomeAnswer
+{
+  Outcome mOutcome = Outcome::kUnknown;
+  Refusal mRefusal = Refusal::kNone;
+  Millis mRetryAfter{ 0 }; // with a refusal
+  double mLoad = 0.0;      // share of the server's slots in use or waited for
+  HttpAnswer mHttp;        // with kRun
+  std::string mReason;     // with kUnknown
+};
+
+} // namespace porttiller
--- /dev/null
+++ b/packages/node/include/porttiller/node/LocalServer.h
@@ -0,0 +1,81 @@
+// One backend server of this box as its home holds it: admission, its
+// connections, and what its answers say about it.
+#pragma once
+
+#include "porttiller/config/Resources.h"
+#include "porttiller/node/HomeTypes.h"
+#include "porttiller/node/HttpPool.h"
+#include "porttiller/policy/SlotQueue.h"
+
+#include <condition_variable>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+
+namespace porttiller {
+
+// Owned by Home, shared with the requests that are in it. Thread-safe: one
+// lock for each server.
+class LocalServer
+{
+public:
+  explicit LocalServer(const BackendServerSpec& aSpec);
+
+  const BackendServerSpec& Spec() const { return mSpec; }
+
+  // Waits for a slot, hands the request over, returns its whole answer. The
+  // attempt must have been admitted by the registry.
+  HomeAnswer Run(const HomeRequest& aRequest);
+
+  // Takes an attempt that still waits for its slot out of the queue; true when
+  // it was waiting, and so will not run.
+  bool CancelWaiting(const AttemptId& aAttempt);
+
+  // From now on every new request is refused; running ones go on.
+  void SetLeaving(bool aLeaving);
+
+  int Running() const;
+  double Load() const;
+  std::string Dump() const;
+
+private:
+  enum class WaitState
+  {
+    kWaiting,
+    kStarted,
+    kGivenUp,
+    kExpired
+  };
+
+  struct Waiter
+  {
+    AttemptId mAttempt;
+    WaitState mState = WaitState::kWaiting;
+    Millis mRetryAfter{ 0 };
+  };
+
+  // Null once a slot is held; otherwise the refusal.
+  std::optional<HomeAnswer> TakeSlot(const HomeRequest& aRequest);
+  std::optional<HomeAnswer> WaitForSlot(std::unique_lock<std::mutex>& aLock,
+                                        Ticket aTicket,
+                                        TimePoint aDeadline);
+  HomeAnswer Exchange(const HomeRequest& aRequest);
+  void FreeSlot(std::optional<Micros> aServiceTime);
+  void Mark(Ticket aTicket, WaitState aState);
+  double LoadLocked() const;
+  HomeAnswer RefuseLocked(Refusal aRefusal, Millis aRetryAfter) const;
+
+  const BackendServerSpec mSpec;
+  HttpPool mPool;
+  mutable std::mutex mMutex;
+  std::condition_variable mChanged;
+  SlotQueue mQueue;
+  std::map<Ticket, Waiter> mWaiters;
+  Ticket mNextTicket = 1;
+  bool mLeaving = false;
+};
+
+using LocalServerPtr = std::shared_ptr<LocalServer>;
+
+} // namespace porttiller
--- /dev/null
+++ b/packages/node/include/porttiller/node/Log.h
@@ -0,0 +1,44 @@
+// Log lines as JSON: one event name and typed fields a line.
+#pragma once
+
+#include <Poco/JSON/Object.h>
+#include <cstdint>
+#include <string>
+
+namespace porttiller {
+
+enum class LogLevel
+{
+  kDebug,
+  kInfo,
+  kWarning,
+  kError
+};
+
+// Call once, before any line. aLevel as in Settings: "debug" to "error".
+void
+SetUpLog(const std::string& aBox, const std::string& aLevel);
+
+// One line, written when the object goes. An event that repeats more often
+// than kLogLinesPerSecond is counted instead, and the next line of it says how
+// many were left out.
+class LogLine
+{
+public:
+  LogLine(LogLevel aLevel, const char* aEvent);
+  ~LogLine();
+  LogLine(const LogLine&) = delete;
+  LogLine& operator=(const LogLine&) = delete;
+
+  LogLine& With(const char* aName, const std::string& aValue);
+  LogLine& With(const char* aName, std::int64_t aValue);
+
+private:
+  LogLevel mLevel;
+  std::string mEvent;
+  Poco::JSON::Object mFields;
+};
+
+inline constexpr int kLogLinesPerSecond = 20;
+
+} // namespace porttiller
--- /dev/null
+++ b/packages/node/include/porttiller/node/Metrics.h
@@ -0,0 +1,63 @@
+// The daemon's metrics, as /metrics shows them.
+#pragma once
+
+#include "porttiller/core/Outcome.h"
+#include "porttiller/node/HomeTypes.h"
+
+#include <array>
+#include <memory>
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <string>
+
+namespace porttiller {
+
+// Owned by the node; every member may be used from any thread.
+class Metrics
+{
+public:
+  Metrics();
+
+  void CountRequest(Outcome aOutcome);
+  void CountRefusal(Refusal aRefusal);
+  prometheus::Counter& Retries() { return *mRetries; }
+  prometheus::Counter& Revokes() { return *mRevokes; }
+  prometheus::Counter& DroppedAnswers() { return *mDroppedAnswers; }
+  prometheus::Counter& PlatformCalls() { return *mPlatformCalls; }
+  prometheus::Counter& FloorRefusals() { return *mFloorRefusals; }
+  prometheus::Counter& Ejections() { return *mEjections; }
+  prometheus::Counter& Demotions() { return *mDemotions; }
+  // Seconds from a caller's request to its answer, less the time its home
+  // spent on it.
+  prometheus::Histogram& AddedLatency() { return *mAddedLatency; }
+  prometheus::Gauge& ConfigRevision() { return *mConfigRevision; }
+  prometheus::Gauge& ControlBytesSent() { return *mControlSent; }
+  prometheus::Gauge& ControlBytesReceived() { return *mControlReceived; }
+  prometheus::Gauge& LateReplies() { return *mLateReplies; }
+
+  // Prometheus text format.
+  std::string Text() const;
+
+private:
+  static constexpr std::size_t kRefusalCount = 12;
+
+  std::shared_ptr<prometheus::Registry> mRegistry;
+  std::array<prometheus::Counter*, 3> mRequests{};
+  std::array<prometheus::Counter*, kRefusalCount> mRefusals{};
+  prometheus::Counter* mRetries;
+  prometheus::Counter* mRevokes;
+  prometheus::Counter* mDroppedAnswers;
+  prometheus::Counter* mPlatformCalls;
+  prometheus::Counter* mFloorRefusals;
+  prometheus::Counter* mEjections;
+  prometheus::Counter* mDemotions;
+  prometheus::Histogram* mAddedLatency;
+  prometheus::Gauge* mConfigRevision;
+  prometheus::Gauge* mControlSent;
+  prometheus::Gauge* mControlReceived;
+  prometheus::Gauge* mLateReplies;
+};
+
+} // namespace porttiller
--- /dev/null
+++ b/packages/node/src/Dispatcher.cpp
@@ -0,0 +1,240 @@
+#include "porttiller/node/Dispatcher.h"
+
+#include "porttiller/node/HopCodec.h"
+#include "porttiller/node/HopHeaders.h"
+#include "porttiller/node/Log.h"
+
+#include <algorithm>
+
+namespace porttiller {
+
+namespace {
+
+constexpr Millis kUnreachableRetryAfter{ 200 };
+
+AttemptResult
+FromHome(HomeAnswer aAnswer)
+{
+  switch (aAnswer.mOutcome) {
+    case Outcome::kRun:
+      return AttemptAnswered{ std::move(aAnswer.mHttp) };
+    case Outcome::kNotRun:
+      return AttemptNotRun{ aAnswer.mRefusal, aAnswer.mRetryAfter };
+    case Outcome::kUnknown:
+      break;
+  }
+  return AttemptUnknown{ aAnswer.mReason };
+}
+
+AttemptFate
+ToFate(const AttemptReport& aReport, const std::string& aRequestKey)
+{
+  AttemptFate fate{ .mState = aReport.mState, .mOutcome = aReport.mOutcome };
+  const auto& answer = aReport.mAnswer;
+  if (answer && answer->mRequestKey == aRequestKey) {
+    fate.mAnswer = answer;
+  }
+  return fate;
+}
+
+AttemptFate
+ToFate(const wire::AttemptReply& aReply, const std::string& aRequestKey)
+{
+  AttemptFate fate;
+  if (aReply.state() <= static_cast<int>(AttemptState::kForgotten)) {
+    fate.mState = static_cast<AttemptState>(aReply.state());
+  }
+  if (aReply.outcome() <= static_cast<int>(Outcome::kUnknown)) {
+    fate.mOutcome = static_cast<Outcome>(aReply.outcome());
+  }
+  if (aReply.has_answer()) {
+    auto answer = std::make_shared<RecordedAnswer>();
+    answer->mStatus = aReply.status();
+    answer->mContentType = aReply.content_type();
+    answer->mBody = aReply.body();
+    answer->mRequestKey = aRequestKey;
+    fate.mAnswer = std::move(answer);
+  }
+  return fate;
+}
+
+HttpAnswer
+ToHttp(const RecordedAnswer& aAnswer)
+{
+  HttpAnswer http{ .mStatus = aAnswer.mStatus, .mBody = aAnswer.mBody };
+  if (!aAnswer.mContentType.empty()) {
+    http.mHeaders.push_back({ "Content-Type", aAnswer.mContentType });
+  }
+  return http;
+}
+
+} // namespace
+
+Dispatcher::Dispatcher(const Settings& aSettings,
+                       Home& aHome,
+                       EntryView& aView,
+                       PeerTransport& aTransport,
+                       Metrics& aMetrics)
+  : mSettings(aSettings)
+  , mHome(aHome)
+  , mView(aView)
+  , mTransport(aTransport)
+  , mMetrics(aMetrics)
+{
+}
+
+HttpPool&
+Dispatcher::PoolOf(const BoxSpec& aBox)
+{
+  const std::lock_guard lock(mPoolsMutex);
+  auto& pool = mPools[aBox.mHomeAddress];
+  if (!pool) {
+    pool = std::make_unique<HttpPool>(HttpPoolOptions{
+      .mAddress = aBox.mHomeAddress,
+      .mMaxConnections = mSettings.mPeers.mConnectionsPerBox });
+  }
+  return *pool;
+}
+
+AttemptResult
+Dispatcher::Send(const BoxSpec& aBox,
+                 HomeRequest aRequest,
+                 const std::function<bool()>& aMayMoveOn)
+{
+  if (aBox.mName == mSettings.mBox) {
+    aRequest.mHomeIncarnation = mHome.OwnIncarnation();
+    return SendLocal(aRequest);
+  }
+  aRequest.mHomeIncarnation = mView.LifeOf(aBox.mName).mIncarnation;
+  return SendRemote(aBox, aRequest, aMayMoveOn);
+}
+
+AttemptResult
+Dispatcher::SendLocal(const HomeRequest& aRequest)
+{
+  return FromHome(mHome.Handle(aRequest));
+}
+
+AttemptResult
+Dispatcher::SendRemote(const BoxSpec& aBox,
+                       const HomeRequest& aRequest,
+                       const std::function<bool()>& aMayMoveOn)
+{
+  const auto offset = mView.LifeOf(aBox.mName).mClockOffset;
+  const auto http = EncodeHomeRequest(aRequest, offset, Now());
+  auto exchange = PoolOf(aBox).Begin(http, aRequest.mDeadline);
+  if (exchange) {
+    return Await(aBox, aRequest, **exchange, aMayMoveOn);
+  }
+  if (exchange.error() == ExchangeError::kBusy) {
+    return AttemptNotRun{ Refusal::kOverloaded, kUnreachableRetryAfter };
+  }
+  mView.OnPathFailure(aBox.mName, Now());
+  if (exchange.error() == ExchangeError::kNotSent) {
+    return AttemptNotRun{ Refusal::kUnreachable, kUnreachableRetryAfter };
+  }
+  return Settle(aBox, aRequest, ToText(exchange.error()));
+}
+
+AttemptResult
+Dispatcher::Await(const BoxSpec& aBox,
+                  const HomeRequest& aRequest,
+                  HttpExchange& aExchange,
+                  const std::function<bool()>& aMayMoveOn)
+{
+  const auto patience = Now() + mSettings.mTiming.mAttemptPatience;
+  if (aExchange.WaitReadable(std::min(patience, aRequest.mDeadline))) {
+    return Read(aBox, aRequest, aExchange);
+  }
+  auto early = Settle(aBox, aRequest, "slow");
+  if (!std::holds_alternative<AttemptUnknown>(early) || aMayMoveOn()) {
+    return early;
+  }
+  if (aExchange.WaitReadable(aRequest.mDeadline)) {
+    return Read(aBox, aRequest, aExchange);
+  }
+  return Settle(aBox, aRequest, "deadline");
+}
+
+AttemptResult
+Dispatcher::Read(const BoxSpec& aBox,
+                 const HomeRequest& aRequest,
+                 HttpExchange& aExchange)
+{
+  auto http = aExchange.ReadAnswer(aRequest.mDeadline);
+  if (!http) {
+    mMetrics.DroppedAnswers().Increment();
+    mView.OnPathFailure(aBox.mName, Now());
+    return Settle(aBox, aRequest, std::string("home-") + ToText(http.error()));
+  }
+  Learn(aBox, *http);
+  auto answer = DecodeHomeAnswer(std::move(*http), aRequest.mAttempt);
+  if (!answer) {
+    mMetrics.DroppedAnswers().Increment();
+    return Settle(aBox, aRequest, "foreign-answer");
+  }
+  mView.OnPathSuccess(aBox.mName);
+  return FromHome(std::move(*answer));
+}
+
+void
+Dispatcher::Learn(const BoxSpec& aBox, const HttpAnswer& aHttp)
+{
+  const auto incarnation =
+    ParseUnsigned(HeaderValue(aHttp.mHeaders, hop::kIncarnation));
+  const auto clock =
+    ParseUnsigned(HeaderValue(aHttp.mHeaders, hop::kHomeClockMs));
+  if (!incarnation || !clock) {
+    return;
+  }
+  const Millis offset(static_cast<std::int64_t>(*clock) - ToMillis(Now()));
+  mView.SetLife(
+    aBox.mName,
+    { .mIncarnation = Incarnation(*incarnation), .mClockOffset = offset });
+}
+
+AttemptResult
+Dispatcher::Settle(const BoxSpec& aBox,
+                   const HomeRequest& aRequest,
+                   const std::string& aReason)
+{
+  const auto fate = Revoke(
+    aBox, aRequest.mHomeIncarnation, aRequest.mAttempt, aRequest.mRequestKey);
+  if (fate.mState == AttemptState::kNotRun) {
+    return AttemptNotRun{ Refusal::kRevoked, kUnreachableRetryAfter };
+  }
+  if (fate.mState == AttemptState::kFinished && fate.mAnswer) {
+    return AttemptAnswered{ ToHttp(*fate.mAnswer) };
+  }
+  LogLine(LogLevel::kWarning, "attempt_unknown")
+    .With("attempt", aRequest.mAttempt.ToString())
+    .With("home", aBox.mName.Value())
+    .With("reason", aReason);
+  return AttemptUnknown{ aReason };
+}
+
+AttemptFate
+Dispatcher::Revoke(const BoxSpec& aBox,
+                   Incarnation aNamed,
+                   const AttemptId& aAttempt,
+                   const std::string& aRequestKey)
+{
+  if (aBox.mName == mSettings.mBox) {
+    return ToFate(mHome.Revoke(aAttempt, aNamed), aRequestKey);
+  }
+  mMetrics.Revokes().Increment();
+  wire::Envelope request;
+  auto* body = request.mutable_attempt();
+  body->set_attempt(aAttempt.ToString());
+  body->set_home_incarnation(aNamed.Value());
+  body->set_revoke(true);
+  body->set_request_key(aRequestKey);
+  const auto reply = mTransport.Call(
+    aBox.mControlAddress, std::move(request), mSettings.mTiming.mRevokeTimeout);
+  if (!reply || !reply->has_attempt_reply()) {
+    return {};
+  }
+  return ToFate(reply->attempt_reply(), aRequestKey);
+}
+
+} // namespace porttiller
--- /dev/null
+++ b/packages/node/src/EntryView.cpp
@@ -0,0 +1,241 @@
+#include "porttiller/node/EntryView.h"
+
+#include "porttiller/node/Random.h"
+
+#include <algorithm>
+#include <functional>
+
+namespace porttiller {
+
+namespace {
+
+constexpr Millis kMinAvoid{ 200 };
+constexpr Millis kMaxAvoid{ 5000 };
+constexpr int kMaxAvoidDoublings = 5;
+constexpr double kPercent = 100.0;
+
+// How a refusal changes the use of the server; null when it says nothing
+// about the next request.
+std::optional<Standing>
+StandingAfter(Refusal aRefusal)
+{
+  switch (aRefusal) {
+    case Refusal::kLeaving:
+    case Refusal::kEjected:
+    case Refusal::kNoServer:
+      return Standing::kClosed;
+    case Refusal::kDemoted:
+    case Refusal::kOverloaded:
+    case Refusal::kUnreachable:
+      return Standing::kAvoid;
+    default:
+      return std::nullopt;
+  }
+}
+
+} // namespace
+
+EntryView::EntryView(AvailabilityZone aZone, BalancerOptions aOptions)
+  : mZone(std::move(aZone))
+  , mOptions(aOptions)
+{
+}
+
+EntryView::ServiceShard&
+EntryView::ShardOf(const ServiceName& aService) const
+{
+  return mServices.at(std::hash<std::string>{}(aService.Value()) % kShards);
+}
+
+EntryView::BoxShard&
+EntryView::ShardOf(const BoxName& aBox) const
+{
+  return mBoxes.at(std::hash<std::string>{}(aBox.Value()) % kShards);
+}
+
+bool
+EntryView::PathAvoided(const BoxName& aBox, TimePoint aNow) const
+{
+  const auto& shard = ShardOf(aBox);
+  const std::lock_guard lock(shard.mMutex);
+  const auto it = shard.mBoxes.find(aBox);
+  return it != shard.mBoxes.end() &&
+         (!it->second.mUsable || aNow < it->second.mAvoidUntil);
+}
+
+Candidate
+EntryView::MakeCandidate(const Snapshot& aSnapshot,
+                         const BackendServerSpec& aServer,
+                         const RequestProgress& aProgress,
+                         TimePoint aNow) const
+{
+  Candidate candidate{ .mSlots = aServer.mSlots };
+  const auto* box = aSnapshot.FindBox(aServer.mBox);
+  if (box == nullptr || aProgress.mTried.contains(aServer.mName)) {
+    candidate.mStanding = Standing::kTried;
+    return candidate;
+  }
+  candidate.mSameZone = box->mZone == mZone;
+  if (box->mState == BoxState::kLeaving) {
+    candidate.mStanding = Standing::kClosed;
+  } else if (PathAvoided(aServer.mBox, aNow)) {
+    candidate.mStanding = Standing::kAvoid;
+  }
+  const auto& shard = ShardOf(aServer.mService);
+  const std::lock_guard lock(shard.mMutex);
+  const auto it = shard.mServers.find(aServer.mName);
+  if (it != shard.mServers.end()) {
+    const auto& view = it->second;
+    candidate.mInFlight = view.mInFlight;
+    candidate.mReportedLoad = view.mLoad;
+    if (aNow < view.mStandingUntil) {
+      candidate.mStanding = std::max(candidate.mStanding, view.mStanding);
+    }
+  }
+  return candidate;
+}
+
+const BackendServerSpec*
+EntryView::Choose(const Snapshot& aSnapshot,
+                  const ServiceEntry& aService,
+                  const RequestProgress& aProgress,
+                  TimePoint aNow)
+{
+  std::vector<Candidate> candidates;
+  candidates.reserve(aService.mServers.size());
+  for (const auto& server : aService.mServers) {
+    candidates.push_back(MakeCandidate(aSnapshot, server, aProgress, aNow));
+  }
+  auto chosen = ChooseServer(candidates, mOptions, Random(), Random());
+  if (!chosen && aProgress.mTried.empty()) {
+    // Every hint speaks against every server, and hints age: ask the homes.
+    for (auto& candidate : candidates) {
+      candidate.mStanding = std::min(candidate.mStanding, Standing::kAvoid);
+    }
+    chosen = ChooseServer(candidates, mOptions, Random(), Random());
+  }
+  return chosen ? &aService.mServers[*chosen] : nullptr;
+}
+
+void
+EntryView::OnSent(const BackendServerSpec& aServer)
+{
+  auto& shard = ShardOf(aServer.mService);
+  const std::lock_guard lock(shard.mMutex);
+  ++shard.mServers[aServer.mName].mInFlight;
+}
+
+void
+EntryView::OnEnded(const BackendServerSpec& aServer)
+{
+  auto& shard = ShardOf(aServer.mService);
+  const std::lock_guard lock(shard.mMutex);
+  --shard.mServers[aServer.mName].mInFlight;
+}
+
+void
+EntryView::OnLoad(const BackendServerSpec& aServer, double aLoad)
+{
+  auto& shard = ShardOf(aServer.mService);
+  const std::lock_guard lock(shard.mMutex);
+  shard.mServers[aServer.mName].mLoad = aLoad;
+}
+
+void
+EntryView::OnRefused(const BackendServerSpec& aServer,
+                     Refusal aRefusal,
+                     Millis aRetryAfter,
+                     TimePoint aNow)
+{
+  const auto standing = StandingAfter(aRefusal);
+  if (!standing) {
+    return;
+  }
+  auto& shard = ShardOf(aServer.mService);
+  const std::lock_guard lock(shard.mMutex);
+  auto& view = shard.mServers[aServer.mName];
+  view.mStanding = *standing;
+  view.mStandingUntil = aNow + std::clamp(aRetryAfter, kMinAvoid, kMaxAvoid);
+}
+
+void
+EntryView::OnPathFailure(const BoxName& aBox, TimePoint aNow)
+{
+  auto& shard = ShardOf(aBox);
+  const std::lock_guard lock(shard.mMutex);
+  auto& view = shard.mBoxes[aBox];
+  const int doublings = std::min(view.mFailures, kMaxAvoidDoublings);
+  view.mAvoidUntil = aNow + std::min(kMinAvoid * (1 << doublings), kMaxAvoid);
+  ++view.mFailures;
+}
+
+void
+EntryView::OnPathSuccess(const BoxName& aBox)
+{
+  auto& shard = ShardOf(aBox);
+  const std::lock_guard lock(shard.mMutex);
+  auto& view = shard.mBoxes[aBox];
+  view.mFailures = 0;
+  view.mAvoidUntil = {};
+}
+
+HomeLife
+EntryView::LifeOf(const BoxName& aBox) const
+{
+  const auto& shard = ShardOf(aBox);
+  const std::lock_guard lock(shard.mMutex);
+  const auto it = shard.mBoxes.find(aBox);
+  return it == shard.mBoxes.end() ? HomeLife{} : it->second.mLife;
+}
+
+void
+EntryView::SetLife(const BoxName& aBox, const HomeLife& aLife)
+{
+  auto& shard = ShardOf(aBox);
+  const std::lock_guard lock(shard.mMutex);
+  shard.mBoxes[aBox].mLife = aLife;
+}
+
+void
+EntryView::SetBoxUsable(const BoxName& aBox, bool aUsable)
+{
+  auto& shard = ShardOf(aBox);
+  const std::lock_guard lock(shard.mMutex);
+  shard.mBoxes[aBox].mUsable = aUsable;
+}
+
+void
+EntryView::OnFirstAttempt(const ServiceSpec& aService)
+{
+  auto& shard = ShardOf(aService.mName);
+  const std::lock_guard lock(shard.mMutex);
+  auto& budget = shard.mBudgets[aService.mName];
+  budget.SetShare(aService.mRetryPercent / kPercent);
+  budget.OnFirstAttempt();
+}
+
+bool
+EntryView::TryRetry(const ServiceName& aService)
+{
+  auto& shard = ShardOf(aService);
+  const std::lock_guard lock(shard.mMutex);
+  return shard.mBudgets[aService].TryRetry();
+}
+
+std::string
+EntryView::Dump() const
+{
+  std::string text;
+  for (const auto& shard : mServices) {
+    const std::lock_guard lock(shard.mMutex);
+    for (const auto& [name, view] : shard.mServers) {
+      text += name.Value() + ": in_flight=" + std::to_string(view.mInFlight) +
+              " load=" + std::to_string(view.mLoad) +
+              " standing=" + std::to_string(static_cast<int>(view.mStanding)) +
+              "\n";
+    }
+  }
+  return text;
+}
+
+} // namespace porttiller
--- /dev/null
+++ b/packages/node/src/Home.cpp
@@ -0,0 +1,210 @@
+#include "porttiller/node/Home.h"
+
+#include <functional>
+
+namespace porttiller {
+
+namespace {
+
+constexpr Millis kNotHereRetryAfter{ 100 };
+constexpr Millis kDuplicateRetryAfter{ 1000 };
+
+HomeAnswer
+Refuse(Refusal aRefusal, Millis aRetryAfter)
+{
+  return { .mOutcome = Outcome::kNotRun,
+           .mRefusal = aRefusal,
+           .mRetryAfter = aRetryAfter };
+}
+
+// The same attempt again: it must not run, and what became of the first
+// arrival is not known here.
+HomeAnswer
+RefuseAgain(Refusal aRefusal)
+{
+  return { .mOutcome = Outcome::kUnknown,
+           .mRefusal = aRefusal,
+           .mRetryAfter = kDuplicateRetryAfter,
+           .mReason = std::string(ToText(aRefusal)) };
+}
+
+RecordedAnswerPtr
+MakeRecord(const HomeRequest& aRequest, const HomeAnswer& aAnswer)
+{
+  if (aRequest.mRequestKey.empty() || aAnswer.mOutcome != Outcome::kRun) {
+    return nullptr;
+  }
+  auto record = std::make_shared<RecordedAnswer>();
+  record->mStatus = aAnswer.mHttp.mStatus;
+  record->mContentType = HeaderValue(aAnswer.mHttp.mHeaders, "Content-Type");
+  record->mBody = aAnswer.mHttp.mBody;
+  record->mRequestKey = aRequest.mRequestKey;
+  return record;
+}
+
+} // namespace
+
+Home::Home(BoxName aBox, Incarnation aIncarnation)
+  : mBox(std::move(aBox))
+  , mIncarnation(aIncarnation)
+{
+}
+
+Home::Shard&
+Home::ShardOf(const AttemptId& aAttempt) const
+{
+  const auto hash = std::hash<std::string>{}(aAttempt.Box().Value());
+  return mShards.at(hash % kShards);
+}
+
+HomeAnswer
+Home::Handle(const HomeRequest& aRequest)
+{
+  if (aRequest.mHomeIncarnation != mIncarnation) {
+    return Refuse(Refusal::kIncarnation, Millis(0));
+  }
+  auto& shard = ShardOf(aRequest.mAttempt);
+  AdmitVerdict verdict{};
+  {
+    const std::lock_guard lock(shard.mMutex);
+    verdict = shard.mRegistry.Admit(aRequest.mAttempt, Now());
+  }
+  switch (verdict) {
+    case AdmitVerdict::kAdmitted:
+      return RunAdmitted(aRequest, shard);
+    case AdmitVerdict::kRevoked:
+      return Refuse(Refusal::kRevoked, Millis(0));
+    case AdmitVerdict::kDuplicate:
+      return RefuseAgain(Refusal::kDuplicate);
+    case AdmitVerdict::kStale:
+      break;
+  }
+  return RefuseAgain(Refusal::kStale);
+}
+
+HomeAnswer
+Home::RunAdmitted(const HomeRequest& aRequest, Shard& aShard)
+{
+  const auto server = Find(aRequest.mServer);
+  HomeAnswer answer;
+  if (aRequest.mDeadline <= Now()) {
+    answer = Refuse(Refusal::kExpired, Millis(0));
+  } else if (!server) {
+    answer = Refuse(Refusal::kNoServer, kNotHereRetryAfter);
+  } else {
+    answer = server->Run(aRequest);
+  }
+  auto record = MakeRecord(aRequest, answer);
+  const std::lock_guard lock(aShard.mMutex);
+  if (answer.mOutcome == Outcome::kNotRun) {
+    aShard.mRegistry.Refuse(aRequest.mAttempt);
+  } else {
+    aShard.mRegistry.Finish(
+      aRequest.mAttempt, answer.mOutcome, std::move(record));
+  }
+  return answer;
+}
+
+AttemptReport
+Home::Revoke(const AttemptId& aAttempt, Incarnation aNamed)
+{
+  if (aNamed != mIncarnation) {
+    return {};
+  }
+  auto& shard = ShardOf(aAttempt);
+  {
+    const std::lock_guard lock(shard.mMutex);
+    auto report = shard.mRegistry.Revoke(aAttempt, Now());
+    if (report.mState != AttemptState::kRunning) {
+      return report;
+    }
+  }
+  for (const auto& server : Servers()) {
+    if (server->CancelWaiting(aAttempt)) {
+      const std::lock_guard lock(shard.mMutex);
+      shard.mRegistry.Refuse(aAttempt);
+      break;
+    }
+  }
+  return Query(aAttempt, aNamed);
+}
+
+AttemptReport
+Home::Query(const AttemptId& aAttempt, Incarnation aNamed) const
+{
+  if (aNamed != mIncarnation) {
+    return {};
+  }
+  auto& shard = ShardOf(aAttempt);
+  const std::lock_guard lock(shard.mMutex);
+  return shard.mRegistry.Query(aAttempt);
+}
+
+void
+Home::Apply(const Snapshot& aSnapshot)
+{
+  const std::lock_guard lock(mServersMutex);
+  std::map<BackendServerName, LocalServerPtr> kept;
+  for (const auto& [name, service] : aSnapshot.mServices) {
+    for (const auto& spec : service.mServers) {
+      if (spec.mBox != mBox) {
+        continue;
+      }
+      auto& server = kept[spec.mName];
+      const auto it = mServers.find(spec.mName);
+      const bool same = it != mServers.end() && it->second->Spec() == spec;
+      server = same ? it->second : std::make_shared<LocalServer>(spec);
+      if (mLeaving) {
+        server->SetLeaving(true);
+      }
+    }
+  }
+  for (const auto& [name, server] : mServers) {
+    const auto it = kept.find(name);
+    if (it == kept.end() || it->second != server) {
+      server->SetLeaving(true);
+    }
+  }
+  mServers.swap(kept);
+}
+
+void
+Home::SetLeaving()
+{
+  const std::lock_guard lock(mServersMutex);
+  mLeaving = true;
+  for (const auto& [name, server] : mServers) {
+    server->SetLeaving(true);
+  }
+}
+
+LocalServerPtr
+Home::Find(const BackendServerName& aName) const
+{
+  const std::lock_guard lock(mServersMutex);
+  const auto it = mServers.find(aName);
+  return it == mServers.end() ? nullptr : it->second;
+}
+
+std::vector<LocalServerPtr>
+Home::Servers() const
+{
+  const std::lock_guard lock(mServersMutex);
+  std::vector<LocalServerPtr> servers;
+  for (const auto& [name, server] : mServers) {
+    servers.push_back(server);
+  }
+  return servers;
+}
+
+int
+Home::InFlight() const
+{
+  int count = 0;
+  for (const auto& server : Servers()) {
+    count += server->Running();
+  }
+  return count;
+}
+
+} // namespace porttiller
--- /dev/null
+++ b/packages/node/src/Metrics.cpp
@@ -0,0 +1,118 @@
+#include "porttiller/node/Metrics.h"
+
+#include <prometheus/text_serializer.h>
+
+namespace porttiller {
+
+namespace {
+
+prometheus::Family<prometheus::Counter>&
+CounterFamily(prometheus::Registry& aRegistry,
+              const char* aName,
+              const char* aHelp)
+{
+  return prometheus::BuildCounter().Name(aName).Help(aHelp).Register(aRegistry);
+}
+
+prometheus::Counter*
+MakeCounter(prometheus::Registry& aRegistry,
+            const char* aName,
+            const char* aHelp)
+{
+  return &CounterFamily(aRegistry, aName, aHelp).Add({});
+}
+
+prometheus::Gauge*
+MakeGauge(prometheus::Registry& aRegistry, const char* aName, const char* aHelp)
+{
+  return &prometheus::BuildGauge()
+            .Name(aName)
+            .Help(aHelp)
+            .Register(aRegistry)
+            .Add({});
+}
+
+const prometheus::Histogram::BucketBoundaries kSeconds = {
+  0.0001, 0.0002, 0.0003, 0.0005, 0.00075, 0.0011,
+  0.0015, 0.002,  0.005,  0.01,   0.05,    0.25
+};
+
+} // namespace
+
+Metrics::Metrics()
+  : mRegistry(std::make_shared<prometheus::Registry>())
+  , mRetries(MakeCounter(*mRegistry,
+                         "porttiller_retries_total",
+                         "Second and later attempts"))
+  , mRevokes(MakeCounter(*mRegistry,
+                         "porttiller_revokes_total",
+                         "Attempts whose home was asked to revoke them"))
+  , mDroppedAnswers(MakeCounter(*mRegistry,
+                                "porttiller_dropped_answers_total",
+                                "Answers that were late, foreign or cut"))
+  , mPlatformCalls(MakeCounter(*mRegistry,
+                               "porttiller_platform_calls_total",
+                               "Calls to the platform's object API"))
+  , mFloorRefusals(MakeCounter(*mRegistry,
+                               "porttiller_floor_refusals_total",
+                               "Ejections that the floor did not allow"))
+  , mEjections(MakeCounter(*mRegistry,
+                           "porttiller_ejections_total",
+                           "Backend servers ejected by this home"))
+  , mDemotions(MakeCounter(*mRegistry,
+                           "porttiller_demotions_total",
+                           "Backend servers demoted by this home"))
+  , mAddedLatency(
+      &prometheus::BuildHistogram()
+         .Name("porttiller_added_latency_seconds")
+         .Help("Time added to a request, less its home's time on it")
+         .Register(*mRegistry)
+         .Add({}, kSeconds))
+  , mConfigRevision(MakeGauge(*mRegistry,
+                              "porttiller_config_revision",
+                              "Configuration revision in force"))
+  , mControlSent(MakeGauge(*mRegistry,
+                           "porttiller_control_sent_bytes",
+                           "Control bytes sent to other boxes"))
+  , mControlReceived(MakeGauge(*mRegistry,
+                               "porttiller_control_received_bytes",
+                               "Control bytes received from other boxes"))
+  , mLateReplies(MakeGauge(*mRegistry,
+                           "porttiller_late_replies",
+                           "Control replies that nobody waited for"))
+{
+  auto& requests = CounterFamily(
+    *mRegistry, "porttiller_requests_total", "Requests answered to callers");
+  for (std::size_t i = 0; i < mRequests.size(); ++i) {
+    const auto outcome = static_cast<Outcome>(i);
+    mRequests.at(i) =
+      &requests.Add({ { "outcome", std::string(ToText(outcome)) } });
+  }
+  auto& refusals = CounterFamily(
+    *mRegistry, "porttiller_refusals_total", "Attempts that homes refused");
+  for (std::size_t i = 0; i < mRefusals.size(); ++i) {
+    const auto refusal = static_cast<Refusal>(i);
+    mRefusals.at(i) =
+      &refusals.Add({ { "reason", std::string(ToText(refusal)) } });
+  }
+}
+
+void
+Metrics::CountRequest(Outcome aOutcome)
+{
+  mRequests.at(static_cast<std::size_t>(aOutcome))->Increment();
+}
+
+void
+Metrics::CountRefusal(Refusal aRefusal)
+{
+  mRefusals.at(static_cast<std::size_t>(aRefusal))->Increment();
+}
+
+std::string
+Metrics::Text() const
+{
+  return prometheus::TextSerializer().Serialize(mRegistry->Collect());
+}
+
+} // namespace porttiller
--- /dev/null
+++ b/packages/peer/include/porttiller/peer/PeerTransport.h
@@ -0,0 +1,90 @@
+// Control messages between daemons: requests with one reply each, over
+// ZeroMQ, with bounded queues and links that close when idle.
+#pragma once
+
+#include "porttiller/core/Ids.h"
+#include "porttiller/core/Time.h"
+
+#include <porttiller.pb.h>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <tl/expected.hpp>
+
+namespace porttiller {
+
+enum class PeerErrorKind
+{
+  kTimeout, // no reply in time; the request may have arrived
+  kBusy,    // too many requests are waiting; not sent
+  kClosed,  // the transport is stopping
+  kBind     // the address is taken or not ours
+};
+
+struct PeerError
+{
+  PeerErrorKind mKind = PeerErrorKind::kTimeout;
+  std::string mDetail;
+};
+
+struct PeerTransportOptions
+{
+  std::string mBindAddress; // "ip:port"
+  BoxName mBox;
+  Incarnation mIncarnation;
+  Millis mIdleClose{ 30'000 };
+  std::size_t mMaxPending = 4096; // requests without a reply yet
+};
+
+struct PeerTraffic
+{
+  std::uint64_t mBytesSent = 0;
+  std::uint64_t mBytesReceived = 0;
+  std::uint64_t mLateReplies = 0; // dropped: nobody waits for them any more
+  std::uint64_t mLinks = 0;
+};
+
+using PeerResult = tl::expected<wire::Envelope, PeerError>;
+using PeerCallback = std::function<void(PeerResult)>;
+// Sends the reply to one request; may be called later, from any thread.
+using PeerReplier = std::function<void(wire::Envelope)>;
+using PeerHandler = std::function<void(const wire::Envelope&, PeerReplier)>;
+
+// Owns one thread and all sockets. Handlers and callbacks run on that thread
+// and must not block. Every public function may be called from any thread.
+class PeerTransport
+{
+public:
+  static tl::expected<std::unique_ptr<PeerTransport>, PeerError> Make(
+    PeerTransportOptions aOptions,
+    PeerHandler aHandler);
+
+  ~PeerTransport();
+  PeerTransport(const PeerTransport&) = delete;
+  PeerTransport& operator=(const PeerTransport&) = delete;
+
+  // aCallback is called exactly once. A request may reach its receiver after
+  // its time-out; receivers treat every request as one that may be late.
+  void Send(const std::string& aAddress,
+            wire::Envelope aRequest,
+            Millis aTimeout,
+            PeerCallback aCallback);
+
+  // As Send, but waits. Never call it on the transport's own thread.
+  PeerResult Call(const std::string& aAddress,
+                  wire::Envelope aRequest,
+                  Millis aTimeout);
+
+  PeerTraffic Traffic() const;
+
+private:
+  class Loop;
+
+  explicit PeerTransport(std::unique_ptr<Loop> aLoop);
+
+  std::unique_ptr<Loop> mLoop;
+};
+
+} // namespace porttiller
--- /dev/null
+++ b/packages/peer/tests/PeerTransportTest.cpp
@@ -0,0 +1,77 @@
+#include "porttiller/peer/PeerTransport.h"
+
+#include "standin/LinkStandIn.h"
+
+#include <atomic>
+#include <doctest/doctest.h>
+
+using namespace porttiller;
+
+namespace {
+
+constexpr const char* kFirst = "127.0.0.1:21101";
+constexpr const char* kSecond = "127.0.0.1:21102";
+
+std::unique_ptr<PeerTransport>
+MakePeer(const char* aAddress, const char* aName, std::atomic<int>& aHandled)
+{
+  auto peer =
+    PeerTransport::Make({ .mBindAddress = aAddress,
+                          .mBox = BoxName(aName),
+                          .mIncarnation = Incarnation(9) },
+                        [&aHandled](const wire::Envelope&, PeerReplier aReply) {
+                          ++aHandled;
+                          wire::Envelope reply;
+                          reply.mutable_ack();
+                          aReply(reply);
+                        });
+  REQUIRE(peer.has_value());
+  return std::move(*peer);
+}
+
+wire::Envelope
+Request()
+{
+  wire::Envelope request;
+  request.mutable_probe();
+  return request;
+}
+
+} // namespace
+
+TEST_CASE("A request gets its reply, with the replier's incarnation")
+{
+  std::atomic<int> handled{ 0 };
+  const auto first = MakePeer(kFirst, "a", handled);
+  const auto second = MakePeer(kSecond, "b", handled);
+  const auto reply = first->Call(kSecond, Request(), Millis(5000));
+  REQUIRE(reply.has_value());
+  CHECK(reply->from_box() == "b");
+  CHECK(reply->from_incarnation() == 9);
+}
+
+TEST_CASE("A taken address is an error, not a crash")
+{
+  std::atomic<int> handled{ 0 };
+  const auto first = MakePeer(kFirst, "a", handled);
+  const auto again = PeerTransport::Make({ .mBindAddress = kFirst }, {});
+  REQUIRE_FALSE(again.has_value());
+  CHECK(again.error().mKind == PeerErrorKind::kBind);
+}
+
+TEST_CASE("A reply that comes after its time-out is dropped and counted")
+{
+  std::atomic<int> handled{ 0 };
+  const auto first = MakePeer(kFirst, "a", handled);
+  const auto second = MakePeer(kSecond, "b", handled);
+  standin::LinkStandIn link(kSecond);
+  REQUIRE(first->Call(link.Address(), Request(), Millis(5000)).has_value());
+  link.CutBackward(true);
+  const auto lost = first->Call(link.Address(), Request(), Millis(50));
+  REQUIRE_FALSE(lost.has_value());
+  CHECK(lost.error().mKind == PeerErrorKind::kTimeout);
+  link.CutBackward(false);
+  REQUIRE(first->Call(link.Address(), Request(), Millis(5000)).has_value());
+  CHECK(handled == 3);
+  CHECK(first->Traffic().mLateReplies == 1);
+}
--- /dev/null
+++ b/testing/fleet/Fleet.cpp
@@ -0,0 +1,333 @@
+#include "fleet/Fleet.h"
+
+#include "porttiller/config/JsonText.h"
+#include "porttiller/node/HopHeaders.h"
+#include "porttiller/platform/ObjectClient.h"
+
+#include <Poco/TemporaryFile.h>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <stdexcept>
+#include <thread>
+
+namespace porttiller::fleet {
+
+namespace {
+
+constexpr int kPortsPerBox = 4;
+constexpr int kServerPortOffset = 500;
+constexpr int kPlatformPortOffset = 900;
+constexpr int kCallerConnections = 256;
+constexpr Millis kStartWait{ 10'000 };
+constexpr Millis kAdminWait{ 2000 };
+constexpr Millis kPoll{ 10 };
+
+std::string
+Loopback(int aPort)
+{
+  return "127.0.0.1:" + std::to_string(aPort);
+}
+
+} // namespace
+
+Reply
+SendTo(HttpPool& aPool, const HttpRequestData& aRequest, Millis aTime)
+{
+  const auto deadline = Now() + aTime;
+  auto exchange = aPool.Begin(aRequest, deadline);
+  if (!exchange || !(*exchange)->WaitReadable(deadline)) {
+    return {};
+  }
+  auto answer = (*exchange)->ReadAnswer(deadline);
+  if (!answer) {
+    return {};
+  }
+  return { .mStatus = answer->mStatus,
+           .mOutcome = HeaderValue(answer->mHeaders, hop::kOutcome),
+           .mHeaders = answer->mHeaders,
+           .mBody = answer->mBody };
+}
+
+bool
+WaitUntil(Millis aTime, const std::function<bool()>& aCondition)
+{
+  const auto until = Now() + aTime;
+  while (!aCondition()) {
+    if (Now() > until) {
+      return false;
+    }
+    std::this_thread::sleep_for(kPoll);
+  }
+  return true;
+}
+
+Fleet::Fleet(FleetOptions aOptions)
+  : mOptions(std::move(aOptions))
+  , mDirectory(Poco::TemporaryFile::tempName())
+{
+  std::filesystem::create_directories(mDirectory);
+  StartStandIns();
+  PutConfiguration();
+  mBoxes.resize(static_cast<std::size_t>(mOptions.mBoxes));
+  for (int box = 0; box < mOptions.mBoxes; ++box) {
+    mCallers.push_back(std::make_unique<HttpPool>(HttpPoolOptions{
+      .mAddress = CallerAddress(box), .mMaxConnections = kCallerConnections }));
+    StartBox(box);
+  }
+  for (int box = 0; box < mOptions.mBoxes; ++box) {
+    if (!WaitInForce(box, kStartWait)) {
+      throw std::runtime_error("a box did not start");
+    }
+  }
+}
+
+Fleet::~Fleet()
+{
+  mBoxes.clear();
+  mStandIns.clear();
+  mServers.clear();
+  mPlatform.reset();
+  std::error_code ignored;
+  std::filesystem::remove_all(mDirectory, ignored);
+}
+
+std::string
+Fleet::Address(int aBox, int aPort) const
+{
+  return Loopback(mOptions.mPortBase + aBox * kPortsPerBox + aPort);
+}
+
+std::string
+Fleet::CallerAddress(int aBox) const
+{
+  return Address(aBox, 0);
+}
+
+std::string
+Fleet::HomeAddress(int aBox) const
+{
+  return Address(aBox, 1);
+}
+
+std::string
+Fleet::ControlAddress(int aBox) const
+{
+  return Address(aBox, 2);
+}
+
+std::string
+Fleet::AdminAddress(int aBox) const
+{
+  return Address(aBox, 3);
+}
+
+std::string
+Fleet::PlatformAddress() const
+{
+  return Loopback(mOptions.mPortBase + kPlatformPortOffset);
+}
+
+std::string
+Fleet::ServerAddress(int aIndex) const
+{
+  return Loopback(mOptions.mPortBase + kServerPortOffset + aIndex);
+}
+
+std::string
+Fleet::BoxName(int aBox)
+{
+  return "box-" + std::to_string(aBox);
+}
+
+std::string
+Fleet::ServerName(int aIndex)
+{
+  return "server-" + std::to_string(aIndex);
+}
+
+void
+Fleet::StartStandIns()
+{
+  const int servers = mOptions.mBoxes * mOptions.mServersPerBox;
+  if (!mOptions.mOwnProcesses) {
+    mPlatform = std::make_unique<standin::PlatformStandIn>(PlatformAddress());
+    for (int i = 0; i < servers; ++i) {
+      mServers.push_back(std::make_unique<standin::ServerStandIn>(
+        ServerName(i), ServerAddress(i)));
+    }
+    return;
+  }
+  const auto log = mDirectory + "/standins.log";
+  const auto start = [&](const char* aProgram,
+                         const std::vector<std::string>& aArguments) {
+    mStandIns.push_back(
+      std::make_unique<standin::ChildProcess>(aProgram, aArguments, log));
+    if (!standin::WaitForListener(aArguments.back(), kStartWait)) {
+      throw std::runtime_error("a stand-in did not start");
+    }
+  };
+  start(PORTTILLER_PLATFORM_STANDIN, { PlatformAddress() });
+  for (int i = 0; i < servers; ++i) {
+    start(PORTTILLER_SERVER_STANDIN, { ServerName(i), ServerAddress(i) });
+  }
+}
+
+void
+Fleet::Put(const std::string& aKind,
+           const std::string& aName,
+           const std::string& aSpec)
+{
+  if (mPlatform) {
+    mPlatform->Put({ aKind, aName }, aSpec);
+    return;
+  }
+  ObjectClient client({ .mAddress = PlatformAddress() });
+  if (!client.Create({ aKind, aName }, aSpec)) {
+    throw std::runtime_error("the platform stand-in refused " + aName);
+  }
+}
+
+void
+Fleet::PutBox(int aBox,
+              const std::string& aHomeAddress,
+              const std::string& aControlAddress,
+              const std::string& aState)
+{
+  Put("Box",
+      BoxName(aBox),
+      R"({"zone":"zone-)" + std::to_string(aBox) + R"(","home_address":")" +
+        aHomeAddress + R"(","control_address":")" + aControlAddress +
+        R"(","state":")" + aState + "\"}");
+}
+
+void
+Fleet::PutConfiguration()
+{
+  Put("Service",
+      "ledger",
+      R"({"floor_slots":)" + std::to_string(mOptions.mFloorSlots) +
+        R"(,"detection":")" + mOptions.mDetection +
+        R"(","default_deadline_ms":)" +
+        std::to_string(mOptions.mDefaultDeadline.count()) + "}");
+  Put("Route", "all", R"({"path_prefix":"/","service":"ledger"})");
+  for (int box = 0; box < mOptions.mBoxes; ++box) {
+    PutBox(box, HomeAddress(box), ControlAddress(box));
+  }
+  for (int i = 0; i < mOptions.mBoxes * mOptions.mServersPerBox; ++i) {
+    Put("BackendServer",
+        ServerName(i),
+        R"({"service":"ledger","box":")" +
+          BoxName(i / mOptions.mServersPerBox) + R"(","address":")" +
+          ServerAddress(i) + R"(","slots":)" + std::to_string(mOptions.mSlots) +
+          "}");
+  }
+}
+
+std::string
+Fleet::SettingsFile(int aBox) const
+{
+  auto file = mDirectory + "/" + BoxName(aBox) + ".json";
+  std::string seeds;
+  for (int box = 0; box < mOptions.mBoxes; ++box) {
+    if (box != aBox) {
+      seeds += (seeds.empty() ? "\"" : ",\"") + ControlAddress(box) + "\"";
+    }
+  }
+  std::ofstream(file) << R"({ "box": ")" << BoxName(aBox)
+                      << R"(", "zone": "zone-)" << aBox
+                      << R"(", "callers": { "address": ")"
+                      << CallerAddress(aBox)
+                      << R"(" }, "peers": { "home_address": ")"
+                      << HomeAddress(aBox) << R"(", "control_address": ")"
+                      << ControlAddress(aBox) << R"(", "seeds": [)" << seeds
+                      << R"(] }, "admin_address": ")" << AdminAddress(aBox)
+                      << R"(", "platform_address": ")" << PlatformAddress()
+                      << "\"" << mOptions.mExtraSettings << " }\n";
+  return file;
+}
+
+void
+Fleet::StartBox(int aBox)
+{
+  auto& box = mBoxes.at(aBox);
+  box.reset();
+  box = std::make_unique<standin::ChildProcess>(
+    PORTTILLER_DAEMON,
+    std::vector<std::string>{ "--config", SettingsFile(aBox) },
+    mDirectory + "/" + BoxName(aBox) + ".log");
+}
+
+void
+Fleet::SignalBox(int aBox, int aSignal)
+{
+  mBoxes.at(aBox)->Signal(aSignal);
+}
+
+int
+Fleet::WaitForBoxExit(int aBox, Millis aTime)
+{
+  return mBoxes.at(aBox)->WaitForExit(aTime);
+}
+
+std::string
+Fleet::Admin(int aBox, const std::string& aPath) const
+{
+  HttpPool pool({ .mAddress = AdminAddress(aBox) });
+  return SendTo(pool, { .mMethod = "GET", .mTarget = aPath }, kAdminWait).mBody;
+}
+
+std::string
+Fleet::State(int aBox) const
+{
+  return Admin(aBox, "/state");
+}
+
+std::string
+Fleet::Metrics(int aBox) const
+{
+  return Admin(aBox, "/metrics");
+}
+
+bool
+Fleet::WaitInForce(int aBox, Millis aTime)
+{
+  ObjectClient client({ .mAddress = PlatformAddress() });
+  const auto list = client.List("");
+  if (!list) {
+    return false;
+  }
+  return WaitUntil(aTime, [&] {
+    const auto state = ParseJsonObject(State(aBox));
+    return state &&
+           (*state)->optValue<std::uint64_t>("revision", 0) >= list->mTo;
+  });
+}
+
+int
+Fleet::RunsOf(const std::string& aId) const
+{
+  int runs = 0;
+  for (const auto& server : mServers) {
+    runs += server->RunsOf(aId);
+  }
+  return runs;
+}
+
+Reply
+Fleet::Send(int aBox,
+            const std::string& aMethod,
+            const std::string& aTarget,
+            const std::string& aBody,
+            const HttpHeaders& aHeaders,
+            Millis aTime)
+{
+  return SendTo(*mCallers.at(aBox),
+                { .mMethod = aMethod,
+                  .mTarget = aTarget,
+                  .mHeaders = aHeaders,
+                  .mBody = aBody },
+                aTime);
+}
+
+} // namespace porttiller::fleet
--- /dev/null
+++ b/testing/standin/HttpStandIn.h
@@ -0,0 +1,51 @@
+// What the HTTP stand-ins share: a server whose handler is a function, and a
+// way to cut a connection without an answer.
+#pragma once
+
+#include <Poco/Net/HTTPServer.h>
+#include <Poco/Net/HTTPServerRequest.h>
+#include <Poco/Net/HTTPServerResponse.h>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace porttiller::standin {
+
+using Handler = std::function<void(Poco::Net::HTTPServerRequest&,
+                                   Poco::Net::HTTPServerResponse&)>;
+
+// Serves from construction to destruction on a loopback address.
+class HttpStandIn
+{
+public:
+  // Port 0 takes any free one.
+  HttpStandIn(const std::string& aAddress, Handler aHandler);
+  ~HttpStandIn();
+  HttpStandIn(const HttpStandIn&) = delete;
+  HttpStandIn& operator=(const HttpStandIn&) = delete;
+
+  std::string Address() const;
+
+private:
+  Poco::ThreadPool mThreads;
+  std::unique_ptr<Poco::Net::HTTPServer> mServer;
+  std::string mHost;
+};
+
+std::string
+ReadBody(Poco::Net::HTTPServerRequest& aRequest);
+
+void
+SendText(Poco::Net::HTTPServerResponse& aResponse,
+         int aStatus,
+         const std::string& aBody);
+
+// Ends the connection at once, without an answer or in the middle of one.
+void
+CutConnection(Poco::Net::HTTPServerRequest& aRequest);
+
+// Blocks until the process is told to end.
+void
+WaitForSignal();
+
+} // namespace porttiller::standin
--- /dev/null
+++ b/testing/standin/ServerStandIn.cpp
@@ -0,0 +1,168 @@
+#include "standin/ServerStandIn.h"
+
+#include "porttiller/config/JsonText.h"
+
+#include <algorithm>
+#include <thread>
+
+namespace porttiller::standin {
+
+namespace {
+
+constexpr int kColdFactor = 10;
+constexpr int kPercent = 100;
+
+} // namespace
+
+std::string
+EchoOf(const std::string& aServer,
+       const std::string& aId,
+       const std::string& aBody)
+{
+  return aServer + "|" + aId + "|" + aBody;
+}
+
+ServerStandIn::ServerStandIn(std::string aName, const std::string& aAddress)
+  : mName(std::move(aName))
+  , mSince(Now())
+{
+  mServer = std::make_unique<HttpStandIn>(
+    aAddress,
+    [this](auto& aRequest, auto& aResponse) { Handle(aRequest, aResponse); });
+}
+
+void
+ServerStandIn::Set(const ServerBehaviour& aBehaviour)
+{
+  const std::lock_guard lock(mMutex);
+  mBehaviour = aBehaviour;
+  mSince = Now();
+}
+
+int
+ServerStandIn::RunsOf(const std::string& aId) const
+{
+  const std::lock_guard lock(mMutex);
+  const auto it = mRuns.find(aId);
+  return it == mRuns.end() ? 0 : it->second;
+}
+
+int
+ServerStandIn::MostRuns() const
+{
+  const std::lock_guard lock(mMutex);
+  int most = 0;
+  for (const auto& [id, runs] : mRuns) {
+    most = std::max(most, runs);
+  }
+  return most;
+}
+
+void
+ServerStandIn::CountRun(const std::string& aId)
+{
+  ++mTotal;
+  if (aId.empty()) {
+    return;
+  }
+  const std::lock_guard lock(mMutex);
+  ++mRuns[aId];
+}
+
+ServerBehaviour
+ServerStandIn::Current(TimePoint aNow) const
+{
+  const std::lock_guard lock(mMutex);
+  auto behaviour = mBehaviour;
+  const auto age = std::chrono::duration_cast<Millis>(aNow - mSince).count();
+  if (behaviour.mFlapMs > 0 && (age / behaviour.mFlapMs) % 2 == 1) {
+    behaviour.mFailPercent = 0;
+  }
+  if (age < behaviour.mColdMs) {
+    behaviour.mServiceMs *= kColdFactor;
+  }
+  return behaviour;
+}
+
+void
+ServerStandIn::Handle(Poco::Net::HTTPServerRequest& aRequest,
+                      Poco::Net::HTTPServerResponse& aResponse)
+{
+  if (aRequest.getURI().starts_with("/control")) {
+    Control(aRequest, aResponse);
+    return;
+  }
+  if (aRequest.getURI() == "/health") {
+    SendText(aResponse, 200, R"({"healthy":true})"); // it always says so
+    return;
+  }
+  if (aRequest.getURI() == "/load") {
+    SendText(
+      aResponse, 200, "{\"in_flight\":" + std::to_string(mInFlight) + "}");
+    return;
+  }
+  ++mInFlight;
+  Run(aRequest, aResponse);
+  --mInFlight;
+}
+
+void
+ServerStandIn::Run(Poco::Net::HTTPServerRequest& aRequest,
+                   Poco::Net::HTTPServerResponse& aResponse)
+{
+  const auto behaviour = Current(Now());
+  const auto id = aRequest.get("X-Request-Id", "");
+  const auto body = ReadBody(aRequest);
+  if (behaviour.mDraining) {
+    SendText(aResponse, 503, "draining");
+    return;
+  }
+  CountRun(id);
+  if (behaviour.mServiceMs > 0) {
+    std::this_thread::sleep_for(Millis(behaviour.mServiceMs));
+  }
+  const auto turn = static_cast<int>(mTotal % kPercent);
+  const bool hit = behaviour.mFailPrefix.empty() ||
+                   aRequest.getURI().starts_with(behaviour.mFailPrefix);
+  if (hit && turn < behaviour.mFailPercent) {
+    SendText(aResponse, 500, "failed");
+    return;
+  }
+  if (behaviour.mCloseEvery > 0 && turn % behaviour.mCloseEvery == 0) {
+    CutConnection(aRequest);
+    return;
+  }
+  const auto echo = EchoOf(mName, id, body);
+  if (turn < behaviour.mHalfPercent) {
+    aResponse.setContentLength64(static_cast<std::int64_t>(echo.size()));
+    aResponse.send() << echo.substr(0, echo.size() / 2) << std::flush;
+    CutConnection(aRequest);
+    return;
+  }
+  aResponse.set("X-Request-Id", id);
+  SendText(aResponse, 200, echo);
+}
+
+void
+ServerStandIn::Control(Poco::Net::HTTPServerRequest& aRequest,
+                       Poco::Net::HTTPServerResponse& aResponse)
+{
+  const auto body = ReadBody(aRequest);
+  if (const auto json = ParseJsonObject(body)) {
+    const auto& fields = **json;
+    Set({ .mServiceMs = fields.optValue("service_ms", 0),
+          .mFailPercent = fields.optValue("fail_percent", 0),
+          .mFailPrefix = fields.optValue<std::string>("fail_prefix", ""),
+          .mHalfPercent = fields.optValue("half_percent", 0),
+          .mCloseEvery = fields.optValue("close_every", 0),
+          .mFlapMs = fields.optValue("flap_ms", 0),
+          .mColdMs = fields.optValue("cold_ms", 0),
+          .mDraining = fields.optValue("draining", false) });
+  }
+  SendText(aResponse,
+           200,
+           "{\"runs\":" + std::to_string(mTotal) +
+             ",\"most_runs_of_one_id\":" + std::to_string(MostRuns()) + "}");
+}
+
+} // namespace porttiller::standin
