--- a/packages/node/include/porttiller/node/AdminServer.h
+++ b/packages/node/include/porttiller/node/AdminServer.h
@@ -11,6 +11,7 @@
 
 struct AdminSources
 {
+  std::function<void()> mRefresh;      // brings gauges up to date
   std::function<std::string()> mState; // JSON
   std::function<bool()> mDraining;
 };
--- a/packages/node/include/porttiller/node/ConfigController.h
+++ b/packages/node/include/porttiller/node/ConfigController.h
@@ -1,11 +1,15 @@
-// Holds the configuration in force, follows the platform, and keeps the last
-// good one while the platform is away.
+// Holds the configuration in force. A few watchers in each availability zone
+// follow the platform; everyone else learns of changes from peers, and keeps
+// the last good configuration while the platform is away.
 #pragma once
 
 #include "porttiller/config/ObjectSet.h"
 #include "porttiller/config/Settings.h"
 #include "porttiller/config/Snapshot.h"
+#include "porttiller/node/MembershipController.h"
 #include "porttiller/node/Metrics.h"
+#include "porttiller/node/Worker.h"
+#include "porttiller/peer/PeerTransport.h"
 #include "porttiller/platform/ObjectClient.h"
 
 #include <atomic>
@@ -18,36 +22,59 @@
 namespace porttiller {
 
 // Called after each switch, in order, never two at a time.
-using SnapshotListener = std::function<void(SnapshotPtr)>;
+using SnapshotListener = std::function<void(const SnapshotPtr&)>;
+
+// What the controller asks of membership.
+struct ConfigPeers
+{
+  std::function<std::vector<BoxName>()> mLiveBoxes;
+  std::function<std::vector<BoxSpec>(std::size_t)> mRandomPeers;
+};
 
 // Owned by the node. Thread-safe.
 class ConfigController
 {
 public:
-  ConfigController(const Settings& aSettings, Metrics& aMetrics);
+  ConfigController(const Settings& aSettings,
+                   PeerTransport& aTransport,
+                   Metrics& aMetrics);
   ~ConfigController();
 
   // Before Start.
   void AddListener(SnapshotListener aListener);
-  void Start();
+  void Start(ConfigPeers aPeers);
   void Stop();
 
   // Null until the first configuration is known.
   SnapshotPtr Current() const;
+  // This node's revision and digest; the address is left empty.
+  PeerRevision Own() const;
+  bool PlatformReachable() const { return mPlatformReachable; }
+  bool IsWatcher() const;
+
+  // A peer holds this revision: one that is ahead is asked for what lacks
+  // here. Does not block.
+  void OnPeerRevision(const PeerRevision& aPeer);
+  // What a peer at this revision lacks.
+  wire::Envelope OnDeltaRequest(const wire::DeltaRequest& aRequest) const;
+  void OnAnnounce(const wire::Envelope& aRequest);
 
   // Takes over a delta if it is newer; true when the set moved forward.
   bool Apply(const ObjectDelta& aDelta, const char* aSource);
-  // What a node at this revision lacks.
-  ObjectDelta Since(std::uint64_t aRevision) const;
-  bool PlatformReachable() const { return mPlatformReachable; }
 
 private:
   void Run();
-  void FollowOnce(ObjectClient& aClient);
+  void FollowPlatform();
+  void AskSeeds();
+  void Pull(const std::string& aAddress);
+  void Announce(std::uint64_t aRevision);
   void NotePlatform(bool aReachable, const std::string& aDetail);
+  void Sleep(Millis aTime);
 
   const Settings& mSettings;
+  PeerTransport& mTransport;
   Metrics& mMetrics;
+  ConfigPeers mPeers;
   std::vector<SnapshotListener> mListeners;
   std::mutex mApplyMutex; // one switch at a time, listeners included
   mutable std::mutex mMutex;
@@ -55,8 +82,11 @@
   SnapshotBuilder mBuilder; // under mApplyMutex
   SnapshotPtr mCurrent;     // under mMutex
   std::atomic<bool> mPlatformReachable{ false };
+  std::atomic<bool> mPulling{ false };
   std::atomic<bool> mStop{ false };
   std::condition_variable mWake;
+  ObjectClient mClient; // of mThread
+  Worker mWorker;       // applies what peers send
   std::thread mThread;
 };
 
--- /dev/null
+++ b/packages/node/include/porttiller/node/ControlCodec.h
@@ -0,0 +1,27 @@
+// Policy and configuration values as control messages, and back.
+#pragma once
+
+#include "porttiller/config/ObjectSet.h"
+#include "porttiller/policy/Membership.h"
+
+#include <porttiller.pb.h>
+
+#include <vector>
+
+namespace porttiller {
+
+void
+EncodeMembers(const std::vector<MemberUpdate>& aUpdates,
+              google::protobuf::RepeatedPtrField<wire::Member>& aMembers);
+
+// Entries with an unknown state are left out.
+std::vector<MemberUpdate>
+DecodeMembers(const google::protobuf::RepeatedPtrField<wire::Member>& aMembers);
+
+wire::Delta
+EncodeDelta(const ObjectDelta& aDelta);
+
+ObjectDelta
+DecodeDelta(const wire::Delta& aDelta);
+
+} // namespace porttiller
--- a/packages/node/include/porttiller/node/Dispatcher.h
+++ b/packages/node/include/porttiller/node/Dispatcher.h
@@ -3,6 +3,7 @@
 
 #include "porttiller/config/Settings.h"
 #include "porttiller/config/Snapshot.h"
+#include "porttiller/node/Cutoff.h"
 #include "porttiller/node/EntryView.h"
 #include "porttiller/node/Home.h"
 #include "porttiller/node/Metrics.h"
@@ -54,7 +55,8 @@
              Home& aHome,
              EntryView& aView,
              PeerTransport& aTransport,
-             Metrics& aMetrics);
+             Metrics& aMetrics,
+             const Cutoff& aCutoff);
 
   // Sends aRequest, filling in its home's incarnation. aMayMoveOn is asked
   // when the attempt takes long and runs: true gives it up as unknown.
@@ -78,6 +80,7 @@
                       const HomeRequest& aRequest,
                       HttpExchange& aExchange,
                       const std::function<bool()>& aMayMoveOn);
+  bool WaitReadable(HttpExchange& aExchange, TimePoint aUntil) const;
   AttemptResult Read(const BoxSpec& aBox,
                      const HomeRequest& aRequest,
                      HttpExchange& aExchange);
@@ -91,6 +94,7 @@
   EntryView& mView;
   PeerTransport& mTransport;
   Metrics& mMetrics;
+  const Cutoff& mCutoff;
   std::mutex mPoolsMutex;
   std::map<std::string, std::unique_ptr<HttpPool>> mPools; // by address
 };
--- a/packages/node/include/porttiller/node/EntryServer.h
+++ b/packages/node/include/porttiller/node/EntryServer.h
@@ -20,9 +20,8 @@
     AttemptServices aServices);
 
   // Answers from now on end their connections; nothing is refused yet.
-  void BeginDrain(TimePoint aBound);
-  // Waits until every request has its answer; none outlives BeginDrain's
-  // bound.
+  void BeginDrain() { mDraining = true; }
+  // Waits until every request has its answer.
   void Stop();
 
   int InFlight() const { return mInFlight; }
--- a/packages/node/include/porttiller/node/Home.h
+++ b/packages/node/include/porttiller/node/Home.h
@@ -18,7 +18,7 @@
 class Home
 {
 public:
-  Home(BoxName aBox, Incarnation aIncarnation);
+  Home(BoxName aBox, Incarnation aIncarnation, const Cutoff& aCutoff);
 
   Incarnation OwnIncarnation() const { return mIncarnation; }
 
@@ -52,6 +52,7 @@
 
   const BoxName mBox;
   const Incarnation mIncarnation;
+  const Cutoff& mCutoff;
   mutable std::array<Shard, kShards> mShards;
   mutable std::mutex mServersMutex;
   std::map<BackendServerName, LocalServerPtr> mServers;
--- a/packages/node/include/porttiller/node/HomeTypes.h
+++ b/packages/node/include/porttiller/node/HomeTypes.h
@@ -49,6 +49,14 @@
   HttpRequestData mHttp;
 };
 
+// True for a request whose caller may ask again what became of it: its home
+// waits for the answer past the deadline, to have it on record.
+inline bool
+Lingers(const HomeRequest& aRequest)
+{
+  return !aRequest.mRepeatable && !aRequest.mRequestKey.empty();
+}
+
 struct HomeAnswer
 {
   Outcome mOutcome = Outcome::kUnknown;
--- a/packages/node/include/porttiller/node/LocalServer.h
+++ b/packages/node/include/porttiller/node/LocalServer.h
@@ -3,8 +3,10 @@
 #pragma once
 
 #include "porttiller/config/Resources.h"
+#include "porttiller/node/Cutoff.h"
 #include "porttiller/node/HomeTypes.h"
 #include "porttiller/node/HttpPool.h"
+#include "porttiller/policy/EjectionMachine.h"
 #include "porttiller/policy/SlotQueue.h"
 
 #include <condition_variable>
@@ -20,7 +22,9 @@
 class LocalServer
 {
 public:
-  explicit LocalServer(const BackendServerSpec& aSpec);
+  LocalServer(const BackendServerSpec& aSpec,
+              DetectionSetting aDetection,
+              const Cutoff& aCutoff);
 
   const BackendServerSpec& Spec() const { return mSpec; }
 
@@ -35,7 +39,19 @@
   // From now on every new request is refused; running ones go on.
   void SetLeaving(bool aLeaving);
 
-  int Running() const;
+  // The ejection machine's events; see EjectionMachine.
+  std::vector<EjectionAction> Tick(TimePoint aNow);
+  void OnPeers(const std::vector<PeerHealth>& aPeers, int aOthers);
+  void OnPermission(PermissionAnswer aAnswer);
+  void OnReleased(bool aDone);
+  void OnFloorBroken();
+  PeerHealth Health() const;
+  ServerPhase Phase() const;
+  bool HoldsPermission() const;
+  DetectionSetting Detection() const { return mDetection; }
+
+  // Running and waiting requests.
+  int InFlight() const;
   double Load() const;
   std::string Dump() const;
 
@@ -60,20 +76,29 @@
   std::optional<HomeAnswer> WaitForSlot(std::unique_lock<std::mutex>& aLock,
                                         Ticket aTicket,
                                         TimePoint aDeadline);
+  std::optional<HomeAnswer> RefuseAside(const HomeRequest& aRequest);
   HomeAnswer Exchange(const HomeRequest& aRequest);
+  HomeAnswer RefusedByServer(const HttpAnswer& aHttp);
+  void Learn(const HomeRequest& aRequest,
+             const HomeAnswer& aAnswer,
+             Micros aTime);
   void FreeSlot(std::optional<Micros> aServiceTime);
   void Mark(Ticket aTicket, WaitState aState);
   double LoadLocked() const;
   HomeAnswer RefuseLocked(Refusal aRefusal, Millis aRetryAfter) const;
 
   const BackendServerSpec mSpec;
+  const DetectionSetting mDetection;
+  const Cutoff& mCutoff;
   HttpPool mPool;
   mutable std::mutex mMutex;
   std::condition_variable mChanged;
   SlotQueue mQueue;
+  EjectionMachine mMachine;
   std::map<Ticket, Waiter> mWaiters;
   Ticket mNextTicket = 1;
   bool mLeaving = false;
+  TimePoint mServerLeavingUntil; // said by the server itself
 };
 
 using LocalServerPtr = std::shared_ptr<LocalServer>;
--- /dev/null
+++ b/packages/node/include/porttiller/node/MembershipController.h
@@ -0,0 +1,87 @@
+// Probes the other boxes and keeps what this node believes of them.
+#pragma once
+
+#include "porttiller/config/Settings.h"
+#include "porttiller/config/Snapshot.h"
+#include "porttiller/node/EntryView.h"
+#include "porttiller/node/Worker.h"
+#include "porttiller/peer/PeerTransport.h"
+#include "porttiller/policy/Membership.h"
+
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <vector>
+
+namespace porttiller {
+
+// A peer's configuration revision, as its probes and replies carry it.
+struct PeerRevision
+{
+  std::string mAddress; // its control address
+  std::uint64_t mRevision = 0;
+  std::uint64_t mDigest = 0;
+};
+
+struct MembershipHooks
+{
+  // This node's own revision and digest.
+  std::function<PeerRevision()> mOwnRevision;
+  std::function<void(const PeerRevision&)> mOnPeerRevision;
+};
+
+// Owned by the node. Thread-safe.
+class MembershipController
+{
+public:
+  MembershipController(const Settings& aSettings,
+                       Incarnation aIncarnation,
+                       PeerTransport& aTransport,
+                       EntryView& aView,
+                       MembershipHooks aHooks);
+
+  void Start();
+  // Stops probing.
+  void Stop();
+  void Apply(const SnapshotPtr& aSnapshot);
+  // Tells a few boxes at once that this one leaves, and the rest by gossip.
+  void Leave();
+
+  // Handlers of peers' messages.
+  wire::Envelope OnProbe(const wire::Envelope& aRequest);
+  void OnIndirectProbe(const wire::Envelope& aRequest,
+                       const PeerReplier& aReply);
+
+  // Dead, leaving or not listed.
+  bool IsGone(const BoxName& aBox) const;
+  std::vector<BoxName> LiveBoxes() const;
+  // Up to aCount random live boxes but this one, with their addresses.
+  std::vector<BoxSpec> RandomPeers(std::size_t aCount) const;
+  std::string Dump() const;
+
+private:
+  void Tick();
+  void ProbeNext();
+  void ProbeBox(const BoxSpec& aBox);
+  void OnProbed(const BoxSpec& aBox, const PeerResult& aResult);
+  void AskHelpers(const BoxSpec& aBox);
+  void TakeBeliefs(
+    const google::protobuf::RepeatedPtrField<wire::Member>& aMembers);
+  wire::Envelope MakeProbe(const BoxName& aTo);
+  void NoteRevision(const std::string& aFromBox,
+                    std::uint64_t aRevision,
+                    std::uint64_t aDigest);
+  std::optional<BoxSpec> SpecOf(const BoxName& aBox) const;
+  void RefreshUsable(const BoxName& aBox);
+
+  const Settings& mSettings;
+  PeerTransport& mTransport;
+  EntryView& mView;
+  const MembershipHooks mHooks;
+  mutable std::mutex mMutex;
+  Membership mMembership; // under mMutex
+  SnapshotPtr mSnapshot;  // under mMutex
+  std::unique_ptr<Ticker> mTicker;
+};
+
+} // namespace porttiller
--- a/packages/node/src/AdminServer.cpp
+++ b/packages/node/src/AdminServer.cpp
@@ -20,6 +20,7 @@
   const HttpHeaders text = { { "Content-Type", "text/plain; version=0.0.4" } };
   const HttpHeaders json = { { "Content-Type", "application/json" } };
   if (path == "/metrics") {
+    aSources.mRefresh();
     SendWhole(aResponse, headOnly, kOk, text, aMetrics.Text());
   } else if (path == "/state") {
     SendWhole(aResponse, headOnly, kOk, json, aSources.mState());
--- a/packages/node/src/ConfigController.cpp
+++ b/packages/node/src/ConfigController.cpp
@@ -1,20 +1,43 @@
 #include "porttiller/node/ConfigController.h"
 
+#include "porttiller/core/Rendezvous.h"
+#include "porttiller/node/ControlCodec.h"
 #include "porttiller/node/Log.h"
 #include "porttiller/node/Random.h"
 
+#include <algorithm>
+
 namespace porttiller {
 
 namespace {
 
 constexpr Millis kWatchWait{ 10'000 };
 constexpr Millis kRetryWait{ 500 };
+// A node that is no watcher looks at the platform this rarely, in case no
+// peer reaches it.
+constexpr Millis kFallbackWait{ 30'000 };
+constexpr Millis kRoleCheck{ 1000 };
+constexpr Millis kPullTimeout{ 3000 };
+constexpr Millis kAnnounceTimeout{ 1000 };
+constexpr std::size_t kWatchersPerZone = 3;
+constexpr std::size_t kAnnounceFanout = 4;
+
+Millis
+Jittered(Millis aTime)
+{
+  const auto span = static_cast<std::uint64_t>(aTime.count());
+  return aTime + Millis(static_cast<std::int64_t>(Random() % span));
+}
 
 } // namespace
 
-ConfigController::ConfigController(const Settings& aSettings, Metrics& aMetrics)
+ConfigController::ConfigController(const Settings& aSettings,
+                                   PeerTransport& aTransport,
+                                   Metrics& aMetrics)
   : mSettings(aSettings)
+  , mTransport(aTransport)
   , mMetrics(aMetrics)
+  , mClient({ .mAddress = aSettings.mPlatformAddress })
 {
 }
 
@@ -30,8 +53,9 @@
 }
 
 void
-ConfigController::Start()
+ConfigController::Start(ConfigPeers aPeers)
 {
+  mPeers = std::move(aPeers);
   mThread = std::thread([this] { Run(); });
 }
 
@@ -43,6 +67,8 @@
     mStop = true;
     mWake.notify_all();
   }
+  mClient.Abort();
+  mWorker.Stop();
   if (mThread.joinable()) {
     mThread.join();
   }
@@ -55,11 +81,11 @@
   return mCurrent;
 }
 
-ObjectDelta
-ConfigController::Since(std::uint64_t aRevision) const
+PeerRevision
+ConfigController::Own() const
 {
   const std::lock_guard lock(mMutex);
-  return mObjects.Since(aRevision);
+  return { .mRevision = mObjects.Revision(), .mDigest = mObjects.Digest() };
 }
 
 bool
@@ -104,36 +130,164 @@
   }
 }
 
+bool
+ConfigController::IsWatcher() const
+{
+  const auto snapshot = Current();
+  if (!snapshot || snapshot->FindBox(mSettings.mBox) == nullptr) {
+    return true;
+  }
+  std::vector<BoxName> zoneBoxes;
+  for (const auto& box : mPeers.mLiveBoxes()) {
+    const auto* spec = snapshot->FindBox(box);
+    if (spec != nullptr && spec->mZone == mSettings.mZone) {
+      zoneBoxes.push_back(box);
+    }
+  }
+  const auto owners = RendezvousOwners(
+    "watch/" + mSettings.mZone.Value(), zoneBoxes, kWatchersPerZone);
+  return std::find(owners.begin(), owners.end(), mSettings.mBox) !=
+         owners.end();
+}
+
+void
+ConfigController::Sleep(Millis aTime)
+{
+  std::unique_lock lock(mMutex);
+  mWake.wait_for(lock, aTime, [this] { return mStop.load(); });
+}
+
 void
 ConfigController::Run()
 {
-  ObjectClient client({ .mAddress = mSettings.mPlatformAddress });
-  LogLine(LogLevel::kInfo, "following_platform")
-    .With("address", mSettings.mPlatformAddress);
+  auto nextFallback = Now();
   while (!mStop) {
-    FollowOnce(client);
+    if (IsWatcher() || Now() >= nextFallback) {
+      FollowPlatform();
+      nextFallback = Now() + Jittered(kFallbackWait);
+    } else {
+      Sleep(kRoleCheck);
+    }
   }
 }
 
 void
-ConfigController::FollowOnce(ObjectClient& aClient)
+ConfigController::FollowPlatform()
 {
-  const auto snapshot = Current();
-  const auto from = snapshot ? snapshot->mRevision : 0;
+  const auto from = Own().mRevision;
+  const auto wait = IsWatcher() ? kWatchWait : Millis(0);
   mMetrics.PlatformCalls().Increment();
-  const bool list = from == 0;
-  const auto delta =
-    list ? aClient.List("") : aClient.Watch("", from, kWatchWait);
+  auto delta = from == 0 ? mClient.List("") : mClient.Watch("", from, wait);
+  const bool lost =
+    !delta && delta.error().mKind == PlatformErrorKind::kConflict;
+  if (lost) {
+    delta = mClient.List(""); // the platform no longer knows changes so old
+  }
   NotePlatform(delta.has_value(), delta ? "" : delta.error().mDetail);
-  if (delta) {
+  if (!delta) {
+    AskSeeds();
+    Sleep(Jittered(kRetryWait));
+    return;
+  }
+  if (!delta->mObjects.empty() || delta->mFull) {
     Apply(*delta, "platform");
   }
-  if (!delta || (list && delta->mTo == 0)) {
-    // Jitter keeps a fleet from asking in step after an outage.
-    const Millis wait(kRetryWait.count() +
-                      static_cast<std::int64_t>(Random() % kRetryWait.count()));
-    std::unique_lock lock(mMutex);
-    mWake.wait_for(lock, wait, [this] { return mStop.load(); });
+  if (delta->mFull && delta->mTo == 0) {
+    Sleep(kRetryWait); // nothing is configured yet
+  }
+}
+
+// A box that starts while the platform is away learns from its seeds, and
+// takes the newest that any of them has.
+void
+ConfigController::AskSeeds()
+{
+  if (Own().mRevision != 0) {
+    return;
+  }
+  for (const auto& seed : mSettings.mPeers.mSeeds) {
+    wire::Envelope request;
+    request.mutable_delta_request()->set_from(Own().mRevision);
+    const auto reply =
+      mTransport.Call(seed, std::move(request), kAnnounceTimeout);
+    if (reply && reply->has_delta()) {
+      Apply(DecodeDelta(reply->delta()), "seed");
+    }
+  }
+}
+
+void
+ConfigController::OnPeerRevision(const PeerRevision& aPeer)
+{
+  const auto own = Own();
+  if (aPeer.mRevision == own.mRevision && aPeer.mDigest != own.mDigest &&
+      aPeer.mDigest != 0) {
+    LogLine(LogLevel::kError, "configuration_digest_differs")
+      .With("peer", aPeer.mAddress)
+      .With("revision", static_cast<std::int64_t>(own.mRevision));
+  }
+  if (aPeer.mRevision > own.mRevision) {
+    Pull(aPeer.mAddress);
+  }
+}
+
+void
+ConfigController::Pull(const std::string& aAddress)
+{
+  if (mPulling.exchange(true)) {
+    return;
+  }
+  wire::Envelope request;
+  request.mutable_delta_request()->set_from(Own().mRevision);
+  mTransport.Send(aAddress,
+                  std::move(request),
+                  kPullTimeout,
+                  [this](const PeerResult& aResult) {
+                    mPulling = false;
+                    if (!aResult || !aResult->has_delta()) {
+                      return;
+                    }
+                    mWorker.Post([this, delta = DecodeDelta(aResult->delta())] {
+                      Apply(delta, "peer");
+                    });
+                  });
+}
+
+wire::Envelope
+ConfigController::OnDeltaRequest(const wire::DeltaRequest& aRequest) const
+{
+  ObjectDelta delta;
+  {
+    const std::lock_guard lock(mMutex);
+    delta = mObjects.Since(aRequest.from());
+  }
+  wire::Envelope envelope;
+  *envelope.mutable_delta() = EncodeDelta(delta);
+  return envelope;
+}
+
+void
+ConfigController::Announce(std::uint64_t aRevision)
+{
+  wire::Envelope request;
+  request.mutable_announce()->set_revision(aRevision);
+  for (const auto& peer : mPeers.mRandomPeers(kAnnounceFanout)) {
+    mTransport.Send(
+      peer.mControlAddress, request, kAnnounceTimeout, [](const PeerResult&) {
+        // A lost one is made up for by the next probes.
+      });
+  }
+}
+
+void
+ConfigController::OnAnnounce(const wire::Envelope& aRequest)
+{
+  const auto snapshot = Current();
+  const auto* from =
+    snapshot ? snapshot->FindBox(BoxName(aRequest.from_box())) : nullptr;
+  if (from != nullptr) {
+    OnPeerRevision({ .mAddress = from->mControlAddress,
+                     .mRevision = aRequest.announce().revision() });
   }
 }
 
--- /dev/null
+++ b/packages/node/src/ControlCodec.cpp
@@ -0,0 +1,67 @@
+#include "porttiller/node/ControlCodec.h"
+
+namespace porttiller {
+
+void
+EncodeMembers(const std::vector<MemberUpdate>& aUpdates,
+              google::protobuf::RepeatedPtrField<wire::Member>& aMembers)
+{
+  for (const auto& update : aUpdates) {
+    auto* member = aMembers.Add();
+    member->set_box(update.mBox.Value());
+    member->set_incarnation(update.mIncarnation.Value());
+    member->set_refutation(update.mRefutation);
+    member->set_state(static_cast<std::uint32_t>(update.mState));
+  }
+}
+
+std::vector<MemberUpdate>
+DecodeMembers(const google::protobuf::RepeatedPtrField<wire::Member>& aMembers)
+{
+  std::vector<MemberUpdate> updates;
+  for (const auto& member : aMembers) {
+    if (member.state() > static_cast<std::uint32_t>(MemberState::kDead)) {
+      continue;
+    }
+    updates.push_back({ .mBox = BoxName(member.box()),
+                        .mIncarnation = Incarnation(member.incarnation()),
+                        .mRefutation = member.refutation(),
+                        .mState = static_cast<MemberState>(member.state()) });
+  }
+  return updates;
+}
+
+wire::Delta
+EncodeDelta(const ObjectDelta& aDelta)
+{
+  wire::Delta delta;
+  delta.set_from(aDelta.mFrom);
+  delta.set_to(aDelta.mTo);
+  delta.set_full(aDelta.mFull);
+  for (const auto& object : aDelta.mObjects) {
+    auto* item = delta.add_objects();
+    item->set_kind(object.mKey.mKind);
+    item->set_name(object.mKey.mName);
+    item->set_version(object.mVersion);
+    item->set_deleted(object.mDeleted);
+    item->set_spec_json(object.mSpecJson);
+  }
+  return delta;
+}
+
+ObjectDelta
+DecodeDelta(const wire::Delta& aDelta)
+{
+  ObjectDelta delta{ .mFrom = aDelta.from(),
+                     .mTo = aDelta.to(),
+                     .mFull = aDelta.full() };
+  for (const auto& item : aDelta.objects()) {
+    delta.mObjects.push_back({ .mKey = { item.kind(), item.name() },
+                               .mVersion = item.version(),
+                               .mDeleted = item.deleted(),
+                               .mSpecJson = item.spec_json() });
+  }
+  return delta;
+}
+
+} // namespace porttiller
--- a/packages/node/src/Dispatcher.cpp
+++ b/packages/node/src/Dispatcher.cpp
@@ -74,12 +74,14 @@
                        Home& aHome,
                        EntryView& aView,
                        PeerTransport& aTransport,
-                       Metrics& aMetrics)
+                       Metrics& aMetrics,
+                       const Cutoff& aCutoff)
   : mSettings(aSettings)
   , mHome(aHome)
   , mView(aView)
   , mTransport(aTransport)
   , mMetrics(aMetrics)
+  , mCutoff(aCutoff)
 {
 }
 
@@ -101,10 +103,12 @@
                  HomeRequest aRequest,
                  const std::function<bool()>& aMayMoveOn)
 {
-  if (aBox.mName == mSettings.mBox) {
+  if (aBox.mName == mSettings.mBox && !Lingers(aRequest)) {
     aRequest.mHomeIncarnation = mHome.OwnIncarnation();
     return SendLocal(aRequest);
   }
+  // A home may outlast the caller's deadline with a lingering request; the
+  // entry must not, so it is sent as if to another box.
   aRequest.mHomeIncarnation = mView.LifeOf(aBox.mName).mIncarnation;
   return SendRemote(aBox, aRequest, aMayMoveOn);
 }
@@ -136,6 +140,14 @@
   return Settle(aBox, aRequest, ToText(exchange.error()));
 }
 
+bool
+Dispatcher::WaitReadable(HttpExchange& aExchange, TimePoint aUntil) const
+{
+  return mCutoff.WaitInSlices(aUntil, [&](TimePoint aSliceEnd) {
+    return aExchange.WaitReadable(aSliceEnd);
+  });
+}
+
 AttemptResult
 Dispatcher::Await(const BoxSpec& aBox,
                   const HomeRequest& aRequest,
@@ -143,14 +155,14 @@
                   const std::function<bool()>& aMayMoveOn)
 {
   const auto patience = Now() + mSettings.mTiming.mAttemptPatience;
-  if (aExchange.WaitReadable(std::min(patience, aRequest.mDeadline))) {
+  if (WaitReadable(aExchange, std::min(patience, aRequest.mDeadline))) {
     return Read(aBox, aRequest, aExchange);
   }
   auto early = Settle(aBox, aRequest, "slow");
   if (!std::holds_alternative<AttemptUnknown>(early) || aMayMoveOn()) {
     return early;
   }
-  if (aExchange.WaitReadable(aRequest.mDeadline)) {
+  if (WaitReadable(aExchange, aRequest.mDeadline)) {
     return Read(aBox, aRequest, aExchange);
   }
   return Settle(aBox, aRequest, "deadline");
@@ -161,7 +173,7 @@
                  const HomeRequest& aRequest,
                  HttpExchange& aExchange)
 {
-  auto http = aExchange.ReadAnswer(aRequest.mDeadline);
+  auto http = aExchange.ReadAnswer(mCutoff.Limit(aRequest.mDeadline));
   if (!http) {
     mMetrics.DroppedAnswers().Increment();
     mView.OnPathFailure(aBox.mName, Now());
@@ -232,6 +244,7 @@
   const auto reply = mTransport.Call(
     aBox.mControlAddress, std::move(request), mSettings.mTiming.mRevokeTimeout);
   if (!reply || !reply->has_attempt_reply()) {
+    mView.OnPathFailure(aBox.mName, Now());
     return {};
   }
   return ToFate(reply->attempt_reply(), aRequestKey);
--- a/packages/node/src/EntryServer.cpp
+++ b/packages/node/src/EntryServer.cpp
@@ -130,12 +130,6 @@
             aAnswer.mBody);
 }
 
-void
-EntryServer::BeginDrain(TimePoint)
-{
-  mDraining = true;
-}
-
 void
 EntryServer::Stop()
 {
--- a/packages/node/src/Home.cpp
+++ b/packages/node/src/Home.cpp
@@ -44,9 +44,10 @@
 
 } // namespace
 
-Home::Home(BoxName aBox, Incarnation aIncarnation)
+Home::Home(BoxName aBox, Incarnation aIncarnation, const Cutoff& aCutoff)
   : mBox(std::move(aBox))
   , mIncarnation(aIncarnation)
+  , mCutoff(aCutoff)
 {
 }
 
@@ -152,8 +153,11 @@
       }
       auto& server = kept[spec.mName];
       const auto it = mServers.find(spec.mName);
-      const bool same = it != mServers.end() && it->second->Spec() == spec;
-      server = same ? it->second : std::make_shared<LocalServer>(spec);
+      const auto detection = service.mSpec.mDetection;
+      const bool same = it != mServers.end() && it->second->Spec() == spec &&
+                        it->second->Detection() == detection;
+      server = same ? it->second
+                    : std::make_shared<LocalServer>(spec, detection, mCutoff);
       if (mLeaving) {
         server->SetLeaving(true);
       }
@@ -202,7 +206,7 @@
 {
   int count = 0;
   for (const auto& server : Servers()) {
-    count += server->Running();
+    count += server->InFlight();
   }
   return count;
 }
--- /dev/null
+++ b/packages/node/src/LedgerStore.cpp
@@ -0,0 +1,190 @@
+#include "porttiller/node/LedgerStore.h"
+
+#include "porttiller/config/JsonText.h"
+#include "porttiller/platform/SettledWrite.h"
+
+#include <Poco/Exception.h>
+#include <Poco/JSON/Array.h>
+
+namespace porttiller {
+
+namespace {
+
+constexpr int kMaxTries = 5; // against other writers
+constexpr Millis kTimeout{ 2000 };
+
+ObjectKey
+KeyOf(const ServiceName& aService)
+{
+  return { kLedgerKind, aService.Value() };
+}
+
+LedgerEntry
+DecodeEntry(const Poco::JSON::Object& aJson)
+{
+  const auto life = ParseUnsigned(aJson.getValue<std::string>("incarnation"));
+  return { .mServer = BackendServerName(aJson.getValue<std::string>("server")),
+           .mBox = BoxName(aJson.getValue<std::string>("box")),
+           .mIncarnation = Incarnation(life.value_or(0)),
+           .mSlots = aJson.getValue<int>("slots") };
+}
+
+} // namespace
+
+std::string
+EncodeLedger(const EjectionLedger& aLedger, const std::string& aWriter)
+{
+  Poco::JSON::Array entries;
+  for (const auto& entry : aLedger.Entries()) {
+    Poco::JSON::Object item;
+    item.set("server", entry.mServer.Value());
+    item.set("box", entry.mBox.Value());
+    // As text: JSON readers may not keep 64 bits.
+    item.set("incarnation", std::to_string(entry.mIncarnation.Value()));
+    item.set("slots", entry.mSlots);
+    entries.add(item);
+  }
+  Poco::JSON::Object document;
+  document.set("entries", entries);
+  document.set("writer", aWriter);
+  return ToJsonText(document);
+}
+
+tl::expected<EjectionLedger, PlatformError>
+DecodeLedger(const std::string& aSpecJson)
+{
+  const auto bad = [](const std::string& aDetail) {
+    return tl::make_unexpected(
+      PlatformError{ .mKind = PlatformErrorKind::kBadAnswer,
+                     .mDetail = "ejection ledger: " + aDetail });
+  };
+  const auto json = ParseJsonObject(aSpecJson);
+  if (!json) {
+    return bad("no JSON object");
+  }
+  try {
+    std::vector<LedgerEntry> entries;
+    const auto items = (*json)->getArray("entries");
+    if (items.isNull()) {
+      return bad("no entries");
+    }
+    for (unsigned i = 0; i < items->size(); ++i) {
+      entries.push_back(DecodeEntry(*items->getObject(i)));
+    }
+    return EjectionLedger(std::move(entries));
+  } catch (const Poco::Exception& e) {
+    return bad(e.displayText());
+  }
+}
+
+LedgerStore::LedgerStore(const std::string& aPlatformAddress,
+                         BoxName aBox,
+                         Incarnation aIncarnation)
+  : mClient({ .mAddress = aPlatformAddress, .mTimeout = kTimeout })
+  , mBox(std::move(aBox))
+  , mIncarnation(aIncarnation)
+{
+}
+
+tl::expected<LedgerStore::Versioned, PlatformError>
+LedgerStore::ReadVersioned(const ServiceName& aService)
+{
+  const auto object = mClient.Get(KeyOf(aService));
+  if (!object) {
+    if (object.error().mKind == PlatformErrorKind::kNotFound) {
+      return Versioned();
+    }
+    return tl::make_unexpected(object.error());
+  }
+  auto ledger = DecodeLedger(object->mSpecJson);
+  if (!ledger) {
+    return tl::make_unexpected(ledger.error());
+  }
+  return Versioned{ std::move(*ledger), object->mVersion };
+}
+
+tl::expected<EjectionLedger, PlatformError>
+LedgerStore::Read(const ServiceName& aService)
+{
+  return ReadVersioned(aService).map(
+    [](const Versioned& aHeld) { return aHeld.mLedger; });
+}
+
+tl::expected<void, PlatformError>
+LedgerStore::Write(const ServiceName& aService,
+                   const Versioned& aHeld,
+                   const EjectionLedger& aNext)
+{
+  const auto writer = AttemptId(mBox, mIncarnation, ++mWrites).ToString();
+  const auto written = WriteSettled(
+    mClient, KeyOf(aService), aHeld.mVersion, EncodeLedger(aNext, writer));
+  if (!written) {
+    return tl::make_unexpected(written.error());
+  }
+  return {};
+}
+
+PermissionAnswer
+LedgerStore::Replace(const ServiceName& aService, const Change& aChange)
+{
+  for (int i = 0; i < kMaxTries; ++i) {
+    const auto held = ReadVersioned(aService);
+    if (!held) {
+      return PermissionAnswer::kUnavailable;
+    }
+    const auto next = aChange(held->mLedger);
+    if (!next) {
+      return PermissionAnswer::kFloor;
+    }
+    const auto written = Write(aService, *held, *next);
+    if (written) {
+      return PermissionAnswer::kGranted;
+    }
+    if (written.error().mKind != PlatformErrorKind::kConflict) {
+      return PermissionAnswer::kUnavailable;
+    }
+  }
+  return PermissionAnswer::kUnavailable;
+}
+
+PermissionAnswer
+LedgerStore::Eject(const ServiceName& aService,
+                   const LedgerEntry& aEntry,
+                   const CapacitySource& aCapacity)
+{
+  bool heldBefore = false;
+  const auto answer = Replace(aService, [&](const EjectionLedger& aLedger) {
+    heldBefore = aLedger.Holds(aEntry.mServer, aEntry.mIncarnation);
+    return aLedger.WithoutEarlierLives(mBox, mIncarnation)
+      .WithEjection(aEntry, aCapacity());
+  });
+  if (answer != PermissionAnswer::kFloor || !heldBefore) {
+    return answer;
+  }
+  // An earlier, unclear write had effect, and the floor no longer allows it.
+  return Release(aService, aEntry.mServer) ? PermissionAnswer::kFloor
+                                           : PermissionAnswer::kUnavailable;
+}
+
+bool
+LedgerStore::Release(const ServiceName& aService,
+                     const BackendServerName& aServer)
+{
+  return Replace(aService, [&](const EjectionLedger& aLedger) {
+           return aLedger.WithoutEarlierLives(mBox, mIncarnation)
+             .WithoutServer(aServer);
+         }) == PermissionAnswer::kGranted;
+}
+
+bool
+LedgerStore::ClearEarlierLives(const ServiceName& aService)
+{
+  const auto held = ReadVersioned(aService);
+  if (!held) {
+    return false;
+  }
+  const auto next = held->mLedger.WithoutEarlierLives(mBox, mIncarnation);
+  return next == held->mLedger || Write(aService, *held, next).has_value();
+}
+
+} // namespace porttiller
--- a/packages/node/src/LocalServer.cpp
+++ b/packages/node/src/LocalServer.cpp
@@ -3,12 +3,32 @@
 #include "porttiller/node/HopHeaders.h"
 
 #include <algorithm>
+#include <cmath>
+#include <functional>
 
 namespace porttiller {
 
 namespace {
 
 constexpr Millis kLeavingRetryAfter{ 1000 };
+constexpr int kServerErrors = 500;
+constexpr Millis kLinger{ 5000 };
+constexpr double kFastThreshold = 12.0;
+constexpr double kCarefulThreshold = 24.0;
+// A time-out says something of the server only if it had this long.
+constexpr Millis kTellingTimeout{ 500 };
+constexpr const char* kTimeoutReason = "server-timeout";
+constexpr const char* kLeavingReason = "leaving";
+
+EjectionOptions
+OptionsFor(DetectionSetting aSetting)
+{
+  const bool fast = aSetting == DetectionSetting::kFast;
+  EjectionOptions options;
+  options.mDetector.mThreshold = fast ? kFastThreshold : kCarefulThreshold;
+  options.mActAlone = fast;
+  return options;
+}
 
 HomeAnswer
 Unknown(ExchangeError aError)
@@ -19,11 +39,16 @@
 
 } // namespace
 
-LocalServer::LocalServer(const BackendServerSpec& aSpec)
+LocalServer::LocalServer(const BackendServerSpec& aSpec,
+                         DetectionSetting aDetection,
+                         const Cutoff& aCutoff)
   : mSpec(aSpec)
+  , mDetection(aDetection)
+  , mCutoff(aCutoff)
   , mPool({ .mAddress = aSpec.mAddress,
             .mMaxConnections = std::min(aSpec.mConnections, aSpec.mSlots) })
   , mQueue({ .mSlots = aSpec.mSlots })
+  , mMachine(OptionsFor(aDetection), Now())
 {
 }
 
@@ -42,7 +67,7 @@
 }
 
 int
-LocalServer::Running() const
+LocalServer::InFlight() const
 {
   const std::lock_guard lock(mMutex);
   return mQueue.Running() + mQueue.Waiting();
@@ -59,7 +84,8 @@
 LocalServer::Dump() const
 {
   const std::lock_guard lock(mMutex);
-  return mQueue.Dump() + " leaving=" + (mLeaving ? "true" : "false");
+  return mMachine.Dump() + " " + mQueue.Dump() +
+         " leaving=" + (mLeaving ? "true" : "false");
 }
 
 HomeAnswer
@@ -79,19 +105,115 @@
   }
   const auto start = Now();
   auto answer = Exchange(aRequest);
+  const auto time = Now() - start;
+  Learn(aRequest, answer, time);
   const bool ran = answer.mOutcome != Outcome::kNotRun;
-  FreeSlot(ran ? std::optional<Micros>(Now() - start) : std::nullopt);
+  FreeSlot(ran ? std::optional<Micros>(time) : std::nullopt);
   answer.mLoad = Load();
   return answer;
 }
 
+// What an answer says of the server. Nothing is said by connections that are
+// all in use, or by a caller that gave it no time.
+void
+LocalServer::Learn(const HomeRequest& aRequest,
+                   const HomeAnswer& aAnswer,
+                   Micros aTime)
+{
+  const std::lock_guard lock(mMutex);
+  Evidence evidence{ .mLatency = aTime };
+  evidence.mClass =
+    static_cast<std::uint32_t>(std::hash<std::string>{}(aRequest.mRoute));
+  if (aAnswer.mOutcome == Outcome::kRun) {
+    evidence.mFailed = aAnswer.mHttp.mStatus >= kServerErrors;
+  } else if (aAnswer.mReason == kTimeoutReason) {
+    const bool telling =
+      mMachine.Evidences().IsSlow(aTime) || aTime >= Micros(kTellingTimeout);
+    if (!telling) {
+      return;
+    }
+    evidence.mFailed = true;
+  } else if (aAnswer.mRefusal == Refusal::kOverloaded ||
+             aAnswer.mRefusal == Refusal::kLeaving) {
+    return;
+  } else {
+    evidence.mFailed = true;
+  }
+  mMachine.OnEvidence(evidence, Now());
+}
+
+std::vector<EjectionAction>
+LocalServer::Tick(TimePoint aNow)
+{
+  const std::lock_guard lock(mMutex);
+  auto actions = mMachine.OnTick(aNow);
+  const double slots = mMachine.SlotShare(aNow) * mSpec.mSlots;
+  mQueue.SetSlotLimit(static_cast<int>(std::ceil(slots)));
+  return actions;
+}
+
+void
+LocalServer::OnPeers(const std::vector<PeerHealth>& aPeers, int aOthers)
+{
+  const std::lock_guard lock(mMutex);
+  mMachine.OnPeers(aPeers, aOthers, Now());
+}
+
+void
+LocalServer::OnPermission(PermissionAnswer aAnswer)
+{
+  const std::lock_guard lock(mMutex);
+  mMachine.OnPermission(aAnswer, Now());
+}
+
+void
+LocalServer::OnReleased(bool aDone)
+{
+  const std::lock_guard lock(mMutex);
+  mMachine.OnReleased(aDone, Now());
+}
+
+void
+LocalServer::OnFloorBroken()
+{
+  const std::lock_guard lock(mMutex);
+  mMachine.OnFloorBroken(Now());
+}
+
+PeerHealth
+LocalServer::Health() const
+{
+  const std::lock_guard lock(mMutex);
+  const auto& evidences = mMachine.Evidences();
+  return { .mSuspicious = evidences.Suspicious() || mMachine.SetAside(),
+           .mMedianLatency = evidences.RecentLatency(),
+           .mSamples = evidences.Samples() };
+}
+
+ServerPhase
+LocalServer::Phase() const
+{
+  const std::lock_guard lock(mMutex);
+  return mMachine.Phase();
+}
+
+bool
+LocalServer::HoldsPermission() const
+{
+  const std::lock_guard lock(mMutex);
+  return mMachine.HoldsPermission();
+}
+
 std::optional<HomeAnswer>
 LocalServer::TakeSlot(const HomeRequest& aRequest)
 {
   std::unique_lock lock(mMutex);
-  if (mLeaving) {
+  if (mLeaving || Now() < mServerLeavingUntil) {
     return RefuseLocked(Refusal::kLeaving, kLeavingRetryAfter);
   }
+  if (auto aside = RefuseAside(aRequest)) {
+    return aside;
+  }
   const auto ticket = mNextTicket++;
   const auto offer =
     mQueue.Offer(ticket, aRequest.mPriority, aRequest.mDeadline, Now());
@@ -109,13 +231,30 @@
   return WaitForSlot(lock, ticket, aRequest.mDeadline);
 }
 
+std::optional<HomeAnswer>
+LocalServer::RefuseAside(const HomeRequest& aRequest)
+{
+  const auto now = Now();
+  switch (mMachine.Gate(aRequest.mRepeatable, aRequest.mLastResort, now)) {
+    case GateVerdict::kAdmit:
+      return std::nullopt;
+    case GateVerdict::kDemoted:
+      return RefuseLocked(Refusal::kDemoted, mMachine.RetryAfter(now));
+    case GateVerdict::kEjected:
+      break;
+  }
+  return RefuseLocked(Refusal::kEjected, mMachine.RetryAfter(now));
+}
+
 std::optional<HomeAnswer>
 LocalServer::WaitForSlot(std::unique_lock<std::mutex>& aLock,
                          Ticket aTicket,
                          TimePoint aDeadline)
 {
-  mChanged.wait_until(aLock, aDeadline, [&] {
-    return mWaiters[aTicket].mState != WaitState::kWaiting;
+  mCutoff.WaitInSlices(aDeadline, [&](TimePoint aUntil) {
+    return mChanged.wait_until(aLock, aUntil, [&] {
+      return mWaiters[aTicket].mState != WaitState::kWaiting;
+    });
   });
   const auto waiter = mWaiters[aTicket];
   mWaiters.erase(aTicket);
@@ -177,19 +316,44 @@
     if (begun.error() == ExchangeError::kBusy ||
         begun.error() == ExchangeError::kNotSent) {
       const std::lock_guard lock(mMutex);
-      return RefuseLocked(Refusal::kUnreachable, kLeavingRetryAfter);
+      const bool busy = begun.error() == ExchangeError::kBusy;
+      return RefuseLocked(busy ? Refusal::kOverloaded : Refusal::kUnreachable,
+                          kLeavingRetryAfter);
     }
     return Unknown(begun.error());
   }
   // Dropping the exchange closes its connection: the server may stop then.
-  if (!(*begun)->WaitReadable(aRequest.mDeadline)) {
+  auto& exchange = **begun;
+  const auto deadline =
+    aRequest.mDeadline + (Lingers(aRequest) ? kLinger : Millis(0));
+  const bool readable =
+    mCutoff.WaitInSlices(deadline, [&](TimePoint aUntil) {
+      return exchange.WaitReadable(aUntil);
+    });
+  if (!readable) {
     return Unknown(ExchangeError::kTimeout);
   }
-  auto http = (*begun)->ReadAnswer(aRequest.mDeadline);
+  auto http = exchange.ReadAnswer(mCutoff.Limit(deadline));
   if (!http) {
     return Unknown(http.error());
   }
+  if (HeaderValue(http->mHeaders, hop::kOutcome) == ToText(Outcome::kNotRun)) {
+    return RefusedByServer(*http);
+  }
   return { .mOutcome = Outcome::kRun, .mHttp = std::move(*http) };
 }
 
+// The server's own word that it did not run the request: it is shedding load,
+// or leaving.
+HomeAnswer
+LocalServer::RefusedByServer(const HttpAnswer& aHttp)
+{
+  const std::lock_guard lock(mMutex);
+  if (HeaderValue(aHttp.mHeaders, hop::kReason) == kLeavingReason) {
+    mServerLeavingUntil = Now() + kLeavingRetryAfter;
+    return RefuseLocked(Refusal::kLeaving, kLeavingRetryAfter);
+  }
+  return RefuseLocked(Refusal::kOverloaded, mQueue.ExpectedWait());
+}
+
 } // namespace porttiller
--- /dev/null
+++ b/packages/node/src/MembershipController.cpp
@@ -0,0 +1,324 @@
+#include "porttiller/node/MembershipController.h"
+
+#include "porttiller/node/ControlCodec.h"
+#include "porttiller/node/Log.h"
+#include "porttiller/node/Random.h"
+
+#include <algorithm>
+#include <atomic>
+#include <random>
+
+namespace porttiller {
+
+namespace {
+
+constexpr std::size_t kLeaveNotices = 5;
+
+// Gathers the answers of the helpers; the last one, or the first success,
+// decides.
+struct IndirectRound
+{
+  std::atomic<int> mOpen{ 0 };
+  std::atomic<bool> mReached{ false };
+};
+
+} // namespace
+
+MembershipController::MembershipController(const Settings& aSettings,
+                                           Incarnation aIncarnation,
+                                           PeerTransport& aTransport,
+                                           EntryView& aView,
+                                           MembershipHooks aHooks)
+  : mSettings(aSettings)
+  , mTransport(aTransport)
+  , mView(aView)
+  , mHooks(std::move(aHooks))
+  , mMembership(aSettings.mBox, aIncarnation)
+{
+}
+
+void
+MembershipController::Start()
+{
+  mTicker = std::make_unique<Ticker>(mSettings.mTiming.mProbeInterval,
+                                     [this] { Tick(); });
+}
+
+void
+MembershipController::Stop()
+{
+  mTicker.reset();
+}
+
+void
+MembershipController::Apply(const SnapshotPtr& aSnapshot)
+{
+  std::vector<BoxName> boxes;
+  for (const auto& [name, spec] : aSnapshot->mBoxes) {
+    boxes.push_back(name);
+  }
+  const std::lock_guard lock(mMutex);
+  mSnapshot = aSnapshot;
+  mMembership.SetBoxes(boxes);
+}
+
+std::optional<BoxSpec>
+MembershipController::SpecOf(const BoxName& aBox) const
+{
+  const std::lock_guard lock(mMutex);
+  const auto* spec = mSnapshot ? mSnapshot->FindBox(aBox) : nullptr;
+  return spec == nullptr ? std::nullopt : std::optional(*spec);
+}
+
+void
+MembershipController::Tick()
+{
+  std::vector<BoxName> boxes;
+  {
+    const std::lock_guard lock(mMutex);
+    mMembership.OnTick(Now());
+    if (mSnapshot) {
+      for (const auto& [name, spec] : mSnapshot->mBoxes) {
+        boxes.push_back(name);
+      }
+    }
+  }
+  for (const auto& box : boxes) {
+    RefreshUsable(box);
+  }
+  ProbeNext();
+}
+
+// The entry avoids boxes that are gone and paths that are cut.
+void
+MembershipController::RefreshUsable(const BoxName& aBox)
+{
+  bool usable = true;
+  {
+    const std::lock_guard lock(mMutex);
+    const auto state = mMembership.StateOf(aBox);
+    usable = state != MemberState::kDead && state != MemberState::kLeaving &&
+             mMembership.PathWorks(aBox);
+  }
+  mView.SetBoxUsable(aBox, usable || aBox == mSettings.mBox);
+}
+
+void
+MembershipController::ProbeNext()
+{
+  std::optional<BoxName> next;
+  {
+    const std::lock_guard lock(mMutex);
+    next = mMembership.NextProbe(Random());
+  }
+  if (next) {
+    if (const auto spec = SpecOf(*next)) {
+      ProbeBox(*spec);
+    }
+  }
+}
+
+wire::Envelope
+MembershipController::MakeProbe(const BoxName& aTo)
+{
+  const auto own = mHooks.mOwnRevision();
+  wire::Envelope envelope;
+  auto* probe = envelope.mutable_probe();
+  probe->set_revision(own.mRevision);
+  probe->set_digest(own.mDigest);
+  const std::lock_guard lock(mMutex);
+  EncodeMembers(mMembership.Spread(aTo), *probe->mutable_members());
+  return envelope;
+}
+
+void
+MembershipController::ProbeBox(const BoxSpec& aBox)
+{
+  mTransport.Send(
+    aBox.mControlAddress,
+    MakeProbe(aBox.mName),
+    mSettings.mTiming.mProbeTimeout,
+    [this, aBox](const PeerResult& aResult) { OnProbed(aBox, aResult); });
+}
+
+void
+MembershipController::TakeBeliefs(
+  const google::protobuf::RepeatedPtrField<wire::Member>& aMembers)
+{
+  const auto updates = DecodeMembers(aMembers);
+  const std::lock_guard lock(mMutex);
+  mMembership.OnUpdates(updates, Now());
+}
+
+void
+MembershipController::NoteRevision(const std::string& aFromBox,
+                                   std::uint64_t aRevision,
+                                   std::uint64_t aDigest)
+{
+  if (const auto spec = SpecOf(BoxName(aFromBox))) {
+    mHooks.mOnPeerRevision({ .mAddress = spec->mControlAddress,
+                             .mRevision = aRevision,
+                             .mDigest = aDigest });
+  }
+}
+
+void
+MembershipController::OnProbed(const BoxSpec& aBox, const PeerResult& aResult)
+{
+  if (!aResult || !aResult->has_probe_reply()) {
+    AskHelpers(aBox);
+    return;
+  }
+  const auto& reply = aResult->probe_reply();
+  {
+    const std::lock_guard lock(mMutex);
+    mMembership.OnReached(aBox.mName, Incarnation(aResult->from_incarnation()));
+  }
+  TakeBeliefs(reply.members());
+  NoteRevision(aBox.mName.Value(), reply.revision(), reply.digest());
+}
+
+void
+MembershipController::AskHelpers(const BoxSpec& aBox)
+{
+  std::vector<BoxName> helpers;
+  {
+    const std::lock_guard lock(mMutex);
+    helpers = mMembership.Helpers(aBox.mName, Random());
+  }
+  auto round = std::make_shared<IndirectRound>();
+  round->mOpen = static_cast<int>(helpers.size());
+  const auto finish = [this, aBox, round](const PeerResult& aResult) {
+    const bool reached = aResult && aResult->has_probe_reply() &&
+                         aResult->probe_reply().target_alive();
+    const std::lock_guard lock(mMutex);
+    if (reached && !round->mReached.exchange(true)) {
+      mMembership.OnReachedByOthers(
+        aBox.mName, Incarnation(aResult->probe_reply().target_incarnation()));
+    }
+    if (--round->mOpen <= 0 && !round->mReached) {
+      mMembership.OnNotReached(aBox.mName, Now());
+    }
+  };
+  if (helpers.empty()) {
+    finish(tl::make_unexpected(PeerError{}));
+    return;
+  }
+  wire::Envelope request;
+  request.mutable_indirect_probe()->set_box(aBox.mName.Value());
+  for (const auto& helper : helpers) {
+    const auto spec = SpecOf(helper);
+    if (!spec) {
+      finish(tl::make_unexpected(PeerError{}));
+      continue;
+    }
+    mTransport.Send(spec->mControlAddress,
+                    request,
+                    2 * mSettings.mTiming.mProbeTimeout,
+                    finish);
+  }
+}
+
+wire::Envelope
+MembershipController::OnProbe(const wire::Envelope& aRequest)
+{
+  const auto& probe = aRequest.probe();
+  TakeBeliefs(probe.members());
+  NoteRevision(aRequest.from_box(), probe.revision(), probe.digest());
+  const auto own = mHooks.mOwnRevision();
+  wire::Envelope envelope;
+  auto* reply = envelope.mutable_probe_reply();
+  reply->set_revision(own.mRevision);
+  reply->set_digest(own.mDigest);
+  const std::lock_guard lock(mMutex);
+  EncodeMembers(mMembership.Spread(BoxName(aRequest.from_box())),
+                *reply->mutable_members());
+  return envelope;
+}
+
+void
+MembershipController::OnIndirectProbe(const wire::Envelope& aRequest,
+                                      const PeerReplier& aReply)
+{
+  const auto spec = SpecOf(BoxName(aRequest.indirect_probe().box()));
+  if (!spec) {
+    wire::Envelope unknown;
+    unknown.mutable_probe_reply();
+    aReply(unknown);
+    return;
+  }
+  mTransport.Send(spec->mControlAddress,
+                  MakeProbe(spec->mName),
+                  mSettings.mTiming.mProbeTimeout,
+                  [aReply](const PeerResult& aResult) {
+                    wire::Envelope envelope;
+                    auto* reply = envelope.mutable_probe_reply();
+                    if (aResult) {
+                      reply->set_target_alive(true);
+                      reply->set_target_incarnation(
+                        aResult->from_incarnation());
+                    }
+                    aReply(envelope);
+                  });
+}
+
+void
+MembershipController::Leave()
+{
+  {
+    const std::lock_guard lock(mMutex);
+    mMembership.Leave();
+  }
+  for (const auto& peer : RandomPeers(kLeaveNotices)) {
+    ProbeBox(peer);
+  }
+}
+
+bool
+MembershipController::IsGone(const BoxName& aBox) const
+{
+  const std::lock_guard lock(mMutex);
+  const auto* spec = mSnapshot ? mSnapshot->FindBox(aBox) : nullptr;
+  if (spec == nullptr || spec->mState == BoxState::kLeaving) {
+    return true;
+  }
+  const auto state = mMembership.StateOf(aBox);
+  return state == MemberState::kDead || state == MemberState::kLeaving ||
+         state == MemberState::kSuspect;
+}
+
+std::vector<BoxName>
+MembershipController::LiveBoxes() const
+{
+  const std::lock_guard lock(mMutex);
+  return mMembership.LiveBoxes();
+}
+
+std::vector<BoxSpec>
+MembershipController::RandomPeers(std::size_t aCount) const
+{
+  std::vector<BoxSpec> peers;
+  const std::lock_guard lock(mMutex);
+  if (!mSnapshot) {
+    return peers;
+  }
+  for (const auto& box : mMembership.LiveBoxes()) {
+    const auto* spec = mSnapshot->FindBox(box);
+    if (spec != nullptr && box != mSettings.mBox) {
+      peers.push_back(*spec);
+    }
+  }
+  std::mt19937_64 generator(Random());
+  std::shuffle(peers.begin(), peers.end(), generator);
+  peers.resize(std::min(peers.size(), aCount));
+  return peers;
+}
+
+std::string
+MembershipController::Dump() const
+{
+  const std::lock_guard lock(mMutex);
+  return mMembership.Dump();
+}
+
+} // namespace porttiller
--- a/packages/node/src/Node.cpp
+++ b/packages/node/src/Node.cpp
@@ -3,19 +3,24 @@
 #include "porttiller/config/JsonText.h"
 #include "porttiller/node/AdminServer.h"
 #include "porttiller/node/ConfigController.h"
+#include "porttiller/node/Cutoff.h"
 #include "porttiller/node/Dispatcher.h"
+#include "porttiller/node/EjectionController.h"
 #include "porttiller/node/EntryServer.h"
 #include "porttiller/node/EntryView.h"
 #include "porttiller/node/Home.h"
 #include "porttiller/node/HomeServer.h"
 #include "porttiller/node/Log.h"
+#include "porttiller/node/MembershipController.h"
 #include "porttiller/node/Metrics.h"
 #include "porttiller/node/Random.h"
+#include "porttiller/node/StatusController.h"
 #include "porttiller/peer/PeerTransport.h"
 
 #include <Poco/JSON/Array.h>
 #include <Poco/Timestamp.h>
 #include <atomic>
+#include <optional>
 #include <thread>
 
 namespace porttiller {
@@ -43,41 +48,83 @@
 public:
   explicit Parts(Settings aSettings);
 
+  ~Parts();
+
   tl::expected<void, std::string> Open();
   void Drain();
   std::string StateText() const;
 
 private:
+  tl::expected<void, std::string> OpenTransport();
+  tl::expected<void, std::string> OpenServers();
+  void MakeControllers();
+  void StartControllers();
+  void StopControllers();
   void HandlePeer(const wire::Envelope& aRequest, const PeerReplier& aReply);
+  std::optional<wire::Envelope> Answer(const wire::Envelope& aRequest);
   wire::Envelope AnswerAttempt(const wire::AttemptRequest& aRequest);
+  void RefreshGauges();
 
   const Settings mSettings;
   const Incarnation mIncarnation;
   Metrics mMetrics;
+  Cutoff mCutoff;
   Home mHome;
   EntryView mView;
   AttemptNamer mNamer;
-  ConfigController mConfig;
   std::atomic<bool> mDraining{ false };
-  std::unique_ptr<PeerTransport> mTransport;
+  std::atomic<bool> mReady{ false }; // the controllers below exist
+  std::unique_ptr<ConfigController> mConfig;
+  std::unique_ptr<MembershipController> mMembership;
+  std::unique_ptr<EjectionController> mEjection;
+  std::unique_ptr<StatusController> mStatus;
   std::unique_ptr<Dispatcher> mDispatcher;
   std::unique_ptr<HomeServer> mHomeServer;
   std::unique_ptr<EntryServer> mEntryServer;
   std::unique_ptr<AdminServer> mAdminServer;
+  std::unique_ptr<PeerTransport> mTransport;
 };
 
 Node::Parts::Parts(Settings aSettings)
   : mSettings(std::move(aSettings))
   , mIncarnation(DrawIncarnation())
-  , mHome(mSettings.mBox, mIncarnation)
+  , mHome(mSettings.mBox, mIncarnation, mCutoff)
   , mView(mSettings.mZone, {})
   , mNamer(mSettings.mBox, mIncarnation)
-  , mConfig(mSettings, mMetrics)
 {
 }
 
+Node::Parts::~Parts()
+{
+  StopControllers();
+  // No handler runs any more once the transport is gone.
+  mReady = false;
+  mTransport.reset();
+}
+
 tl::expected<void, std::string>
 Node::Parts::Open()
+{
+  auto opened = OpenTransport();
+  if (opened) {
+    MakeControllers();
+    opened = OpenServers();
+  }
+  if (!opened) {
+    return opened;
+  }
+  StartControllers();
+  LogLine(LogLevel::kInfo, "started")
+    .With("callers", mSettings.mCallers.mAddress)
+    .With("home", mSettings.mPeers.mHomeAddress)
+    .With("control", mSettings.mPeers.mControlAddress)
+    .With("admin", mSettings.mAdminAddress)
+    .With("incarnation", std::to_string(mIncarnation.Value()));
+  return {};
+}
+
+tl::expected<void, std::string>
+Node::Parts::OpenTransport()
 {
   auto transport = PeerTransport::Make(
     { .mBindAddress = mSettings.mPeers.mControlAddress,
@@ -90,11 +137,41 @@
     return tl::make_unexpected(transport.error().mDetail);
   }
   mTransport = std::move(*transport);
+  return {};
+}
+
+void
+Node::Parts::MakeControllers()
+{
+  mConfig =
+    std::make_unique<ConfigController>(mSettings, *mTransport, mMetrics);
+  mMembership = std::make_unique<MembershipController>(
+    mSettings,
+    mIncarnation,
+    *mTransport,
+    mView,
+    MembershipHooks{ .mOwnRevision = [this] { return mConfig->Own(); },
+                     .mOnPeerRevision =
+                       [this](const PeerRevision& aPeer) {
+                         mConfig->OnPeerRevision(aPeer);
+                       } });
+  mEjection = std::make_unique<EjectionController>(mSettings,
+                                                   mIncarnation,
+                                                   mHome,
+                                                   *mConfig,
+                                                   *mMembership,
+                                                   *mTransport,
+                                                   mMetrics);
+  mStatus = std::make_unique<StatusController>(
+    mSettings, *mConfig, *mMembership, *mTransport, mMetrics);
   mDispatcher = std::make_unique<Dispatcher>(
-    mSettings, mHome, mView, *mTransport, mMetrics);
-  mConfig.AddListener(
-    [this](const SnapshotPtr& aSnapshot) { mHome.Apply(*aSnapshot); });
+    mSettings, mHome, mView, *mTransport, mMetrics, mCutoff);
+  mReady = true;
+}
 
+tl::expected<void, std::string>
+Node::Parts::OpenServers()
+{
   auto homeServer = HomeServer::Make(mSettings, mHome);
   if (!homeServer) {
     return tl::make_unexpected(homeServer.error());
@@ -103,28 +180,60 @@
   auto admin =
     AdminServer::Make(mSettings.mAdminAddress,
                       mMetrics,
-                      { .mState = [this] { return StateText(); },
+                      { .mRefresh = [this] { RefreshGauges(); },
+                        .mState = [this] { return StateText(); },
                         .mDraining = [this] { return mDraining.load(); } });
   if (!admin) {
     return tl::make_unexpected(admin.error());
   }
   mAdminServer = std::move(*admin);
   auto entry = EntryServer::Make(
-    mSettings, mConfig, { mView, *mDispatcher, mMetrics, mNamer });
+    mSettings, *mConfig, { mView, *mDispatcher, mMetrics, mNamer });
   if (!entry) {
     return tl::make_unexpected(entry.error());
   }
   mEntryServer = std::move(*entry);
-  mConfig.Start();
-  LogLine(LogLevel::kInfo, "started")
-    .With("callers", mSettings.mCallers.mAddress)
-    .With("home", mSettings.mPeers.mHomeAddress)
-    .With("control", mSettings.mPeers.mControlAddress)
-    .With("admin", mSettings.mAdminAddress)
-    .With("incarnation", std::to_string(mIncarnation.Value()));
   return {};
 }
 
+void
+Node::Parts::StartControllers()
+{
+  mConfig->AddListener(
+    [this](const SnapshotPtr& aSnapshot) { mMembership->Apply(aSnapshot); });
+  mConfig->AddListener(
+    [this](const SnapshotPtr& aSnapshot) { mHome.Apply(*aSnapshot); });
+  mConfig->Start({ .mLiveBoxes = [this] { return mMembership->LiveBoxes(); },
+                   .mRandomPeers =
+                     [this](std::size_t aCount) {
+                       return mMembership->RandomPeers(aCount);
+                     } });
+  mMembership->Start();
+  mEjection->Start();
+  mStatus->Start();
+}
+
+void
+Node::Parts::StopControllers()
+{
+  if (mReady) {
+    mStatus->Stop();
+    mEjection->Stop();
+    mMembership->Stop();
+    mConfig->Stop();
+  }
+}
+
+void
+Node::Parts::RefreshGauges()
+{
+  const auto traffic = mTransport->Traffic();
+  mMetrics.ControlBytesSent().Set(static_cast<double>(traffic.mBytesSent));
+  mMetrics.ControlBytesReceived().Set(
+    static_cast<double>(traffic.mBytesReceived));
+  mMetrics.LateReplies().Set(static_cast<double>(traffic.mLateReplies));
+}
+
 wire::Envelope
 Node::Parts::AnswerAttempt(const wire::AttemptRequest& aRequest)
 {
@@ -153,8 +262,36 @@
 Node::Parts::HandlePeer(const wire::Envelope& aRequest,
                         const PeerReplier& aReply)
 {
-  if (aRequest.has_attempt()) {
-    aReply(AnswerAttempt(aRequest.attempt()));
+  if (!mReady) {
+    return; // the sender asks again
+  }
+  if (aRequest.has_indirect_probe()) {
+    mMembership->OnIndirectProbe(aRequest, aReply);
+  } else if (const auto answer = Answer(aRequest)) {
+    aReply(*answer);
+  }
+}
+
+std::optional<wire::Envelope>
+Node::Parts::Answer(const wire::Envelope& aRequest)
+{
+  switch (aRequest.body_case()) {
+    case wire::Envelope::kAttempt:
+      return AnswerAttempt(aRequest.attempt());
+    case wire::Envelope::kProbe:
+      return mMembership->OnProbe(aRequest);
+    case wire::Envelope::kDeltaRequest:
+      return mConfig->OnDeltaRequest(aRequest.delta_request());
+    case wire::Envelope::kHealth:
+      return mEjection->OnHealthRequest(aRequest.health());
+    case wire::Envelope::kAnnounce: {
+      mConfig->OnAnnounce(aRequest);
+      wire::Envelope ack;
+      ack.mutable_ack();
+      return ack;
+    }
+    default:
+      return std::nullopt;
   }
 }
 
@@ -165,15 +302,17 @@
   LogLine(LogLevel::kInfo, "draining")
     .With("bound_ms", mSettings.mTiming.mDrain.count());
   mDraining = true;
+  mCutoff.Set(bound);
   mHome.SetLeaving();
-  mEntryServer->BeginDrain(bound);
+  mMembership->Leave();
+  mEntryServer->BeginDrain();
   std::this_thread::sleep_for(kDrainNotice);
   mEntryServer->Stop();
   while (mHome.InFlight() > 0 && Now() < bound) {
     std::this_thread::sleep_for(kDrainPoll);
   }
   mHomeServer->Stop();
-  mConfig.Stop();
+  StopControllers();
   LogLine(LogLevel::kInfo, "drained")
     .With("left_running", static_cast<std::int64_t>(mHome.InFlight()));
 }
@@ -186,18 +325,20 @@
   state.set("zone", mSettings.mZone.Value());
   state.set("incarnation", std::to_string(mIncarnation.Value()));
   state.set("draining", mDraining.load());
-  const auto snapshot = mConfig.Current();
-  state.set("revision", snapshot ? snapshot->mRevision : 0);
-  state.set("platform_reachable", mConfig.PlatformReachable());
+  state.set("revision", mConfig->Own().mRevision);
+  state.set("platform_reachable", mConfig->PlatformReachable());
+  state.set("watcher", mConfig->IsWatcher());
   Poco::JSON::Array servers;
   for (const auto& server : mHome.Servers()) {
     Poco::JSON::Object item(Poco::JSON_PRESERVE_KEY_ORDER);
     item.set("name", server->Spec().mName.Value());
     item.set("service", server->Spec().mService.Value());
+    item.set("phase", ToText(server->Phase()));
     item.set("state", server->Dump());
     servers.add(item);
   }
   state.set("servers", servers);
+  state.set("members", mMembership->Dump());
   state.set("view", mView.Dump());
   return ToJsonText(state) + "\n";
 }
--- /dev/null
+++ b/packages/node/src/StatusController.cpp
@@ -0,0 +1,133 @@
+#include "porttiller/node/StatusController.h"
+
+#include "porttiller/config/JsonText.h"
+#include "porttiller/core/Rendezvous.h"
+#include "porttiller/node/Log.h"
+#include "porttiller/platform/SettledWrite.h"
+
+#include <Poco/JSON/Array.h>
+
+namespace porttiller {
+
+namespace {
+
+constexpr Millis kInterval{ 2000 }; // also the most frequent write
+constexpr Millis kAskTimeout{ 300 };
+constexpr const char* kOwnerKey = "status/fleet";
+
+Poco::JSON::Array
+RejectionsJson(const Snapshot& aSnapshot)
+{
+  Poco::JSON::Array items;
+  for (const auto& rejection : aSnapshot.mRejections) {
+    Poco::JSON::Object item(Poco::JSON_PRESERVE_KEY_ORDER);
+    item.set("kind", rejection.mKey.mKind);
+    item.set("name", rejection.mKey.mName);
+    item.set("version", rejection.mVersion);
+    item.set("errors", ToText(rejection.mErrors));
+    items.add(item);
+  }
+  return items;
+}
+
+} // namespace
+
+StatusController::StatusController(const Settings& aSettings,
+                                   const ConfigController& aConfig,
+                                   const MembershipController& aMembership,
+                                   PeerTransport& aTransport,
+                                   Metrics& aMetrics)
+  : mSettings(aSettings)
+  , mConfig(aConfig)
+  , mMembership(aMembership)
+  , mTransport(aTransport)
+  , mMetrics(aMetrics)
+  , mClient({ .mAddress = aSettings.mPlatformAddress })
+{
+}
+
+void
+StatusController::Start()
+{
+  mTicker = std::make_unique<Ticker>(kInterval, [this] { Tick(); });
+}
+
+void
+StatusController::Stop()
+{
+  mTicker.reset();
+}
+
+bool
+StatusController::IsWriter() const
+{
+  const auto owners = RendezvousOwners(kOwnerKey, mMembership.LiveBoxes(), 1);
+  return !owners.empty() && owners.front() == mSettings.mBox;
+}
+
+std::uint64_t
+StatusController::RevisionAt(const BoxSpec& aBox)
+{
+  if (aBox.mName == mSettings.mBox) {
+    return mConfig.Own().mRevision;
+  }
+  wire::Envelope request;
+  request.mutable_probe();
+  const auto reply =
+    mTransport.Call(aBox.mControlAddress, std::move(request), kAskTimeout);
+  return reply && reply->has_probe_reply() ? reply->probe_reply().revision()
+                                           : 0;
+}
+
+std::string
+StatusController::Collect(const Snapshot& aSnapshot)
+{
+  Poco::JSON::Array behind;
+  Poco::JSON::Array silent;
+  std::size_t inForce = 0;
+  for (const auto& [name, box] : aSnapshot.mBoxes) {
+    const auto revision = RevisionAt(box);
+    if (revision == 0) {
+      silent.add(name.Value());
+    } else if (revision < aSnapshot.mRevision) {
+      behind.add(name.Value());
+    } else {
+      ++inForce;
+    }
+  }
+  Poco::JSON::Object status(Poco::JSON_PRESERVE_KEY_ORDER);
+  status.set("accepted_revision", aSnapshot.mRevision);
+  status.set("boxes_in_force", inForce);
+  status.set("boxes_behind", behind);
+  status.set("boxes_silent", silent);
+  status.set("rejected", RejectionsJson(aSnapshot));
+  status.set("writer", mSettings.mBox.Value());
+  return ToJsonText(status);
+}
+
+void
+StatusController::Tick()
+{
+  const auto snapshot = mConfig.Current();
+  if (!snapshot || !mConfig.PlatformReachable() || !IsWriter()) {
+    mWritten.clear();
+    return;
+  }
+  const auto status = Collect(*snapshot);
+  if (status == mWritten) {
+    return;
+  }
+  const ObjectKey key{ kStatusKind, kStatusName };
+  mMetrics.PlatformCalls().Increment();
+  const auto held = mClient.Get(key);
+  const bool absent =
+    !held && held.error().mKind == PlatformErrorKind::kNotFound;
+  if (!held && !absent) {
+    return;
+  }
+  if (WriteSettled(mClient, key, held ? held->mVersion : 0, status)) {
+    mWritten = status;
+  }
+}
+
+} // namespace porttiller
--- a/packages/platform/include/porttiller/platform/ObjectClient.h
+++ b/packages/platform/include/porttiller/platform/ObjectClient.h
@@ -7,6 +7,7 @@
 
 #include <Poco/Net/HTTPClientSession.h>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <tl/expected.hpp>
 #include <vector>
@@ -19,8 +20,9 @@
   Millis mTimeout{ 3000 };
 };
 
-// One connection, kept open; each call may throw away a broken one. Not
-// thread-safe: every thread that talks to the platform owns its own.
+// One connection, kept open; each call may throw away a broken one. Every
+// thread that talks to the platform owns its own; only Abort may be called
+// from another.
 class ObjectClient
 {
 public:
@@ -45,6 +47,9 @@
                                const std::string& aSpec);
   Result<std::uint64_t> Delete(const ObjectKey& aKey, std::uint64_t aVersion);
 
+  // Ends the call that is being made, and every later one, as kUnavailable.
+  void Abort();
+
 private:
   struct Call
   {
@@ -59,8 +64,13 @@
   Result<std::uint64_t> Write(const Call& aCall);
   Result<ObjectDelta> ReadDelta(const Call& aCall);
 
+  Poco::Net::HTTPClientSession& Session();
+  void DropSession();
+
   ObjectClientOptions mOptions;
-  std::unique_ptr<Poco::Net::HTTPClientSession> mSession;
+  std::mutex mMutex;
+  std::unique_ptr<Poco::Net::HTTPClientSession> mSession; // under mMutex
+  bool mAborted = false;                                  // under mMutex
 };
 
 } // namespace porttiller
--- a/packages/platform/src/ObjectClient.cpp
+++ b/packages/platform/src/ObjectClient.cpp
@@ -6,6 +6,7 @@
 #include <Poco/JSON/Array.h>
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/NetException.h>
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/StreamCopier.h>
 #include <Poco/URI.h>
@@ -119,17 +120,49 @@
 {
 }
 
+Poco::Net::HTTPClientSession&
+ObjectClient::Session()
+{
+  const std::lock_guard lock(mMutex);
+  if (mAborted) {
+    throw Poco::Net::ConnectionAbortedException("client aborted");
+  }
+  if (!mSession) {
+    mSession = std::make_unique<Poco::Net::HTTPClientSession>(
+      Poco::Net::SocketAddress(mOptions.mAddress));
+    mSession->setKeepAlive(true);
+  }
+  return *mSession;
+}
+
+void
+ObjectClient::DropSession()
+{
+  const std::lock_guard lock(mMutex);
+  mSession.reset();
+}
+
+void
+ObjectClient::Abort()
+{
+  const std::lock_guard lock(mMutex);
+  mAborted = true;
+  if (mSession && mSession->connected()) {
+    try {
+      mSession->abort();
+    } catch (const Poco::Exception&) {
+      return; // it was closed already
+    }
+  }
+}
+
 ObjectClient::Result<std::string>
 ObjectClient::Send(const Call& aCall)
 {
   bool sent = false;
   try {
-    if (!mSession) {
-      mSession = std::make_unique<Poco::Net::HTTPClientSession>(
-        Poco::Net::SocketAddress(mOptions.mAddress));
-      mSession->setKeepAlive(true);
-    }
-    mSession->setTimeout(ToTimespan(mOptions.mTimeout + aCall.mTimeout));
+    auto& session = Session();
+    session.setTimeout(ToTimespan(mOptions.mTimeout + aCall.mTimeout));
     HTTPRequest request(
       aCall.mMethod, aCall.mPath, Poco::Net::HTTPMessage::HTTP_1_1);
     if (aCall.mIfVersion != 0) {
@@ -137,11 +170,11 @@
     }
     request.setContentType("application/json");
     request.setContentLength64(static_cast<std::int64_t>(aCall.mBody.size()));
-    auto& out = mSession->sendRequest(request);
+    auto& out = session.sendRequest(request);
     sent = true;
     out << aCall.mBody << std::flush;
     HTTPResponse response;
-    auto& in = mSession->receiveResponse(response);
+    auto& in = session.receiveResponse(response);
     std::string body;
     Poco::StreamCopier::copyToString(in, body);
     if (response.getStatus() / 100 == 2) {
@@ -151,7 +184,7 @@
       MakeError(KindOf(response.getStatus()),
                 std::to_string(response.getStatus()) + " " + body));
   } catch (const Poco::Exception& e) {
-    mSession.reset();
+    DropSession();
     const bool write = aCall.mMethod != HTTPRequest::HTTP_GET;
     return tl::make_unexpected(MakeError(sent && write
                                            ? PlatformErrorKind::kAmbiguous
--- a/packages/policy/include/porttiller/policy/Detector.h
+++ b/packages/policy/include/porttiller/policy/Detector.h
@@ -70,6 +70,18 @@
   int mSamples = 0;
 };
 
+// A mean of the last few values, newest first in weight.
+class RecentMean
+{
+public:
+  void Observe(Micros aValue);
+  Micros Value() const { return Micros(static_cast<std::int64_t>(mValue)); }
+
+private:
+  double mValue = 0.0;
+  bool mEmpty = true;
+};
+
 // Not thread-safe: its owner holds the server's lock.
 class Detector
 {
@@ -88,7 +100,7 @@
   bool IsSlow(Micros aLatency) const;
 
   Micros MedianLatency() const { return mMedian.Value(); }
-  // Of the answers while the alarm built up, slow ones included.
+  // Of the last few answers, slow ones included.
   Micros RecentLatency() const { return mRecent.Value(); }
   int Samples() const { return mMedian.Samples(); }
 
@@ -105,7 +117,7 @@
   std::unordered_map<std::uint32_t, CusumTest> mClasses;
   CusumTest mSlow;
   MedianTracker mMedian; // of healthy answers
-  MedianTracker mRecent; // since the last reset
+  RecentMean mRecent;
 };
 
 } // namespace porttiller
--- a/packages/policy/include/porttiller/policy/EjectionMachine.h
+++ b/packages/policy/include/porttiller/policy/EjectionMachine.h
@@ -41,8 +41,8 @@
   Millis mTrickleGap{ 100 }; // between probation requests
   int mProbationSuccesses = 5;
   Millis mRamp{ 10'000 };
-  double mFirstRampShare = 0.25;
-  Millis mClockJump{ 3000 }; // a gap between ticks that means: was frozen
+  double mFirstRampShare = 0.25; // of the slots, after having been set aside
+  Millis mClockJump{ 3000 };     // a gap between ticks that means: was frozen
 };
 
 // How another home's server of the same service fares.
@@ -82,7 +82,8 @@
 class EjectionMachine
 {
 public:
-  // Starts ramping, as a server that may be cold.
+  // Starts with patience for slowness, as the server may be cold, but with all
+  // its slots: this home may be what is new.
   EjectionMachine(EjectionOptions aOptions, TimePoint aNow);
 
   void OnEvidence(const Evidence& aEvidence, TimePoint aNow);
@@ -139,6 +140,7 @@
   TimePoint mNextTrickle;
   TimePoint mLastTick;
   int mStrikes = 0;
+  double mRampFrom = 1.0;
   int mProbationGood = 0;
 };
 
--- a/packages/policy/src/Detector.cpp
+++ b/packages/policy/src/Detector.cpp
@@ -11,6 +11,7 @@
 constexpr double kLastStep = 0.02;
 // The median stands still while slowness builds up, or it would follow it.
 constexpr double kFreezeShare = 0.2;
+constexpr double kRecentWeight = 0.125;
 
 } // namespace
 
@@ -40,6 +41,14 @@
   mValue *= value > mValue ? 1.0 + step : 1.0 / (1.0 + step);
 }
 
+void
+RecentMean::Observe(Micros aValue)
+{
+  const auto value = static_cast<double>(aValue.count());
+  mValue += mEmpty ? value : kRecentWeight * (value - mValue);
+  mEmpty = false;
+}
+
 Detector::Detector(DetectorOptions aOptions)
   : mOptions(std::move(aOptions))
   , mSlow(mOptions.mHealthySlowRate, mOptions.mSickSlowRate)
@@ -131,7 +140,6 @@
   }
   mClasses.clear();
   mSlow.Reset();
-  mRecent = MedianTracker();
 }
 
 std::string
--- a/packages/policy/src/EjectionMachine.cpp
+++ b/packages/policy/src/EjectionMachine.cpp
@@ -70,6 +70,7 @@
   mAsideUntil = aNow + std::min(mOptions.mFirstAside * (1 << doublings),
                                 mOptions.mLongestAside);
   mNextCall = aNow;
+  mRampFrom = mOptions.mFirstRampShare;
   mDetector.Reset();
   Enter(mPermission == Permission::kHeld ? ServerPhase::kEjected
                                          : ServerPhase::kDemoted,
@@ -301,9 +302,8 @@
   const double done =
     std::chrono::duration<double>(aNow - mPhaseSince).count() /
     std::chrono::duration<double>(mOptions.mRamp).count();
-  const double share =
-    mOptions.mFirstRampShare + (1.0 - mOptions.mFirstRampShare) * done;
-  return std::clamp(share, mOptions.mFirstRampShare, 1.0);
+  const double share = mRampFrom + (1.0 - mRampFrom) * done;
+  return std::clamp(share, mRampFrom, 1.0);
 }
 
 std::string
--- a/packages/policy/tests/DetectorTest.cpp
+++ b/packages/policy/tests/DetectorTest.cpp
@@ -65,6 +65,7 @@
   CHECK(RequestsToAlarm(
           detector, 100, [&] { return Answer(random, 0.0, 80.0); }) <= 20);
   CHECK(detector.OnlySlow());
+  CHECK(detector.RecentLatency() > 4 * detector.MedianLatency());
 }
 
 TEST_CASE("One failing kind of calls in ten is found by its own sum")
--- a/testing/fleet/Fleet.cpp
+++ b/testing/fleet/Fleet.cpp
@@ -134,6 +134,18 @@
   return Loopback(mOptions.mPortBase + kServerPortOffset + aIndex);
 }
 
+int
+Fleet::Servers() const
+{
+  return (mOptions.mBoxes - mOptions.mFirstServerBox) * mOptions.mServersPerBox;
+}
+
+int
+Fleet::BoxOfServer(int aIndex) const
+{
+  return mOptions.mFirstServerBox + aIndex / mOptions.mServersPerBox;
+}
+
 std::string
 Fleet::BoxName(int aBox)
 {
@@ -149,7 +161,7 @@
 void
 Fleet::StartStandIns()
 {
-  const int servers = mOptions.mBoxes * mOptions.mServersPerBox;
+  const int servers = Servers();
   if (!mOptions.mOwnProcesses) {
     mPlatform = std::make_unique<standin::PlatformStandIn>(PlatformAddress());
     for (int i = 0; i < servers; ++i) {
@@ -214,13 +226,12 @@
   for (int box = 0; box < mOptions.mBoxes; ++box) {
     PutBox(box, HomeAddress(box), ControlAddress(box));
   }
-  for (int i = 0; i < mOptions.mBoxes * mOptions.mServersPerBox; ++i) {
+  for (int i = 0; i < Servers(); ++i) {
     Put("BackendServer",
         ServerName(i),
-        R"({"service":"ledger","box":")" +
-          BoxName(i / mOptions.mServersPerBox) + R"(","address":")" +
-          ServerAddress(i) + R"(","slots":)" + std::to_string(mOptions.mSlots) +
-          "}");
+        R"({"service":"ledger","box":")" + BoxName(BoxOfServer(i)) +
+          R"(","address":")" + ServerAddress(i) + R"(","slots":)" +
+          std::to_string(mOptions.mSlots) + "}");
   }
 }
 
@@ -314,6 +325,15 @@
   return runs;
 }
 
+bool
+Fleet::WaitUsed(int aEntry, int aServer, Millis aTime)
+{
+  const auto own = ServerName(aServer) + "|";
+  return WaitUntil(aTime, [&] {
+    return Send(aEntry, "GET", "/warm-up", "").mBody.starts_with(own);
+  });
+}
+
 Reply
 Fleet::Send(int aBox,
             const std::string& aMethod,
--- a/testing/fleet/Fleet.h
+++ b/testing/fleet/Fleet.h
@@ -18,6 +18,7 @@
 {
   int mBoxes = 3;
   int mServersPerBox = 1;
+  int mFirstServerBox = 0; // boxes before it have no servers
   int mSlots = 9;
   int mFloorSlots = 9;
   std::string mDetection = "fast";
@@ -49,6 +50,8 @@
   standin::ServerStandIn& Server(int aIndex) { return *mServers.at(aIndex); }
   int ServerCount() const { return static_cast<int>(mServers.size()); }
   int RunsOf(const std::string& aId) const;
+  // True once a request at this entry is answered by this server.
+  bool WaitUsed(int aEntry, int aServer, Millis aTime);
 
   // Box by number.
   void StartBox(int aBox);
@@ -74,6 +77,7 @@
   std::string ServerAddress(int aIndex) const;
   static std::string BoxName(int aBox);
   static std::string ServerName(int aIndex);
+  int BoxOfServer(int aIndex) const;
 
   // Writes box aBox's entry in the platform's list, reached at these.
   void PutBox(int aBox,
@@ -85,6 +89,7 @@
            const std::string& aSpec);
 
 private:
+  int Servers() const;
   std::string Address(int aBox, int aPort) const;
   std::string SettingsFile(int aBox) const;
   void StartStandIns();
--- /dev/null
+++ b/testing/fleet/tests/EntryFaultsTest.cpp
@@ -0,0 +1,147 @@
+// Faults of the entry role and of both roles together: planned stops, kills
+// and what a caller can do after an unknown outcome.
+#include "fleet/Traffic.h"
+#include "porttiller/node/HopHeaders.h"
+#include "standin/LinkStandIn.h"
+
+#include <csignal>
+#include <doctest/doctest.h>
+#include <thread>
+
+using namespace porttiller;
+using namespace porttiller::fleet;
+
+namespace {
+
+constexpr int kPortBase = 22100;
+
+FleetOptions
+Options(const std::string& aTiming = "")
+{
+  return { .mBoxes = 3,
+           .mFirstServerBox = 1,
+           .mSlots = 6,
+           .mFloorSlots = 6,
+           .mPortBase = kPortBase,
+           .mExtraSettings =
+             ", \"timing\": {\"probe_interval_ms\": 200" + aTiming + "}" };
+}
+
+} // namespace
+
+TEST_CASE("A planned stop of the entry cuts no request in flight")
+{
+  Fleet fleet(Options());
+  fleet.Server(0).Set({ .mServiceMs = 200 });
+  fleet.Server(1).Set({ .mServiceMs = 200 });
+  const TrafficOptions options{ .mRequests = 10,
+                                .mThreads = 10,
+                                .mDeadline = Millis(5000) };
+  std::vector<Record> records;
+  std::thread traffic([&] { records = SendTraffic(fleet, options); });
+  REQUIRE(WaitUntil(Millis(5000), [&] {
+    return fleet.Server(0).Runs() + fleet.Server(1).Runs() >= 5;
+  }));
+  fleet.SignalBox(0, SIGTERM);
+  traffic.join();
+  const auto verdict = Judge(fleet, records, options);
+  MESSAGE(ToText(verdict));
+  CHECK(verdict.mRun == options.mRequests);
+  CHECK(verdict.mBroken.empty());
+  CHECK(fleet.WaitForBoxExit(0, Millis(10'000)) == 0);
+}
+
+TEST_CASE("A planned stop of a home cuts no request in flight")
+{
+  Fleet fleet(Options());
+  fleet.Server(0).Set({ .mServiceMs = 100 });
+  fleet.Server(1).Set({ .mServiceMs = 100 });
+  const TrafficOptions options{ .mRequests = 60,
+                                .mThreads = 8,
+                                .mDeadline = Millis(5000) };
+  std::vector<Record> records;
+  std::thread traffic([&] { records = SendTraffic(fleet, options); });
+  REQUIRE(WaitUntil(Millis(5000), [&] { return fleet.Server(0).Runs() >= 3; }));
+  fleet.SignalBox(1, SIGTERM);
+  traffic.join();
+  const auto verdict = Judge(fleet, records, options);
+  MESSAGE(ToText(verdict));
+  CHECK(verdict.mRun == options.mRequests);
+  CHECK(verdict.mBroken.empty());
+  CHECK(fleet.WaitForBoxExit(1, Millis(10'000)) == 0);
+}
+
+TEST_CASE("A request that outlasts a planned stop gets an honest unknown")
+{
+  Fleet fleet(Options(", \"drain_ms\": 600"));
+  fleet.Server(0).Set({ .mServiceMs = 4000 });
+  fleet.Server(1).Set({ .mServiceMs = 4000 });
+  const TrafficOptions options{ .mRequests = 2,
+                                .mThreads = 2,
+                                .mDeadline = Millis(8000) };
+  std::vector<Record> records;
+  std::thread traffic([&] { records = SendTraffic(fleet, options); });
+  REQUIRE(WaitUntil(Millis(5000), [&] {
+    return fleet.Server(0).Runs() + fleet.Server(1).Runs() >= 2;
+  }));
+  fleet.SignalBox(0, SIGTERM);
+  traffic.join();
+  const auto verdict = Judge(fleet, records, options);
+  MESSAGE(ToText(verdict));
+  CHECK(verdict.mUnknown == 2);
+  CHECK(verdict.mBroken.empty());
+}
+
+TEST_CASE("A killed entry leaves no request that ran twice")
+{
+  Fleet fleet(Options());
+  fleet.Server(0).Set({ .mServiceMs = 50 });
+  fleet.Server(1).Set({ .mServiceMs = 50 });
+  TrafficOptions options{ .mRequests = 60, .mEntries = { 0, 1, 2 } };
+  std::vector<Record> records;
+  std::thread traffic([&] { records = SendTraffic(fleet, options); });
+  REQUIRE(WaitUntil(Millis(5000), [&] { return fleet.Server(0).Runs() >= 3; }));
+  fleet.SignalBox(0, SIGKILL);
+  traffic.join();
+  const auto verdict = Judge(fleet, records, options);
+  MESSAGE(ToText(verdict));
+  CHECK(verdict.mBroken.empty());
+}
+
+TEST_CASE("A caller that was told unknown can ask again and is told the rest")
+{
+  Fleet fleet(Options(", \"attempt_patience_ms\": 100"));
+  standin::LinkStandIn homeLink(fleet.HomeAddress(1));
+  fleet.PutBox(1, homeLink.Address(), fleet.ControlAddress(1));
+  fleet.PutBox(2, fleet.HomeAddress(2), fleet.ControlAddress(2), "leaving");
+  REQUIRE(fleet.WaitInForce(0, Millis(10'000)));
+  REQUIRE(fleet.WaitUsed(0, 0, Millis(10'000)));
+  fleet.Server(0).Set({ .mServiceMs = 700 });
+  const HttpHeaders key = { { "X-Request-Id", "purchase" },
+                            { hop::kRequestKey, "k1" },
+                            { hop::kDeadlineMs, "400" } };
+  const auto first = fleet.Send(0, "POST", "/purchases", "100 units", key);
+  CHECK(first.mOutcome == "unknown");
+  const auto token = HeaderValue(first.mHeaders, hop::kToken);
+  REQUIRE_FALSE(token.empty());
+
+  auto again = key;
+  again.push_back({ hop::kToken, token });
+  Reply reply;
+  REQUIRE(WaitUntil(Millis(5000), [&] {
+    reply = fleet.Send(0, "POST", "/purchases", "100 units", again);
+    return reply.mOutcome != "unknown" ||
+           HeaderValue(reply.mHeaders, hop::kReason) != "still-running";
+  }));
+  CHECK(reply.mOutcome == "run");
+  CHECK(reply.mBody ==
+        standin::EchoOf(Fleet::ServerName(0), "purchase", "100 units"));
+  CHECK(fleet.RunsOf("purchase") == 1);
+  // Another key is another caller: it must not see the answer.
+  auto stranger = again;
+  stranger[1].mValue = "k2";
+  const auto other = fleet.Send(0, "POST", "/purchases", "100 units", stranger);
+  CHECK(other.mOutcome == "unknown");
+  CHECK(other.mBody.find("100 units") == std::string::npos);
+  CHECK(fleet.RunsOf("purchase") == 1);
+}
--- /dev/null
+++ b/testing/fleet/tests/RequestFaultsTest.cpp
@@ -0,0 +1,179 @@
+// The fault matrix of a request: each fault, begun before the requests come
+// and while they wait, run and are answered, for requests that may run once
+// and for repeatable ones. After it, what every caller was told must be true.
+#include "fleet/Traffic.h"
+#include "standin/LinkStandIn.h"
+
+#include <csignal>
+#include <doctest/doctest.h>
+#include <functional>
+#include <thread>
+
+using namespace porttiller;
+using namespace porttiller::fleet;
+
+namespace {
+
+constexpr const char* kQuickTiming =
+  R"(, "timing": { "attempt_patience_ms": 150, "revoke_timeout_ms": 100,
+     "probe_interval_ms": 200 })";
+
+// Box 0 is the entry and has no server; boxes 1 and 2 have one each, and box 1
+// is reached through links.
+class Matrix
+{
+public:
+  Matrix()
+    : mFleet({ .mBoxes = 3,
+               .mFirstServerBox = 1,
+               .mSlots = 6,
+               .mFloorSlots = 12,
+               .mExtraSettings = kQuickTiming })
+    , mHomeLink(mFleet.HomeAddress(1))
+    , mControlLink(mFleet.ControlAddress(1))
+  {
+    mFleet.PutBox(1, mHomeLink.Address(), mControlLink.Address());
+    REQUIRE(mFleet.WaitInForce(0, Millis(10'000)));
+    for (int i = 0; i < mFleet.ServerCount(); ++i) {
+      mFleet.Server(i).Set({ .mServiceMs = 30 });
+    }
+  }
+
+  Fleet mFleet;
+  standin::LinkStandIn mHomeLink;
+  standin::LinkStandIn mControlLink;
+};
+
+struct Fault
+{
+  const char* mName;
+  std::function<void(Matrix&)> mBegin;
+  std::function<void(Matrix&)> mEnd;
+};
+
+void
+SetServer(Matrix& aMatrix, const standin::ServerBehaviour& aBehaviour)
+{
+  aMatrix.mFleet.Server(0).Set(aBehaviour);
+}
+
+void
+HealServer(Matrix& aMatrix)
+{
+  SetServer(aMatrix, { .mServiceMs = 30 });
+}
+
+// Box 1 in a new life that takes work: each cell begins with it.
+void
+RestartBox(Matrix& aMatrix)
+{
+  aMatrix.mFleet.StartBox(1);
+  CHECK(aMatrix.mFleet.WaitInForce(1, Millis(10'000)));
+  CHECK(aMatrix.mFleet.WaitUsed(0, 0, Millis(20'000)));
+}
+
+// Nothing is put back where the fault ends by itself.
+void
+Nothing(Matrix&)
+{
+}
+
+const std::vector<Fault> kFaults = {
+  { "none", Nothing, Nothing },
+  { "home-killed",
+    [](Matrix& aMatrix) { aMatrix.mFleet.SignalBox(1, SIGKILL); },
+    Nothing },
+  { "home-frozen",
+    [](Matrix& aMatrix) { aMatrix.mFleet.SignalBox(1, SIGSTOP); },
+    [](Matrix& aMatrix) { aMatrix.mFleet.SignalBox(1, SIGCONT); } },
+  { "home-stops",
+    [](Matrix& aMatrix) { aMatrix.mFleet.SignalBox(1, SIGTERM); },
+    Nothing },
+  { "requests-cut",
+    [](Matrix& aMatrix) { aMatrix.mHomeLink.CutForward(true); },
+    [](Matrix& aMatrix) { aMatrix.mHomeLink.CutForward(false); } },
+  { "answers-cut",
+    [](Matrix& aMatrix) { aMatrix.mHomeLink.CutBackward(true); },
+    [](Matrix& aMatrix) { aMatrix.mHomeLink.CutBackward(false); } },
+  { "control-cut",
+    [](Matrix& aMatrix) {
+      aMatrix.mHomeLink.CutBackward(true);
+      aMatrix.mControlLink.CutForward(true);
+    },
+    [](Matrix& aMatrix) {
+      aMatrix.mHomeLink.CutBackward(false);
+      aMatrix.mControlLink.CutForward(false);
+    } },
+  { "connections-reset",
+    [](Matrix& aMatrix) { aMatrix.mHomeLink.Reset(); },
+    Nothing },
+  { "half-answers",
+    [](Matrix& aMatrix) { SetServer(aMatrix, { .mHalfPercent = 50 }); },
+    HealServer },
+  { "server-closes",
+    [](Matrix& aMatrix) { SetServer(aMatrix, { .mCloseEvery = 2 }); },
+    HealServer },
+  { "server-fails",
+    [](Matrix& aMatrix) { SetServer(aMatrix, { .mFailPercent = 50 }); },
+    HealServer },
+  { "server-slow",
+    [](Matrix& aMatrix) { SetServer(aMatrix, { .mServiceMs = 2000 }); },
+    HealServer },
+  { "server-drains",
+    [](Matrix& aMatrix) { SetServer(aMatrix, { .mDraining = true }); },
+    HealServer },
+  { "platform-away",
+    [](Matrix& aMatrix) { aMatrix.mFleet.Platform().SetDown(true); },
+    [](Matrix& aMatrix) { aMatrix.mFleet.Platform().SetDown(false); } },
+  { "platform-slow",
+    [](Matrix& aMatrix) { aMatrix.mFleet.Platform().SetSlow(Millis(500)); },
+    [](Matrix& aMatrix) { aMatrix.mFleet.Platform().SetSlow(Millis(0)); } },
+};
+
+// One cell: the fault begins before or amid the requests, ends, and what was
+// held up arrives late.
+void
+RunCell(Matrix& aMatrix,
+        const Fault& aFault,
+        const std::string& aMethod,
+        bool aAmid)
+{
+  const std::string cell =
+    std::string(aFault.mName) + " " + aMethod + (aAmid ? " amid" : " before");
+  CAPTURE(cell);
+  TrafficOptions options{ .mMethod = aMethod,
+                          .mRequests = 48,
+                          .mDeadline = Millis(600),
+                          .mIdPrefix = cell };
+  RestartBox(aMatrix);
+  if (!aAmid) {
+    aFault.mBegin(aMatrix);
+  }
+  std::vector<Record> records;
+  std::thread traffic([&] { records = SendTraffic(aMatrix.mFleet, options); });
+  if (aAmid) {
+    std::this_thread::sleep_for(Millis(60));
+    aFault.mBegin(aMatrix);
+  }
+  traffic.join();
+  aFault.mEnd(aMatrix);
+  std::this_thread::sleep_for(Millis(200)); // late requests come through now
+  const auto verdict = Judge(aMatrix.mFleet, records, options);
+  MESSAGE(cell << ": " << ToText(verdict));
+  CHECK(verdict.mBroken.empty());
+  CHECK(verdict.mNoAnswer == 0);
+}
+
+} // namespace
+
+TEST_CASE("Every caller is told the truth, whatever fails at the home")
+{
+  Matrix matrix;
+  for (const auto& fault : kFaults) {
+    for (const char* method : { "POST", "GET" }) {
+      for (const bool amid : { false, true }) {
+        RunCell(matrix, fault, method, amid);
+      }
+    }
+  }
+}
--- a/testing/standin/ServerStandIn.cpp
+++ b/testing/standin/ServerStandIn.cpp
@@ -114,6 +114,8 @@
   const auto id = aRequest.get("X-Request-Id", "");
   const auto body = ReadBody(aRequest);
   if (behaviour.mDraining) {
+    aResponse.set("Porttiller-Outcome", "not-run");
+    aResponse.set("Porttiller-Reason", "leaving");
     SendText(aResponse, 503, "draining");
     return;
   }
--- a/testing/standin/ServerStandIn.h
+++ b/testing/standin/ServerStandIn.h
@@ -20,7 +20,7 @@
   int mCloseEvery = 0;     // ran, then closed without an answer
   int mFlapMs = 0;         // sick and well in turns of this length
   int mColdMs = 0;         // slow for this long after the change
-  bool mDraining = false;  // answers 503
+  bool mDraining = false;  // refuses, and says that it is leaving
 };
 
 class ServerStandIn
