--- a/testing/fleet/Fleet.cpp
+++ b/testing/fleet/Fleet.cpp
@@ -4,6 +4,7 @@
 #include "porttiller/node/HopHeaders.h"
 #include "porttiller/platform/ObjectClient.h"
 
+#include <Poco/JSON/Array.h>
 #include <Poco/TemporaryFile.h>
 #include <csignal>
 #include <filesystem>
@@ -208,9 +209,9 @@
 {
   Put("Box",
       BoxName(aBox),
-      R"({"zone":"zone-)" + std::to_string(aBox) + R"(","home_address":")" +
-        aHomeAddress + R"(","control_address":")" + aControlAddress +
-        R"(","state":")" + aState + "\"}");
+      R"({"zone":")" + ZoneName(aBox) + R"(","home_address":")" + aHomeAddress +
+        R"(","control_address":")" + aControlAddress + R"(","state":")" +
+        aState + "\"}");
 }
 
 void
@@ -245,9 +246,8 @@
       seeds += (seeds.empty() ? "\"" : ",\"") + ControlAddress(box) + "\"";
     }
   }
-  std::ofstream(file) << R"({ "box": ")" << BoxName(aBox)
-                      << R"(", "zone": "zone-)" << aBox
-                      << R"(", "callers": { "address": ")"
+  std::ofstream(file) << R"({ "box": ")" << BoxName(aBox) << R"(", "zone": ")"
+                      << ZoneName(aBox) << R"(", "callers": { "address": ")"
                       << CallerAddress(aBox)
                       << R"(" }, "peers": { "home_address": ")"
                       << HomeAddress(aBox) << R"(", "control_address": ")"
@@ -300,6 +300,47 @@
   return Admin(aBox, "/metrics");
 }
 
+std::string
+Fleet::ZoneName(int aBox) const
+{
+  return "zone-" + std::to_string(aBox % mOptions.mZones);
+}
+
+std::string
+Fleet::Phase(int aServer) const
+{
+  const auto state = ParseJsonObject(State(BoxOfServer(aServer)));
+  if (!state) {
+    return {};
+  }
+  const auto servers = (*state)->getArray("servers");
+  for (unsigned i = 0; i < servers->size(); ++i) {
+    const auto server = servers->getObject(i);
+    if (server->getValue<std::string>("name") == ServerName(aServer)) {
+      return server->getValue<std::string>("phase");
+    }
+  }
+  return {};
+}
+
+std::uint64_t
+Fleet::Revision(int aBox) const
+{
+  const auto state = ParseJsonObject(State(aBox));
+  return state ? (*state)->optValue<std::uint64_t>("revision", 0) : 0;
+}
+
+double
+Fleet::Metric(int aBox, const std::string& aName) const
+{
+  const auto text = Metrics(aBox);
+  const auto line = text.find("\n" + aName + " ");
+  if (line == std::string::npos) {
+    return 0.0;
+  }
+  return std::stod(text.substr(line + aName.size() + 2));
+}
+
 bool
 Fleet::WaitInForce(int aBox, Millis aTime)
 {
@@ -308,11 +349,7 @@
   if (!list) {
     return false;
   }
-  return WaitUntil(aTime, [&] {
-    const auto state = ParseJsonObject(State(aBox));
-    return state &&
-           (*state)->optValue<std::uint64_t>("revision", 0) >= list->mTo;
-  });
+  return WaitUntil(aTime, [&] { return Revision(aBox) >= list->mTo; });
 }
 
 int
--- a/testing/fleet/Fleet.h
+++ b/testing/fleet/Fleet.h
@@ -19,6 +19,7 @@
   int mBoxes = 3;
   int mServersPerBox = 1;
   int mFirstServerBox = 0; // boxes before it have no servers
+  int mZones = 27;         // boxes are dealt to them in turns
   int mSlots = 9;
   int mFloorSlots = 9;
   std::string mDetection = "fast";
@@ -61,6 +62,11 @@
   bool WaitInForce(int aBox, Millis aTime);
   std::string State(int aBox) const;
   std::string Metrics(int aBox) const;
+  // The phase of a server as its home has it, e.g. "ejected".
+  std::string Phase(int aServer) const;
+  // A metric without labels; 0 when it is not there.
+  double Metric(int aBox, const std::string& aName) const;
+  std::uint64_t Revision(int aBox) const;
 
   Reply Send(int aBox,
              const std::string& aMethod,
@@ -92,6 +98,7 @@
   int Servers() const;
   std::string Address(int aBox, int aPort) const;
   std::string SettingsFile(int aBox) const;
+  std::string ZoneName(int aBox) const;
   void StartStandIns();
   void PutConfiguration();
   std::string Admin(int aBox, const std::string& aPath) const;
--- /dev/null
+++ b/testing/fleet/tests/ConfigFaultsTest.cpp
@@ -0,0 +1,166 @@
+// Faults of a configuration change: the platform away, slow or losing
+// answers, boxes that restart, objects that are wrong.
+#include "fleet/Fleet.h"
+#include "porttiller/config/JsonText.h"
+
+#include <csignal>
+#include <doctest/doctest.h>
+#include <thread>
+
+using namespace porttiller;
+using namespace porttiller::fleet;
+
+namespace {
+
+constexpr int kPortBase = 22300;
+constexpr Millis kLong{ 20'000 };
+
+// Five boxes in one zone: three of them watch, two learn from peers.
+FleetOptions
+Options()
+{
+  return { .mBoxes = 5,
+           .mZones = 1,
+           .mPortBase = kPortBase,
+           .mExtraSettings = R"(, "timing": { "probe_interval_ms": 100 })" };
+}
+
+bool
+WaitAll(Fleet& aFleet, std::uint64_t aRevision)
+{
+  return WaitUntil(kLong, [&] {
+    for (int box = 0; box < 5; ++box) {
+      if (aFleet.Revision(box) < aRevision) {
+        return false;
+      }
+    }
+    return true;
+  });
+}
+
+std::uint64_t
+PutService(Fleet& aFleet, const std::string& aSpec)
+{
+  return aFleet.Platform().Put({ "Service", "ledger" }, aSpec);
+}
+
+} // namespace
+
+TEST_CASE("A change is in force on every box, watchers or not")
+{
+  Fleet fleet(Options());
+  int watchers = 0;
+  for (int box = 0; box < 5; ++box) {
+    watchers +=
+      fleet.State(box).find("\"watcher\":true") != std::string::npos ? 1 : 0;
+  }
+  CHECK(watchers == 3);
+  CHECK(WaitAll(fleet, PutService(fleet, R"({"floor_slots": 1})")));
+  fleet.Platform().Remove({ "Route", "all" });
+  REQUIRE(WaitUntil(kLong, [&] {
+    for (int box = 0; box < 5; ++box) {
+      if (fleet.Send(box, "GET", "/x", "").mStatus != 404) {
+        return false;
+      }
+    }
+    return true;
+  }));
+}
+
+TEST_CASE("Traffic flows and boxes restart while the platform is away")
+{
+  Fleet fleet(Options());
+  const auto revision = PutService(fleet, R"({"floor_slots": 2})");
+  REQUIRE(WaitAll(fleet, revision));
+  fleet.Platform().SetDown(true);
+  CHECK(fleet.Send(0, "GET", "/x", "").mStatus == 200);
+  for (int box = 0; box < 5; ++box) { // each in turn, peers alive
+    fleet.SignalBox(box, SIGKILL);
+    fleet.StartBox(box);
+    REQUIRE(WaitUntil(kLong, [&] { return fleet.Revision(box) >= revision; }));
+    CHECK(fleet.Send(box, "GET", "/x", "").mStatus == 200);
+  }
+  fleet.Platform().SetDown(false);
+  CHECK(WaitAll(fleet, PutService(fleet, R"({"floor_slots": 3})")));
+}
+
+TEST_CASE("No box ever goes back to an older configuration")
+{
+  Fleet fleet(Options());
+  std::vector<std::uint64_t> seen(5, 0);
+  const auto look = [&] {
+    for (int box = 0; box < 5; ++box) {
+      const auto revision = fleet.Revision(box);
+      CHECK(revision >= seen[static_cast<std::size_t>(box)]);
+      seen[static_cast<std::size_t>(box)] = revision;
+    }
+  };
+  std::uint64_t last = 0;
+  for (int i = 0; i < 24; ++i) {
+    switch (i % 6) {
+      case 1:
+        fleet.Platform().SetDown(true);
+        break;
+      case 2:
+        fleet.SignalBox(i % 5, SIGSTOP);
+        break;
+      case 3:
+        fleet.Platform().SetDown(false);
+        break;
+      case 4:
+        fleet.SignalBox((i - 2) % 5, SIGCONT);
+        break;
+      case 5:
+        fleet.Platform().SetSlow(Millis(i % 2 == 0 ? 0 : 100));
+        break;
+      default:
+        break;
+    }
+    last = PutService(fleet, "{\"floor_slots\": " + std::to_string(i) + "}");
+    if (i % 6 != 2 && i % 6 != 3) { // a frozen box shows nothing
+      look();
+    }
+  }
+  CHECK(WaitAll(fleet, last));
+  look();
+}
+
+TEST_CASE("A wrong object is rejected by name and the last good one stays")
+{
+  Fleet fleet(Options());
+  const auto bad = PutService(fleet, R"({"floor_slots": "many"})");
+  REQUIRE(WaitAll(fleet, bad));
+  CHECK(fleet.Send(0, "GET", "/x", "").mStatus == 200);
+  const auto status = [&] {
+    return fleet.Platform().SpecOf({ "FleetStatus", "fleet" });
+  };
+  CHECK(WaitUntil(kLong, [&] {
+    return status().find("spec.floor_slots") != std::string::npos;
+  }));
+  const auto good = PutService(fleet, R"({"floor_slots": 4})");
+  CHECK(WaitUntil(kLong, [&] {
+    const auto json = ParseJsonObject(status());
+    return json &&
+           (*json)->getValue<std::uint64_t>("accepted_revision") >= good &&
+           (*json)->getValue<int>("boxes_in_force") == 5 &&
+           status().find("spec.floor_slots") == std::string::npos;
+  }));
+}
+
+TEST_CASE("A box that starts first, before platform and peers, serves later")
+{
+  Fleet fleet(Options());
+  fleet.Platform().SetDown(true);
+  for (int box = 0; box < 5; ++box) {
+    fleet.SignalBox(box, SIGKILL);
+  }
+  fleet.StartBox(0);
+  REQUIRE(standin::WaitForListener(fleet.CallerAddress(0), kLong));
+  const auto early = fleet.Send(0, "GET", "/x", "");
+  CHECK(early.mStatus == 503);
+  CHECK(early.mOutcome == "not-run");
+  CHECK_FALSE(HeaderValue(early.mHeaders, "Retry-After").empty());
+  fleet.Platform().SetDown(false);
+  CHECK(WaitUntil(
+    kLong, [&] { return fleet.Send(0, "GET", "/x", "").mStatus == 200; }));
+}
