porttillerctl, and both programs tested as an operator meets them

Change: get, list, apply (created, updated, conflict, invalid field by path), delete, watch, status, dump; table or JSON; an exit code for each kind of failure. Tests of both programs' exit codes and words. Found by them: POCO's bind with reuseAddress also sets SO_REUSEPORT, so a second daemon on a taken port started and shared it. Now it ends with 1 and names the address; the test failed before.

--- /dev/null
+++ b/apps/porttillerctl/Commands.h
@@ -0,0 +1,30 @@
+// The commands of porttillerctl.
+#pragma once
+
+#include "Output.h"
+#include "porttiller/platform/ObjectClient.h"
+
+#include <string>
+#include <vector>
+
+namespace porttiller::ctl {
+
+struct Arguments
+{
+  std::string mCommand;
+  std::vector<std::string> mOperands;
+  std::string mFile; // of apply
+  int mCount = 0;    // of watch: end after so many changes; 0: never
+  Format mFormat = Format::kTable;
+};
+
+// Runs the command that aArguments names.
+ExitCode
+RunCommand(ObjectClient& aClient, const Arguments& aArguments);
+
+// What the system reports: the configuration in force, and the servers of one
+// service or of all.
+ExitCode
+RunStatus(ObjectClient& aClient, const Arguments& aArguments);
+
+} // namespace porttiller::ctl
--- /dev/null
+++ b/apps/porttillerctl/Output.cpp
@@ -0,0 +1,120 @@
+#include "Output.h"
+
+#include "porttiller/config/JsonText.h"
+
+#include <Poco/JSON/Array.h>
+#include <algorithm>
+#include <iomanip>
+#include <iostream>
+
+namespace porttiller::ctl {
+
+namespace {
+
+constexpr unsigned kIndent = 2;
+constexpr int kColumnGap = 2;
+
+Poco::JSON::Object::Ptr
+ToJson(const Object& aObject)
+{
+  Poco::JSON::Object::Ptr json =
+    new Poco::JSON::Object(Poco::JSON_PRESERVE_KEY_ORDER);
+  json->set("kind", aObject.mKey.mKind);
+  json->set("name", aObject.mKey.mName);
+  json->set("version", aObject.mVersion);
+  if (aObject.mDeleted) {
+    json->set("deleted", true);
+    return json;
+  }
+  const auto spec = ParseJsonObject(aObject.mSpecJson);
+  if (spec) {
+    json->set("spec", *spec);
+  }
+  return json;
+}
+
+Row
+ToRow(const Object& aObject)
+{
+  return { aObject.mKey.mKind,
+           aObject.mKey.mName,
+           std::to_string(aObject.mVersion),
+           aObject.mDeleted ? "(deleted)" : aObject.mSpecJson };
+}
+
+} // namespace
+
+void
+PrintTable(const std::vector<Row>& aRows)
+{
+  std::vector<std::size_t> widths;
+  for (const auto& row : aRows) {
+    widths.resize(std::max(widths.size(), row.size()));
+    for (std::size_t i = 0; i < row.size(); ++i) {
+      widths[i] = std::max(widths[i], row[i].size());
+    }
+  }
+  for (const auto& row : aRows) {
+    for (std::size_t i = 0; i < row.size(); ++i) {
+      const bool last = i + 1 == row.size();
+      const auto width = last ? 0 : static_cast<int>(widths[i]) + kColumnGap;
+      std::cout << std::left << std::setw(width) << row[i];
+    }
+    std::cout << "\n";
+  }
+  std::cout << std::flush;
+}
+
+void
+PrintObject(const Object& aObject, Format aFormat)
+{
+  if (aFormat == Format::kJson) {
+    ToJson(aObject)->stringify(std::cout, kIndent);
+    std::cout << "\n" << std::flush;
+    return;
+  }
+  PrintTable({ { "KIND", "NAME", "VERSION", "SPEC" }, ToRow(aObject) });
+}
+
+void
+PrintObjects(const std::vector<Object>& aObjects, Format aFormat)
+{
+  if (aFormat == Format::kJson) {
+    Poco::JSON::Array items;
+    for (const auto& object : aObjects) {
+      items.add(ToJson(object));
+    }
+    items.stringify(std::cout, kIndent);
+    std::cout << "\n" << std::flush;
+    return;
+  }
+  std::vector<Row> rows = { { "KIND", "NAME", "VERSION", "SPEC" } };
+  for (const auto& object : aObjects) {
+    rows.push_back(ToRow(object));
+  }
+  PrintTable(rows);
+}
+
+ExitCode
+ReportError(const std::string& aWhat, const PlatformError& aError)
+{
+  std::cerr << "porttillerctl: " << aWhat << ": " << ToText(aError.mKind)
+            << ": " << aError.mDetail << "\n";
+  switch (aError.mKind) {
+    case PlatformErrorKind::kUnavailable:
+      return ExitCode::kUnavailable;
+    case PlatformErrorKind::kAmbiguous:
+      return ExitCode::kUnclear;
+    case PlatformErrorKind::kNotFound:
+      return ExitCode::kNotFound;
+    case PlatformErrorKind::kConflict:
+      return ExitCode::kConflict;
+    case PlatformErrorKind::kRefused:
+      return ExitCode::kInvalid;
+    case PlatformErrorKind::kBadAnswer:
+      break;
+  }
+  return ExitCode::kFailed;
+}
+
+} // namespace porttiller::ctl
--- a/packages/node/src/HttpServing.cpp
+++ b/packages/node/src/HttpServing.cpp
@@ -91,7 +91,8 @@
   std::unique_ptr<HttpListener> listener(new HttpListener(aOptions.mThreads));
   try {
     Poco::Net::ServerSocket socket;
-    socket.bind(Poco::Net::SocketAddress(aOptions.mAddress), true);
+    // Without reusePort, which POCO sets by default: a taken port is an error.
+    socket.bind(Poco::Net::SocketAddress(aOptions.mAddress), true, false);
     socket.listen(kBacklog);
     listener->mServer = std::make_unique<Poco::Net::HTTPServer>(
       new FunctionFactory(std::move(aHandler)),
--- /dev/null
+++ b/testing/fleet/tests/CommandLineTest.cpp
@@ -0,0 +1,182 @@
+// The two programs as an operator meets them: exit codes and what they say.
+#include "standin/ChildProcess.h"
+#include "standin/PlatformStandIn.h"
+
+#include <Poco/TemporaryFile.h>
+#include <doctest/doctest.h>
+#include <fstream>
+#include <sstream>
+#include <thread>
+
+using namespace porttiller;
+
+namespace {
+
+constexpr Millis kLong{ 20'000 };
+
+struct Result
+{
+  int mExitCode = -1;
+  std::string mText;
+};
+
+std::string
+WriteFile(const std::string& aText)
+{
+  auto path = Poco::TemporaryFile::tempName();
+  std::ofstream(path) << aText;
+  Poco::TemporaryFile::registerForDeletion(path);
+  return path;
+}
+
+std::string
+ReadFile(const std::string& aPath)
+{
+  const std::ifstream stream(aPath);
+  std::ostringstream text;
+  text << stream.rdbuf();
+  return text.str();
+}
+
+Result
+RunProgram(const char* aProgram, const std::vector<std::string>& aArguments)
+{
+  const auto log = WriteFile("");
+  standin::ChildProcess process(aProgram, aArguments, log);
+  const int code = process.WaitForExit(kLong);
+  return { code, ReadFile(log) };
+}
+
+class Ctl
+{
+public:
+  Result operator()(std::vector<std::string> aArguments) const
+  {
+    aArguments.insert(aArguments.begin(),
+                      { "--platform", mPlatform.Address() });
+    return RunProgram(PORTTILLER_CTL, aArguments);
+  }
+
+  Result Apply(const std::string& aDocument) const
+  {
+    return (*this)({ "apply", "-f", WriteFile(aDocument) });
+  }
+
+  mutable standin::PlatformStandIn mPlatform{ "127.0.0.1:0" };
+};
+
+constexpr const char* kService =
+  R"({"kind": "Service", "name": "ledger", "spec": {"floor_slots": 9}})";
+
+} // namespace
+
+TEST_CASE("porttiller lists every wrong setting and ends with 2")
+{
+  const auto file = WriteFile(R"({"box": "a", "colour": 1,
+    "callers": {"threads": 0}, "platform_address": "x"})");
+  const auto result = RunProgram(PORTTILLER_DAEMON, { "--config", file });
+  CHECK(result.mExitCode == 2);
+  for (const char* path :
+       { "colour: ", "zone: ", "callers.threads: ", "platform_address: " }) {
+    CHECK(result.mText.find(path) != std::string::npos);
+  }
+}
+
+TEST_CASE("porttiller --check and --print-config open nothing")
+{
+  const auto file = WriteFile(
+    R"({"box": "a", "zone": "z", "platform_address": "127.0.0.1:1"})");
+  CHECK(
+    RunProgram(PORTTILLER_DAEMON, { "--config", file, "--check" }).mExitCode ==
+    0);
+  const auto printed =
+    RunProgram(PORTTILLER_DAEMON, { "--config", file, "--print-config" });
+  CHECK(printed.mExitCode == 0);
+  CHECK(printed.mText.find("\"drain_ms\": 10000") != std::string::npos);
+  CHECK(RunProgram(PORTTILLER_DAEMON, {}).mExitCode == 2);
+}
+
+TEST_CASE("porttiller says plainly that an address is taken and ends")
+{
+  const standin::HttpStandIn taken("127.0.0.1:0", {});
+  const auto file = WriteFile(
+    R"({"box": "a", "zone": "z", "platform_address": "127.0.0.1:1",
+        "admin_address": "127.0.0.1:22403",
+        "peers": {"home_address": "127.0.0.1:22401",
+                  "control_address": "127.0.0.1:22402"},
+        "callers": {"address": ")" +
+    taken.Address() + "\"}}");
+  const auto result = RunProgram(PORTTILLER_DAEMON, { "--config", file });
+  CHECK(result.mExitCode == 1);
+  CHECK(result.mText.find("cannot listen: " + taken.Address()) !=
+        std::string::npos);
+}
+
+TEST_CASE("porttillerctl applies, shows and deletes objects")
+{
+  const Ctl ctl;
+  CHECK(ctl.Apply(kService).mText.find("created") != std::string::npos);
+  CHECK(ctl.Apply(kService).mText.find("updated") != std::string::npos);
+  CHECK(ctl({ "get", "Service", "ledger" }).mText.find("floor_slots") !=
+        std::string::npos);
+  CHECK(ctl({ "list", "Service", "-o", "json" }).mText.find("\"ledger\"") !=
+        std::string::npos);
+  CHECK(ctl({ "status", "ledger" }).mExitCode == 0);
+  CHECK(ctl({ "delete", "Service", "ledger" }).mExitCode == 0);
+  CHECK(ctl({ "get", "Service", "ledger" }).mExitCode == 6);
+}
+
+TEST_CASE("porttillerctl names the field of an invalid object")
+{
+  const Ctl ctl;
+  const auto result = ctl.Apply(
+    R"({"kind": "Service", "name": "s", "spec": {"floor_slots": -1}})");
+  CHECK(result.mExitCode == 4);
+  CHECK(result.mText.find("spec.floor_slots") != std::string::npos);
+  CHECK(ctl.mPlatform.Writes() == 0);
+}
+
+TEST_CASE("porttillerctl tells an outage and a lost answer apart")
+{
+  const Ctl ctl;
+  ctl.mPlatform.LoseWriteAnswers(1);
+  CHECK(ctl.Apply(kService).mExitCode == 0);
+  CHECK(ctl.mPlatform.Writes() == 1);
+  ctl.mPlatform.SetDown(true);
+  CHECK(ctl.Apply(kService).mExitCode == 3);
+}
+
+TEST_CASE("Of two operators who race one is told of the conflict")
+{
+  const Ctl ctl;
+  const auto version = ctl.mPlatform.Put({ "Service", "ledger" }, "{}");
+  const auto document = [&](int aFloor) {
+    return R"({"kind": "Service", "name": "ledger", "version": )" +
+           std::to_string(version) + R"(, "spec": {"floor_slots": )" +
+           std::to_string(aFloor) + "}}";
+  };
+  Result first;
+  Result second;
+  std::thread other([&] { first = ctl.Apply(document(1)); });
+  second = ctl.Apply(document(2));
+  other.join();
+  CHECK(first.mExitCode + second.mExitCode == 5);
+  const auto winner = first.mExitCode == 0 ? "1" : "2";
+  CHECK(ctl.mPlatform.SpecOf({ "Service", "ledger" }) ==
+        std::string("{\"floor_slots\":") + winner + "}");
+}
+
+TEST_CASE("porttillerctl watch follows changes as they happen")
+{
+  const Ctl ctl;
+  std::thread writer([&] {
+    while (ctl.mPlatform.Calls() < 2) {
+      std::this_thread::sleep_for(Millis(5));
+    }
+    ctl.mPlatform.Put({ "Route", "new-route" }, "{}");
+  });
+  const auto result = ctl({ "watch", "Route", "--count", "1" });
+  writer.join();
+  CHECK(result.mExitCode == 0);
+  CHECK(result.mText.find("new-route") != std::string::npos);
+}
--- a/testing/standin/ChildProcess.cpp
+++ b/testing/standin/ChildProcess.cpp
@@ -38,6 +38,7 @@
                                    aLogFile.c_str(),
                                    O_WRONLY | O_CREAT | O_APPEND,
                                    kLogMode);
+  posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
   const int result = posix_spawn(
     &mId, aProgram.c_str(), &actions, nullptr, arguments.data(), environ);
   posix_spawn_file_actions_destroy(&actions);
--- a/testing/standin/ChildProcess.h
+++ b/testing/standin/ChildProcess.h
@@ -12,7 +12,7 @@
 class ChildProcess
 {
 public:
-  // Standard output goes to aLogFile.
+  // Its output and errors are added to aLogFile.
   ChildProcess(const std::string& aProgram,
                const std::vector<std::string>& aArguments,
                const std::string& aLogFile);
--- a/testing/standin/HttpStandIn.cpp
+++ b/testing/standin/HttpStandIn.cpp
@@ -60,7 +60,7 @@
   : mThreads(2, kMaxThreads)
 {
   Poco::Net::ServerSocket socket;
-  socket.bind(Poco::Net::SocketAddress(aAddress), true);
+  socket.bind(Poco::Net::SocketAddress(aAddress), true, false);
   socket.listen(kBacklog);
   mHost = socket.address().toString();
   Poco::Net::HTTPServerParams::Ptr params = new Poco::Net::HTTPServerParams;
