--- /dev/null
+++ b/bench/FaultsBench.cpp
@@ -0,0 +1,167 @@
+// Detection time, false ejections and wrong requests, by scenario and policy,
+// in simulated time: FaultsBench [SEEDS]
+#include "Figure.h"
+#include "sim/World.h"
+
+#include <atomic>
+#include <cstdlib>
+#include <mutex>
+#include <thread>
+
+namespace {
+
+using namespace porttiller;
+using namespace porttiller::bench;
+
+constexpr int kDefaultSeeds = 200;
+constexpr int kThreads = 6;
+// The threshold's trade-off curve, on the two services where it hurts most.
+constexpr double kThresholds[] = { 6.0, 12.0, 24.0, 48.0 };
+constexpr const char* kPolicies[] = { "porttiller",
+                                      "consecutive-failures",
+                                      "entry-side",
+                                      "round-robin" };
+
+std::vector<RunResult>
+RunSeeds(const Deployment& aDeployment,
+         const Scenario& aScenario,
+         RunOptions aOptions,
+         int aSeeds)
+{
+  std::vector<RunResult> results(static_cast<std::size_t>(aSeeds));
+  std::atomic<std::size_t> next{ 0 };
+  const auto work = [&, options = aOptions]() mutable {
+    for (auto i = next++; i < results.size(); i = next++) {
+      options.mSeed = i + 1;
+      results[i] = World(aDeployment, aScenario, options).Run();
+    }
+  };
+  std::vector<std::thread> threads;
+  for (int i = 0; i < kThreads; ++i) {
+    threads.emplace_back(work);
+  }
+  for (auto& thread : threads) {
+    thread.join();
+  }
+  return results;
+}
+
+void
+PrintOverload(const std::string& aScenario,
+              const std::string& aPolicy,
+              const std::vector<RunResult>& aResults)
+{
+  std::vector<double> goodput;
+  for (const auto& result : aResults) {
+    double good = 0.0;
+    for (const int count : result.mGood) {
+      good += count;
+    }
+    goodput.push_back(100.0 * good / result.mCapacity);
+  }
+  Print({ "goodput", aScenario, aPolicy, Mean(goodput), "% of capacity" });
+  for (int i = 0; i < kPriorityCount; ++i) {
+    std::vector<double> served;
+    for (const auto& result : aResults) {
+      const auto index = static_cast<std::size_t>(i);
+      served.push_back(100.0 * result.mGood.at(index) /
+                       result.mOffered.at(index));
+    }
+    Print({ "served_" + std::string(ToText(static_cast<Priority>(i))),
+            aScenario,
+            aPolicy,
+            Mean(served),
+            "% of offered" });
+  }
+}
+
+void
+PrintRuns(const std::string& aScenario,
+          const std::string& aPolicy,
+          bool aNobodyToBlame,
+          const std::vector<RunResult>& aResults)
+{
+  std::vector<double> detection;
+  std::vector<double> falseEjections;
+  std::vector<double> wrong;
+  int missed = 0;
+  for (const auto& result : aResults) {
+    if (result.mDetectionMs >= 0.0) {
+      detection.push_back(result.mDetectionMs);
+    } else {
+      ++missed;
+    }
+    falseEjections.push_back(result.mFalseEjections);
+    wrong.push_back(100.0 * result.mWrongRequests / result.mRequests);
+  }
+  const auto runs = static_cast<double>(aResults.size());
+  if (!aNobodyToBlame) {
+    Print({ "detection_ms_p50",
+            aScenario,
+            aPolicy,
+            Quantile(detection, 0.5),
+            "ms" });
+    Print({ "detection_ms_worst",
+            aScenario,
+            aPolicy,
+            Quantile(detection, 1.0),
+            "ms" });
+    Print({ "not_detected",
+            aScenario,
+            aPolicy,
+            100.0 * missed / runs,
+            "% of runs" });
+  }
+  Print(
+    { "false_ejections", aScenario, aPolicy, Mean(falseEjections), "per run" });
+  Print({ "wrong_requests", aScenario, aPolicy, Mean(wrong), "% of requests" });
+}
+
+void
+MeasureAll(int aSeeds)
+{
+  for (const auto& deployment : Deployments()) {
+    for (const auto& scenario : Scenarios()) {
+      for (const char* policy : kPolicies) {
+        const auto results =
+          RunSeeds(deployment, scenario, { .mPolicy = policy }, aSeeds);
+        const auto name = deployment.mName + "/" + scenario.mName;
+        PrintRuns(name, policy, scenario.mNobodyToBlame, results);
+        if (scenario.mKind == FaultKind::kOverload) {
+          PrintOverload(name, policy, results);
+        }
+      }
+    }
+  }
+}
+
+void
+MeasureTradeOff(int aSeeds)
+{
+  for (const auto& deployment : Deployments()) {
+    for (const double threshold : kThresholds) {
+      const RunOptions options{ .mThreshold = threshold };
+      for (const auto& scenario : Scenarios()) {
+        if (scenario.mKind != FaultKind::kGrayErrors &&
+            scenario.mKind != FaultKind::kNoiseBursts) {
+          continue;
+        }
+        PrintRuns(deployment.mName + "/" + scenario.mName,
+                  "porttiller@" + std::to_string(static_cast<int>(threshold)),
+                  scenario.mNobodyToBlame,
+                  RunSeeds(deployment, scenario, options, aSeeds));
+      }
+    }
+  }
+}
+
+} // namespace
+
+int
+main(int aCount, char** aArguments)
+{
+  const int seeds = aCount > 1 ? std::atoi(aArguments[1]) : kDefaultSeeds;
+  MeasureAll(seeds);
+  MeasureTradeOff(seeds);
+  return 0;
+}
--- /dev/null
+++ b/bench/LatencyBench.cpp
@@ -0,0 +1,5 @@
+int
+main()
+{
+  return 0;
+}
--- /dev/null
+++ b/bench/sim/Policies.cpp
@@ -0,0 +1,382 @@
+#include "sim/Policies.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace porttiller::bench {
+
+namespace {
+
+constexpr Millis kRoundTrip{ 3 };
+constexpr Millis kPlatformCall{ 5 };
+constexpr Millis kMinAvoid{ 200 };
+constexpr Millis kMaxAvoid{ 5000 };
+constexpr int kMaxAvoidDoublings = 5;
+constexpr Millis kBaselineAside{ 30'000 };
+constexpr int kConsecutive = 5;
+constexpr std::size_t kAsked = 3;
+constexpr double kFastThreshold = 12.0;
+constexpr double kCarefulThreshold = 24.0;
+
+EjectionOptions
+OptionsFor(const Deployment& aDeployment)
+{
+  const bool fast = aDeployment.mDetection == DetectionSetting::kFast;
+  EjectionOptions options;
+  options.mDetector.mThreshold = fast ? kFastThreshold : kCarefulThreshold;
+  options.mActAlone = fast;
+  return options;
+}
+
+LedgerEntry
+EntryOf(int aServer, int aSlots)
+{
+  return { .mServer = BackendServerName(std::to_string(aServer)),
+           .mBox = BoxName(std::to_string(aServer)),
+           .mIncarnation = Incarnation(1),
+           .mSlots = aSlots };
+}
+
+// Baselines never set more than half of the servers aside.
+bool
+MaySetAside(const std::vector<TimePoint>& aUntil,
+            std::size_t aFirst,
+            std::size_t aCount,
+            TimePoint aNow)
+{
+  std::size_t aside = 0;
+  for (std::size_t i = aFirst; i < aFirst + aCount; ++i) {
+    aside += aUntil[i] > aNow ? 1 : 0;
+  }
+  return 2 * (aside + 1) <= aCount;
+}
+
+} // namespace
+
+PorttillerPolicy::PorttillerPolicy(const Deployment& aDeployment,
+                                   bool aPlatformAway)
+  : mDeployment(aDeployment)
+  , mPlatformAway(aPlatformAway)
+  , mOptions(OptionsFor(aDeployment))
+{
+  const auto servers = static_cast<std::size_t>(aDeployment.mServers);
+  mCapacity.mFloorSlots = aDeployment.mFloorSlots;
+  for (int i = 0; i < aDeployment.mServers; ++i) {
+    mMachines.emplace_back(mOptions, TimePoint());
+    mCapacity.mServers.push_back(
+      { EntryOf(i, 0).mServer, aDeployment.mSlots, false });
+  }
+  mAvoidUntil.resize(servers * servers);
+  mClosedUntil.resize(servers * servers);
+  mPathFailures.resize(servers * servers);
+}
+
+void
+PorttillerPolicy::SetThreshold(double aThreshold)
+{
+  mOptions.mDetector.mThreshold = aThreshold;
+  for (auto& machine : mMachines) {
+    machine = EjectionMachine(mOptions, TimePoint());
+  }
+}
+
+Standing
+PorttillerPolicy::StandingAt(int aEntry, int aServer, TimePoint aNow) const
+{
+  const auto index =
+    static_cast<std::size_t>(aEntry * mDeployment.mServers + aServer);
+  if (aNow < mClosedUntil[index]) {
+    return Standing::kClosed;
+  }
+  return aNow < mAvoidUntil[index] ? Standing::kAvoid : Standing::kOpen;
+}
+
+GateVerdict
+PorttillerPolicy::Gate(const Attempt& aAttempt, TimePoint aNow)
+{
+  return mMachines[static_cast<std::size_t>(aAttempt.mServer)].Gate(
+    aAttempt.mRepeatable, aAttempt.mLastResort, aNow);
+}
+
+void
+PorttillerPolicy::OnRefused(const Attempt& aAttempt, TimePoint aNow)
+{
+  const auto& machine = mMachines[static_cast<std::size_t>(aAttempt.mServer)];
+  const auto index = static_cast<std::size_t>(
+    aAttempt.mEntry * mDeployment.mServers + aAttempt.mServer);
+  const auto until =
+    aNow + std::clamp(machine.RetryAfter(aNow), kMinAvoid, kMaxAvoid);
+  (machine.Ejected() ? mClosedUntil : mAvoidUntil)[index] = until;
+}
+
+void
+PorttillerPolicy::OnEvidence(const Attempt& aAttempt,
+                             const Evidence& aEvidence,
+                             TimePoint aNow)
+{
+  mMachines[static_cast<std::size_t>(aAttempt.mServer)].OnEvidence(aEvidence,
+                                                                   aNow);
+  const auto index = static_cast<std::size_t>(
+    aAttempt.mEntry * mDeployment.mServers + aAttempt.mServer);
+  mPathFailures[index] = 0;
+}
+
+void
+PorttillerPolicy::OnPathFailure(const Attempt& aAttempt, TimePoint aNow)
+{
+  const auto index = static_cast<std::size_t>(
+    aAttempt.mEntry * mDeployment.mServers + aAttempt.mServer);
+  const int doublings = std::min(mPathFailures[index]++, kMaxAvoidDoublings);
+  mAvoidUntil[index] = aNow + std::min(kMinAvoid * (1 << doublings), kMaxAvoid);
+}
+
+void
+PorttillerPolicy::OnTick(TimePoint aNow, std::mt19937_64& aRandom)
+{
+  std::vector<Pending> due;
+  std::erase_if(mPending, [&](const Pending& aPending) {
+    if (aPending.mAt > aNow) {
+      return false;
+    }
+    due.push_back(aPending);
+    return true;
+  });
+  for (const auto& pending : due) {
+    Deliver(pending, aNow);
+  }
+  for (int server = 0; server < mDeployment.mServers; ++server) {
+    auto& machine = mMachines[static_cast<std::size_t>(server)];
+    for (const auto& action : machine.OnTick(aNow)) {
+      Act(server, action, aNow, aRandom);
+    }
+  }
+}
+
+void
+PorttillerPolicy::Act(int aServer,
+                      const EjectionAction& aAction,
+                      TimePoint aNow,
+                      std::mt19937_64& aRandom)
+{
+  if (std::holds_alternative<AskPeers>(aAction)) {
+    mPending.push_back({ aNow + kRoundTrip, aServer, Ask(aServer, aRandom) });
+  } else if (std::holds_alternative<RequestPermission>(aAction)) {
+    mPending.push_back({ aNow + kPlatformCall, aServer, Eject(aServer) });
+  } else {
+    if (!mPlatformAway) {
+      mLedger = mLedger.WithoutServer(EntryOf(aServer, 0).mServer);
+    }
+    mPending.push_back({ aNow + kPlatformCall, aServer, !mPlatformAway });
+  }
+}
+
+std::vector<PeerHealth>
+PorttillerPolicy::Ask(int aServer, std::mt19937_64& aRandom) const
+{
+  std::vector<int> others;
+  for (int i = 0; i < mDeployment.mServers; ++i) {
+    if (i != aServer) {
+      others.push_back(i);
+    }
+  }
+  std::shuffle(others.begin(), others.end(), aRandom);
+  others.resize(std::min(others.size(), kAsked));
+  std::vector<PeerHealth> answers;
+  for (const int other : others) {
+    answers.push_back(mMachines[static_cast<std::size_t>(other)].Health());
+  }
+  return answers;
+}
+
+PermissionAnswer
+PorttillerPolicy::Eject(int aServer)
+{
+  if (mPlatformAway) {
+    return PermissionAnswer::kUnavailable;
+  }
+  const auto next =
+    mLedger.WithEjection(EntryOf(aServer, mDeployment.mSlots), mCapacity);
+  if (!next) {
+    return PermissionAnswer::kFloor;
+  }
+  mLedger = *next;
+  return PermissionAnswer::kGranted;
+}
+
+void
+PorttillerPolicy::Deliver(const Pending& aPending, TimePoint aNow)
+{
+  auto& machine = mMachines[static_cast<std::size_t>(aPending.mServer)];
+  if (const auto* peers =
+        std::get_if<std::vector<PeerHealth>>(&aPending.mAnswer)) {
+    machine.OnPeers(*peers, mDeployment.mServers - 1, aNow);
+  } else if (const auto* permission =
+               std::get_if<PermissionAnswer>(&aPending.mAnswer)) {
+    machine.OnPermission(*permission, aNow);
+  } else {
+    machine.OnReleased(std::get<bool>(aPending.mAnswer), aNow);
+  }
+}
+
+void
+PorttillerPolicy::OnServerRestart(int aServer, TimePoint aNow)
+{
+  mMachines[static_cast<std::size_t>(aServer)] =
+    EjectionMachine(mOptions, aNow);
+}
+
+bool
+PorttillerPolicy::SetAside(int aServer) const
+{
+  return mMachines[static_cast<std::size_t>(aServer)].SetAside();
+}
+
+int
+PorttillerPolicy::SlotLimit(int aServer, TimePoint aNow) const
+{
+  const double share =
+    mMachines[static_cast<std::size_t>(aServer)].SlotShare(aNow);
+  return static_cast<int>(std::ceil(share * mDeployment.mSlots));
+}
+
+ConsecutiveFailures::ConsecutiveFailures(const Deployment& aDeployment)
+  : mFailures(static_cast<std::size_t>(aDeployment.mServers))
+  , mUntil(static_cast<std::size_t>(aDeployment.mServers))
+{
+}
+
+Standing
+ConsecutiveFailures::StandingAt(int, int aServer, TimePoint aNow) const
+{
+  return aNow < mUntil[static_cast<std::size_t>(aServer)] ? Standing::kClosed
+                                                          : Standing::kOpen;
+}
+
+void
+ConsecutiveFailures::OnEvidence(const Attempt& aAttempt,
+                                const Evidence& aEvidence,
+                                TimePoint aNow)
+{
+  const auto server = static_cast<std::size_t>(aAttempt.mServer);
+  mFailures[server] = aEvidence.mFailed ? mFailures[server] + 1 : 0;
+  if (mFailures[server] >= kConsecutive &&
+      MaySetAside(mUntil, 0, mUntil.size(), aNow)) {
+    mUntil[server] = aNow + kBaselineAside;
+    mFailures[server] = 0;
+  }
+}
+
+void
+ConsecutiveFailures::OnPathFailure(const Attempt& aAttempt, TimePoint aNow)
+{
+  // An entry's time-out counts as the server's failure.
+  OnEvidence(aAttempt, { .mFailed = true }, aNow);
+}
+
+void
+ConsecutiveFailures::OnTick(TimePoint aNow, std::mt19937_64&)
+{
+  mNow = aNow;
+}
+
+bool
+ConsecutiveFailures::SetAside(int aServer) const
+{
+  return mUntil[static_cast<std::size_t>(aServer)] > mNow;
+}
+
+EntrySide::EntrySide(const Deployment& aDeployment)
+  : mServers(aDeployment.mServers)
+{
+  const auto pairs = static_cast<std::size_t>(mServers * mServers);
+  mDetectors.assign(pairs, Detector(OptionsFor(aDeployment).mDetector));
+  mUntil.resize(pairs);
+}
+
+std::size_t
+EntrySide::Index(int aEntry, int aServer) const
+{
+  return static_cast<std::size_t>(aEntry * mServers + aServer);
+}
+
+Standing
+EntrySide::StandingAt(int aEntry, int aServer, TimePoint aNow) const
+{
+  return aNow < mUntil[Index(aEntry, aServer)] ? Standing::kClosed
+                                               : Standing::kOpen;
+}
+
+void
+EntrySide::OnEvidence(const Attempt& aAttempt,
+                      const Evidence& aEvidence,
+                      TimePoint aNow)
+{
+  const auto index = Index(aAttempt.mEntry, aAttempt.mServer);
+  auto& detector = mDetectors[index];
+  detector.Observe(aEvidence, true);
+  const auto servers = static_cast<std::size_t>(mServers);
+  const bool may =
+    MaySetAside(mUntil, Index(aAttempt.mEntry, 0), servers, aNow);
+  if (detector.Suspicious() && may) {
+    mUntil[index] = aNow + kBaselineAside;
+    detector.Reset();
+  }
+}
+
+void
+EntrySide::OnPathFailure(const Attempt& aAttempt, TimePoint aNow)
+{
+  OnEvidence(aAttempt, { .mFailed = true }, aNow);
+}
+
+void
+EntrySide::OnTick(TimePoint aNow, std::mt19937_64&)
+{
+  mNow = aNow;
+}
+
+bool
+EntrySide::SetAside(int aServer) const
+{
+  for (int entry = 0; entry < mServers; ++entry) {
+    if (mUntil[Index(entry, aServer)] <= mNow) {
+      return false;
+    }
+  }
+  return true;
+}
+
+bool
+EntrySide::SetAsideAnywhere(int aServer) const
+{
+  for (int entry = 0; entry < mServers; ++entry) {
+    if (mUntil[Index(entry, aServer)] > mNow) {
+      return true;
+    }
+  }
+  return false;
+}
+
+void
+RoundRobin::OnPathFailure(const Attempt&, TimePoint)
+{
+}
+
+Policy
+MakePolicy(const std::string& aName,
+           const Deployment& aDeployment,
+           bool aPlatformAway)
+{
+  if (aName == "consecutive-failures") {
+    return ConsecutiveFailures(aDeployment);
+  }
+  if (aName == "entry-side") {
+    return EntrySide(aDeployment);
+  }
+  if (aName == "round-robin") {
+    return RoundRobin();
+  }
+  return PorttillerPolicy(aDeployment, aPlatformAway);
+}
+
+} // namespace porttiller::bench
--- /dev/null
+++ b/bench/sim/Policies.h
@@ -0,0 +1,137 @@
+// The policies that are compared: porttiller's own parts, and the baselines.
+#pragma once
+
+#include "porttiller/policy/Balancer.h"
+#include "porttiller/policy/EjectionLedger.h"
+#include "porttiller/policy/EjectionMachine.h"
+#include "sim/Scenario.h"
+
+#include <random>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace porttiller::bench {
+
+// One request as a policy sees it.
+struct Attempt
+{
+  int mEntry = 0;
+  int mServer = 0;
+  bool mRepeatable = false;
+  bool mLastResort = false;
+};
+
+// porttiller: detection at the home, demotion, ejection by ledger, hints.
+class PorttillerPolicy
+{
+public:
+  PorttillerPolicy(const Deployment& aDeployment, bool aPlatformAway);
+
+  Standing StandingAt(int aEntry, int aServer, TimePoint aNow) const;
+  GateVerdict Gate(const Attempt& aAttempt, TimePoint aNow);
+  void OnRefused(const Attempt& aAttempt, TimePoint aNow);
+  void OnEvidence(const Attempt& aAttempt,
+                  const Evidence& aEvidence,
+                  TimePoint aNow);
+  void OnPathFailure(const Attempt& aAttempt, TimePoint aNow);
+  void OnTick(TimePoint aNow, std::mt19937_64& aRandom);
+  void OnServerRestart(int aServer, TimePoint aNow);
+  bool SetAside(int aServer) const;
+  int SlotLimit(int aServer, TimePoint aNow) const;
+  void SetThreshold(double aThreshold);
+
+private:
+  // An answer that is on its way back to a machine.
+  struct Pending
+  {
+    TimePoint mAt;
+    int mServer;
+    std::variant<std::vector<PeerHealth>, PermissionAnswer, bool> mAnswer;
+  };
+
+  void Act(int aServer,
+           const EjectionAction& aAction,
+           TimePoint aNow,
+           std::mt19937_64& aRandom);
+  std::vector<PeerHealth> Ask(int aServer, std::mt19937_64& aRandom) const;
+  PermissionAnswer Eject(int aServer);
+  void Deliver(const Pending& aPending, TimePoint aNow);
+
+  const Deployment mDeployment;
+  const bool mPlatformAway;
+  EjectionOptions mOptions;
+  std::vector<EjectionMachine> mMachines;
+  std::vector<TimePoint> mAvoidUntil;  // by entry and server
+  std::vector<TimePoint> mClosedUntil; // by entry and server
+  std::vector<int> mPathFailures;
+  EjectionLedger mLedger;
+  CapacityView mCapacity;
+  std::vector<Pending> mPending;
+};
+
+// Five failures in a row, counted where all of a server's answers are seen:
+// thirty seconds without work; at most half of the servers.
+class ConsecutiveFailures
+{
+public:
+  explicit ConsecutiveFailures(const Deployment& aDeployment);
+
+  Standing StandingAt(int aEntry, int aServer, TimePoint aNow) const;
+  void OnEvidence(const Attempt& aAttempt,
+                  const Evidence& aEvidence,
+                  TimePoint aNow);
+  void OnPathFailure(const Attempt& aAttempt, TimePoint aNow);
+  void OnTick(TimePoint aNow, std::mt19937_64& aRandom);
+  bool SetAside(int aServer) const;
+
+private:
+  std::vector<int> mFailures;
+  std::vector<TimePoint> mUntil;
+  TimePoint mNow;
+};
+
+// porttiller's detector, but at each entry by itself, which cannot tell a
+// path from a server: thirty seconds; at most half of the servers.
+class EntrySide
+{
+public:
+  explicit EntrySide(const Deployment& aDeployment);
+
+  Standing StandingAt(int aEntry, int aServer, TimePoint aNow) const;
+  void OnEvidence(const Attempt& aAttempt,
+                  const Evidence& aEvidence,
+                  TimePoint aNow);
+  void OnPathFailure(const Attempt& aAttempt, TimePoint aNow);
+  void OnTick(TimePoint aNow, std::mt19937_64& aRandom);
+  // By every entry.
+  bool SetAside(int aServer) const;
+  // By any entry.
+  bool SetAsideAnywhere(int aServer) const;
+
+private:
+  std::size_t Index(int aEntry, int aServer) const;
+
+  const int mServers;
+  std::vector<Detector> mDetectors;
+  std::vector<TimePoint> mUntil;
+  TimePoint mNow;
+};
+
+// Nobody is ever set aside.
+class RoundRobin
+{
+public:
+  void OnPathFailure(const Attempt& aAttempt, TimePoint aNow);
+};
+
+using Policy =
+  std::variant<PorttillerPolicy, ConsecutiveFailures, EntrySide, RoundRobin>;
+
+// "porttiller", "consecutive-failures", "entry-side" or "round-robin".
+Policy
+MakePolicy(const std::string& aName,
+           const Deployment& aDeployment,
+           bool aPlatformAway);
+
+} // namespace porttiller::bench
--- /dev/null
+++ b/bench/sim/World.h
@@ -0,0 +1,110 @@
+// Runs one service through one scenario in simulated time: requests arrive,
+// the policy chooses, refuses and learns, servers answer. Only the policy
+// library's public parts decide; it is no model of a network.
+#pragma once
+
+#include "porttiller/policy/RetryBudget.h"
+#include "porttiller/policy/SlotQueue.h"
+#include "sim/Policies.h"
+
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <queue>
+#include <random>
+
+namespace porttiller::bench {
+
+struct RunOptions
+{
+  std::string mPolicy = "porttiller";
+  std::uint64_t mSeed = 1;
+  std::optional<double> mThreshold; // another one than the deployment's
+};
+
+struct RunResult
+{
+  double mDetectionMs = -1.0; // -1: never, or nobody is to blame
+  int mFalseEjections = 0;    // healthy servers set aside, each time counted
+  int mWrongRequests = 0;     // failed requests that callers saw
+  int mRequests = 0;
+  // During overload, by priority: answered in time, and offered.
+  std::array<int, kPriorityCount> mGood{};
+  std::array<int, kPriorityCount> mOffered{};
+  double mCapacity = 0.0; // requests that all slots could have served
+};
+
+class World
+{
+public:
+  World(const Deployment& aDeployment,
+        const Scenario& aScenario,
+        const RunOptions& aOptions);
+
+  RunResult Run();
+
+private:
+  struct Request
+  {
+    int mEntry = 0;
+    int mCallKind = 0;
+    bool mRepeatable = false;
+    Priority mPriority = Priority::kNormal;
+    TimePoint mDeadline;
+    std::vector<bool> mTried;
+    std::vector<bool> mDemoted;
+    bool mLastResort = false;
+    int mAttempts = 0;
+  };
+
+  struct Event
+  {
+    TimePoint mAt;
+    std::uint64_t mOrder;
+    std::function<void()> mRun;
+    bool operator<(const Event& aOther) const
+    {
+      return std::tie(mAt, mOrder) > std::tie(aOther.mAt, aOther.mOrder);
+    }
+  };
+
+  void At(TimePoint aTime, std::function<void()> aRun);
+  void ArriveNext();
+  void Arrive();
+  void Dispatch(Ticket aId);
+  void Reach(Ticket aId, int aServer);
+  void Start(Ticket aId, int aServer);
+  void Complete(Ticket aId, int aServer, Micros aTime, bool aFailed);
+  void Freed(int aServer, std::optional<Micros> aTime);
+  void OnFailure(Ticket aId);
+  void End(Ticket aId, bool aGood);
+  void Tick();
+  void RestartCold();
+  void CountSetAside();
+  bool PathCut(const Request& aRequest, int aServer) const;
+  bool FaultOn() const { return mNow >= kFaultBegins && mNow < kFaultEnds; }
+  double FailureRate(int aServer, int aCallKind) const;
+  double Slowness(int aServer) const;
+  bool IsToBlame(int aServer) const;
+  double Uniform();
+
+  const Deployment& mDeployment;
+  const Scenario& mScenario;
+  std::mt19937_64 mRandom;
+  Policy mPolicy;
+  std::vector<SlotQueue> mQueues;
+  std::vector<bool> mWasAside;
+  std::vector<double> mReportedLoad;
+  RetryBudget mBudget;
+  std::map<Ticket, Request> mRequests;
+  std::priority_queue<Event> mEvents;
+  TimePoint mNow;
+  std::uint64_t mOrder = 0;
+  Ticket mNextTicket = 1;
+  int mNoisyServer = 0;
+  RunResult mResult;
+};
+
+} // namespace porttiller::bench
--- a/packages/node/src/LocalServer.cpp
+++ b/packages/node/src/LocalServer.cpp
@@ -184,10 +184,7 @@
 LocalServer::Health() const
 {
   const std::lock_guard lock(mMutex);
-  const auto& evidences = mMachine.Evidences();
-  return { .mSuspicious = evidences.Suspicious() || mMachine.SetAside(),
-           .mMedianLatency = evidences.RecentLatency(),
-           .mSamples = evidences.Samples() };
+  return mMachine.Health();
 }
 
 ServerPhase
--- a/packages/policy/include/porttiller/policy/EjectionMachine.h
+++ b/packages/policy/include/porttiller/policy/EjectionMachine.h
@@ -105,6 +105,9 @@
   // Share of the slots in use: 1 but for ramping.
   double SlotShare(TimePoint aNow) const;
 
+  // What this home answers when another one asks.
+  PeerHealth Health() const;
+
   ServerPhase Phase() const { return mPhase; }
   bool SetAside() const;
   // True while the server takes no work at all: its capacity is away.
--- a/packages/policy/src/EjectionMachine.cpp
+++ b/packages/policy/src/EjectionMachine.cpp
@@ -306,6 +306,14 @@
   return std::clamp(share, mRampFrom, 1.0);
 }
 
+PeerHealth
+EjectionMachine::Health() const
+{
+  return { .mSuspicious = mDetector.Suspicious() || SetAside(),
+           .mMedianLatency = mDetector.RecentLatency(),
+           .mSamples = mDetector.Samples() };
+}
+
 std::string
 EjectionMachine::Dump() const
 {
