Tell a fault common to the service from one's own by two polls

Cause: a common fault reaches one home's alarm before the others'; they answered 'not suspicious' as their alarm was not complete, and were counted as well. Servers already set aside were counted as suspicious, so a second server failing by itself would have been taken for a common cause. Change: homes tell suspicion from a fifth of the threshold on; servers set aside are no voice; two polls 200 ms apart must agree.

--- a/bench/sim/Policies.cpp
+++ b/bench/sim/Policies.cpp
@@ -183,7 +183,10 @@
   others.resize(std::min(others.size(), kAsked));
   std::vector<PeerHealth> answers;
   for (const int other : others) {
-    answers.push_back(mMachines[static_cast<std::size_t>(other)].Health());
+    const auto health = mMachines[static_cast<std::size_t>(other)].Health();
+    if (health) {
+      answers.push_back(*health);
+    }
   }
   return answers;
 }
--- a/packages/node/include/porttiller/node/LocalServer.h
+++ b/packages/node/include/porttiller/node/LocalServer.h
@@ -45,7 +45,7 @@
   void OnPermission(PermissionAnswer aAnswer);
   void OnReleased(bool aDone);
   void OnFloorBroken();
-  PeerHealth Health() const;
+  std::optional<PeerHealth> Health() const;
   ServerPhase Phase() const;
   bool HoldsPermission() const;
   DetectionSetting Detection() const { return mDetection; }
--- a/packages/node/src/EjectionController.cpp
+++ b/packages/node/src/EjectionController.cpp
@@ -141,8 +141,10 @@
   std::vector<PeerHealth> health;
   for (const auto& other : mHome.Servers()) {
     const auto& spec = other->Spec();
-    if (spec.mService == aServer.mService && spec.mName != aServer.mName) {
-      health.push_back(other->Health());
+    const auto own = other->Health();
+    if (own && spec.mService == aServer.mService &&
+        spec.mName != aServer.mName) {
+      health.push_back(*own);
     }
   }
   return health;
@@ -184,16 +186,16 @@
   wire::Envelope envelope;
   auto* reply = envelope.mutable_health_reply();
   for (const auto& server : mHome.Servers()) {
-    if (server->Spec().mService.Value() != aRequest.service()) {
+    const auto health = server->Health();
+    if (!health || server->Spec().mService.Value() != aRequest.service()) {
       continue;
     }
-    const auto health = server->Health();
     auto* item = reply->add_servers();
     item->set_server(server->Spec().mName.Value());
-    item->set_suspicious(health.mSuspicious);
+    item->set_suspicious(health->mSuspicious);
     item->set_median_latency_us(
-      static_cast<std::uint64_t>(health.mMedianLatency.count()));
-    item->set_samples(static_cast<std::uint64_t>(health.mSamples));
+      static_cast<std::uint64_t>(health->mMedianLatency.count()));
+    item->set_samples(static_cast<std::uint64_t>(health->mSamples));
   }
   return envelope;
 }
--- a/packages/node/src/LocalServer.cpp
+++ b/packages/node/src/LocalServer.cpp
@@ -180,7 +180,7 @@
   mMachine.OnFloorBroken(Now());
 }
 
-PeerHealth
+std::optional<PeerHealth>
 LocalServer::Health() const
 {
   const std::lock_guard lock(mMutex);
@@ -323,10 +323,8 @@
   auto& exchange = **begun;
   const auto deadline =
     aRequest.mDeadline + (Lingers(aRequest) ? kLinger : Millis(0));
-  const bool readable =
-    mCutoff.WaitInSlices(deadline, [&](TimePoint aUntil) {
-      return exchange.WaitReadable(aUntil);
-    });
+  const bool readable = mCutoff.WaitInSlices(
+    deadline, [&](TimePoint aUntil) { return exchange.WaitReadable(aUntil); });
   if (!readable) {
     return Unknown(ExchangeError::kTimeout);
   }
--- a/packages/policy/include/porttiller/policy/EjectionMachine.h
+++ b/packages/policy/include/porttiller/policy/EjectionMachine.h
@@ -33,7 +33,11 @@
   DetectorOptions mDetector;
   // Demote even when no other home answers.
   bool mActAlone = false;
-  Millis mAskAgain{ 250 };    // while the fault looks common
+  Millis mAskAgain{ 250 }; // while the fault looks common
+  // So many polls in a row, this far apart, must find the fault to be this
+  // server's own: a common one reaches some homes later.
+  int mConfirmingPolls = 2;
+  Millis mConfirmAfter{ 200 };
   Millis mFirstAside{ 3000 }; // doubles with each strike
   Millis mLongestAside{ 300'000 };
   Millis mForgiveAfter{ 60'000 }; // healthy this long: a strike less
@@ -48,7 +52,7 @@
 // How another home's server of the same service fares.
 struct PeerHealth
 {
-  bool mSuspicious = false;
+  bool mSuspicious = false; // well on the way to an alarm, or past it
   Micros mMedianLatency{ 0 };
   int mSamples = 0;
 };
@@ -105,8 +109,9 @@
   // Share of the slots in use: 1 but for ramping.
   double SlotShare(TimePoint aNow) const;
 
-  // What this home answers when another one asks.
-  PeerHealth Health() const;
+  // What this home answers when another one asks; null for a server that is
+  // set aside, which says nothing of a fault that others have now.
+  std::optional<PeerHealth> Health() const;
 
   ServerPhase Phase() const { return mPhase; }
   bool SetAside() const;
@@ -143,6 +148,7 @@
   TimePoint mNextTrickle;
   TimePoint mLastTick;
   int mStrikes = 0;
+  int mOwnFaultPolls = 0; // in a row
   double mRampFrom = 1.0;
   int mProbationGood = 0;
 };
--- a/packages/policy/src/EjectionMachine.cpp
+++ b/packages/policy/src/EjectionMachine.cpp
@@ -11,6 +11,8 @@
 // Slower than the other homes' servers by this factor is one's own slowness.
 constexpr double kSlowerThanPeers = 2.0;
 constexpr int kPeerSamples = 10;
+// A common fault reaches one home's alarm before the others'.
+constexpr double kPeerSuspicion = 0.2;
 
 } // namespace
 
@@ -138,6 +140,7 @@
     case ServerPhase::kRamping:
       if (mDetector.Suspicious()) {
         mNextCall = aNow;
+        mOwnFaultPolls = 0;
         Enter(ServerPhase::kAsking, aNow);
       } else if (mPhase == ServerPhase::kRamping &&
                  aNow - mPhaseSince >= mOptions.mRamp) {
@@ -215,13 +218,14 @@
     return;
   }
   const bool alone = aPeers.empty();
-  const bool maySetAside =
+  const bool ownFault =
     aOthers > 0 && (alone ? mOptions.mActAlone : !IsCommonCause(aPeers));
-  if (maySetAside) {
+  mOwnFaultPolls = ownFault ? mOwnFaultPolls + 1 : 0;
+  if (mOwnFaultPolls >= mOptions.mConfirmingPolls) {
     SetAsideNow(aNow);
-  } else {
-    mNextCall = aNow + mOptions.mAskAgain;
+    return;
   }
+  mNextCall = aNow + (ownFault ? mOptions.mConfirmAfter : mOptions.mAskAgain);
 }
 
 void
@@ -306,12 +310,15 @@
   return std::clamp(share, mRampFrom, 1.0);
 }
 
-PeerHealth
+std::optional<PeerHealth>
 EjectionMachine::Health() const
 {
-  return { .mSuspicious = mDetector.Suspicious() || SetAside(),
-           .mMedianLatency = mDetector.RecentLatency(),
-           .mSamples = mDetector.Samples() };
+  if (SetAside()) {
+    return std::nullopt;
+  }
+  return PeerHealth{ .mSuspicious = mDetector.Score() >= kPeerSuspicion,
+                     .mMedianLatency = mDetector.RecentLatency(),
+                     .mSamples = mDetector.Samples() };
 }
 
 std::string
--- a/packages/policy/tests/EjectionLedgerTest.cpp
+++ b/packages/policy/tests/EjectionLedgerTest.cpp
@@ -70,6 +70,7 @@
     ++mLife;
     mMachine = std::make_unique<EjectionMachine>(
       EjectionOptions{ .mActAlone = true,
+                       .mConfirmingPolls = 1,
                        .mFirstAside = Millis(20'000),
                        .mRamp = Millis(200) },
       aNow);
