Weigh a server's recent strikes; ten successes end a probation

Cause: a half-failing server passed a probation of five now and then, and was given the full threshold of patience again. Change: after a strike half the threshold counts; ten successes in a row.

--- a/packages/policy/include/porttiller/policy/EjectionMachine.h
+++ b/packages/policy/include/porttiller/policy/EjectionMachine.h
@@ -43,7 +43,9 @@
   Millis mForgiveAfter{ 60'000 }; // healthy this long: a strike less
   Millis mPermissionRetry{ 1000 };
   Millis mTrickleGap{ 100 }; // between probation requests
-  int mProbationSuccesses = 5;
+  int mProbationSuccesses = 10;
+  // Share of the detector's threshold that counts after a strike.
+  double mStrikeThreshold = 0.5;
   Millis mRamp{ 10'000 };
   double mFirstRampShare = 0.25; // of the slots, after having been set aside
   Millis mClockJump{ 3000 };     // a gap between ticks that means: was frozen
@@ -130,6 +132,7 @@
     kReleasing // maybe still held
   };
 
+  bool Suspicious() const;
   void Enter(ServerPhase aPhase, TimePoint aNow);
   void SetAsideNow(TimePoint aNow);
   void EndProbation(bool aGood, TimePoint aNow);
--- a/packages/policy/src/EjectionMachine.cpp
+++ b/packages/policy/src/EjectionMachine.cpp
@@ -51,6 +51,13 @@
          mPhase == ServerPhase::kProbation;
 }
 
+// A server that failed lately is likelier to fail again.
+bool
+EjectionMachine::Suspicious() const
+{
+  return mDetector.Score() >= (mStrikes > 0 ? mOptions.mStrikeThreshold : 1.0);
+}
+
 bool
 EjectionMachine::Ejected() const
 {
@@ -138,7 +145,7 @@
       Forgive(aNow);
       [[fallthrough]];
     case ServerPhase::kRamping:
-      if (mDetector.Suspicious()) {
+      if (Suspicious()) {
         mNextCall = aNow;
         mOwnFaultPolls = 0;
         Enter(ServerPhase::kAsking, aNow);
@@ -148,7 +155,7 @@
       }
       break;
     case ServerPhase::kAsking:
-      if (!mDetector.Suspicious()) {
+      if (!Suspicious()) {
         Enter(ServerPhase::kHealthy, aNow);
       }
       break;
--- a/packages/policy/tests/EjectionMachineTest.cpp
+++ b/packages/policy/tests/EjectionMachineTest.cpp
@@ -153,7 +153,7 @@
   f.Eject();
   f.Pass(Millis(3100));
   CHECK_FALSE(f.mReleased);
-  f.Observe(false, 5);
+  f.Observe(false, 10);
   CHECK(f.mMachine.Phase() == ServerPhase::kRamping);
   CHECK(f.mMachine.SlotShare(f.mNow) < 0.5);
   f.Pass(kTick);
