Count at most two failures of a burst

Ruled out: a cap of three (three failures alone pass the threshold of 12). Change: of the failures within 200 ms two count. Careful is 18 instead of 24, which the cap makes as safe; the two settings are now made in one place. Tests: the machine's failures are fed 100 ms apart so that each counts; what is asserted is unchanged.

--- a/bench/FaultsBench.cpp
+++ b/bench/FaultsBench.cpp
@@ -101,6 +101,11 @@
             aPolicy,
             Quantile(detection, 0.5),
             "ms" });
+    Print({ "detection_ms_p99",
+            aScenario,
+            aPolicy,
+            Quantile(detection, 0.99),
+            "ms" });
     Print({ "detection_ms_worst",
             aScenario,
             aPolicy,
--- a/packages/node/src/LocalServer.cpp
+++ b/packages/node/src/LocalServer.cpp
@@ -13,8 +13,6 @@
 constexpr Millis kLeavingRetryAfter{ 1000 };
 constexpr int kServerErrors = 500;
 constexpr Millis kLinger{ 5000 };
-constexpr double kFastThreshold = 12.0;
-constexpr double kCarefulThreshold = 24.0;
 // A time-out says something of the server only if it had this long.
 constexpr Millis kTellingTimeout{ 500 };
 constexpr const char* kTimeoutReason = "server-timeout";
@@ -23,11 +21,8 @@
 EjectionOptions
 OptionsFor(DetectionSetting aSetting)
 {
-  const bool fast = aSetting == DetectionSetting::kFast;
-  EjectionOptions options;
-  options.mDetector.mThreshold = fast ? kFastThreshold : kCarefulThreshold;
-  options.mActAlone = fast;
-  return options;
+  return aSetting == DetectionSetting::kFast ? FastEjection()
+                                             : CarefulEjection();
 }
 
 HomeAnswer
--- a/packages/policy/include/porttiller/policy/Detector.h
+++ b/packages/policy/include/porttiller/policy/Detector.h
@@ -37,6 +37,10 @@
   // Slow: over the median by this factor and by this time.
   double mSlowFactor = 4.0;
   Micros mSlowFloor{ 5000 };
+  // Failures that come together have one cause: of those within this time only
+  // so many count.
+  Millis mBurstWindow{ 200 };
+  int mBurstFailures = 2;
   // Answers before the median is trusted.
   int mBaselineSamples = 30;
 };
@@ -90,7 +94,7 @@
 
   // With aCountSlow unset slowness is overlooked, as for a server that is
   // warming up.
-  void Observe(const Evidence& aEvidence, bool aCountSlow);
+  void Observe(const Evidence& aEvidence, bool aCountSlow, TimePoint aNow);
 
   bool Suspicious() const { return Score() >= 1.0; }
   // The highest sum as a share of its threshold; 1 and above is an alarm.
@@ -110,6 +114,7 @@
 
 private:
   double FailureScore() const;
+  bool InBurst(TimePoint aNow);
   void ObserveLatency(Micros aLatency, bool aCountSlow);
 
   DetectorOptions mOptions;
@@ -118,6 +123,8 @@
   CusumTest mSlow;
   MedianTracker mMedian; // of healthy answers
   RecentMean mRecent;
+  TimePoint mBurstBegan;
+  int mBurstCount = 0;
 };
 
 } // namespace porttiller
--- a/packages/policy/include/porttiller/policy/EjectionMachine.h
+++ b/packages/policy/include/porttiller/policy/EjectionMachine.h
@@ -51,6 +51,14 @@
   Millis mClockJump{ 3000 };     // a gap between ticks that means: was frozen
 };
 
+// For services where a wrong ejection costs much of the capacity.
+EjectionOptions
+CarefulEjection();
+
+// For services where every second of a failing server hurts.
+EjectionOptions
+FastEjection();
+
 // How another home's server of the same service fares.
 struct PeerHealth
 {
--- a/packages/policy/src/Detector.cpp
+++ b/packages/policy/src/Detector.cpp
@@ -58,9 +58,23 @@
   }
 }
 
+// Counts a failure; true when enough of its burst have counted already.
+bool
+Detector::InBurst(TimePoint aNow)
+{
+  if (mBurstCount == 0 || aNow - mBurstBegan >= mOptions.mBurstWindow) {
+    mBurstBegan = aNow;
+    mBurstCount = 0;
+  }
+  return ++mBurstCount > mOptions.mBurstFailures;
+}
+
 void
-Detector::Observe(const Evidence& aEvidence, bool aCountSlow)
+Detector::Observe(const Evidence& aEvidence, bool aCountSlow, TimePoint aNow)
 {
+  if (aEvidence.mFailed && InBurst(aNow)) {
+    return;
+  }
   for (auto& test : mFailures) {
     test.Observe(aEvidence.mFailed);
   }
--- a/packages/policy/src/EjectionMachine.cpp
+++ b/packages/policy/src/EjectionMachine.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr int kMaxDoublings = 10;
+constexpr double kCarefulThreshold = 18.0;
+constexpr double kFastThreshold = 12.0;
 constexpr Millis kMinRetryAfter{ 100 };
 // Slower than the other homes' servers by this factor is one's own slowness.
 constexpr double kSlowerThanPeers = 2.0;
@@ -36,6 +38,23 @@
   return "ramping";
 }
 
+EjectionOptions
+CarefulEjection()
+{
+  EjectionOptions options;
+  options.mDetector.mThreshold = kCarefulThreshold;
+  return options;
+}
+
+EjectionOptions
+FastEjection()
+{
+  EjectionOptions options;
+  options.mDetector.mThreshold = kFastThreshold;
+  options.mActAlone = true;
+  return options;
+}
+
 EjectionMachine::EjectionMachine(EjectionOptions aOptions, TimePoint aNow)
   : mOptions(std::move(aOptions))
   , mDetector(mOptions.mDetector)
@@ -102,7 +121,7 @@
     return; // answers to requests from before, or of the last resort
   }
   const bool cold = mPhase == ServerPhase::kRamping;
-  mDetector.Observe(aEvidence, !cold);
+  mDetector.Observe(aEvidence, !cold, aNow);
 }
 
 void
--- a/packages/policy/tests/EjectionMachineTest.cpp
+++ b/packages/policy/tests/EjectionMachineTest.cpp
@@ -39,6 +39,7 @@
   void Observe(bool aFailed, int aCount = 10)
   {
     for (int i = 0; i < aCount; ++i) {
+      mNow += Millis(100); // apart, so that each counts
       mMachine.OnEvidence({ .mFailed = aFailed, .mLatency = Micros(10'000) },
                           mNow);
     }
