--- a/bench/LatencyBench.cpp
+++ b/bench/LatencyBench.cpp
@@ -1,5 +1,182 @@
+// Latency that the proxy adds: the same request straight to the server and
+// through two boxes (entry, then the server's home), in turns:
+// LatencyBench [quick]
+#include "Figure.h"
+#include "fleet/Fleet.h"
+
+#include <algorithm>
+#include <fstream>
+#include <thread>
+
+namespace {
+
+using namespace porttiller;
+using namespace porttiller::bench;
+
+constexpr int kPortBase = 23000;
+constexpr int kThreads = 16;
+constexpr int kWarmUpPairs = 400;
+constexpr double kQuickSeconds = 2.0;
+constexpr double kFullSeconds = 10.0;
+constexpr int kRates[] = { 150, 1000, 3000 }; // pairs a second
+constexpr Millis kTime{ 5000 };
+constexpr int kStealField = 8; // of the first line of /proc/stat
+constexpr std::ptrdiff_t kMinWindow = 50;
+
+struct Samples
+{
+  std::vector<double> mDirectMs;
+  std::vector<double> mProxiedMs;
+  std::vector<double> mAddedMs; // pair by pair
+  std::vector<int> mSecond;     // of the run, for each pair
+  int mFailed = 0;
+};
+
+double
+TimeMs(HttpPool& aPool, const HttpRequestData& aRequest, bool& aOk)
+{
+  const auto start = Now();
+  aOk = fleet::SendTo(aPool, aRequest, kTime).mStatus == 200;
+  return std::chrono::duration<double, std::milli>(Now() - start).count();
+}
+
+// One thread's share of the pairs, on its own clock.
+Samples
+SendPairs(HttpPool& aDirect, HttpPool& aProxied, int aPairs, Micros aGap)
+{
+  Samples samples;
+  const HttpRequestData request{ .mMethod = "POST",
+                                 .mTarget = "/purchases",
+                                 .mBody = std::string(300, 'x') };
+  const auto begin = Now();
+  auto next = begin;
+  for (int i = 0; i < aPairs; ++i) {
+    std::this_thread::sleep_until(next);
+    next += aGap;
+    bool directOk = false;
+    bool proxiedOk = false;
+    const double direct = TimeMs(aDirect, request, directOk);
+    const double proxied = TimeMs(aProxied, request, proxiedOk);
+    if (!directOk || !proxiedOk) {
+      ++samples.mFailed;
+      continue;
+    }
+    samples.mDirectMs.push_back(direct);
+    samples.mProxiedMs.push_back(proxied);
+    samples.mAddedMs.push_back(proxied - direct);
+    samples.mSecond.push_back(static_cast<int>(
+      std::chrono::duration_cast<std::chrono::seconds>(Now() - begin).count()));
+  }
+  return samples;
+}
+
+Samples
+RunRate(fleet::Fleet& aFleet, int aRate, double aSeconds)
+{
+  HttpPool direct(
+    { .mAddress = aFleet.ServerAddress(0), .mMaxConnections = kThreads });
+  HttpPool proxied(
+    { .mAddress = aFleet.CallerAddress(0), .mMaxConnections = kThreads });
+  const int pairs = static_cast<int>(aRate * aSeconds) / kThreads;
+  const Micros gap(static_cast<std::int64_t>(1e6 * kThreads / aRate));
+  std::vector<Samples> parts(kThreads);
+  std::vector<std::thread> threads;
+  for (int i = 0; i < kThreads; ++i) {
+    threads.emplace_back([&, i] {
+      std::this_thread::sleep_for(gap * i / kThreads);
+      parts[static_cast<std::size_t>(i)] =
+        SendPairs(direct, proxied, pairs, gap);
+    });
+  }
+  Samples all;
+  for (int i = 0; i < kThreads; ++i) {
+    threads[static_cast<std::size_t>(i)].join();
+    const auto& part = parts[static_cast<std::size_t>(i)];
+    const auto add = [](std::vector<double>& aTo,
+                        const std::vector<double>& aFrom) {
+      aTo.insert(aTo.end(), aFrom.begin(), aFrom.end());
+    };
+    add(all.mDirectMs, part.mDirectMs);
+    add(all.mProxiedMs, part.mProxiedMs);
+    add(all.mAddedMs, part.mAddedMs);
+    all.mSecond.insert(
+      all.mSecond.end(), part.mSecond.begin(), part.mSecond.end());
+    all.mFailed += part.mFailed;
+  }
+  return all;
+}
+
+// The p99 of each second by itself: a machine that stands still for a moment
+// spoils one of them, not all.
+std::vector<double>
+P99OfSeconds(const Samples& aSamples)
+{
+  std::vector<std::vector<double>> seconds;
+  for (std::size_t i = 0; i < aSamples.mAddedMs.size(); ++i) {
+    const auto second = static_cast<std::size_t>(aSamples.mSecond[i]);
+    seconds.resize(std::max(seconds.size(), second + 1));
+    seconds[second].push_back(aSamples.mAddedMs[i]);
+  }
+  std::vector<double> p99;
+  for (const auto& second : seconds) {
+    if (std::ssize(second) >= kMinWindow) {
+      p99.push_back(Quantile(second, 0.99));
+    }
+  }
+  return p99;
+}
+
+// Processor time, in ticks, that the host gave to others instead of us.
+double
+StolenTicks()
+{
+  std::ifstream stat("/proc/stat");
+  std::string word;
+  for (int field = 0; field <= kStealField; ++field) {
+    stat >> word;
+  }
+  return std::stod(word);
+}
+
+void
+PrintRate(int aRate, const Samples& aSamples)
+{
+  const auto scenario = std::to_string(aRate) + "-per-second";
+  const auto print =
+    [&](const char* aMeasure, double aValue, const char* aUnit) {
+      Print({ aMeasure, scenario, "porttiller", aValue, aUnit });
+    };
+  print("direct_p50", Quantile(aSamples.mDirectMs, 0.5), "ms");
+  print("direct_p99", Quantile(aSamples.mDirectMs, 0.99), "ms");
+  print("proxied_p50", Quantile(aSamples.mProxiedMs, 0.5), "ms");
+  print("proxied_p99", Quantile(aSamples.mProxiedMs, 0.99), "ms");
+  print("added_p50", Quantile(aSamples.mAddedMs, 0.5), "ms");
+  print("added_p99", Quantile(aSamples.mAddedMs, 0.99), "ms");
+  const auto seconds = P99OfSeconds(aSamples);
+  print("added_p99_median_second", Quantile(seconds, 0.5), "ms");
+  print("added_p99_best_second", Quantile(seconds, 0.0), "ms");
+  print("failed", aSamples.mFailed, "pairs");
+}
+
+} // namespace
+
 int
-main()
+main(int aCount, char**)
 {
+  const double seconds = aCount > 1 ? kQuickSeconds : kFullSeconds;
+  fleet::Fleet boxes({ .mBoxes = 2,
+                       .mFirstServerBox = 1,
+                       .mSlots = 64,
+                       .mPortBase = kPortBase });
+  RunRate(boxes, kWarmUpPairs, 1.0);
+  for (const int rate : kRates) {
+    const double before = StolenTicks();
+    PrintRate(rate, RunRate(boxes, rate, seconds));
+    Print({ "machine_stolen",
+            std::to_string(rate) + "-per-second",
+            "machine",
+            StolenTicks() - before,
+            "ticks" });
+  }
   return 0;
 }
--- a/testing/fleet/Fleet.h
+++ b/testing/fleet/Fleet.h
@@ -58,6 +58,7 @@
   void StartBox(int aBox);
   void SignalBox(int aBox, int aSignal);
   int WaitForBoxExit(int aBox, Millis aTime);
+  pid_t BoxProcess(int aBox) const { return mBoxes.at(aBox)->Id(); }
   // True when the box's state has the revision of the platform in force.
   bool WaitInForce(int aBox, Millis aTime);
   std::string State(int aBox) const;
