Announce configuration changes, which nothing did

Cause: the announcement was written and answered, and never sent: Apply lacked the call. Every box that is no watcher learned of a change by its next probe. Change: the call; a test with probes 60 s apart, which failed before (2 of 3 changes did not arrive in 20 s) and passes now.

--- a/packages/node/src/ConfigController.cpp
+++ b/packages/node/src/ConfigController.cpp
@@ -115,6 +115,7 @@
       .With("changes", static_cast<std::int64_t>(changes))
       .With("rejected",
             static_cast<std::int64_t>(snapshot->mRejections.size()));
+    Announce(snapshot->mRevision);
   }
   return true;
 }
--- a/testing/fleet/tests/ConfigFaultsTest.cpp
+++ b/testing/fleet/tests/ConfigFaultsTest.cpp
@@ -67,6 +67,19 @@
   }));
 }
 
+TEST_CASE("Announcements spread a change without waiting for probes")
+{
+  // Found by tools/measure capacity: changes came by probes alone, 1 to 3 s.
+  auto options = Options();
+  options.mExtraSettings = R"(, "timing": { "probe_interval_ms": 60000 })";
+  Fleet fleet(options);
+  for (int i = 1; i <= 3; ++i) {
+    CHECK(WaitAll(
+      fleet,
+      PutService(fleet, "{\"floor_slots\": " + std::to_string(i) + "}")));
+  }
+}
+
 TEST_CASE("Traffic flows and boxes restart while the platform is away")
 {
   Fleet fleet(Options());
