--- a/bench/FaultsBench.cpp
+++ b/bench/FaultsBench.cpp
@@ -25,7 +25,7 @@
 std::vector<RunResult>
 RunSeeds(const Deployment& aDeployment,
          const Scenario& aScenario,
-         RunOptions aOptions,
+         const RunOptions& aOptions,
          int aSeeds)
 {
   std::vector<RunResult> results(static_cast<std::size_t>(aSeeds));
@@ -37,6 +37,7 @@
     }
   };
   std::vector<std::thread> threads;
+  threads.reserve(kThreads);
   for (int i = 0; i < kThreads; ++i) {
     threads.emplace_back(work);
   }
--- a/bench/HopBench.cpp
+++ b/bench/HopBench.cpp
@@ -31,6 +31,7 @@
   const Micros gap(static_cast<std::int64_t>(1e6 * kThreads / aRate));
   std::vector<std::vector<double>> parts(kThreads);
   std::vector<std::thread> threads;
+  threads.reserve(kThreads);
   for (int t = 0; t < kThreads; ++t) {
     threads.emplace_back([&, t] {
       auto next = Now() + gap * t / kThreads;
--- a/bench/LatencyBench.cpp
+++ b/bench/LatencyBench.cpp
@@ -81,6 +81,7 @@
   const Micros gap(static_cast<std::int64_t>(1e6 * kThreads / aRate));
   std::vector<Samples> parts(kThreads);
   std::vector<std::thread> threads;
+  threads.reserve(kThreads);
   for (int i = 0; i < kThreads; ++i) {
     threads.emplace_back([&, i] {
       std::this_thread::sleep_for(gap * i / kThreads);
--- a/packages/policy/tests/EjectionLedgerTest.cpp
+++ b/packages/policy/tests/EjectionLedgerTest.cpp
@@ -227,6 +227,7 @@
     TimePoint now{ Millis(1000) };
     Store store;
     std::vector<FakeHome> homes;
+    homes.reserve(kHomes);
     for (int i = 0; i < kHomes; ++i) {
       homes.emplace_back(i, now);
     }
@@ -246,6 +247,7 @@
     TimePoint now{ Millis(1000) };
     Store store;
     std::vector<FakeHome> homes;
+    homes.reserve(kHomes);
     for (int i = 0; i < kHomes; ++i) {
       homes.emplace_back(i, now);
     }
--- a/packages/policy/tests/MembershipTest.cpp
+++ b/packages/policy/tests/MembershipTest.cpp
@@ -103,6 +103,7 @@
   // Lost, late and doubled gossip, false suspicions, restarts.
   const bool ok = rc::check([] {
     std::vector<Membership> nodes;
+    nodes.reserve(kBoxes.size());
     std::vector<std::uint64_t> lives(kBoxes.size(), 1);
     for (const auto& box : kBoxes) {
       nodes.push_back(MakeMember(box));
--- a/testing/fleet/Traffic.cpp
+++ b/testing/fleet/Traffic.cpp
@@ -91,6 +91,7 @@
     }
   };
   std::vector<std::thread> threads;
+  threads.reserve(static_cast<std::size_t>(aOptions.mThreads));
   for (int i = 0; i < aOptions.mThreads; ++i) {
     threads.emplace_back(send);
   }
