--- a/bench/LatencyBench.cpp
+++ b/bench/LatencyBench.cpp
@@ -5,8 +5,9 @@
 #include "fleet/Fleet.h"
 
 #include <algorithm>
-#include <fstream>
+#include <array>
 #include <thread>
+#include <unistd.h>
 
 namespace {
 
@@ -20,8 +21,9 @@
 constexpr double kFullSeconds = 10.0;
 constexpr int kRates[] = { 150, 1000, 3000 }; // pairs a second
 constexpr Millis kTime{ 5000 };
-constexpr int kStealField = 8; // of the first line of /proc/stat
 constexpr std::ptrdiff_t kMinWindow = 50;
+constexpr int kPipeTrips = 60;
+constexpr Millis kPipeGap{ 16 };
 
 struct Samples
 {
@@ -127,16 +129,59 @@
   return p99;
 }
 
-// Processor time, in ticks, that the host gave to others instead of us.
+// One thread's pipe, answered by a second thread: what the machine itself
+// takes to wake a thread, there and back, in milliseconds.
+std::vector<double>
+PipeRoundTrips(int aCount, Micros aGap)
+{
+  std::array<int, 2> there{};
+  std::array<int, 2> back{};
+  if (pipe(there.data()) != 0 || pipe(back.data()) != 0) {
+    return {};
+  }
+  std::thread answerer([&] {
+    char byte = 0;
+    while (read(there[0], &byte, 1) == 1 && write(back[1], &byte, 1) == 1) {
+    }
+  });
+  std::vector<double> times;
+  auto next = Now();
+  for (int i = 0; i < aCount; ++i) {
+    std::this_thread::sleep_until(next);
+    next += aGap;
+    char byte = 'x';
+    const auto start = Now();
+    if (write(there[1], &byte, 1) != 1 || read(back[0], &byte, 1) != 1) {
+      break;
+    }
+    times.push_back(
+      std::chrono::duration<double, std::milli>(Now() - start).count());
+  }
+  close(there[1]);
+  answerer.join();
+  close(there[0]);
+  close(back[0]);
+  close(back[1]);
+  return times;
+}
+
+// On as many threads as the requests come from, for a second.
 double
-StolenTicks()
+MachineWakeUpP99()
 {
-  std::ifstream stat("/proc/stat");
-  std::string word;
-  for (int field = 0; field <= kStealField; ++field) {
-    stat >> word;
+  std::vector<std::vector<double>> parts(kThreads);
+  std::vector<std::thread> threads;
+  threads.reserve(kThreads);
+  for (auto& part : parts) {
+    threads.emplace_back(
+      [&part] { part = PipeRoundTrips(kPipeTrips, kPipeGap); });
+  }
+  std::vector<double> all;
+  for (std::size_t i = 0; i < parts.size(); ++i) {
+    threads[i].join();
+    all.insert(all.end(), parts[i].begin(), parts[i].end());
   }
-  return std::stod(word);
+  return Quantile(all, 0.99);
 }
 
 void
@@ -171,13 +216,12 @@
                        .mPortBase = kPortBase });
   RunRate(boxes, kWarmUpPairs, 1.0);
   for (const int rate : kRates) {
-    const double before = StolenTicks();
     PrintRate(rate, RunRate(boxes, rate, seconds));
-    Print({ "machine_stolen",
+    Print({ "pipe_round_trip_p99",
             std::to_string(rate) + "-per-second",
             "machine",
-            StolenTicks() - before,
-            "ticks" });
+            MachineWakeUpP99(),
+            "ms" });
   }
   return 0;
 }
--- a/packages/node/src/LocalServer.cpp
+++ b/packages/node/src/LocalServer.cpp
@@ -303,7 +303,12 @@
 HomeAnswer
 LocalServer::Exchange(const HomeRequest& aRequest)
 {
-  auto begun = mPool.Begin(aRequest.mHttp, aRequest.mDeadline);
+  auto http = aRequest.mHttp;
+  const auto left = std::chrono::ceil<Millis>(aRequest.mDeadline - Now());
+  http.mHeaders.push_back(
+    { hop::kDeadlineMs,
+      std::to_string(std::max<Millis::rep>(1, left.count())) });
+  auto begun = mPool.Begin(http, aRequest.mDeadline);
   if (!begun) {
     if (begun.error() == ExchangeError::kBusy ||
         begun.error() == ExchangeError::kNotSent) {
@@ -323,14 +328,15 @@
   if (!readable) {
     return Unknown(ExchangeError::kTimeout);
   }
-  auto http = exchange.ReadAnswer(mCutoff.Limit(deadline));
-  if (!http) {
-    return Unknown(http.error());
+  auto answer = exchange.ReadAnswer(mCutoff.Limit(deadline));
+  if (!answer) {
+    return Unknown(answer.error());
   }
-  if (HeaderValue(http->mHeaders, hop::kOutcome) == ToText(Outcome::kNotRun)) {
-    return RefusedByServer(*http);
+  if (HeaderValue(answer->mHeaders, hop::kOutcome) ==
+      ToText(Outcome::kNotRun)) {
+    return RefusedByServer(*answer);
   }
-  return { .mOutcome = Outcome::kRun, .mHttp = std::move(*http) };
+  return { .mOutcome = Outcome::kRun, .mHttp = std::move(*answer) };
 }
 
 // The server's own word that it did not run the request: it is shedding load,
--- a/testing/fleet/tests/CallerEdgeTest.cpp
+++ b/testing/fleet/tests/CallerEdgeTest.cpp
@@ -156,3 +156,14 @@
     SendTo(home, { .mMethod = "GET", .mTarget = "/x" }, Millis(2000)).mStatus ==
     400);
 }
+
+TEST_CASE("A server is told how long its caller waits")
+{
+  Fleet fleet({ .mBoxes = 1, .mPortBase = kPortBase });
+  const auto reply =
+    fleet.Send(0, "GET", "/x", "", { { hop::kDeadlineMs, "3000" } });
+  const auto seen = HeaderValue(reply.mHeaders, "X-Deadline-Seen");
+  REQUIRE_FALSE(seen.empty());
+  CHECK(std::stoi(seen) > 0);
+  CHECK(std::stoi(seen) <= 3000);
+}
--- a/testing/fleet/tests/RequestFaultsTest.cpp
+++ b/testing/fleet/tests/RequestFaultsTest.cpp
@@ -4,10 +4,12 @@
 #include "fleet/Traffic.h"
 #include "standin/LinkStandIn.h"
 
+#include <algorithm>
 #include <csignal>
 #include <doctest/doctest.h>
 #include <functional>
 #include <thread>
+#include <utility>
 
 using namespace porttiller;
 using namespace porttiller::fleet;
@@ -166,6 +168,41 @@
 
 } // namespace
 
+TEST_CASE("Every caller is told the truth when two things fail at once")
+{
+  const auto find = [](const std::string& aName) -> const Fault& {
+    return *std::find_if(
+      kFaults.begin(), kFaults.end(), [&](const Fault& aFault) {
+        return aFault.mName == aName;
+      });
+  };
+  const std::vector<std::pair<const char*, const char*>> pairs = {
+    { "home-frozen", "platform-away" },
+    { "home-killed", "control-cut" },
+    { "answers-cut", "half-answers" },
+    { "server-closes", "connections-reset" },
+    { "server-slow", "home-stops" },
+    { "requests-cut", "server-drains" },
+  };
+  Matrix matrix;
+  for (const auto& [one, two] : pairs) {
+    const auto& first = find(one);
+    const auto& second = find(two);
+    const auto name = std::string(one) + "+" + two;
+    const Fault both{ name.c_str(),
+                      [&](Matrix& aMatrix) {
+                        first.mBegin(aMatrix);
+                        second.mBegin(aMatrix);
+                      },
+                      [&](Matrix& aMatrix) {
+                        second.mEnd(aMatrix);
+                        first.mEnd(aMatrix);
+                      } };
+    RunCell(matrix, both, "POST", true);
+    RunCell(matrix, both, "GET", true);
+  }
+}
+
 TEST_CASE("Every caller is told the truth, whatever fails at the home")
 {
   Matrix matrix;
--- a/testing/standin/ServerStandIn.cpp
+++ b/testing/standin/ServerStandIn.cpp
@@ -142,6 +142,7 @@
     return;
   }
   aResponse.set("X-Request-Id", id);
+  aResponse.set("X-Deadline-Seen", aRequest.get("Porttiller-Deadline-Ms", ""));
   SendText(aResponse, 200, echo);
 }
 
