Plan a request's attempts in the policy library; use reported load

Cause, found in reading: nine demoted servers used up all attempts in refusals and the request was given up though one would have served; homes reported their load and no entry took it in; the plan stood in the filter, untested. Change: policy::AttemptPlan with its fuzz test against a count of what may have run; last resort has attempts of its own; OnLoad is called, with a test; header stripping stands once instead of three times.

--- a/bench/sim/Policies.cpp
+++ b/bench/sim/Policies.cpp
@@ -62,16 +62,16 @@
   , mPlatformAway(aPlatformAway)
   , mOptions(OptionsFor(aDeployment))
 {
-  const auto servers = static_cast<std::size_t>(aDeployment.mServers);
   mCapacity.mFloorSlots = aDeployment.mFloorSlots;
   for (int i = 0; i < aDeployment.mServers; ++i) {
     mMachines.emplace_back(mOptions, TimePoint());
     mCapacity.mServers.push_back(
       { EntryOf(i, 0).mServer, aDeployment.mSlots, false });
   }
-  mAvoidUntil.resize(servers * servers);
-  mClosedUntil.resize(servers * servers);
-  mPathFailures.resize(servers * servers);
+  const auto pairs = PairIndex(aDeployment.Entries(), 0, aDeployment.mServers);
+  mAvoidUntil.resize(pairs);
+  mClosedUntil.resize(pairs);
+  mPathFailures.resize(pairs);
 }
 
 void
@@ -292,9 +292,9 @@
 
 EntrySide::EntrySide(const Deployment& aDeployment)
   : mServers(aDeployment.mServers)
+  , mEntries(aDeployment.Entries())
 {
-  const auto pairs =
-    static_cast<std::size_t>(mServers) * static_cast<std::size_t>(mServers);
+  const auto pairs = PairIndex(mEntries, 0, mServers);
   mDetectors.assign(pairs, Detector(OptionsFor(aDeployment).mDetector));
   mUntil.resize(pairs);
 }
@@ -338,7 +338,7 @@
 bool
 EntrySide::SetAside(int aServer) const
 {
-  for (int entry = 0; entry < mServers; ++entry) {
+  for (int entry = 0; entry < mEntries; ++entry) {
     if (mUntil[PairIndex(entry, aServer, mServers)] <= mNow) {
       return false;
     }
@@ -349,7 +349,7 @@
 bool
 EntrySide::SetAsideAnywhere(int aServer) const
 {
-  for (int entry = 0; entry < mServers; ++entry) {
+  for (int entry = 0; entry < mEntries; ++entry) {
     if (mUntil[PairIndex(entry, aServer, mServers)] > mNow) {
       return true;
     }
--- a/bench/sim/Policies.h
+++ b/bench/sim/Policies.h
@@ -111,6 +111,7 @@
 
 private:
   const int mServers;
+  const int mEntries;
   std::vector<Detector> mDetectors;
   std::vector<TimePoint> mUntil;
   TimePoint mNow;
--- a/bench/sim/Scenario.h
+++ b/bench/sim/Scenario.h
@@ -13,7 +13,7 @@
 struct Deployment
 {
   std::string mName;
-  int mServers = 3; // one box, one entry each
+  int mServers = 3; // each on a box of its own, which is an entry too
   int mSlots = 9;
   int mFloorSlots = 18;
   DetectionSetting mDetection = DetectionSetting::kCareful;
@@ -21,6 +21,9 @@
   double mServiceMedianMs = 20.0; // lognormal, sigma below
   double mServiceSigma = 0.5;
   Micros mZoneDelay{ 1500 }; // one way
+
+  // The last entry is on a box without a server: all its requests travel.
+  int Entries() const { return mServers + 1; }
 };
 
 enum class FaultKind
@@ -30,7 +33,7 @@
   kGraySlow,     // eight times slower
   kPartialCalls, // one kind of calls in ten fails
   kFlapping,     // gray errors, three seconds on, three off
-  kPathOneWay,   // one entry's requests to one box are lost
+  kPathOneWay,   // the last entry's requests to one box are lost
   kCommonCause,  // every server fails half of its calls, four times slower
   kColdStart,    // a server starts anew and is slow for eight seconds
   kNoiseBursts,  // 200 ms of 30% errors at a random server every four seconds
--- a/bench/sim/World.cpp
+++ b/bench/sim/World.cpp
@@ -134,7 +134,8 @@
 {
   const auto servers = static_cast<std::size_t>(mDeployment.mServers);
   Request request;
-  request.mEntry = static_cast<int>(mRandom() % servers);
+  request.mEntry = static_cast<int>(
+    mRandom() % static_cast<std::uint64_t>(mDeployment.Entries()));
   request.mCallKind = static_cast<int>(mRandom() % kCallKinds);
   request.mRepeatable = Uniform() < kRepeatableShare;
   const double kind = Uniform();
@@ -223,7 +224,7 @@
 World::PathCut(const Request& aRequest, int aServer) const
 {
   return mScenario.mKind == FaultKind::kPathOneWay && FaultOn() &&
-         aServer == kSickServer && aRequest.mEntry == kSickServer + 1;
+         aServer == kSickServer && aRequest.mEntry == mDeployment.Entries() - 1;
 }
 
 void
--- a/packages/node/include/porttiller/node/Dispatcher.h
+++ b/packages/node/include/porttiller/node/Dispatcher.h
@@ -21,6 +21,7 @@
 struct AttemptAnswered
 {
   HttpAnswer mHttp;
+  double mLoad = 0.0; // of the server, as its home reports it
 };
 
 // It was not run and will not be.
--- a/packages/node/include/porttiller/node/EntryView.h
+++ b/packages/node/include/porttiller/node/EntryView.h
@@ -5,6 +5,7 @@
 
 #include "porttiller/config/Snapshot.h"
 #include "porttiller/node/HomeTypes.h"
+#include "porttiller/policy/AttemptPlan.h"
 #include "porttiller/policy/Balancer.h"
 #include "porttiller/policy/RetryBudget.h"
 
@@ -12,7 +13,6 @@
 #include <map>
 #include <mutex>
 #include <optional>
-#include <set>
 #include <vector>
 
 namespace porttiller {
@@ -24,13 +24,6 @@
   std::optional<Millis> mClockOffset; // the home's clock less the entry's
 };
 
-// How one request has fared so far; owned by its AttemptFilter run.
-struct RequestProgress
-{
-  std::set<BackendServerName> mTried;
-  std::set<BackendServerName> mDemoted; // would serve as the last resort
-};
-
 // Thread-safe: services and boxes are in shards, each under its own lock.
 class EntryView
 {
@@ -40,7 +33,7 @@
   // The server for the next attempt; null when none is left.
   const BackendServerSpec* Choose(const Snapshot& aSnapshot,
                                   const ServiceEntry& aService,
-                                  const RequestProgress& aProgress,
+                                  const AttemptPlan& aPlan,
                                   TimePoint aNow);
 
   void OnSent(const BackendServerSpec& aServer);
@@ -101,7 +94,7 @@
   bool PathAvoided(const BoxName& aBox, TimePoint aNow) const;
   Candidate MakeCandidate(const Snapshot& aSnapshot,
                           const BackendServerSpec& aServer,
-                          const RequestProgress& aProgress,
+                          const AttemptPlan& aPlan,
                           TimePoint aNow) const;
 
   const AvailabilityZone mZone;
--- a/packages/node/include/porttiller/node/HttpTypes.h
+++ b/packages/node/include/porttiller/node/HttpTypes.h
@@ -40,4 +40,8 @@
 bool
 IsHopHeader(std::string_view aName);
 
+// What goes on to the other side.
+HttpHeaders
+WithoutHopHeaders(const HttpHeaders& aHeaders);
+
 } // namespace porttiller
--- a/packages/node/src/AttemptFilter.cpp
+++ b/packages/node/src/AttemptFilter.cpp
@@ -14,7 +14,6 @@
 constexpr int kUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
 constexpr int kServerErrors = 500;
-constexpr int kMaxAttempts = 6;
 constexpr Millis kDefaultRetryAfter{ 500 };
 constexpr Millis kUnknownRetryAfter{ 1000 };
 
@@ -53,27 +52,27 @@
 CallerAnswer
 PassOn(HttpAnswer aHttp)
 {
-  CallerAnswer answer{ .mStatus = aHttp.mStatus,
-                       .mBody = std::move(aHttp.mBody),
-                       .mOutcome = Outcome::kRun };
-  std::copy_if(
-    aHttp.mHeaders.begin(),
-    aHttp.mHeaders.end(),
-    std::back_inserter(answer.mHeaders),
-    [](const HttpHeader& aHeader) { return !IsHopHeader(aHeader.mName); });
-  return answer;
+  return { .mStatus = aHttp.mStatus,
+           .mHeaders = WithoutHopHeaders(aHttp.mHeaders),
+           .mBody = std::move(aHttp.mBody),
+           .mOutcome = Outcome::kRun };
 }
 
-HttpHeaders
-ForwardedHeaders(const HttpHeaders& aHeaders)
+Setback
+ToSetback(Refusal aRefusal)
 {
-  HttpHeaders kept;
-  std::copy_if(
-    aHeaders.begin(),
-    aHeaders.end(),
-    std::back_inserter(kept),
-    [](const HttpHeader& aHeader) { return !IsHopHeader(aHeader.mName); });
-  return kept;
+  switch (aRefusal) {
+    case Refusal::kIncarnation:
+    case Refusal::kExpired:
+      // The refusal told the home's life and clock.
+      return Setback::kSameAgain;
+    case Refusal::kDemoted:
+      return Setback::kDemoted;
+    case Refusal::kOverloaded:
+      return Setback::kOverloaded;
+    default:
+      return Setback::kElsewhere;
+  }
 }
 
 // One request's attempts. Lives on the stack of the thread that serves it.
@@ -83,31 +82,28 @@
   AttemptRun(const AttemptServices& aServices, RequestContext& aContext)
     : mServices(aServices)
     , mContext(aContext)
+    , mPlan(aContext.mRepeatable)
   {
   }
 
   CallerAnswer Run();
 
-  // Each takes the result of one attempt; true ends the request.
-  bool operator()(AttemptAnswered& aAnswered);
-  bool operator()(const AttemptNotRun& aNotRun);
-  bool operator()(const AttemptUnknown& aUnknown);
+  // Each takes the result of one attempt.
+  void operator()(AttemptAnswered& aAnswered);
+  void operator()(const AttemptNotRun& aNotRun);
+  void operator()(const AttemptUnknown& aUnknown);
 
 private:
   AttemptResult Attempt(const BoxSpec& aBox);
   HomeRequest MakeRequest() const;
-  bool MayMoveOn();
-  void AskDemoted();
+  RetrySource Retry() const;
   CallerAnswer GiveUp() const;
 
   const AttemptServices& mServices;
   RequestContext& mContext;
-  RequestProgress mProgress;
+  AttemptPlan mPlan;
   const BackendServerSpec* mServer = nullptr;
   AttemptId mAttempt;
-  bool mLastResort = false;
-  bool mRetryTaken = false; // for the attempt that is being made
-  bool mMaybeRun = false;
   std::string mReason = "no-server";
   std::string mToken;
   std::optional<Millis> mRetryAfter;
@@ -117,36 +113,30 @@
 CallerAnswer
 AttemptRun::Run()
 {
-  const auto& spec = mContext.mService->mSpec;
-  mServices.mView.OnFirstAttempt(spec);
-  for (int i = 0; i < kMaxAttempts && Now() < mContext.mDeadline; ++i) {
+  mServices.mView.OnFirstAttempt(mContext.mService->mSpec);
+  while (Now() < mContext.mDeadline && mPlan.MayAttempt()) {
     mServer = mServices.mView.Choose(
-      *mContext.mSnapshot, *mContext.mService, mProgress, Now());
-    if (mServer == nullptr && !mLastResort && !mProgress.mDemoted.empty()) {
-      AskDemoted();
-      continue;
-    }
+      *mContext.mSnapshot, *mContext.mService, mPlan, Now());
     if (mServer == nullptr) {
+      if (mPlan.Widen()) {
+        continue;
+      }
       break;
     }
-    if (i > 0) {
+    if (mPlan.Attempts() > 0) {
       mServices.mMetrics.Retries().Increment();
     }
     auto result = Attempt(*mContext.mSnapshot->FindBox(mServer->mBox));
-    if (std::visit(*this, result)) {
-      break;
-    }
+    std::visit(*this, result);
   }
   return mAnswer ? *mAnswer : GiveUp();
 }
 
-void
-AttemptRun::AskDemoted()
+RetrySource
+AttemptRun::Retry() const
 {
-  mLastResort = true;
-  for (const auto& server : mProgress.mDemoted) {
-    mProgress.mTried.erase(server);
-  }
+  return
+    [this] { return mServices.mView.TryRetry(mContext.mService->mSpec.mName); };
 }
 
 HomeRequest
@@ -156,12 +146,12 @@
                        .mServer = mServer->mName,
                        .mPriority = mContext.mRoute->mPriority,
                        .mRepeatable = mContext.mRepeatable,
-                       .mLastResort = mLastResort,
+                       .mLastResort = mPlan.LastResort(),
                        .mDeadline = mContext.mDeadline,
                        .mRequestKey = mContext.mRequestKey,
                        .mRoute = mContext.mRoute->mName };
   request.mHttp = mContext.mHttp;
-  request.mHttp.mHeaders = ForwardedHeaders(mContext.mHttp.mHeaders);
+  request.mHttp.mHeaders = WithoutHopHeaders(mContext.mHttp.mHeaders);
   return request;
 }
 
@@ -169,76 +159,52 @@
 AttemptRun::Attempt(const BoxSpec& aBox)
 {
   mAttempt = mServices.mNamer.Next();
-  mRetryTaken = false;
+  mPlan.OnSent(mServer->mName);
   mServices.mView.OnSent(*mServer);
   const auto start = Now();
   auto result = mServices.mDispatcher.Send(
-    aBox, MakeRequest(), [this] { return MayMoveOn(); });
+    aBox, MakeRequest(), [this] { return mPlan.MayAbandon(Retry()); });
   mContext.mHomeTime += Now() - start;
   mServices.mView.OnEnded(*mServer);
-  mProgress.mTried.insert(mServer->mName);
   return result;
 }
 
-// Leaves an attempt that may run: only when running twice does no harm.
-bool
-AttemptRun::MayMoveOn()
-{
-  if (!mContext.mRepeatable || mRetryTaken) {
-    return mRetryTaken;
-  }
-  mRetryTaken = mServices.mView.TryRetry(mContext.mService->mSpec.mName);
-  return mRetryTaken;
-}
-
-bool
+void
 AttemptRun::operator()(AttemptAnswered& aAnswered)
 {
   const bool failed = aAnswered.mHttp.mStatus >= kServerErrors;
+  mServices.mView.OnLoad(*mServer, aAnswered.mLoad);
   mAnswer = PassOn(std::move(aAnswered.mHttp));
-  mServices.mView.OnPathSuccess(mServer->mBox);
-  return !failed || !MayMoveOn();
+  mPlan.OnAnswered(failed, Retry());
 }
 
-bool
+void
 AttemptRun::operator()(const AttemptNotRun& aNotRun)
 {
   mServices.mMetrics.CountRefusal(aNotRun.mRefusal);
   mServices.mView.OnRefused(
     *mServer, aNotRun.mRefusal, aNotRun.mRetryAfter, Now());
   mReason = std::string(ToText(aNotRun.mRefusal));
-  switch (aNotRun.mRefusal) {
-    case Refusal::kIncarnation:
-    case Refusal::kExpired:
-      // The answer told the home's life and clock: the same server again.
-      mProgress.mTried.erase(mServer->mName);
-      return false;
-    case Refusal::kDemoted:
-      mProgress.mDemoted.insert(mServer->mName);
-      return false;
-    case Refusal::kOverloaded:
-      mRetryAfter = mRetryAfter ? std::min(*mRetryAfter, aNotRun.mRetryAfter)
-                                : aNotRun.mRetryAfter;
-      return !mServices.mView.TryRetry(mContext.mService->mSpec.mName);
-    default:
-      return false;
+  if (aNotRun.mRefusal == Refusal::kOverloaded) {
+    mRetryAfter =
+      std::min(mRetryAfter.value_or(aNotRun.mRetryAfter), aNotRun.mRetryAfter);
   }
+  mPlan.OnNotRun(ToSetback(aNotRun.mRefusal), Retry());
 }
 
-bool
+void
 AttemptRun::operator()(const AttemptUnknown& aUnknown)
 {
-  mMaybeRun = true;
   mReason = aUnknown.mReason;
   const auto life = mServices.mView.LifeOf(mServer->mBox).mIncarnation;
   mToken = MakeToken(mServer->mBox, life, mAttempt);
-  return !MayMoveOn();
+  mPlan.OnUnknown(Retry());
 }
 
 CallerAnswer
 AttemptRun::GiveUp() const
 {
-  if (mMaybeRun) {
+  if (mPlan.OutcomeWithoutAnswer() == Outcome::kUnknown) {
     auto answer = MakeProxyAnswer(kGatewayTimeout, Outcome::kUnknown, mReason);
     answer.mToken = mToken;
     answer.mRetryAfter = kUnknownRetryAfter;
--- a/packages/node/src/Dispatcher.cpp
+++ b/packages/node/src/Dispatcher.cpp
@@ -17,7 +17,7 @@
 {
   switch (aAnswer.mOutcome) {
     case Outcome::kRun:
-      return AttemptAnswered{ std::move(aAnswer.mHttp) };
+      return AttemptAnswered{ std::move(aAnswer.mHttp), aAnswer.mLoad };
     case Outcome::kNotRun:
       return AttemptNotRun{ aAnswer.mRefusal, aAnswer.mRetryAfter };
     case Outcome::kUnknown:
@@ -216,7 +216,7 @@
     return AttemptNotRun{ Refusal::kRevoked, kUnreachableRetryAfter };
   }
   if (fate.mState == AttemptState::kFinished && fate.mAnswer) {
-    return AttemptAnswered{ ToHttp(*fate.mAnswer) };
+    return AttemptAnswered{ ToHttp(*fate.mAnswer), 0.0 };
   }
   LogLine(LogLevel::kWarning, "attempt_unknown")
     .With("attempt", aRequest.mAttempt.ToString())
--- a/packages/node/src/EntryView.cpp
+++ b/packages/node/src/EntryView.cpp
@@ -66,12 +66,12 @@
 Candidate
 EntryView::MakeCandidate(const Snapshot& aSnapshot,
                          const BackendServerSpec& aServer,
-                         const RequestProgress& aProgress,
+                         const AttemptPlan& aPlan,
                          TimePoint aNow) const
 {
   Candidate candidate{ .mSlots = aServer.mSlots };
   const auto* box = aSnapshot.FindBox(aServer.mBox);
-  if (box == nullptr || aProgress.mTried.contains(aServer.mName)) {
+  if (box == nullptr || !aPlan.MayUse(aServer.mName)) {
     candidate.mStanding = Standing::kTried;
     return candidate;
   }
@@ -98,16 +98,16 @@
 const BackendServerSpec*
 EntryView::Choose(const Snapshot& aSnapshot,
                   const ServiceEntry& aService,
-                  const RequestProgress& aProgress,
+                  const AttemptPlan& aPlan,
                   TimePoint aNow)
 {
   std::vector<Candidate> candidates;
   candidates.reserve(aService.mServers.size());
   for (const auto& server : aService.mServers) {
-    candidates.push_back(MakeCandidate(aSnapshot, server, aProgress, aNow));
+    candidates.push_back(MakeCandidate(aSnapshot, server, aPlan, aNow));
   }
   auto chosen = ChooseServer(candidates, mOptions, Random(), Random());
-  if (!chosen && aProgress.mTried.empty()) {
+  if (!chosen && aPlan.Attempts() == 0) {
     // Every hint speaks against every server, and hints age: ask the homes.
     for (auto& candidate : candidates) {
       candidate.mStanding = std::min(candidate.mStanding, Standing::kAvoid);
--- a/packages/node/src/HomeServer.cpp
+++ b/packages/node/src/HomeServer.cpp
@@ -2,8 +2,6 @@
 
 #include "porttiller/node/HopCodec.h"
 
-#include <algorithm>
-
 namespace porttiller {
 
 namespace {
@@ -89,11 +87,8 @@
   auto answer = mHome.Handle(*request);
   auto headers =
     EncodeHomeAnswer(answer, request->mAttempt, mHome.OwnIncarnation(), Now());
-  std::copy_if(
-    answer.mHttp.mHeaders.begin(),
-    answer.mHttp.mHeaders.end(),
-    std::back_inserter(headers),
-    [](const HttpHeader& aHeader) { return !IsHopHeader(aHeader.mName); });
+  const auto passedOn = WithoutHopHeaders(answer.mHttp.mHeaders);
+  headers.insert(headers.end(), passedOn.begin(), passedOn.end());
   SendWhole(aResponse, headOnly, StatusOf(answer), headers, answer.mHttp.mBody);
 }
 
--- a/packages/node/src/HopCodec.cpp
+++ b/packages/node/src/HopCodec.cpp
@@ -30,19 +30,6 @@
   return std::chrono::duration_cast<Millis>(aDeadline - aNow);
 }
 
-// The proxy's own headers are taken out once read; the rest is the caller's.
-HttpHeaders
-WithoutHopHeaders(const HttpHeaders& aHeaders)
-{
-  HttpHeaders kept;
-  std::copy_if(
-    aHeaders.begin(),
-    aHeaders.end(),
-    std::back_inserter(kept),
-    [](const HttpHeader& aHeader) { return !IsHopHeader(aHeader.mName); });
-  return kept;
-}
-
 std::optional<std::uint64_t>
 Number(const HttpHeaders& aHeaders, const char* aName)
 {
--- a/packages/node/src/HttpTypes.cpp
+++ b/packages/node/src/HttpTypes.cpp
@@ -43,4 +43,16 @@
            kHopHeaders.end();
 }
 
+HttpHeaders
+WithoutHopHeaders(const HttpHeaders& aHeaders)
+{
+  HttpHeaders kept;
+  for (const auto& header : aHeaders) {
+    if (!IsHopHeader(header.mName)) {
+      kept.push_back(header);
+    }
+  }
+  return kept;
+}
+
 } // namespace porttiller
--- /dev/null
+++ b/packages/policy/include/porttiller/policy/AttemptPlan.h
@@ -0,0 +1,73 @@
+// One request's attempts: where it may still go, when it must end, and what
+// may truly be said of it then.
+#pragma once
+
+#include "porttiller/core/Ids.h"
+#include "porttiller/core/Outcome.h"
+
+#include <functional>
+#include <set>
+
+namespace porttiller {
+
+struct AttemptPlanOptions
+{
+  int mMaxAttempts = 6;
+  // More, once only servers that serve as the last resort are left.
+  int mLastResortAttempts = 2;
+};
+
+// Why an attempt was not run, as far as it matters for the next one.
+enum class Setback
+{
+  kElsewhere, // this server cannot be used now
+  kSameAgain, // it can, once what its home told is taken into account
+  kDemoted,   // it would serve as the last resort
+  kOverloaded // it had no slot; going elsewhere takes from the retry budget
+};
+
+// Takes one retry from the budget; false when there is none.
+using RetrySource = std::function<bool()>;
+
+// Owned by the thread that serves the request.
+class AttemptPlan
+{
+public:
+  AttemptPlan(bool aRepeatable, AttemptPlanOptions aOptions = {});
+
+  // False once the request must end with what is known.
+  bool MayAttempt();
+  bool MayUse(const BackendServerName& aServer) const;
+  // Whether demoted servers are to serve it.
+  bool LastResort() const { return mLastResort; }
+  // No server is left that MayUse allows; false when there is none at all.
+  bool Widen();
+
+  void OnSent(const BackendServerName& aServer);
+  // The server answered; one that failed may be tried elsewhere.
+  void OnAnswered(bool aFailed, const RetrySource& aRetry);
+  void OnNotRun(Setback aSetback, const RetrySource& aRetry);
+  void OnUnknown(const RetrySource& aRetry);
+
+  // Whether an attempt that may be running can be left for another one.
+  bool MayAbandon(const RetrySource& aRetry);
+
+  // kNotRun only while every attempt was confirmed as not run.
+  Outcome OutcomeWithoutAnswer() const;
+  int Attempts() const { return mAttempts; }
+
+private:
+  const bool mRepeatable;
+  const AttemptPlanOptions mOptions;
+  std::set<BackendServerName> mTried;
+  std::set<BackendServerName> mDemoted;
+  BackendServerName mCurrent;
+  int mAttempts = 0;
+  int mMaxAttempts;
+  bool mLastResort = false;
+  bool mEnded = false;
+  bool mMaybeRun = false;
+  bool mRetryTaken = false; // for leaving the current attempt
+};
+
+} // namespace porttiller
--- /dev/null
+++ b/packages/policy/tests/AttemptPlanTest.cpp
@@ -0,0 +1,95 @@
+#include "porttiller/policy/AttemptPlan.h"
+
+#include "FuzzDraw.h"
+
+#include <doctest/doctest.h>
+
+using namespace porttiller;
+
+namespace {
+
+BackendServerName
+Server(int aIndex)
+{
+  return BackendServerName("server-" + std::to_string(aIndex));
+}
+
+const RetrySource kAlways = [] { return true; };
+
+} // namespace
+
+TEST_CASE("A request that may run only once ends with its first unknown")
+{
+  AttemptPlan plan(false);
+  plan.OnSent(Server(1));
+  plan.OnNotRun(Setback::kElsewhere, kAlways);
+  CHECK(plan.MayAttempt());
+  plan.OnSent(Server(2));
+  CHECK_FALSE(plan.MayAbandon(kAlways));
+  plan.OnUnknown(kAlways);
+  CHECK_FALSE(plan.MayAttempt());
+  CHECK(plan.OutcomeWithoutAnswer() == Outcome::kUnknown);
+}
+
+TEST_CASE("When every server is demoted one of them serves as the last resort")
+{
+  // Found in reading: nine demoted servers used up all attempts in refusals.
+  AttemptPlan plan(false);
+  for (int i = 0; plan.MayAttempt() && !plan.LastResort(); ++i) {
+    plan.OnSent(Server(i));
+    plan.OnNotRun(Setback::kDemoted, kAlways);
+  }
+  CHECK(plan.LastResort());
+  CHECK(plan.MayUse(Server(0)));
+  CHECK(plan.MayAttempt());
+}
+
+TEST_CASE("Overload elsewhere is tried only within the retry budget")
+{
+  AttemptPlan plan(true);
+  plan.OnSent(Server(1));
+  plan.OnNotRun(Setback::kOverloaded, [] { return false; });
+  CHECK_FALSE(plan.MayAttempt());
+  CHECK(plan.OutcomeWithoutAnswer() == Outcome::kNotRun);
+}
+
+TEST_CASE("What a plan allows never runs twice what may run once")
+{
+  // The oracle counts the attempts that may have been run.
+  const bool ok = rc::check([] {
+    const bool repeatable = Draw(0, 2) == 0;
+    AttemptPlan plan(repeatable);
+    const auto retry = [] { return Draw(0, 2) == 0; };
+    int maybeRun = 0;
+    int attempts = 0;
+    bool answered = false;
+    while (plan.MayAttempt()) {
+      const auto server = Server(Draw(0, 12));
+      if (!plan.MayUse(server)) {
+        continue;
+      }
+      plan.OnSent(server);
+      RC_ASSERT(++attempts <= 8);
+      switch (Draw(0, 4)) {
+        case 0:
+          ++maybeRun;
+          answered = true;
+          plan.OnAnswered(Draw(0, 2) == 0, retry);
+          break;
+        case 1:
+          ++maybeRun;
+          plan.OnUnknown(retry);
+          break;
+        default:
+          plan.OnNotRun(static_cast<Setback>(Draw(0, 4)), retry);
+          break;
+      }
+    }
+    RC_ASSERT(repeatable || maybeRun <= 1);
+    if (!answered) {
+      RC_ASSERT((plan.OutcomeWithoutAnswer() == Outcome::kNotRun) ==
+                (maybeRun == 0));
+    }
+  });
+  CHECK(ok);
+}
--- a/testing/fleet/tests/EntryFaultsTest.cpp
+++ b/testing/fleet/tests/EntryFaultsTest.cpp
@@ -4,6 +4,7 @@
 #include "porttiller/node/HopHeaders.h"
 #include "standin/LinkStandIn.h"
 
+#include <atomic>
 #include <csignal>
 #include <doctest/doctest.h>
 #include <thread>
@@ -145,3 +146,29 @@
   CHECK(other.mBody.find("100 units") == std::string::npos);
   CHECK(fleet.RunsOf("purchase") == 1);
 }
+
+TEST_CASE("An entry learns the load that homes report")
+{
+  // Found in reading: homes reported it and no entry took it in.
+  Fleet fleet(Options());
+  fleet.Server(0).Set({ .mServiceMs = 50 });
+  fleet.Server(1).Set({ .mServiceMs = 50 });
+  const TrafficOptions options{ .mRequests = 200,
+                                .mThreads = 8,
+                                .mDeadline = Millis(5000) };
+  std::atomic<bool> done{ false };
+  std::thread traffic([&] {
+    SendTraffic(fleet, options);
+    done = true;
+  });
+  bool learned = false;
+  while (!done && !learned) {
+    const auto state = fleet.State(0);
+    for (int part = 1; part <= 6; ++part) { // of 6 slots
+      const auto load = std::to_string(part / 6.0).substr(0, 4);
+      learned = learned || state.find("load=" + load) != std::string::npos;
+    }
+  }
+  traffic.join();
+  CHECK(learned);
+}
