--- a/bench/sim/World.cpp
+++ b/bench/sim/World.cpp
@@ -1,5 +1,6 @@
 #include "sim/World.h"
 
+#include <algorithm>
 #include <cmath>
 
 namespace porttiller::bench {
@@ -9,16 +10,6 @@
 constexpr Millis kTick{ 50 };
 constexpr Millis kDeadline{ 1000 };
 constexpr Millis kPathPatience{ 150 }; // until a lost request is revoked
-constexpr double kBackgroundFailures = 0.001;
-constexpr double kSickFailures = 0.5;
-constexpr double kSlowFactor = 8.0;
-constexpr double kCommonSlowFactor = 4.0;
-constexpr double kColdFactor = 5.0;
-constexpr Millis kColdTime{ 8000 };
-constexpr std::int64_t kFlapMs = 3000;
-constexpr std::int64_t kNoiseEveryMs = 4000;
-constexpr std::int64_t kNoiseMs = 200;
-constexpr double kNoiseFailures = 0.3;
 constexpr double kRepeatableShare = 0.6;
 constexpr double kCriticalShare = 0.2;
 constexpr double kSheddableShare = 0.3;
@@ -61,6 +52,7 @@
   : mDeployment(aDeployment)
   , mScenario(aScenario)
   , mRandom(aOptions.mSeed)
+  , mFaults(aScenario.mKind, aDeployment)
   , mPolicy(MakePolicy(aOptions.mPolicy,
                        aDeployment,
                        aScenario.mKind == FaultKind::kPlatformAway))
@@ -119,7 +111,7 @@
 World::ArriveNext()
 {
   double rate = mDeployment.mRatePerServer * mDeployment.mServers;
-  if (mScenario.mKind == FaultKind::kOverload && FaultOn()) {
+  if (mScenario.mKind == FaultKind::kOverload && mFaults.IsOn(mNow)) {
     rate = kOverloadFactor * CapacityRate(mDeployment);
   }
   const double gap = std::exponential_distribution<double>(rate)(mRandom);
@@ -148,7 +140,7 @@
   request.mTried.resize(servers);
   request.mDemoted.resize(servers);
   ++mResult.mRequests;
-  if (FaultOn()) {
+  if (mFaults.IsOn(mNow)) {
     ++mResult.mOffered.at(static_cast<std::size_t>(request.mPriority));
   }
   mBudget.OnFirstAttempt();
@@ -157,62 +149,51 @@
   Dispatch(id);
 }
 
-void
-World::Dispatch(Ticket aId)
+std::vector<Candidate>
+World::Candidates(const Request& aRequest) const
 {
-  auto& request = mRequests.at(aId);
   std::vector<Candidate> candidates;
   for (int server = 0; server < mDeployment.mServers; ++server) {
-    Candidate candidate{ .mSameZone = server == request.mEntry };
-    candidate.mReportedLoad = mReportedLoad[static_cast<std::size_t>(server)];
+    const auto index = static_cast<std::size_t>(server);
+    Candidate candidate{ .mSameZone = server == aRequest.mEntry };
+    candidate.mReportedLoad = mReportedLoad[index];
     candidate.mStanding = std::visit(
       [&](const auto& aPolicy) {
         if constexpr (requires { aPolicy.StandingAt(0, 0, mNow); }) {
-          return aPolicy.StandingAt(request.mEntry, server, mNow);
+          return aPolicy.StandingAt(aRequest.mEntry, server, mNow);
         } else {
           return Standing::kOpen;
         }
       },
       mPolicy);
-    if (request.mTried[static_cast<std::size_t>(server)]) {
+    if (aRequest.mTried[index]) {
       candidate.mStanding = Standing::kTried;
     }
     candidates.push_back(candidate);
   }
+  return candidates;
+}
+
+void
+World::Dispatch(Ticket aId)
+{
+  auto& request = mRequests.at(aId);
+  const auto candidates = Candidates(request);
   const BalancerOptions options;
   const auto chosen = ChooseServer(candidates, options, mRandom(), mRandom());
   if (!chosen || request.mAttempts >= kMaxAttempts) {
-    const bool anyDemoted =
-      std::find(request.mDemoted.begin(), request.mDemoted.end(), true) !=
-      request.mDemoted.end();
-    if (anyDemoted && !request.mLastResort) {
-      request.mLastResort = true;
-      request.mAttempts = 0;
-      for (std::size_t i = 0; i < request.mTried.size(); ++i) {
-        request.mTried[i] = request.mTried[i] && !request.mDemoted[i];
-      }
+    if (AskDemoted(request)) {
       Dispatch(aId);
-      return;
+    } else {
+      End(aId, false);
     }
-    End(aId, false);
     return;
   }
   const int server = static_cast<int>(*chosen);
   request.mTried[*chosen] = true;
   ++request.mAttempts;
-  if (PathCut(request, server)) {
-    At(mNow + kPathPatience, [this, aId, server] {
-      const auto& lost = mRequests.at(aId);
-      const Attempt attempt{ lost.mEntry, server, lost.mRepeatable, false };
-      std::visit([&](auto& aPolicy) { aPolicy.OnPathFailure(attempt, mNow); },
-                 mPolicy);
-      // Only a home can confirm that it was not run.
-      if (lost.mRepeatable || IsPorttiller(mPolicy)) {
-        Dispatch(aId);
-      } else {
-        End(aId, false);
-      }
-    });
+  if (mFaults.PathCut(request.mEntry, server, mNow)) {
+    At(mNow + kPathPatience, [this, aId, server] { OnLost(aId, server); });
     return;
   }
   const auto trip =
@@ -220,11 +201,37 @@
   At(mNow + trip, [this, aId, server] { Reach(aId, server); });
 }
 
+// Demoted servers serve as the last resort; false when there is none.
 bool
-World::PathCut(const Request& aRequest, int aServer) const
+World::AskDemoted(Request& aRequest)
+{
+  const auto& demoted = aRequest.mDemoted;
+  const bool any =
+    std::find(demoted.begin(), demoted.end(), true) != demoted.end();
+  if (!any || aRequest.mLastResort) {
+    return false;
+  }
+  aRequest.mLastResort = true;
+  aRequest.mAttempts = 0;
+  for (std::size_t i = 0; i < demoted.size(); ++i) {
+    aRequest.mTried[i] = aRequest.mTried[i] && !demoted[i];
+  }
+  return true;
+}
+
+void
+World::OnLost(Ticket aId, int aServer)
 {
-  return mScenario.mKind == FaultKind::kPathOneWay && FaultOn() &&
-         aServer == kSickServer && aRequest.mEntry == mDeployment.Entries() - 1;
+  const auto& request = mRequests.at(aId);
+  const Attempt attempt{ request.mEntry, aServer, request.mRepeatable, false };
+  std::visit([&](auto& aPolicy) { aPolicy.OnPathFailure(attempt, mNow); },
+             mPolicy);
+  // Only a home can confirm that it was not run.
+  if (request.mRepeatable || IsPorttiller(mPolicy)) {
+    Dispatch(aId);
+  } else {
+    End(aId, false);
+  }
 }
 
 void
@@ -261,49 +268,6 @@
   }
 }
 
-double
-World::FailureRate(int aServer, int aCallKind) const
-{
-  const bool sick = aServer == kSickServer && FaultOn();
-  const auto sinceMs =
-    std::chrono::duration_cast<Millis>(mNow - kFaultBegins).count();
-  switch (mScenario.mKind) {
-    case FaultKind::kGrayErrors:
-    case FaultKind::kPlatformAway:
-      return sick ? kSickFailures : kBackgroundFailures;
-    case FaultKind::kPartialCalls:
-      return sick && aCallKind == 0 ? 1.0 : kBackgroundFailures;
-    case FaultKind::kFlapping:
-      return sick && (sinceMs / kFlapMs) % 2 == 0 ? kSickFailures
-                                                  : kBackgroundFailures;
-    case FaultKind::kCommonCause:
-      return FaultOn() ? kSickFailures : kBackgroundFailures;
-    case FaultKind::kNoiseBursts:
-      return FaultOn() && aServer == mNoisyServer &&
-                 sinceMs % kNoiseEveryMs < kNoiseMs
-               ? kNoiseFailures
-               : kBackgroundFailures;
-    default:
-      return kBackgroundFailures;
-  }
-}
-
-double
-World::Slowness(int aServer) const
-{
-  const bool sick = aServer == kSickServer && FaultOn();
-  switch (mScenario.mKind) {
-    case FaultKind::kGraySlow:
-      return sick ? kSlowFactor : 1.0;
-    case FaultKind::kCommonCause:
-      return FaultOn() ? kCommonSlowFactor : 1.0;
-    case FaultKind::kColdStart:
-      return sick && mNow < kFaultBegins + kColdTime ? kColdFactor : 1.0;
-    default:
-      return 1.0;
-  }
-}
-
 void
 World::Start(Ticket aId, int aServer)
 {
@@ -311,9 +275,10 @@
   const double ms =
     std::lognormal_distribution<double>(std::log(mDeployment.mServiceMedianMs),
                                         mDeployment.mServiceSigma)(mRandom) *
-    Slowness(aServer);
+    mFaults.Slowness(aServer, mNow);
   const Micros time(static_cast<std::int64_t>(ms * 1000.0));
-  const bool failed = Uniform() < FailureRate(aServer, request.mCallKind);
+  const bool failed =
+    Uniform() < mFaults.FailureRate(aServer, request.mCallKind, mNow);
   At(mNow + time, [this, aId, aServer, time, failed] {
     Complete(aId, aServer, time, failed);
   });
@@ -441,12 +406,7 @@
         own->SlotLimit(server, mNow));
     }
   }
-  const auto sinceMs =
-    std::chrono::duration_cast<Millis>(mNow - kFaultBegins).count();
-  if (FaultOn() && sinceMs % kNoiseEveryMs == 0) {
-    mNoisyServer = static_cast<int>(
-      mRandom() % static_cast<std::uint64_t>(mDeployment.mServers));
-  }
+  mFaults.OnTick(mNow, mRandom);
   CountSetAside();
   At(mNow + kTick, [this] { Tick(); });
 }
--- a/bench/sim/World.h
+++ b/bench/sim/World.h
@@ -5,6 +5,7 @@
 
 #include "porttiller/policy/RetryBudget.h"
 #include "porttiller/policy/SlotQueue.h"
+#include "sim/FaultModel.h"
 #include "sim/Policies.h"
 
 #include <array>
@@ -73,7 +74,10 @@
   void At(TimePoint aTime, std::function<void()> aRun);
   void ArriveNext();
   void Arrive();
+  std::vector<Candidate> Candidates(const Request& aRequest) const;
   void Dispatch(Ticket aId);
+  bool AskDemoted(Request& aRequest);
+  void OnLost(Ticket aId, int aServer);
   void Reach(Ticket aId, int aServer);
   void Start(Ticket aId, int aServer);
   void Complete(Ticket aId, int aServer, Micros aTime, bool aFailed);
@@ -83,16 +87,13 @@
   void Tick();
   void RestartCold();
   void CountSetAside();
-  bool PathCut(const Request& aRequest, int aServer) const;
-  bool FaultOn() const { return mNow >= kFaultBegins && mNow < kFaultEnds; }
-  double FailureRate(int aServer, int aCallKind) const;
-  double Slowness(int aServer) const;
   bool IsToBlame(int aServer) const;
   double Uniform();
 
   const Deployment& mDeployment;
   const Scenario& mScenario;
   std::mt19937_64 mRandom;
+  FaultModel mFaults;
   Policy mPolicy;
   std::vector<SlotQueue> mQueues;
   std::vector<bool> mWasAside;
@@ -103,7 +104,6 @@
   TimePoint mNow;
   std::uint64_t mOrder = 0;
   Ticket mNextTicket = 1;
-  int mNoisyServer = 0;
   RunResult mResult;
 };
 
--- a/packages/peer/include/porttiller/peer/PeerTransport.h
+++ b/packages/peer/include/porttiller/peer/PeerTransport.h
@@ -15,6 +15,8 @@
 
 namespace porttiller {
 
+class PeerLoop;
+
 enum class PeerErrorKind
 {
   kTimeout, // no reply in time; the request may have arrived
@@ -80,11 +82,9 @@
   PeerTraffic Traffic() const;
 
 private:
-  class Loop;
-
-  explicit PeerTransport(std::unique_ptr<Loop> aLoop);
+  explicit PeerTransport(std::unique_ptr<PeerLoop> aLoop);
 
-  std::unique_ptr<Loop> mLoop;
+  std::unique_ptr<PeerLoop> mLoop;
 };
 
 } // namespace porttiller
--- /dev/null
+++ b/packages/peer/src/PeerLoopPriv.cpp
@@ -0,0 +1,336 @@
+#include "PeerLoopPriv.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace porttiller {
+
+namespace {
+
+constexpr const char* kWakeAddress = "inproc://wake";
+constexpr int kHighWaterMark = 256; // messages queued for one peer
+constexpr Millis kMaxPollWait{ 1000 };
+constexpr std::int64_t kMaxMessageBytes = 8 << 20;
+constexpr int kReconnectMs = 100;
+constexpr int kMaxReconnectMs = 2000;
+
+PeerError
+MakeError(PeerErrorKind aKind, std::string aDetail)
+{
+  return { .mKind = aKind, .mDetail = std::move(aDetail) };
+}
+
+} // namespace
+
+PeerLoop::PeerLoop(PeerTransportOptions aOptions, PeerHandler aHandler)
+  : mOptions(std::move(aOptions))
+  , mHandler(std::move(aHandler))
+  , mContext(1)
+  , mRouter(mContext, zmq::socket_type::router)
+  , mWake(mContext, zmq::socket_type::pair)
+  , mWaker(mContext, zmq::socket_type::pair)
+{
+}
+
+PeerLoop::~PeerLoop()
+{
+  {
+    const std::lock_guard lock(mMutex);
+    mStopping = true;
+    mWaker.send(zmq::message_t(), zmq::send_flags::dontwait);
+  }
+  if (mThread.joinable()) {
+    mThread.join();
+  }
+}
+
+tl::expected<void, PeerError>
+PeerLoop::Bind()
+{
+  try {
+    mRouter.set(zmq::sockopt::linger, 0);
+    mRouter.set(zmq::sockopt::sndhwm, kHighWaterMark);
+    mRouter.set(zmq::sockopt::rcvhwm, kHighWaterMark);
+    mRouter.set(zmq::sockopt::maxmsgsize, kMaxMessageBytes);
+    mRouter.bind("tcp://" + mOptions.mBindAddress);
+    mWake.bind(kWakeAddress);
+    mWaker.connect(kWakeAddress);
+  } catch (const zmq::error_t& e) {
+    return tl::make_unexpected(
+      MakeError(PeerErrorKind::kBind, mOptions.mBindAddress + ": " + e.what()));
+  }
+  return {};
+}
+
+void
+PeerLoop::Start()
+{
+  mThread = std::thread([this] { Run(); });
+}
+
+bool
+PeerLoop::Post(PeerCommand& aCommand)
+{
+  const std::lock_guard lock(mMutex);
+  if (mStopping) {
+    return false;
+  }
+  mCommands.push_back(std::move(aCommand));
+  if (mCommands.size() == 1) {
+    mWaker.send(zmq::message_t(), zmq::send_flags::dontwait);
+  }
+  return true;
+}
+
+void
+PeerLoop::PostRequest(const std::string& aAddress,
+                      wire::Envelope aRequest,
+                      Millis aTimeout,
+                      PeerCallback aCallback)
+{
+  if (mPendingCount >= mOptions.mMaxPending) {
+    aCallback(
+      tl::make_unexpected(MakeError(PeerErrorKind::kBusy, "too many waiting")));
+    return;
+  }
+  ++mPendingCount;
+  PeerCommand command{ .mAddress = aAddress,
+                       .mDeadline = Now() + aTimeout,
+                       .mCallback = std::move(aCallback) };
+  {
+    const std::lock_guard lock(mMutex);
+    command.mCorrelation = mNextCorrelation++;
+  }
+  aRequest.set_from_box(mOptions.mBox.Value());
+  aRequest.set_from_incarnation(mOptions.mIncarnation.Value());
+  aRequest.set_correlation(command.mCorrelation);
+  command.mPayload = aRequest.SerializeAsString();
+  if (!Post(command)) {
+    command.mCallback(
+      tl::make_unexpected(MakeError(PeerErrorKind::kClosed, "stopping")));
+  }
+}
+
+void
+PeerLoop::Run()
+{
+  for (;;) {
+    PollOnce();
+    const std::lock_guard lock(mMutex);
+    if (mStopping) {
+      break;
+    }
+  }
+  FailAll();
+}
+
+Millis
+PeerLoop::PollWait() const
+{
+  if (mDeadlines.empty()) {
+    return kMaxPollWait;
+  }
+  const auto left =
+    std::chrono::ceil<Millis>(mDeadlines.begin()->first - Now());
+  return std::clamp(left, Millis(0), kMaxPollWait);
+}
+
+void
+PeerLoop::PollOnce()
+{
+  std::vector<zmq::pollitem_t> items;
+  std::vector<PeerLink*> links;
+  items.push_back({ mWake.handle(), 0, ZMQ_POLLIN, 0 });
+  items.push_back({ mRouter.handle(), 0, ZMQ_POLLIN, 0 });
+  for (auto& [address, link] : mLinks) {
+    items.push_back({ link.mSocket.handle(), 0, ZMQ_POLLIN, 0 });
+    links.push_back(&link);
+  }
+  try {
+    zmq::poll(items, PollWait());
+  } catch (const zmq::error_t& e) {
+    if (e.num() != EINTR) {
+      throw;
+    }
+    return;
+  }
+  for (std::size_t i = 0; i < links.size(); ++i) {
+    if (items[i + 2].revents != 0) {
+      ReceiveReplies(*links[i]);
+    }
+  }
+  if (items[1].revents != 0) {
+    ReceiveRequests();
+  }
+  if (items[0].revents != 0) {
+    TakeCommands();
+  }
+  Expire();
+  CloseIdle();
+}
+
+void
+PeerLoop::TakeCommands()
+{
+  zmq::message_t wake;
+  while (mWake.recv(wake, zmq::recv_flags::dontwait)) {
+  }
+  std::deque<PeerCommand> commands;
+  {
+    const std::lock_guard lock(mMutex);
+    commands.swap(mCommands);
+  }
+  for (auto& command : commands) {
+    if (command.mCallback) {
+      SendRequest(std::move(command));
+    } else {
+      SendReply(command);
+    }
+  }
+}
+
+PeerLink&
+PeerLoop::LinkTo(const std::string& aAddress)
+{
+  auto it = mLinks.find(aAddress);
+  if (it == mLinks.end()) {
+    zmq::socket_t socket(mContext, zmq::socket_type::dealer);
+    socket.set(zmq::sockopt::linger, 0);
+    socket.set(zmq::sockopt::sndhwm, kHighWaterMark);
+    socket.set(zmq::sockopt::reconnect_ivl, kReconnectMs);
+    socket.set(zmq::sockopt::reconnect_ivl_max, kMaxReconnectMs);
+    socket.set(zmq::sockopt::maxmsgsize, kMaxMessageBytes);
+    socket.connect("tcp://" + aAddress);
+    it = mLinks.emplace(aAddress, PeerLink{ std::move(socket), {} }).first;
+    ++mLinkCount;
+  }
+  it->second.mLastUse = Now();
+  return it->second;
+}
+
+void
+PeerLoop::SendRequest(PeerCommand aCommand)
+{
+  auto& link = LinkTo(aCommand.mAddress);
+  const auto size = aCommand.mPayload.size();
+  mPending[aCommand.mCorrelation] = { std::move(aCommand.mCallback),
+                                      aCommand.mAddress };
+  mDeadlines.emplace(aCommand.mDeadline, aCommand.mCorrelation);
+  // A full queue drops the request; its time-out tells the caller.
+  if (link.mSocket.send(zmq::buffer(aCommand.mPayload),
+                        zmq::send_flags::dontwait)) {
+    mSent += size;
+  }
+}
+
+void
+PeerLoop::SendReply(const PeerCommand& aCommand)
+{
+  const auto more = zmq::send_flags::dontwait | zmq::send_flags::sndmore;
+  if (mRouter.send(zmq::buffer(aCommand.mRoute), more) &&
+      mRouter.send(zmq::buffer(aCommand.mPayload), zmq::send_flags::dontwait)) {
+    mSent += aCommand.mPayload.size();
+  }
+}
+
+void
+PeerLoop::ReceiveRequests()
+{
+  zmq::message_t route;
+  zmq::message_t payload;
+  while (mRouter.recv(route, zmq::recv_flags::dontwait)) {
+    if (!route.more() || !mRouter.recv(payload, zmq::recv_flags::dontwait)) {
+      continue;
+    }
+    mReceived += payload.size();
+    wire::Envelope request;
+    if (!request.ParseFromArray(payload.data(),
+                                static_cast<int>(payload.size()))) {
+      continue;
+    }
+    const auto correlation = request.correlation();
+    mHandler(
+      request,
+      [this, to = route.to_string(), correlation](wire::Envelope aReply) {
+        aReply.set_from_box(mOptions.mBox.Value());
+        aReply.set_from_incarnation(mOptions.mIncarnation.Value());
+        aReply.set_correlation(correlation);
+        PeerCommand reply{ .mRoute = to,
+                           .mPayload = aReply.SerializeAsString() };
+        Post(reply);
+      });
+  }
+}
+
+void
+PeerLoop::ReceiveReplies(PeerLink& aLink)
+{
+  zmq::message_t payload;
+  while (aLink.mSocket.recv(payload, zmq::recv_flags::dontwait)) {
+    mReceived += payload.size();
+    wire::Envelope reply;
+    if (!reply.ParseFromArray(payload.data(),
+                              static_cast<int>(payload.size()))) {
+      continue;
+    }
+    const auto it = mPending.find(reply.correlation());
+    if (it == mPending.end()) {
+      ++mLate;
+      continue;
+    }
+    const auto callback = std::move(it->second.mCallback);
+    mPending.erase(it);
+    --mPendingCount;
+    callback(std::move(reply));
+  }
+}
+
+void
+PeerLoop::Expire()
+{
+  const auto now = Now();
+  while (!mDeadlines.empty() && mDeadlines.begin()->first <= now) {
+    const auto correlation = mDeadlines.begin()->second;
+    mDeadlines.erase(mDeadlines.begin());
+    const auto it = mPending.find(correlation);
+    if (it == mPending.end()) {
+      continue;
+    }
+    const auto pending = std::move(it->second);
+    mPending.erase(it);
+    --mPendingCount;
+    pending.mCallback(tl::make_unexpected(
+      MakeError(PeerErrorKind::kTimeout, pending.mAddress)));
+  }
+}
+
+void
+PeerLoop::CloseIdle()
+{
+  const auto oldest = Now() - mOptions.mIdleClose;
+  std::erase_if(
+    mLinks, [&](const auto& aItem) { return aItem.second.mLastUse < oldest; });
+  mLinkCount = mLinks.size();
+}
+
+void
+PeerLoop::FailAll()
+{
+  TakeCommands();
+  for (auto& [correlation, pending] : mPending) {
+    pending.mCallback(
+      tl::make_unexpected(MakeError(PeerErrorKind::kClosed, "stopping")));
+  }
+  mPending.clear();
+}
+
+PeerTraffic
+PeerLoop::Traffic() const
+{
+  return { .mBytesSent = mSent,
+           .mBytesReceived = mReceived,
+           .mLateReplies = mLate,
+           .mLinks = mLinkCount };
+}
+
+} // namespace porttiller
--- /dev/null
+++ b/packages/peer/src/PeerLoopPriv.h
@@ -0,0 +1,96 @@
+// The thread and the sockets behind a PeerTransport.
+#pragma once
+
+#include "porttiller/peer/PeerTransport.h"
+
+#include <atomic>
+#include <deque>
+#include <map>
+#include <mutex>
+#include <thread>
+#include <unordered_map>
+#include <zmq.hpp>
+
+namespace porttiller {
+
+// What other threads ask of the loop: a request to send, or a reply.
+struct PeerCommand
+{
+  std::string mAddress; // of a request
+  std::string mRoute;   // of a reply
+  std::string mPayload;
+  std::uint64_t mCorrelation = 0;
+  TimePoint mDeadline;
+  PeerCallback mCallback; // null for a reply
+};
+
+// An outgoing connection.
+struct PeerLink
+{
+  zmq::socket_t mSocket;
+  TimePoint mLastUse;
+};
+
+// A request that waits for its reply.
+struct PeerPending
+{
+  PeerCallback mCallback;
+  std::string mAddress;
+};
+
+// Owned by its PeerTransport. Only its own thread touches the sockets; what
+// other threads post goes through a queue under mMutex.
+class PeerLoop
+{
+public:
+  PeerLoop(PeerTransportOptions aOptions, PeerHandler aHandler);
+  ~PeerLoop();
+  PeerLoop(const PeerLoop&) = delete;
+  PeerLoop& operator=(const PeerLoop&) = delete;
+
+  tl::expected<void, PeerError> Bind();
+  void Start();
+  // False once the transport is stopping; aCommand is then untouched.
+  bool Post(PeerCommand& aCommand);
+  void PostRequest(const std::string& aAddress,
+                   wire::Envelope aRequest,
+                   Millis aTimeout,
+                   PeerCallback aCallback);
+  PeerTraffic Traffic() const;
+
+private:
+  void Run();
+  Millis PollWait() const;
+  void PollOnce();
+  void TakeCommands();
+  void SendRequest(PeerCommand aCommand);
+  void SendReply(const PeerCommand& aCommand);
+  void ReceiveRequests();
+  void ReceiveReplies(PeerLink& aLink);
+  void Expire();
+  void CloseIdle();
+  PeerLink& LinkTo(const std::string& aAddress);
+  void FailAll();
+
+  PeerTransportOptions mOptions;
+  PeerHandler mHandler;
+  zmq::context_t mContext;
+  zmq::socket_t mRouter;
+  zmq::socket_t mWake;
+  zmq::socket_t mWaker; // under mMutex
+  std::unordered_map<std::string, PeerLink> mLinks;
+  std::unordered_map<std::uint64_t, PeerPending> mPending;
+  std::multimap<TimePoint, std::uint64_t> mDeadlines;
+  std::mutex mMutex;
+  std::deque<PeerCommand> mCommands;
+  bool mStopping = false;
+  std::uint64_t mNextCorrelation = 1;
+  std::atomic<std::uint64_t> mSent{ 0 };
+  std::atomic<std::uint64_t> mReceived{ 0 };
+  std::atomic<std::uint64_t> mLate{ 0 };
+  std::atomic<std::uint64_t> mLinkCount{ 0 };
+  std::atomic<std::size_t> mPendingCount{ 0 };
+  std::thread mThread;
+};
+
+} // namespace porttiller
--- a/packages/policy/include/porttiller/policy/EjectionMachine.h
+++ b/packages/policy/include/porttiller/policy/EjectionMachine.h
@@ -143,6 +143,10 @@
   bool Suspicious() const;
   void Enter(ServerPhase aPhase, TimePoint aNow);
   void SetAsideNow(TimePoint aNow);
+  void OnClockJump(TimePoint aNow);
+  void AdvancePhase(TimePoint aNow);
+  // True when the alarm began the questions to other homes.
+  bool StartAsking(TimePoint aNow);
   void EndProbation(bool aGood, TimePoint aNow);
   void Forgive(TimePoint aNow);
   bool IsCommonCause(const std::vector<PeerHealth>& aPeers) const;
--- a/packages/policy/src/EjectionMachine.cpp
+++ b/packages/policy/src/EjectionMachine.cpp
@@ -148,28 +148,45 @@
 std::vector<EjectionAction>
 EjectionMachine::OnTick(TimePoint aNow)
 {
-  const bool jumped = aNow - mLastTick > mOptions.mClockJump;
-  mLastTick = aNow;
-  if (jumped && mPhase == ServerPhase::kEjected) {
-    // Frozen for a while: what was permitted may be outdated. Only a fresh
-    // permission ejects again.
-    mPermission = Permission::kAsked;
-    mCallOpen = false;
-    mNextCall = aNow;
-    Enter(ServerPhase::kDemoted, aNow);
+  if (aNow - mLastTick > mOptions.mClockJump) {
+    OnClockJump(aNow);
   }
+  mLastTick = aNow;
+  AdvancePhase(aNow);
   std::vector<EjectionAction> actions;
+  if (mPhase == ServerPhase::kAsking && !mCallOpen && aNow >= mNextCall) {
+    mCallOpen = true;
+    actions.emplace_back(AskPeers());
+  } else if (auto action = PermissionAction(aNow)) {
+    actions.push_back(*action);
+  }
+  return actions;
+}
+
+// Frozen for a while: what was permitted may be outdated. Only a fresh
+// permission ejects again.
+void
+EjectionMachine::OnClockJump(TimePoint aNow)
+{
+  if (mPhase != ServerPhase::kEjected) {
+    return;
+  }
+  mPermission = Permission::kAsked;
+  mCallOpen = false;
+  mNextCall = aNow;
+  Enter(ServerPhase::kDemoted, aNow);
+}
+
+void
+EjectionMachine::AdvancePhase(TimePoint aNow)
+{
   switch (mPhase) {
     case ServerPhase::kHealthy:
       Forgive(aNow);
-      [[fallthrough]];
+      StartAsking(aNow);
+      break;
     case ServerPhase::kRamping:
-      if (Suspicious()) {
-        mNextCall = aNow;
-        mOwnFaultPolls = 0;
-        Enter(ServerPhase::kAsking, aNow);
-      } else if (mPhase == ServerPhase::kRamping &&
-                 aNow - mPhaseSince >= mOptions.mRamp) {
+      if (!StartAsking(aNow) && aNow - mPhaseSince >= mOptions.mRamp) {
         Enter(ServerPhase::kHealthy, aNow);
       }
       break;
@@ -189,13 +206,18 @@
     case ServerPhase::kProbation:
       break;
   }
-  if (mPhase == ServerPhase::kAsking && !mCallOpen && aNow >= mNextCall) {
-    mCallOpen = true;
-    actions.emplace_back(AskPeers());
-  } else if (auto action = PermissionAction(aNow)) {
-    actions.push_back(*action);
+}
+
+bool
+EjectionMachine::StartAsking(TimePoint aNow)
+{
+  if (!Suspicious()) {
+    return false;
   }
-  return actions;
+  mNextCall = aNow;
+  mOwnFaultPolls = 0;
+  Enter(ServerPhase::kAsking, aNow);
+  return true;
 }
 
 std::optional<EjectionAction>
