Say nothing of the platform when a planned stop ends the call to it

Cause: a drain logged platform_away, as it aborts the waiting watch. Change: the result of an aborted call is dropped.

--- a/packages/node/src/ConfigController.cpp
+++ b/packages/node/src/ConfigController.cpp
@@ -184,6 +184,9 @@
   if (lost) {
     delta = mClient.List(""); // the platform no longer knows changes so old
   }
+  if (mStop) {
+    return; // the call was aborted: that says nothing of the platform
+  }
   NotePlatform(delta.has_value(), delta ? "" : delta.error().mDetail);
   if (!delta) {
     AskSeeds();
