Remove what nothing calls; make the fuzz homes in one place

EntryServer counted requests in flight, which the drain does not ask (the listener waits by itself), on every request; HttpPool::InUse had no caller; two fuzz tests built their homes alike. Change: the counter and the accessor are gone; MakeHomes serves both tests. Behaviour and assertions are unchanged. Left: LocalServer::Exchange and EncodeHomeRequest copy the request with its body to add headers, on the hot path.

--- a/packages/node/include/porttiller/node/EntryServer.h
+++ b/packages/node/include/porttiller/node/EntryServer.h
@@ -24,8 +24,6 @@
   // Waits until every request has its answer.
   void Stop();
 
-  int InFlight() const { return mInFlight; }
-
 private:
   EntryServer(const Settings& aSettings,
               const ConfigController& aConfig,
@@ -43,7 +41,6 @@
   AttemptServices mServices;
   const std::vector<Filter> mFilters;
   std::atomic<bool> mDraining{ false };
-  std::atomic<int> mInFlight{ 0 };
   std::unique_ptr<HttpListener> mListener;
 };
 
--- a/packages/node/include/porttiller/node/HttpPool.h
+++ b/packages/node/include/porttiller/node/HttpPool.h
@@ -80,7 +80,6 @@
     TimePoint aDeadline);
 
   const HttpPoolOptions& Options() const { return mOptions; }
-  int InUse() const;
 
 private:
   friend class HttpExchange;
--- a/packages/node/src/EntryServer.cpp
+++ b/packages/node/src/EntryServer.cpp
@@ -16,22 +16,6 @@
   return std::to_string(std::chrono::ceil<std::chrono::seconds>(aTime).count());
 }
 
-class InFlightCount
-{
-public:
-  explicit InFlightCount(std::atomic<int>& aCount)
-    : mCount(aCount)
-  {
-    ++mCount;
-  }
-  ~InFlightCount() { --mCount; }
-  InFlightCount(const InFlightCount&) = delete;
-  InFlightCount& operator=(const InFlightCount&) = delete;
-
-private:
-  std::atomic<int>& mCount;
-};
-
 } // namespace
 
 EntryServer::EntryServer(const Settings& aSettings,
@@ -90,7 +74,6 @@
 EntryServer::Serve(Poco::Net::HTTPServerRequest& aRequest,
                    Poco::Net::HTTPServerResponse& aResponse)
 {
-  const InFlightCount count(mInFlight);
   auto context = MakeContext(aRequest);
   const auto answer = ApplyFilters(mFilters, context);
   mServices.mMetrics.CountRequest(answer.mOutcome);
--- a/packages/node/src/HttpPool.cpp
+++ b/packages/node/src/HttpPool.cpp
@@ -99,13 +99,6 @@
 
 HttpPool::~HttpPool() = default;
 
-int
-HttpPool::InUse() const
-{
-  const std::lock_guard lock(mMutex);
-  return mInUse;
-}
-
 std::unique_ptr<PooledSession>
 HttpPool::Take()
 {
--- a/packages/policy/tests/EjectionLedgerTest.cpp
+++ b/packages/policy/tests/EjectionLedgerTest.cpp
@@ -150,6 +150,17 @@
 constexpr int kHomes = 4;
 constexpr int kSlots = 3;
 
+std::vector<FakeHome>
+MakeHomes(TimePoint aNow)
+{
+  std::vector<FakeHome> homes;
+  homes.reserve(kHomes);
+  for (int i = 0; i < kHomes; ++i) {
+    homes.emplace_back(i, aNow);
+  }
+  return homes;
+}
+
 int
 WorkingSlots(const std::vector<FakeHome>& aHomes)
 {
@@ -226,11 +237,7 @@
     const auto view = Capacity(kHomes, floor);
     TimePoint now{ Millis(1000) };
     Store store;
-    std::vector<FakeHome> homes;
-    homes.reserve(kHomes);
-    for (int i = 0; i < kHomes; ++i) {
-      homes.emplace_back(i, now);
-    }
+    auto homes = MakeHomes(now);
     const auto steps = Draw(1, 300);
     for (int step = 0; step < steps; ++step) {
       Step(homes, store, view, now);
@@ -246,11 +253,7 @@
     auto view = Capacity(kHomes, Draw(0, kHomes * kSlots + 1));
     TimePoint now{ Millis(1000) };
     Store store;
-    std::vector<FakeHome> homes;
-    homes.reserve(kHomes);
-    for (int i = 0; i < kHomes; ++i) {
-      homes.emplace_back(i, now);
-    }
+    auto homes = MakeHomes(now);
     for (int step = 0; step < 100; ++step) {
       Step(homes, store, view, now);
     }
