--- /dev/null
+++ b/apps/porttiller/SettingsFile.cpp
@@ -0,0 +1,63 @@
+#include "SettingsFile.h"
+
+#include "porttiller/node/Log.h"
+
+#include <fstream>
+#include <sstream>
+#include <system_error>
+
+namespace porttiller {
+
+SettingsFile::SettingsFile(std::string aPath)
+  : mPath(std::move(aPath))
+{
+}
+
+std::filesystem::file_time_type
+SettingsFile::WrittenAt() const
+{
+  std::error_code error;
+  const auto time = std::filesystem::last_write_time(mPath, error);
+  return error ? mReadVersion : time; // an absent file changes nothing
+}
+
+bool
+SettingsFile::Changed() const
+{
+  return WrittenAt() != mReadVersion;
+}
+
+tl::expected<Settings, std::string>
+SettingsFile::Read()
+{
+  mReadVersion = WrittenAt();
+  std::ifstream stream(mPath);
+  if (!stream) {
+    return tl::make_unexpected("cannot read " + mPath + "\n");
+  }
+  std::ostringstream text;
+  text << stream.rdbuf();
+  auto settings = ParseSettings(text.str());
+  if (!settings) {
+    return tl::make_unexpected(ToText(settings.error()));
+  }
+  return std::move(*settings);
+}
+
+void
+ApplyReloaded(const Settings& aInForce, const Settings& aReloaded)
+{
+  if (aReloaded.mLogLevel != aInForce.mLogLevel) {
+    SetLogLevel(aReloaded.mLogLevel);
+  }
+  auto others = aReloaded;
+  others.mLogLevel = aInForce.mLogLevel;
+  // Only the first life of a box has this set, so it changes for every box.
+  others.mRegistration.mFirstStart = aInForce.mRegistration.mFirstStart;
+  const bool needsStart = ToJsonText(others) != ToJsonText(aInForce);
+  LogLine(LogLevel::kInfo, "settings_reloaded")
+    .With("log_level", aReloaded.mLogLevel)
+    .With("other_changes", needsStart ? "in force at the next start" : "none");
+}
+
+} // namespace porttiller
--- a/apps/porttiller/main.cpp
+++ b/apps/porttiller/main.cpp
@@ -1,15 +1,15 @@
 // The daemon: porttiller --config FILE
-#include "porttiller/config/Settings.h"
+#include "SettingsFile.h"
 #include "porttiller/node/Log.h"
 #include "porttiller/node/Node.h"
 
 #include <csignal>
+#include <cstdlib>
+#include <ctime>
 #include <cxxopts.hpp>
 #include <exception>
-#include <fstream>
 #include <iostream>
 #include <pthread.h>
-#include <sstream>
 
 namespace {
 
@@ -18,6 +18,8 @@
 constexpr int kExitOk = 0;
 constexpr int kExitFailed = 1;
 constexpr int kExitBadSettings = 2;
+// How often the settings file is looked at; it may change without a signal.
+constexpr timespec kFileCheck{ .tv_sec = 2, .tv_nsec = 0 };
 
 cxxopts::Options
 MakeOptions()
@@ -27,67 +29,108 @@
   options.add_options()("config",
                         "settings, JSON with comments",
                         cxxopts::value<std::string>(),
-                        "FILE")("check", "check the settings and end")(
+                        "FILE")("config-env",
+                                "as --config, with the file's path in this "
+                                "environment variable",
+                                cxxopts::value<std::string>(),
+                                "NAME")("check", "check the settings and end")(
     "print-config", "print the settings in force and end")(
     "version", "print the version and end")("help", "print this and end");
   return options;
 }
 
-// Signals are taken by WaitForStop; every thread started later inherits this.
-void
-BlockStopSignals()
+sigset_t
+HandledSignals()
 {
   sigset_t signals;
   sigemptyset(&signals);
   sigaddset(&signals, SIGTERM);
   sigaddset(&signals, SIGINT);
+  sigaddset(&signals, SIGHUP);
+  return signals;
+}
+
+// Signals are taken by WaitForStop; every thread started later inherits this.
+// Writing to a closed connection is an error of that write and no more.
+void
+PrepareSignals()
+{
+  const auto signals = HandledSignals();
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
 }
 
 void
-WaitForStop()
+Reload(SettingsFile& aFile, const Settings& aInForce)
 {
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
-  int received = 0;
-  sigwait(&signals, &received);
+  const auto reloaded = aFile.Read();
+  if (reloaded) {
+    ApplyReloaded(aInForce, *reloaded);
+    return;
+  }
+  LogLine(LogLevel::kError, "settings_rejected")
+    .With("problem", reloaded.error());
+}
+
+// Returns on a signal to stop. Looks after the settings file until then.
+void
+WaitForStop(SettingsFile& aFile, const Settings& aInForce)
+{
+  const auto signals = HandledSignals();
+  for (;;) {
+    const auto signal = sigtimedwait(&signals, nullptr, &kFileCheck);
+    if (signal == SIGTERM || signal == SIGINT) {
+      LogLine(LogLevel::kInfo, "stopping").With("signal", signal);
+      return;
+    }
+    if (signal == SIGHUP || aFile.Changed()) {
+      Reload(aFile, aInForce);
+    }
+  }
 }
 
 int
-Serve(const Settings& aSettings)
+Serve(SettingsFile& aFile, const Settings& aSettings)
 {
-  BlockStopSignals();
+  PrepareSignals();
   SetUpLog(aSettings.mBox.Value(), aSettings.mLogLevel);
   const auto node = Node::Make(aSettings);
   if (!node) {
     std::cerr << "porttiller: cannot listen: " << node.error().mDetail << "\n";
     return kExitFailed;
   }
-  WaitForStop();
+  WaitForStop(aFile, aSettings);
   (*node)->Drain();
   return kExitOk;
 }
 
+// Empty when none is named.
+std::string
+SettingsPath(const cxxopts::ParseResult& aArguments)
+{
+  if (aArguments.count("config") > 0) {
+    return aArguments["config"].as<std::string>();
+  }
+  if (aArguments.count("config-env") > 0) {
+    const auto name = aArguments["config-env"].as<std::string>();
+    const char* path = std::getenv(name.c_str());
+    return path == nullptr ? "" : path;
+  }
+  return {};
+}
+
 int
 Run(const cxxopts::ParseResult& aArguments)
 {
-  if (aArguments.count("config") == 0) {
+  const auto path = SettingsPath(aArguments);
+  if (path.empty()) {
     std::cerr << "porttiller: --config FILE is required\n";
     return kExitBadSettings;
   }
-  const auto file = aArguments["config"].as<std::string>();
-  std::ifstream stream(file);
-  if (!stream) {
-    std::cerr << "porttiller: cannot read " << file << "\n";
-    return kExitBadSettings;
-  }
-  std::ostringstream text;
-  text << stream.rdbuf();
-  const auto settings = ParseSettings(text.str());
+  SettingsFile file(path);
+  const auto settings = file.Read();
   if (!settings) {
-    std::cerr << ToText(settings.error());
+    std::cerr << "porttiller: " << settings.error();
     return kExitBadSettings;
   }
   if (aArguments.count("print-config") > 0) {
@@ -95,10 +138,10 @@
     return kExitOk;
   }
   if (aArguments.count("check") > 0) {
-    std::cout << file << ": ok\n";
+    std::cout << path << ": ok\n";
     return kExitOk;
   }
-  return Serve(*settings);
+  return Serve(file, *settings);
 }
 
 } // namespace
--- a/apps/porttillerctl/Commands.cpp
+++ b/apps/porttillerctl/Commands.cpp
@@ -2,8 +2,8 @@
 
 #include "porttiller/config/JsonText.h"
 #include "porttiller/config/Resources.h"
-#include "porttiller/node/HttpPool.h"
-#include "porttiller/platform/SettledWrite.h"
+#include "porttiller/http/HttpPool.h"
+#include "porttiller/store/SettledWrite.h"
 
 #include <Poco/Exception.h>
 #include <Poco/JSON/Array.h>
@@ -180,7 +180,7 @@
   auto version = aDocument.mVersion;
   if (version == 0) {
     const auto held = aClient.Get(aDocument.mKey);
-    if (!held && held.error().mKind != PlatformErrorKind::kNotFound) {
+    if (!held && held.error().mKind != StoreErrorKind::kNotFound) {
       return ReportError("apply", held.error());
     }
     version = held ? held->mVersion : 0;
--- a/apps/porttillerctl/Commands.h
+++ b/apps/porttillerctl/Commands.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "Output.h"
-#include "porttiller/platform/ObjectClient.h"
+#include "porttiller/store/ObjectClient.h"
 
 #include <string>
 #include <vector>
--- a/apps/porttillerctl/Output.cpp
+++ b/apps/porttillerctl/Output.cpp
@@ -96,22 +96,22 @@
 }
 
 ExitCode
-ReportError(const std::string& aWhat, const PlatformError& aError)
+ReportError(const std::string& aWhat, const StoreError& aError)
 {
   std::cerr << "porttillerctl: " << aWhat << ": " << ToText(aError.mKind)
             << ": " << aError.mDetail << "\n";
   switch (aError.mKind) {
-    case PlatformErrorKind::kUnavailable:
+    case StoreErrorKind::kUnavailable:
       return ExitCode::kUnavailable;
-    case PlatformErrorKind::kAmbiguous:
+    case StoreErrorKind::kAmbiguous:
       return ExitCode::kUnclear;
-    case PlatformErrorKind::kNotFound:
+    case StoreErrorKind::kNotFound:
       return ExitCode::kNotFound;
-    case PlatformErrorKind::kConflict:
+    case StoreErrorKind::kConflict:
       return ExitCode::kConflict;
-    case PlatformErrorKind::kRefused:
+    case StoreErrorKind::kRefused:
       return ExitCode::kInvalid;
-    case PlatformErrorKind::kBadAnswer:
+    case StoreErrorKind::kBadAnswer:
       break;
   }
   return ExitCode::kFailed;
--- a/apps/porttillerctl/Output.h
+++ b/apps/porttillerctl/Output.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "porttiller/config/ObjectSet.h"
-#include "porttiller/platform/PlatformError.h"
+#include "porttiller/store/StoreError.h"
 
 #include <string>
 #include <vector>
@@ -42,6 +42,6 @@
 
 // Says on stderr what is wrong, and returns its exit code.
 ExitCode
-ReportError(const std::string& aWhat, const PlatformError& aError);
+ReportError(const std::string& aWhat, const StoreError& aError);
 
 } // namespace porttiller::ctl
--- a/apps/porttillerctl/StatusCommand.cpp
+++ b/apps/porttillerctl/StatusCommand.cpp
@@ -68,10 +68,10 @@
   return "working";
 }
 
-tl::expected<Report, PlatformError>
+tl::expected<Report, StoreError>
 ReadReport(ObjectClient& aClient)
 {
-  const auto list = aClient.List("");
+  const auto list = aClient.ListConfiguration();
   if (!list) {
     return tl::make_unexpected(list.error());
   }
--- a/bench/CapacityBench.cpp
+++ b/bench/CapacityBench.cpp
@@ -198,7 +198,9 @@
   const double lookups = Seconds([&] {
     for (int i = 0; i < kLookups; ++i) {
       held.mSnapshot->mRoutes.Find(
-        "GET", "/workspace-" + std::to_string(i % kTargetRoutes) + "/api/x/y");
+        "",
+        "GET",
+        "/workspace-" + std::to_string(i % kTargetRoutes) + "/api/x/y");
     }
   });
   PrintPlain("route_lookup", "4900 routes", lookups / kLookups * 1e6, "us");
--- a/bench/HopBench.cpp
+++ b/bench/HopBench.cpp
@@ -1,8 +1,8 @@
 // The hop between boxes two ways: pooled kept-alive HTTP, as requests go, and
 // ZeroMQ, as control messages go: HopBench [quick]
 #include "Figure.h"
-#include "porttiller/node/HttpPool.h"
-#include "porttiller/node/HttpServing.h"
+#include "porttiller/http/HttpListener.h"
+#include "porttiller/http/HttpPool.h"
 #include "porttiller/peer/PeerTransport.h"
 
 #include <functional>
@@ -71,12 +71,9 @@
 MeasureHttp(double aSeconds)
 {
   const auto listener = HttpListener::Make(
-    { .mAddress = kHttpAddress, .mThreads = 64 },
-    [](auto& aRequest, auto& aResponse) {
-      std::string body(kBody.size(), '\0');
-      aRequest.stream().read(body.data(),
-                             static_cast<std::streamsize>(body.size()));
-      SendWhole(aResponse, false, 200, {}, body);
+    { .mAddress = kHttpAddress, .mWorkers = 64 }, [](HttpCall& aCall) {
+      return HttpReply{ .mAnswer = { .mStatus = 200,
+                                     .mBody = std::move(aCall.mHttp.mBody) } };
     });
   HttpPool pool({ .mAddress = kHttpAddress, .mMaxConnections = kThreads });
   const HttpRequestData request{ .mMethod = "POST",
--- /dev/null
+++ b/packages/config/include/porttiller/config/BoxRecord.h
@@ -0,0 +1,61 @@
+// What a box tells about itself and its backend server, where no operator
+// lists them. The box alone writes its record, and each change raises the
+// record's revision, so of two versions the higher one holds.
+#pragma once
+
+#include "porttiller/config/Resources.h"
+#include "porttiller/core/Ids.h"
+
+#include <optional>
+#include <string>
+#include <tl/expected.hpp>
+
+namespace porttiller {
+
+enum class ServerState
+{
+  kReady,
+  kDraining, // said that it will leave; finishes what it has
+  kLeft      // said that it leaves now
+};
+
+const char*
+ToText(ServerState aState);
+
+// The backend server beside a box, in one of its lives.
+struct ServerRecord
+{
+  BackendServerName mId; // drawn anew in each life of the server
+  ServiceName mService;
+  std::string mAddress; // "ip:port", reached from its own box
+  int mSlots = 1;
+  ServerState mState = ServerState::kReady;
+  std::uint64_t mSequence = 0; // of the server's message that said so
+
+  friend auto operator<=>(const ServerRecord&, const ServerRecord&) = default;
+};
+
+struct BoxRecord
+{
+  BoxSpec mBox;
+  Incarnation mIncarnation;
+  std::uint64_t mRevision = 0;
+  std::optional<ServerRecord> mServer;
+
+  friend auto operator<=>(const BoxRecord&, const BoxRecord&) = default;
+};
+
+// The store's kind of these objects; their names are those of the boxes.
+inline constexpr const char* kBoxRecordKind = "box-records";
+
+// The server as routing takes it. The record must have one.
+BackendServerSpec
+SpecOf(const BoxRecord& aRecord);
+
+std::string
+ToJsonText(const BoxRecord& aRecord);
+
+tl::expected<BoxRecord, FieldErrors>
+ParseBoxRecord(const std::string& aText);
+
+} // namespace porttiller
--- a/packages/config/include/porttiller/config/FieldReader.h
+++ b/packages/config/include/porttiller/config/FieldReader.h
@@ -49,12 +49,19 @@
   std::int64_t IntegerOr(const std::string& aName,
                          IntegerRange aRange,
                          std::int64_t aDefault);
+  // A number from aMin to aMax.
+  double NumberOr(const std::string& aName,
+                  double aMin,
+                  double aMax,
+                  double aDefault);
   std::optional<bool> OptionalBool(const std::string& aName);
   std::vector<std::string> Strings(const std::string& aName);
   std::vector<std::string> Addresses(const std::string& aName);
   // A required "ip:port".
   std::string Address(const std::string& aName);
   std::string AddressOr(const std::string& aName, const std::string& aDefault);
+  // The objects of an array; none when it is absent.
+  std::vector<FieldReader> Children(const std::string& aName);
   // An object within this one; an empty one when absent.
   FieldReader Child(const std::string& aName);
   bool Has(const std::string& aName) const;
--- a/packages/config/include/porttiller/config/JsonText.h
+++ b/packages/config/include/porttiller/config/JsonText.h
@@ -2,7 +2,9 @@
 #pragma once
 
 #include "porttiller/config/FieldReader.h"
+#include "porttiller/config/StoreMessages.h"
 
+#include <Poco/Exception.h>
 #include <string>
 #include <tl/expected.hpp>
 
@@ -16,4 +18,20 @@
 std::string
 ToJsonText(const Poco::JSON::Object& aObject);
 
+// Runs a reader over the object in aText; what the reader throws is an error.
+template<typename Reader>
+auto
+DecodeJson(const std::string& aText, Reader aReader)
+  -> Decoded<decltype(aReader(std::declval<Poco::JSON::Object&>()))>
+{
+  try {
+    if (const auto json = ParseJsonObject(aText)) {
+      return aReader(**json);
+    }
+  } catch (const Poco::Exception& e) {
+    return tl::make_unexpected(DialectError{ e.displayText() });
+  }
+  return tl::make_unexpected(DialectError{ "the text is no JSON object" });
+}
+
 } // namespace porttiller
--- a/packages/config/include/porttiller/config/ObjectSet.h
+++ b/packages/config/include/porttiller/config/ObjectSet.h
@@ -39,6 +39,8 @@
   std::uint64_t mTo = 0;
   bool mFull = false;
   std::vector<Object> mObjects;
+  // Where the store's next watch goes on; at or after mTo.
+  std::uint64_t mCursor = 0;
 
   friend bool operator==(const ObjectDelta&, const ObjectDelta&) = default;
 };
--- a/packages/config/include/porttiller/config/Resources.h
+++ b/packages/config/include/porttiller/config/Resources.h
@@ -32,6 +32,10 @@
   Millis mDefaultDeadline{ 5000 };
   // Retries as a share of first attempts.
   int mRetryPercent = 20;
+  // Retries that the whole fleet may make beyond that share, in a few seconds.
+  int mRetryBurst = 50;
+  // Where a backend server answers health checks; empty: it has none.
+  std::string mHealthPath;
 
   friend auto operator<=>(const ServiceSpec&, const ServiceSpec&) = default;
 };
@@ -44,20 +48,37 @@
   std::string mAddress; // "ip:port", reached from its own box
   int mSlots = 1;       // requests that it runs at once
   int mConnections = 1;
+  bool mLeaving = false; // finishes what it has and takes nothing new
 
   friend auto operator<=>(const BackendServerSpec&,
                           const BackendServerSpec&) = default;
 };
 
+// A part of a route's requests.
+struct RouteTarget
+{
+  ServiceName mService;
+  int mWeight = 1; // relative to the other targets of the route
+
+  friend auto operator<=>(const RouteTarget&, const RouteTarget&) = default;
+};
+
 struct RouteSpec
 {
   std::string mName;
-  std::string mPathPrefix; // whole segments: "/a" matches "/a" and "/a/b"
+  std::string mHost; // lower case, without a port; empty: any host
+  // Whole segments: "/a" matches "/a" and "/a/b", and "/a/" only the latter.
+  std::string mPathPrefix;
   std::vector<std::string> mMethods; // empty: every method
-  ServiceName mService;
+  std::vector<RouteTarget> mTargets; // at least one
   Priority mPriority = Priority::kNormal;
   // Null: GET and HEAD are repeatable and nothing else is.
   std::optional<bool> mRepeatable;
+  // The longest that a request is held; null: as long as its caller waits.
+  std::optional<Millis> mTimeout;
+  // An answer within this time is worth the most; null: nothing is known.
+  std::optional<Millis> mTarget;
+  int mMaxAttempts = 0; // backend servers for one request; 0: no limit here
 
   friend auto operator<=>(const RouteSpec&, const RouteSpec&) = default;
 };
@@ -80,15 +101,27 @@
   friend auto operator<=>(const BoxSpec&, const BoxSpec&) = default;
 };
 
+// What callers may send, and how long they may take. One object, "callers".
+struct LimitsSpec
+{
+  int mMaxHeaderBytes = 0;
+  int mMaxBodyBytes = 0;
+  Millis mHeaderTimeout{ 0 }; // from the first byte of a request to its last
+  Millis mIdleTimeout{ 0 };   // of a connection between two requests
+
+  friend auto operator<=>(const LimitsSpec&, const LimitsSpec&) = default;
+};
+
 using Resource =
-  std::variant<ServiceSpec, BackendServerSpec, RouteSpec, BoxSpec>;
+  std::variant<ServiceSpec, BackendServerSpec, RouteSpec, BoxSpec, LimitsSpec>;
 
 inline constexpr const char* kServiceKind = "Service";
 inline constexpr const char* kBackendServerKind = "BackendServer";
 inline constexpr const char* kRouteKind = "Route";
 inline constexpr const char* kBoxKind = "Box";
+inline constexpr const char* kLimitsKind = "Limits";
 
-// True for the four kinds above; other kinds are no configuration.
+// True for the five kinds above; other kinds are no configuration.
 bool
 IsConfigKind(const std::string& aKind);
 
--- a/packages/config/include/porttiller/config/RouteTable.h
+++ b/packages/config/include/porttiller/config/RouteTable.h
@@ -17,17 +17,25 @@
 public:
   void Add(const RouteSpec& aRoute);
 
-  // aPath is the decoded path without its query. Cost: one hash look-up for
-  // each segment, whatever the number of routes. Null when none matches.
-  const RouteSpec* Find(std::string_view aMethod, std::string_view aPath) const;
+  // aHost is in lower case and without a port; aPath is the decoded path
+  // without its query. Routes of the host go before those for any host, and
+  // longer prefixes before shorter ones. Cost: a few hash look-ups for each
+  // segment, whatever the number of routes. Null when none matches.
+  const RouteSpec* Find(std::string_view aHost,
+                        std::string_view aMethod,
+                        std::string_view aPath) const;
 
   std::size_t Size() const { return mSize; }
 
 private:
-  const RouteSpec* FindAt(const std::string& aPrefix,
+  const RouteSpec* FindAt(const std::string& aKey,
                           std::string_view aMethod) const;
+  const RouteSpec* FindOfHost(std::string_view aHost,
+                              std::string_view aMethod,
+                              std::string_view aPath) const;
 
-  std::unordered_map<std::string, std::vector<RouteSpec>> mByPrefix;
+  std::unordered_map<std::string, std::vector<RouteSpec>>
+    mByKey; // host and prefix
   std::size_t mSize = 0;
 };
 
--- a/packages/config/include/porttiller/config/Settings.h
+++ b/packages/config/include/porttiller/config/Settings.h
@@ -28,11 +28,55 @@
   int mConnectionsPerBox = 16;
   // Control addresses asked for the configuration while the platform is away.
   std::vector<std::string> mSeeds;
+  // The boxes of mSeeds take control messages at this port, whatever port is
+  // given there; 0: at the one that is given.
+  int mSeedPort = 0;
+  Millis mConnectTimeout{ 150 };
+  // Sent bytes that a box leaves unacknowledged for so long end a connection.
+  Millis mUserTimeout{ 700 };
+};
+
+// How the platform and callers speak to this daemon.
+enum class Dialect
+{
+  kNative, // docs/API.md
+  kMesh    // the users' machines; only platform/ knows its words
+};
+
+// What a home does with a backend server that fails.
+enum class FailingServers
+{
+  kEject, // by the ejection machine, with permissions from the platform
+  kBreak  // by the circuit breaker, which asks nobody
+};
+
+// Where backend servers tell about themselves; empty: operators list them.
+struct RegistrationSettings
+{
+  std::string mAddress;
+  // No earlier life of this box may have left anything behind.
+  bool mFirstStart = false;
+};
+
+// Where the platform asks whether callers may send; empty: nowhere.
+struct ReadinessSettings
+{
+  std::string mAddress;
+  std::string mPath = "/ready";
+};
+
+// Bounds that hold for the whole fleet, whatever a service's spec says.
+struct RetrySettings
+{
+  double mShare = 1.0; // of the first attempts
+  int mBurst = 1'000'000;
 };
 
 struct TimingSettings
 {
   Millis mDrain{ 10'000 }; // bound of a planned stop
+  // After the start of a planned stop callers may still send for so long.
+  Millis mDrainNotice{ 300 };
   Millis mProbeInterval{ 1000 };
   Millis mProbeTimeout{ 300 };
   Millis mAttemptPatience{ 1000 }; // until the home is asked about an attempt
@@ -47,10 +91,20 @@
   PeerSettings mPeers;
   std::string mAdminAddress = "127.0.0.1:8083";
   std::string mPlatformAddress;
+  Dialect mDialect = Dialect::kNative;
+  FailingServers mFailingServers = FailingServers::kEject;
+  ServiceName mService; // of the backend server on this box; may be empty
+  RegistrationSettings mRegistration;
+  ReadinessSettings mReadiness;
+  RetrySettings mRetries;
   std::string mLogLevel = "info";
   TimingSettings mTiming;
 };
 
+// The control addresses of the seeds.
+std::vector<std::string>
+SeedAddresses(const Settings& aSettings);
+
 // Checks every key and reports all errors at once.
 tl::expected<Settings, FieldErrors>
 ParseSettings(const std::string& aText);
--- a/packages/config/include/porttiller/config/Snapshot.h
+++ b/packages/config/include/porttiller/config/Snapshot.h
@@ -1,6 +1,7 @@
 // The configuration in force: typed, cross-checked, and switched in one step.
 #pragma once
 
+#include "porttiller/config/BoxRecord.h"
 #include "porttiller/config/ObjectSet.h"
 #include "porttiller/config/Resources.h"
 #include "porttiller/config/RouteTable.h"
@@ -36,6 +37,9 @@
   std::map<BoxName, BoxSpec> mBoxes;
   RouteTable mRoutes;
   std::vector<Rejection> mRejections;
+  std::optional<LimitsSpec> mLimits;
+  // Boxes that told about themselves, by their incarnations.
+  std::map<BoxName, Incarnation> mIncarnations;
 
   const ServiceEntry* FindService(const ServiceName& aName) const;
   const BoxSpec* FindBox(const BoxName& aName) const;
@@ -49,8 +53,10 @@
 {
 public:
   // Takes over the keys that changed in aObjects; parses nothing else.
+  // aDirectory adds the boxes and servers that told about themselves.
   SnapshotPtr Build(const ObjectSet& aObjects,
-                    const std::vector<ObjectKey>& aChanged);
+                    const std::vector<ObjectKey>& aChanged,
+                    const std::vector<BoxRecord>& aDirectory = {});
 
 private:
   void Take(const ObjectSet& aObjects, const ObjectKey& aKey);
--- /dev/null
+++ b/packages/config/src/BoxRecord.cpp
@@ -0,0 +1,128 @@
+#include "porttiller/config/BoxRecord.h"
+
+#include "porttiller/config/JsonText.h"
+
+#include <array>
+#include <cassert>
+
+namespace porttiller {
+
+namespace {
+
+constexpr std::array kStates = { "ready", "draining", "left" };
+constexpr IntegerRange kSlots{ .mMin = 1, .mMax = 100'000 };
+
+std::optional<ServerState>
+ParseState(const std::string& aText)
+{
+  for (std::size_t i = 0; i < kStates.size(); ++i) {
+    if (aText == kStates.at(i)) {
+      return static_cast<ServerState>(i);
+    }
+  }
+  return std::nullopt;
+}
+
+// 64-bit numbers are text: JSON readers may not keep them.
+std::uint64_t
+ReadNumber(FieldReader& aReader, const std::string& aName)
+{
+  const auto number = ParseUnsigned(aReader.String(aName));
+  if (!number) {
+    aReader.Fail(aName, "must be a decimal number as text");
+  }
+  return number.value_or(0);
+}
+
+ServerRecord
+ReadServer(FieldReader aReader)
+{
+  ServerRecord server{ .mId = BackendServerName(aReader.String("id")) };
+  server.mService = ServiceName(aReader.String("service"));
+  server.mAddress = aReader.Address("address");
+  server.mSlots = static_cast<int>(aReader.Integer("slots", kSlots));
+  const auto state = ParseState(aReader.String("state"));
+  if (!state) {
+    aReader.Fail("state", "must be \"ready\", \"draining\" or \"left\"");
+  }
+  server.mState = state.value_or(ServerState::kReady);
+  server.mSequence = ReadNumber(aReader, "sequence");
+  return server;
+}
+
+} // namespace
+
+const char*
+ToText(ServerState aState)
+{
+  return kStates.at(static_cast<std::size_t>(aState));
+}
+
+BackendServerSpec
+SpecOf(const BoxRecord& aRecord)
+{
+  assert(aRecord.mServer);
+  const auto& server = *aRecord.mServer;
+  return { .mName = server.mId,
+           .mService = server.mService,
+           .mBox = aRecord.mBox.mName,
+           .mAddress = server.mAddress,
+           .mSlots = server.mSlots,
+           .mConnections = server.mSlots,
+           .mLeaving = server.mState != ServerState::kReady };
+}
+
+std::string
+ToJsonText(const BoxRecord& aRecord)
+{
+  Poco::JSON::Object document;
+  document.set("box", aRecord.mBox.mName.Value());
+  document.set("zone", aRecord.mBox.mZone.Value());
+  document.set("home", aRecord.mBox.mHomeAddress);
+  document.set("control", aRecord.mBox.mControlAddress);
+  document.set("leaving", aRecord.mBox.mState == BoxState::kLeaving);
+  document.set("incarnation", std::to_string(aRecord.mIncarnation.Value()));
+  document.set("revision", std::to_string(aRecord.mRevision));
+  if (aRecord.mServer) {
+    Poco::JSON::Object server;
+    server.set("id", aRecord.mServer->mId.Value());
+    server.set("service", aRecord.mServer->mService.Value());
+    server.set("address", aRecord.mServer->mAddress);
+    server.set("slots", aRecord.mServer->mSlots);
+    server.set("state", ToText(aRecord.mServer->mState));
+    server.set("sequence", std::to_string(aRecord.mServer->mSequence));
+    document.set("server", server);
+  }
+  return ToJsonText(document);
+}
+
+tl::expected<BoxRecord, FieldErrors>
+ParseBoxRecord(const std::string& aText)
+{
+  auto document = ParseJsonObject(aText);
+  if (!document) {
+    return tl::make_unexpected(document.error());
+  }
+  FieldErrors errors;
+  FieldReader reader(*document, "record", errors);
+  BoxRecord record;
+  record.mBox.mName = BoxName(reader.String("box"));
+  record.mBox.mZone = AvailabilityZone(reader.String("zone"));
+  record.mBox.mHomeAddress = reader.Address("home");
+  record.mBox.mControlAddress = reader.Address("control");
+  if (reader.OptionalBool("leaving").value_or(false)) {
+    record.mBox.mState = BoxState::kLeaving;
+  }
+  record.mIncarnation = Incarnation(ReadNumber(reader, "incarnation"));
+  record.mRevision = ReadNumber(reader, "revision");
+  if (reader.Has("server")) {
+    record.mServer = ReadServer(reader.Child("server"));
+  }
+  // Unknown keys are a later version's and are passed over.
+  if (!errors.empty()) {
+    return tl::make_unexpected(std::move(errors));
+  }
+  return record;
+}
+
+} // namespace porttiller
--- a/packages/config/src/FieldReader.cpp
+++ b/packages/config/src/FieldReader.cpp
@@ -150,6 +150,28 @@
   return Has(aName) ? ReadInteger(aName, aRange).value_or(aDefault) : aDefault;
 }
 
+double
+FieldReader::NumberOr(const std::string& aName,
+                      double aMin,
+                      double aMax,
+                      double aDefault)
+{
+  mKnown.insert(aName);
+  if (!Has(aName)) {
+    return aDefault;
+  }
+  const auto value = mObject->get(aName);
+  const bool numeric = value.isNumeric() && !value.isBoolean();
+  const double number = numeric ? value.convert<double>() : aMin;
+  if (!numeric || number < aMin || number > aMax) {
+    Fail(aName,
+         "must be a number from " + std::to_string(aMin) + " to " +
+           std::to_string(aMax));
+    return aDefault;
+  }
+  return number;
+}
+
 std::optional<bool>
 FieldReader::OptionalBool(const std::string& aName)
 {
@@ -201,6 +223,27 @@
   return texts;
 }
 
+std::vector<FieldReader>
+FieldReader::Children(const std::string& aName)
+{
+  mKnown.insert(aName);
+  std::vector<FieldReader> children;
+  if (!Has(aName)) {
+    return children;
+  }
+  const auto array = mObject->getArray(aName);
+  for (unsigned i = 0; !array.isNull() && i < array->size(); ++i) {
+    const auto path = PathOf(aName) + "[" + std::to_string(i) + "]";
+    if (const auto child = array->getObject(i)) {
+      children.push_back({ child, path, mErrors });
+    }
+  }
+  if (array.isNull() || children.size() != array->size()) {
+    Fail(aName, "must be an array of objects");
+  }
+  return children;
+}
+
 FieldReader
 FieldReader::Child(const std::string& aName)
 {
--- a/packages/config/src/ObjectSet.cpp
+++ b/packages/config/src/ObjectSet.cpp
@@ -65,13 +65,17 @@
     mDigest ^= DigestOf(held);
   }
   mTombstones.erase(held.mVersion);
+  const bool same = held.mVersion != 0 && !held.mDeleted && !aObject.mDeleted &&
+                    held.mSpecJson == aObject.mSpecJson;
   held = aObject;
   if (held.mDeleted) {
     mTombstones[held.mVersion] = held.mKey;
   } else {
     mDigest ^= DigestOf(held);
   }
-  aChanged.push_back(aObject.mKey);
+  if (!same) {
+    aChanged.push_back(aObject.mKey);
+  }
 }
 
 void
--- a/packages/config/src/Resources.cpp
+++ b/packages/config/src/Resources.cpp
@@ -2,6 +2,8 @@
 
 #include "porttiller/config/JsonText.h"
 
+#include <Poco/String.h>
+
 namespace porttiller {
 
 namespace {
@@ -9,8 +11,14 @@
 constexpr IntegerRange kSlots{ .mMin = 1, .mMax = 100'000 };
 constexpr IntegerRange kFloor{ .mMin = 0, .mMax = 10'000'000 };
 constexpr IntegerRange kDeadlineMs{ .mMin = 1, .mMax = 600'000 };
+constexpr IntegerRange kWeight{ .mMin = 0, .mMax = 1'000'000 };
+constexpr IntegerRange kAttempts{ .mMin = 0, .mMax = 100 };
+constexpr IntegerRange kBurst{ .mMin = 0, .mMax = 1'000'000 };
+constexpr IntegerRange kLimitBytes{ .mMin = 1, .mMax = 1 << 30 };
+constexpr IntegerRange kLimitMs{ .mMin = 1, .mMax = 3'600'000 };
 constexpr IntegerRange kPercent{ .mMin = 0, .mMax = 100 };
 constexpr int kDefaultRetryPercent = 20;
+constexpr int kDefaultRetryBurst = 50;
 constexpr int kDefaultDeadlineMs = 5000;
 constexpr int kDefaultConnections = 100;
 
@@ -30,6 +38,9 @@
     aReader.IntegerOr("default_deadline_ms", kDeadlineMs, kDefaultDeadlineMs));
   spec.mRetryPercent = static_cast<int>(
     aReader.IntegerOr("retry_percent", kPercent, kDefaultRetryPercent));
+  spec.mRetryBurst = static_cast<int>(
+    aReader.IntegerOr("retry_burst", kBurst, kDefaultRetryBurst));
+  spec.mHealthPath = aReader.StringOr("health_path", "");
   return spec;
 }
 
@@ -46,6 +57,39 @@
   return spec;
 }
 
+std::optional<Millis>
+OptionalMillis(FieldReader& aReader, const std::string& aName)
+{
+  if (!aReader.Has(aName)) {
+    return std::nullopt;
+  }
+  return Millis(aReader.Integer(aName, kDeadlineMs));
+}
+
+// "service" is short for a split with one part.
+std::vector<RouteTarget>
+ParseTargets(FieldReader& aReader)
+{
+  std::vector<RouteTarget> targets;
+  for (auto& part : aReader.Children("split")) {
+    RouteTarget target{ .mService = ServiceName(part.String("service")) };
+    target.mWeight = static_cast<int>(part.Integer("weight", kWeight));
+    part.RefuseUnknown();
+    targets.push_back(target);
+  }
+  if (targets.empty()) {
+    targets.push_back({ .mService = ServiceName(aReader.String("service")) });
+  }
+  int sum = 0;
+  for (const auto& target : targets) {
+    sum += target.mWeight;
+  }
+  if (sum == 0) {
+    aReader.Fail("split", "must have a weight above 0");
+  }
+  return targets;
+}
+
 Resource
 ParseRoute(const std::string& aName, FieldReader& aReader)
 {
@@ -54,11 +98,13 @@
   if (!spec.mPathPrefix.empty() && spec.mPathPrefix.front() != '/') {
     aReader.Fail("path_prefix", "must start with \"/\"");
   }
-  if (spec.mPathPrefix.size() > 1 && spec.mPathPrefix.back() == '/') {
-    aReader.Fail("path_prefix", "must not end with \"/\"");
-  }
+  spec.mHost = Poco::toLower(aReader.StringOr("host", ""));
   spec.mMethods = aReader.Strings("methods");
-  spec.mService = ServiceName(aReader.String("service"));
+  spec.mTargets = ParseTargets(aReader);
+  spec.mTimeout = OptionalMillis(aReader, "timeout_ms");
+  spec.mTarget = OptionalMillis(aReader, "target_ms");
+  spec.mMaxAttempts =
+    static_cast<int>(aReader.IntegerOr("max_attempts", kAttempts, 0));
   const auto priority = ParsePriority(aReader.StringOr("priority", "normal"));
   if (priority) {
     spec.mPriority = *priority;
@@ -89,6 +135,24 @@
   return spec;
 }
 
+Resource
+ParseLimits(const std::string& aName, FieldReader& aReader)
+{
+  if (aName != "callers") {
+    aReader.Fail("(name)", "must be \"callers\"");
+  }
+  const auto bytes = [&](const char* aField) {
+    return static_cast<int>(aReader.Integer(aField, kLimitBytes));
+  };
+  const auto time = [&](const char* aField) {
+    return Millis(aReader.Integer(aField, kLimitMs));
+  };
+  return LimitsSpec{ .mMaxHeaderBytes = bytes("max_header_bytes"),
+                     .mMaxBodyBytes = bytes("max_body_bytes"),
+                     .mHeaderTimeout = time("header_timeout_ms"),
+                     .mIdleTimeout = time("idle_timeout_ms") };
+}
+
 using ParseFunction = Resource (*)(const std::string&, FieldReader&);
 
 ParseFunction
@@ -103,6 +167,9 @@
   if (aKind == kRouteKind) {
     return ParseRoute;
   }
+  if (aKind == kLimitsKind) {
+    return ParseLimits;
+  }
   return aKind == kBoxKind ? ParseBox : nullptr;
 }
 
--- a/packages/config/src/RouteTable.cpp
+++ b/packages/config/src/RouteTable.cpp
@@ -14,12 +14,21 @@
          std::find(methods.begin(), methods.end(), aMethod) != methods.end();
 }
 
+// A host has no slash and a prefix begins with one, so keys are unambiguous.
+std::string
+KeyOf(std::string_view aHost, std::string_view aPrefix)
+{
+  std::string key(aHost);
+  key += aPrefix;
+  return key;
+}
+
 } // namespace
 
 void
 RouteTable::Add(const RouteSpec& aRoute)
 {
-  auto& routes = mByPrefix[aRoute.mPathPrefix];
+  auto& routes = mByKey[KeyOf(aRoute.mHost, aRoute.mPathPrefix)];
   routes.push_back(aRoute);
   // A route that names methods goes before one for every method.
   std::stable_sort(routes.begin(),
@@ -31,10 +40,10 @@
 }
 
 const RouteSpec*
-RouteTable::FindAt(const std::string& aPrefix, std::string_view aMethod) const
+RouteTable::FindAt(const std::string& aKey, std::string_view aMethod) const
 {
-  const auto it = mByPrefix.find(aPrefix);
-  if (it == mByPrefix.end()) {
+  const auto it = mByKey.find(aKey);
+  if (it == mByKey.end()) {
     return nullptr;
   }
   for (const auto& route : it->second) {
@@ -46,20 +55,36 @@
 }
 
 const RouteSpec*
-RouteTable::Find(std::string_view aMethod, std::string_view aPath) const
+RouteTable::FindOfHost(std::string_view aHost,
+                       std::string_view aMethod,
+                       std::string_view aPath) const
 {
-  std::string prefix(aPath);
+  auto prefix = aPath;
   while (!prefix.empty()) {
-    if (const auto* route = FindAt(prefix, aMethod)) {
+    if (const auto* route = FindAt(KeyOf(aHost, prefix), aMethod)) {
       return route;
     }
-    const auto slash = prefix.rfind('/');
-    if (slash == std::string::npos) {
-      break;
+    // "/a/b" -> "/a/" -> "/a" -> "/"
+    if (prefix.back() == '/') {
+      prefix.remove_suffix(1);
+    } else {
+      prefix.remove_suffix(prefix.size() - prefix.rfind('/') - 1);
     }
-    prefix.resize(slash);
   }
-  return FindAt("/", aMethod);
+  return nullptr;
+}
+
+const RouteSpec*
+RouteTable::Find(std::string_view aHost,
+                 std::string_view aMethod,
+                 std::string_view aPath) const
+{
+  if (!aPath.starts_with('/')) {
+    return nullptr;
+  }
+  const auto* route = FindOfHost(aHost, aMethod, aPath);
+  return route != nullptr || aHost.empty() ? route
+                                           : FindOfHost("", aMethod, aPath);
 }
 
 } // namespace porttiller
--- a/packages/config/src/Settings.cpp
+++ b/packages/config/src/Settings.cpp
@@ -16,6 +16,8 @@
 constexpr IntegerRange kConnections{ .mMin = 1, .mMax = 1024 };
 constexpr IntegerRange kDrainMs{ .mMin = 100, .mMax = 600'000 };
 constexpr IntegerRange kIntervalMs{ .mMin = 10, .mMax = 60'000 };
+constexpr IntegerRange kPort{ .mMin = 0, .mMax = 65535 };
+constexpr IntegerRange kBurst{ .mMin = 0, .mMax = 1'000'000 };
 constexpr unsigned kIndent = 2;
 
 int
@@ -64,6 +66,11 @@
   settings.mConnectionsPerBox = ReadInt(
     aReader, "connections_per_box", kConnections, settings.mConnectionsPerBox);
   settings.mSeeds = aReader.Addresses("seeds");
+  settings.mSeedPort = ReadInt(aReader, "seed_port", kPort, settings.mSeedPort);
+  settings.mConnectTimeout = ReadMillis(
+    aReader, "connect_timeout_ms", kIntervalMs, settings.mConnectTimeout);
+  settings.mUserTimeout =
+    ReadMillis(aReader, "user_timeout_ms", kIntervalMs, settings.mUserTimeout);
   aReader.RefuseUnknown();
   return settings;
 }
@@ -73,6 +80,8 @@
 {
   TimingSettings settings;
   settings.mDrain = ReadMillis(aReader, "drain_ms", kDrainMs, settings.mDrain);
+  settings.mDrainNotice =
+    ReadMillis(aReader, "drain_notice_ms", kIntervalMs, settings.mDrainNotice);
   settings.mProbeInterval = ReadMillis(
     aReader, "probe_interval_ms", kIntervalMs, settings.mProbeInterval);
   settings.mProbeTimeout = ReadMillis(
@@ -85,6 +94,56 @@
   return settings;
 }
 
+RegistrationSettings
+ReadRegistration(FieldReader aReader)
+{
+  RegistrationSettings settings;
+  settings.mAddress = aReader.AddressOr("address", settings.mAddress);
+  settings.mFirstStart = aReader.OptionalBool("first_start").value_or(false);
+  aReader.RefuseUnknown();
+  return settings;
+}
+
+ReadinessSettings
+ReadReadiness(FieldReader aReader)
+{
+  ReadinessSettings settings;
+  settings.mAddress = aReader.AddressOr("address", settings.mAddress);
+  settings.mPath = aReader.StringOr("path", settings.mPath);
+  aReader.RefuseUnknown();
+  return settings;
+}
+
+RetrySettings
+ReadRetries(FieldReader aReader)
+{
+  RetrySettings settings;
+  settings.mShare = aReader.NumberOr("share", 0.0, 1.0, settings.mShare);
+  settings.mBurst = ReadInt(aReader, "burst", kBurst, settings.mBurst);
+  aReader.RefuseUnknown();
+  return settings;
+}
+
+Dialect
+ReadDialect(FieldReader& aReader)
+{
+  const auto dialect = aReader.StringOr("dialect", "native");
+  if (dialect != "native" && dialect != "mesh") {
+    aReader.Fail("dialect", "must be \"native\" or \"mesh\"");
+  }
+  return dialect == "mesh" ? Dialect::kMesh : Dialect::kNative;
+}
+
+FailingServers
+ReadFailingServers(FieldReader& aReader)
+{
+  const auto way = aReader.StringOr("failing_servers", "eject");
+  if (way != "eject" && way != "break") {
+    aReader.Fail("failing_servers", "must be \"eject\" or \"break\"");
+  }
+  return way == "break" ? FailingServers::kBreak : FailingServers::kEject;
+}
+
 std::string
 ReadLogLevel(FieldReader& aReader, const std::string& aDefault)
 {
@@ -99,6 +158,20 @@
 
 } // namespace
 
+std::vector<std::string>
+SeedAddresses(const Settings& aSettings)
+{
+  auto seeds = aSettings.mPeers.mSeeds;
+  if (aSettings.mPeers.mSeedPort == 0) {
+    return seeds;
+  }
+  const auto port = ":" + std::to_string(aSettings.mPeers.mSeedPort);
+  for (auto& seed : seeds) {
+    seed = seed.substr(0, seed.rfind(':')) + port;
+  }
+  return seeds;
+}
+
 tl::expected<Settings, FieldErrors>
 ParseSettings(const std::string& aText)
 {
@@ -121,6 +194,12 @@
     reader.AddressOr("admin_address", settings.mAdminAddress);
   settings.mPlatformAddress = reader.Address("platform_address");
   settings.mLogLevel = ReadLogLevel(reader, settings.mLogLevel);
+  settings.mDialect = ReadDialect(reader);
+  settings.mFailingServers = ReadFailingServers(reader);
+  settings.mService = ServiceName(reader.StringOr("service", ""));
+  settings.mRegistration = ReadRegistration(reader.Child("registration"));
+  settings.mReadiness = ReadReadiness(reader.Child("readiness"));
+  settings.mRetries = ReadRetries(reader.Child("retries"));
   reader.RefuseUnknown();
   if (!errors.empty()) {
     return tl::make_unexpected(std::move(errors));
@@ -147,9 +226,13 @@
     seeds.add(seed);
   }
   peers.set("seeds", seeds);
+  peers.set("seed_port", aSettings.mPeers.mSeedPort);
+  peers.set("connect_timeout_ms", aSettings.mPeers.mConnectTimeout.count());
+  peers.set("user_timeout_ms", aSettings.mPeers.mUserTimeout.count());
   const auto& times = aSettings.mTiming;
   Poco::JSON::Object timing;
   timing.set("drain_ms", times.mDrain.count());
+  timing.set("drain_notice_ms", times.mDrainNotice.count());
   timing.set("probe_interval_ms", times.mProbeInterval.count());
   timing.set("probe_timeout_ms", times.mProbeTimeout.count());
   timing.set("attempt_patience_ms", times.mAttemptPatience.count());
@@ -163,6 +246,30 @@
   document.set("admin_address", aSettings.mAdminAddress);
   document.set("platform_address", aSettings.mPlatformAddress);
   document.set("log_level", aSettings.mLogLevel);
+  document.set("dialect",
+               aSettings.mDialect == Dialect::kMesh ? "mesh" : "native");
+  document.set("failing_servers",
+               aSettings.mFailingServers == FailingServers::kBreak ? "break"
+                                                                   : "eject");
+  if (!aSettings.mService.Empty()) {
+    document.set("service", aSettings.mService.Value());
+  }
+  Poco::JSON::Object registration;
+  if (!aSettings.mRegistration.mAddress.empty()) {
+    registration.set("address", aSettings.mRegistration.mAddress);
+  }
+  registration.set("first_start", aSettings.mRegistration.mFirstStart);
+  document.set("registration", registration);
+  Poco::JSON::Object readiness;
+  if (!aSettings.mReadiness.mAddress.empty()) {
+    readiness.set("address", aSettings.mReadiness.mAddress);
+  }
+  readiness.set("path", aSettings.mReadiness.mPath);
+  document.set("readiness", readiness);
+  Poco::JSON::Object retries;
+  retries.set("share", aSettings.mRetries.mShare);
+  retries.set("burst", aSettings.mRetries.mBurst);
+  document.set("retries", retries);
   std::ostringstream text;
   document.stringify(text, kIndent);
   return text.str();
--- a/packages/config/src/Snapshot.cpp
+++ b/packages/config/src/Snapshot.cpp
@@ -37,13 +37,17 @@
 
   void operator()(const RouteSpec& aSpec) const
   {
-    if (!mSnapshot.mServices.contains(aSpec.mService)) {
-      RejectReference();
-      return;
+    for (const auto& target : aSpec.mTargets) {
+      if (!mSnapshot.mServices.contains(target.mService)) {
+        RejectReference();
+        return;
+      }
     }
     mSnapshot.mRoutes.Add(aSpec);
   }
 
+  void operator()(const LimitsSpec& aSpec) const { mSnapshot.mLimits = aSpec; }
+
 private:
   void RejectReference() const
   {
@@ -57,6 +61,22 @@
   const ObjectKey& mKey;
 };
 
+// A box's server is used only while its service is configured.
+void
+AddRecord(Snapshot& aSnapshot, const BoxRecord& aRecord)
+{
+  const auto& box = aRecord.mBox;
+  aSnapshot.mBoxes.insert_or_assign(box.mName, box);
+  aSnapshot.mIncarnations[box.mName] = aRecord.mIncarnation;
+  if (!aRecord.mServer) {
+    return;
+  }
+  const auto it = aSnapshot.mServices.find(aRecord.mServer->mService);
+  if (it != aSnapshot.mServices.end()) {
+    it->second.mServers.push_back(SpecOf(aRecord));
+  }
+}
+
 } // namespace
 
 const ServiceEntry*
@@ -94,7 +114,8 @@
 
 SnapshotPtr
 SnapshotBuilder::Build(const ObjectSet& aObjects,
-                       const std::vector<ObjectKey>& aChanged)
+                       const std::vector<ObjectKey>& aChanged,
+                       const std::vector<BoxRecord>& aDirectory)
 {
   for (const auto& key : aChanged) {
     Take(aObjects, key);
@@ -112,6 +133,9 @@
       std::visit(Adder(*snapshot, key), resource);
     }
   }
+  for (const auto& record : aDirectory) {
+    AddRecord(*snapshot, record);
+  }
   for (const auto& [key, rejection] : mRejected) {
     snapshot->mRejections.push_back(rejection);
   }
--- a/packages/config/tests/SnapshotTest.cpp
+++ b/packages/config/tests/SnapshotTest.cpp
@@ -31,6 +31,11 @@
     return mBuilder.Build(mSet, *changed);
   }
 
+  SnapshotPtr Overlay(const std::vector<BoxRecord>& aRecords)
+  {
+    return mBuilder.Build(mSet, {}, aRecords);
+  }
+
 private:
   ObjectSet mSet;
   SnapshotBuilder mBuilder;
@@ -59,13 +64,13 @@
   Fixture fixture;
   const auto early = fixture.Apply(
     MakeObject("Route", "r", 1, R"({"path_prefix": "/a", "service": "s"})"));
-  CHECK(early->mRoutes.Find("GET", "/a") == nullptr);
+  CHECK(early->mRoutes.Find("", "GET", "/a") == nullptr);
   CHECK(early->mRejections.size() == 1);
   const auto both = fixture.Apply(MakeObject("Service", "s", 2, "{}"));
-  CHECK(both->mRoutes.Find("GET", "/a/b") != nullptr);
+  CHECK(both->mRoutes.Find("", "GET", "/a/b") != nullptr);
   CHECK(both->mRejections.empty());
   const auto gone = fixture.Apply(MakeObject("Service", "s", 3, ""));
-  CHECK(gone->mRoutes.Find("GET", "/a/b") == nullptr);
+  CHECK(gone->mRoutes.Find("", "GET", "/a/b") == nullptr);
 }
 
 TEST_CASE("RouteTable takes the longest prefix of whole segments")
@@ -76,8 +81,72 @@
   table.Add({ .mName = "ab", .mPathPrefix = "/a/b" });
   table.Add(
     { .mName = "ab-post", .mPathPrefix = "/a/b", .mMethods = { "POST" } });
-  CHECK(table.Find("GET", "/a/b/c")->mName == "ab");
-  CHECK(table.Find("POST", "/a/b/c")->mName == "ab-post");
-  CHECK(table.Find("GET", "/ab")->mName == "root");
-  CHECK(table.Find("GET", "/a/c")->mName == "a");
+  CHECK(table.Find("", "GET", "/a/b/c")->mName == "ab");
+  CHECK(table.Find("", "POST", "/a/b/c")->mName == "ab-post");
+  CHECK(table.Find("", "GET", "/ab")->mName == "root");
+  CHECK(table.Find("", "GET", "/a/c")->mName == "a");
+}
+
+TEST_CASE("Routes of a host go before those for any host")
+{
+  RouteTable table;
+  table.Add({ .mName = "any", .mPathPrefix = "/a/b" });
+  table.Add({ .mName = "own", .mHost = "h", .mPathPrefix = "/a/" });
+  table.Add({ .mName = "own-deep", .mHost = "h", .mPathPrefix = "/a/b/" });
+  CHECK(table.Find("h", "GET", "/a/b/c")->mName == "own-deep");
+  CHECK(table.Find("h", "GET", "/a/bc")->mName == "own");
+  CHECK(table.Find("h", "GET", "/a/")->mName == "own");
+  CHECK(table.Find("h", "GET", "/a") == nullptr);
+  CHECK(table.Find("other", "GET", "/a/b/c")->mName == "any");
+  CHECK(table.Find("other", "GET", "/a/") == nullptr);
+  CHECK(table.Find("h", "GET", "") == nullptr);
+}
+
+TEST_CASE("Boxes that tell about themselves bring their servers")
+{
+  Fixture fixture;
+  fixture.Apply(MakeObject("Service", "s", 1, "{}"));
+  BoxRecord record{ .mIncarnation = Incarnation(7), .mRevision = 3 };
+  record.mBox.mName = BoxName("b");
+  record.mServer = ServerRecord{ .mId = BackendServerName("i-1"),
+                                 .mService = ServiceName("s"),
+                                 .mAddress = "127.0.0.1:1",
+                                 .mSlots = 4,
+                                 .mState = ServerState::kDraining };
+  const auto snapshot = fixture.Overlay({ record });
+  REQUIRE(snapshot->FindBox(BoxName("b")) != nullptr);
+  const auto& servers = snapshot->FindService(ServiceName("s"))->mServers;
+  REQUIRE(servers.size() == 1);
+  CHECK(servers[0].mLeaving);
+  CHECK(servers[0].mBox == BoxName("b"));
+  record.mServer->mService = ServiceName("unknown");
+  CHECK(fixture.Overlay({ record })
+          ->FindService(ServiceName("s"))
+          ->mServers.empty());
+}
+
+TEST_CASE("A split route names weights, and only services in force")
+{
+  Fixture fixture;
+  fixture.Apply(MakeObject("Service", "s", 1, "{}"));
+  const auto route = MakeObject("Route",
+                                "r",
+                                2,
+                                R"({"path_prefix": "/a", "host": "H.example",
+      "split": [{"service": "s", "weight": 9}, {"service": "t", "weight": 1}],
+      "timeout_ms": 1200, "target_ms": 400, "max_attempts": 2})");
+  CHECK(fixture.Apply(route)->mRoutes.Size() == 0);
+  const auto both = fixture.Apply(MakeObject("Service", "t", 3, "{}"));
+  const auto* found = both->mRoutes.Find("h.example", "GET", "/a/x");
+  REQUIRE(found != nullptr);
+  CHECK(found->mTargets.size() == 2);
+  CHECK(found->mTimeout == Millis(1200));
+  CHECK(found->mTarget == Millis(400));
+  CHECK(found->mMaxAttempts == 2);
+  const auto bad = fixture.Apply(MakeObject(
+    "Route",
+    "r2",
+    4,
+    R"({"path_prefix": "/b", "split": [{"service": "s", "weight": 0}]})"));
+  CHECK(bad->mRejections.size() == 1);
 }
--- a/packages/node/include/porttiller/node/HttpTypes.h
+++ b/packages/http/include/porttiller/http/HttpTypes.h
@@ -23,6 +23,7 @@
   std::string mTarget; // path and query, as received
   HttpHeaders mHeaders;
   std::string mBody;
+  std::string mVersion = "HTTP/1.1";
 };
 
 struct HttpAnswer
@@ -32,10 +33,26 @@
   std::string mBody;
 };
 
+// True for methods that are repeatable wherever nothing else is said.
+bool
+IsSafeMethod(std::string_view aMethod);
+
+// The messages as they go over the wire, with a Content-Length.
+std::string
+ToWire(const HttpRequestData& aRequest);
+// With aHeadOnly the length is told and the body left out. aClose asks the
+// other side to end the connection.
+std::string
+ToWire(const HttpAnswer& aAnswer, bool aHeadOnly, bool aClose);
+
 // The value of the first header of this name, whatever its case, or "".
 std::string
 HeaderValue(const HttpHeaders& aHeaders, std::string_view aName);
 
+// Takes every header of this name away, whatever its case.
+void
+RemoveHeader(HttpHeaders& aHeaders, std::string_view aName);
+
 // Headers that end at one hop or that only the proxy may set.
 bool
 IsHopHeader(std::string_view aName);
--- /dev/null
+++ b/packages/http/src/HttpExchange.cpp
@@ -0,0 +1,211 @@
+#include "porttiller/http/HttpExchange.h"
+
+#include "ClientConnectionPriv.h"
+#include "SocketsPriv.h"
+#include "porttiller/http/HttpPool.h"
+
+#include <Poco/Exception.h>
+#include <algorithm>
+#include <array>
+
+namespace porttiller {
+
+namespace {
+
+constexpr std::size_t kReadChunk = 16 << 10;
+constexpr std::string_view kTimeoutField = "timeout=";
+
+ExchangeError
+ErrorOf(MessageFault aFault)
+{
+  switch (aFault) {
+    case MessageFault::kBodyTooLarge:
+    case MessageFault::kHeadTooLarge:
+      return ExchangeError::kTooLarge;
+    case MessageFault::kCut:
+      return ExchangeError::kCut;
+    case MessageFault::kMalformed:
+      break;
+  }
+  return ExchangeError::kBadFraming;
+}
+
+// Until when the other side keeps the connection, as its Keep-Alive says; a
+// part of that is left for the way there.
+TimePoint
+UsableUntil(const HttpAnswer& aAnswer)
+{
+  const auto text = HeaderValue(aAnswer.mHeaders, "Keep-Alive");
+  const auto at = text.find(kTimeoutField);
+  if (at == std::string::npos) {
+    return TimePoint::max();
+  }
+  std::int64_t seconds = 0;
+  for (auto i = at + kTimeoutField.size();
+       i < text.size() && text[i] >= '0' && text[i] <= '9' && seconds < 3600;
+       ++i) {
+    seconds = seconds * 10 + (text[i] - '0');
+  }
+  constexpr std::int64_t kUsedPerMille = 900;
+  return Now() + Millis(seconds * kUsedPerMille);
+}
+
+} // namespace
+
+const char*
+ToText(ExchangeError aError)
+{
+  switch (aError) {
+    case ExchangeError::kBusy:
+      return "busy";
+    case ExchangeError::kNotSent:
+      return "not-sent";
+    case ExchangeError::kTimeout:
+      return "timeout";
+    case ExchangeError::kCancelled:
+      return "cancelled";
+    case ExchangeError::kClosed:
+      return "closed";
+    case ExchangeError::kCut:
+      return "cut";
+    case ExchangeError::kBadFraming:
+      return "bad-framing";
+    case ExchangeError::kTooLarge:
+      break;
+  }
+  return "too-large";
+}
+
+HttpExchange::HttpExchange(HttpPool& aPool,
+                           std::unique_ptr<ClientConnection> aConnection,
+                           bool aHeadOnly)
+  : mPool(aPool)
+  , mConnection(std::move(aConnection))
+  , mHeadOnly(aHeadOnly)
+{
+}
+
+HttpExchange::~HttpExchange()
+{
+  if (mConnection) {
+    mPool.Drop();
+  }
+}
+
+Micros
+HttpExchange::Rested() const
+{
+  return mConnection ? mConnection->mRested : Micros(0);
+}
+
+bool
+HttpExchange::WaitReadable(TimePoint aUntil)
+{
+  if (!mConnection->mIn.empty()) {
+    return true;
+  }
+  try {
+    return mConnection->mSocket.poll(ToTimespan(aUntil - Now()),
+                                     Poco::Net::Socket::SELECT_READ);
+  } catch (const Poco::Exception&) {
+    return true; // reading tells what is wrong
+  }
+}
+
+tl::expected<HttpAnswer, ExchangeError>
+HttpExchange::ReadAnswer(TimePoint aDeadline,
+                         const StopCheck& aStop,
+                         const AnswerCheck& aBelongs)
+{
+  for (;;) {
+    if (auto read = ReadMessage(aDeadline, aStop); !read) {
+      return tl::make_unexpected(read.error());
+    }
+    const bool keepAlive = mConnection->mReader.KeepAlive();
+    auto answer = mConnection->mReader.TakeAnswer();
+    if (!aBelongs || aBelongs(answer)) {
+      mInStep = mInStep && keepAlive;
+      KeepOrDrop(answer);
+      return answer;
+    }
+    // A late answer to an earlier request; the right one may follow.
+    mInStep = false;
+    if (!keepAlive) {
+      return tl::make_unexpected(ExchangeError::kBadFraming);
+    }
+    mConnection->mReader.Next(mHeadOnly);
+  }
+}
+
+tl::expected<void, ExchangeError>
+HttpExchange::ReadMessage(TimePoint aDeadline, const StopCheck& aStop)
+{
+  auto& connection = *mConnection;
+  for (;;) {
+    const auto used = connection.mReader.Feed(connection.mIn);
+    if (!used) {
+      return tl::make_unexpected(ErrorOf(used.error()));
+    }
+    connection.mIn.erase(0, *used);
+    if (connection.mReader.Whole()) {
+      return {};
+    }
+    const auto now = Now();
+    if (aStop && aStop()) {
+      return tl::make_unexpected(ExchangeError::kCancelled);
+    }
+    if (now >= aDeadline) {
+      return tl::make_unexpected(ExchangeError::kTimeout);
+    }
+    if (!WaitReadable(std::min<TimePoint>(aDeadline, now + kSlice))) {
+      continue;
+    }
+    if (auto more = ReadMore(); !more) {
+      return more;
+    }
+    if (connection.mReader.Whole()) {
+      return {};
+    }
+  }
+}
+
+// Reads what is there; the end of the connection may complete the answer.
+tl::expected<void, ExchangeError>
+HttpExchange::ReadMore()
+{
+  auto& connection = *mConnection;
+  std::array<char, kReadChunk> buffer{};
+  int size = 0;
+  try {
+    size = connection.mSocket.receiveBytes(buffer.data(), buffer.size());
+  } catch (const Poco::Exception&) {
+    return tl::make_unexpected(connection.mReader.Begun()
+                                 ? ExchangeError::kCut
+                                 : ExchangeError::kClosed);
+  }
+  if (size > 0) {
+    connection.mIn.append(buffer.data(), static_cast<std::size_t>(size));
+    return {};
+  }
+  mInStep = false;
+  if (!connection.mReader.Begun()) {
+    return tl::make_unexpected(ExchangeError::kClosed);
+  }
+  if (!connection.mReader.End()) {
+    return tl::make_unexpected(ExchangeError::kCut);
+  }
+  return {};
+}
+
+// Bytes behind the answer belong to no request, so their connection goes.
+void
+HttpExchange::KeepOrDrop(const HttpAnswer& aAnswer)
+{
+  if (!mInStep || !mConnection->mIn.empty()) {
+    return;
+  }
+  mConnection->mUsableUntil = UsableUntil(aAnswer);
+  mPool.Return(std::move(mConnection));
+}
+
+} // namespace porttiller
--- /dev/null
+++ b/packages/http/src/HttpListener.cpp
@@ -0,0 +1,431 @@
+#include "porttiller/http/HttpListener.h"
+
+#include "HttpConnectionPriv.h"
+#include "SocketsPriv.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/PollSet.h>
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Runnable.h>
+#include <Poco/ThreadPool.h>
+#include <condition_variable>
+#include <map>
+#include <thread>
+
+namespace porttiller {
+
+namespace {
+
+using Poco::Net::PollSet;
+
+constexpr int kBacklog = 512;
+constexpr int kMinThreads = 2;
+// POCO ends workers that have rested for this long.
+constexpr int kThreadIdleSeconds = 30;
+// A worker's calls are shallow; address space counts on small boxes.
+constexpr int kStackBytes = 256 << 10;
+// How often connections are looked over for those that took too long.
+constexpr Millis kSweep{ 500 };
+// With no connection there is nothing to look over.
+constexpr Millis kRest{ 60'000 };
+
+} // namespace
+
+const char*
+ToText(ListenerRefusal aRefusal)
+{
+  switch (aRefusal) {
+    case ListenerRefusal::kMalformed:
+      return "malformed-request";
+    case ListenerRefusal::kHeadTooLarge:
+      return "headers-too-large";
+    case ListenerRefusal::kBodyTooLarge:
+      return "body-too-large";
+    case ListenerRefusal::kSlowHead:
+      return "request-too-slow";
+    case ListenerRefusal::kNoWorker:
+      return "no-worker";
+    case ListenerRefusal::kHandlerFailed:
+      break;
+  }
+  return "internal-error";
+}
+
+int
+StatusOf(ListenerRefusal aRefusal)
+{
+  switch (aRefusal) {
+    case ListenerRefusal::kMalformed:
+      return 400;
+    case ListenerRefusal::kHeadTooLarge:
+      return 431;
+    case ListenerRefusal::kBodyTooLarge:
+      return 413;
+    case ListenerRefusal::kSlowHead:
+      return 408;
+    case ListenerRefusal::kNoWorker:
+      return 503;
+    case ListenerRefusal::kHandlerFailed:
+      break;
+  }
+  return 500;
+}
+
+// The reading thread and the workers. Owned by the listener.
+class HttpListener::Loop
+{
+public:
+  Loop(HttpListenerOptions aOptions, HttpHandler aHandler)
+    : mOptions(std::move(aOptions))
+    , mHandler(std::move(aHandler))
+    , mLimits({ .mMessage = mOptions.mLimits,
+                .mRead = mOptions.mReadTimeout,
+                .mIdle = mOptions.mIdleClose })
+    , mWorkers(kMinThreads,
+               std::max(kMinThreads, mOptions.mWorkers),
+               kThreadIdleSeconds,
+               kStackBytes)
+  {
+  }
+
+  void Open();
+  void Stop();
+  void Drain() { mDraining = true; }
+  void SetLimits(const ConnectionLimits& aLimits)
+  {
+    const std::lock_guard lock(mLimitsMutex);
+    mLimits = aLimits;
+  }
+
+private:
+  class Job;
+
+  void Run();
+  void Accept();
+  void OnEvents(const Poco::Net::Socket& aSocket, int aModes);
+  void Sweep();
+  void Rearm(const HttpConnectionPtr& aConnection);
+  void Forget(const HttpConnectionPtr& aConnection);
+  void Dispatch(const HttpConnectionPtr& aConnection,
+                const std::vector<PendingCallPtr>& aCalls);
+  void Serve(const HttpConnectionPtr& aConnection, const PendingCallPtr& aCall);
+  HttpReply RunHandler(PendingCall& aCall);
+  HttpReply Refusal(ListenerRefusal aRefusal) const;
+  bool Quiet() const;
+  ConnectionLimits Limits()
+  {
+    const std::lock_guard lock(mLimitsMutex);
+    return mLimits;
+  }
+
+  const HttpListenerOptions mOptions;
+  const HttpHandler mHandler;
+  std::mutex mLimitsMutex;
+  ConnectionLimits mLimits; // of new connections
+  Poco::ThreadPool mWorkers;
+  Poco::Net::ServerSocket mSocket;
+  PollSet mPoll;
+  WakeUp mWake;
+  // Of the reading thread alone.
+  std::map<Poco::Net::Socket, HttpConnectionPtr> mConnections;
+  std::map<Poco::Net::Socket, int> mModes;
+  std::mutex mTouchedMutex;
+  std::vector<HttpConnectionPtr> mTouched; // by workers, to be re-armed
+  std::atomic<int> mOpenCalls{ 0 };
+  std::atomic<bool> mDraining{ false };
+  std::atomic<bool> mStopping{ false };
+  std::thread mThread;
+};
+
+// One request on a worker.
+class HttpListener::Loop::Job : public Poco::Runnable
+{
+public:
+  Job(Loop& aLoop, HttpConnectionPtr aConnection, PendingCallPtr aCall)
+    : mLoop(aLoop)
+    , mConnection(std::move(aConnection))
+    , mCall(std::move(aCall))
+  {
+  }
+
+  void run() override
+  {
+    const std::unique_ptr<Job> self(this);
+    mLoop.Serve(mConnection, mCall);
+  }
+
+private:
+  Loop& mLoop;
+  HttpConnectionPtr mConnection;
+  PendingCallPtr mCall;
+};
+
+void
+HttpListener::Loop::Open()
+{
+  // Without reusePort, which POCO sets by default: a taken port is an error.
+  mSocket.bind(Poco::Net::SocketAddress(mOptions.mAddress), true, false);
+  mSocket.listen(kBacklog);
+  mSocket.setBlocking(false);
+  mPoll.add(mSocket, PollSet::POLL_READ);
+  mPoll.add(mWake.Socket(), PollSet::POLL_READ);
+  mThread = std::thread([this] { Run(); });
+}
+
+void
+HttpListener::Loop::Stop()
+{
+  if (!mThread.joinable()) {
+    return;
+  }
+  mDraining = true;
+  mStopping = true;
+  mWake.Signal();
+  mThread.join();
+  mWorkers.joinAll();
+}
+
+bool
+HttpListener::Loop::Quiet() const
+{
+  return mOpenCalls == 0 && mConnections.empty();
+}
+
+void
+HttpListener::Loop::Run()
+{
+  auto nextSweep = Now() + kSweep;
+  bool accepting = true;
+  for (;;) {
+    if (mStopping && accepting) {
+      accepting = false;
+      mPoll.remove(mSocket);
+      mSocket.close();
+      Sweep();
+    }
+    if (mStopping && Quiet()) {
+      return;
+    }
+    const auto rest =
+      mConnections.empty() && !mStopping
+        ? kRest
+        : std::max(Millis(1), std::chrono::ceil<Millis>(nextSweep - Now()));
+    const auto events = mPoll.poll(Poco::Timespan(Micros(rest).count()));
+    for (const auto& [socket, modes] : events) {
+      OnEvents(socket, modes);
+    }
+    if (Now() >= nextSweep) {
+      Sweep();
+      nextSweep = Now() + kSweep;
+    }
+  }
+}
+
+void
+HttpListener::Loop::OnEvents(const Poco::Net::Socket& aSocket, int aModes)
+{
+  if (aSocket == mWake.Socket()) {
+    mWake.Clear();
+    std::vector<HttpConnectionPtr> touched;
+    {
+      const std::lock_guard lock(mTouchedMutex);
+      touched.swap(mTouched);
+    }
+    for (const auto& connection : touched) {
+      Rearm(connection);
+    }
+    return;
+  }
+  if (aSocket == mSocket) {
+    Accept();
+    return;
+  }
+  const auto it = mConnections.find(aSocket);
+  if (it == mConnections.end()) {
+    return;
+  }
+  const auto connection = it->second;
+  if ((aModes & PollSet::POLL_WRITE) != 0) {
+    connection->OnWritable();
+  }
+  if ((aModes & (PollSet::POLL_READ | PollSet::POLL_ERROR)) != 0) {
+    Dispatch(connection, connection->OnReadable(Now()));
+  }
+  Rearm(connection);
+}
+
+void
+HttpListener::Loop::Accept()
+{
+  try {
+    auto socket = mSocket.acceptConnection();
+    if (mConnections.size() >=
+        static_cast<std::size_t>(mOptions.mConnections)) {
+      return; // closed unread
+    }
+    socket.setBlocking(false);
+    socket.setNoDelay(true);
+    auto connection =
+      std::make_shared<HttpConnection>(socket, mOptions, Limits(), Now());
+    mConnections[socket] = connection;
+    mModes[socket] = PollSet::POLL_READ;
+    mPoll.add(socket, PollSet::POLL_READ);
+  } catch (const Poco::Exception&) {
+    return; // it was gone before it was taken, or there is no descriptor left
+  }
+}
+
+void
+HttpListener::Loop::Rearm(const HttpConnectionPtr& aConnection)
+{
+  const auto& socket = aConnection->Socket();
+  if (!mConnections.contains(socket)) {
+    return;
+  }
+  const auto wants = aConnection->Wants();
+  if (wants.mOver) {
+    Forget(aConnection);
+    return;
+  }
+  const int modes = (wants.mRead ? PollSet::POLL_READ : 0) |
+                    (wants.mWrite ? PollSet::POLL_WRITE : 0);
+  auto& armed = mModes[socket];
+  if (armed != modes) {
+    mPoll.update(socket, modes);
+    armed = modes;
+  }
+}
+
+void
+HttpListener::Loop::Forget(const HttpConnectionPtr& aConnection)
+{
+  auto socket = aConnection->Socket();
+  mPoll.remove(socket);
+  mModes.erase(socket);
+  mConnections.erase(socket);
+  aConnection->Abandon();
+  try {
+    socket.close();
+  } catch (const Poco::Exception&) {
+    return; // it was closed already
+  }
+}
+
+void
+HttpListener::Loop::Sweep()
+{
+  const auto now = Now();
+  const auto connections = mConnections; // Rearm takes some away
+  for (const auto& [socket, connection] : connections) {
+    connection->OnTime(now, mStopping);
+    Rearm(connection);
+  }
+}
+
+void
+HttpListener::Loop::Dispatch(const HttpConnectionPtr& aConnection,
+                             const std::vector<PendingCallPtr>& aCalls)
+{
+  for (const auto& call : aCalls) {
+    ++mOpenCalls;
+    auto job = std::make_unique<Job>(*this, aConnection, call);
+    try {
+      mWorkers.start(*job);
+      job.release(); // NOLINT(bugprone-unused-return-value): it owns itself
+    } catch (const Poco::NoThreadAvailableException&) {
+      const auto next = aConnection->Complete(
+        call, Refusal(ListenerRefusal::kNoWorker), mDraining);
+      --mOpenCalls;
+      Dispatch(aConnection, next);
+    }
+  }
+}
+
+HttpReply
+HttpListener::Loop::Refusal(ListenerRefusal aRefusal) const
+{
+  if (mOptions.mRefuse) {
+    return mOptions.mRefuse(aRefusal);
+  }
+  return { .mAnswer = { .mStatus = StatusOf(aRefusal) } };
+}
+
+HttpReply
+HttpListener::Loop::RunHandler(PendingCall& aCall)
+{
+  try {
+    return mHandler(aCall.mCall);
+  } catch (const std::exception& e) {
+    if (mOptions.mOnException) {
+      mOptions.mOnException(e.what());
+    }
+    return Refusal(ListenerRefusal::kHandlerFailed);
+  }
+}
+
+void
+HttpListener::Loop::Serve(const HttpConnectionPtr& aConnection,
+                          const PendingCallPtr& aCall)
+{
+  const auto reply = RunHandler(*aCall);
+  const auto next = aConnection->Complete(aCall, reply, mDraining);
+  Dispatch(aConnection, next);
+  const auto wants = aConnection->Wants();
+  --mOpenCalls;
+  // The reading thread waits for the right things already, unless the answer
+  // could not be written whole, or ended the connection.
+  if (wants.mWrite || wants.mOver || mStopping) {
+    {
+      const std::lock_guard lock(mTouchedMutex);
+      mTouched.push_back(aConnection);
+    }
+    mWake.Signal();
+  }
+}
+
+HttpListener::HttpListener(std::unique_ptr<Loop> aLoop)
+  : mLoop(std::move(aLoop))
+{
+}
+
+tl::expected<std::unique_ptr<HttpListener>, std::string>
+HttpListener::Make(HttpListenerOptions aOptions, HttpHandler aHandler)
+{
+  const auto address = aOptions.mAddress;
+  try {
+    auto loop =
+      std::make_unique<Loop>(std::move(aOptions), std::move(aHandler));
+    loop->Open();
+    return std::unique_ptr<HttpListener>(new HttpListener(std::move(loop)));
+  } catch (const Poco::Exception& e) {
+    return tl::make_unexpected(address + ": " + e.displayText());
+  }
+}
+
+HttpListener::~HttpListener()
+{
+  StopGracefully();
+}
+
+void
+HttpListener::BeginDrain()
+{
+  mLoop->Drain();
+}
+
+void
+HttpListener::SetLimits(const MessageLimits& aLimits,
+                        Millis aReadTimeout,
+                        Millis aIdleClose)
+{
+  mLoop->SetLimits(
+    { .mMessage = aLimits, .mRead = aReadTimeout, .mIdle = aIdleClose });
+}
+
+void
+HttpListener::StopGracefully()
+{
+  mLoop->Stop();
+}
+
+} // namespace porttiller
--- /dev/null
+++ b/packages/http/src/HttpPool.cpp
@@ -0,0 +1,180 @@
+#include "porttiller/http/HttpPool.h"
+
+#include "ClientConnectionPriv.h"
+#include "SocketsPriv.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/SocketAddress.h>
+#include <algorithm>
+
+namespace porttiller {
+
+namespace {
+
+// Readable while idle means closed by the other side, or out of step.
+bool
+IsQuiet(const ClientConnection& aConnection)
+{
+  try {
+    return !aConnection.mSocket.poll(Poco::Timespan(0),
+                                     Poco::Net::Socket::SELECT_READ);
+  } catch (const Poco::Exception&) {
+    return false;
+  }
+}
+
+enum class SendResult
+{
+  kSent,
+  kNothingSent,
+  kPartlySent
+};
+
+SendResult
+SendAll(ClientConnection& aConnection,
+        const std::string& aBytes,
+        TimePoint aDeadline)
+{
+  std::size_t sent = 0;
+  try {
+    aConnection.mSocket.setSendTimeout(ToTimespan(aDeadline - Now()));
+    while (sent < aBytes.size()) {
+      const int size = aConnection.mSocket.sendBytes(
+        aBytes.data() + sent, static_cast<int>(aBytes.size() - sent));
+      if (size <= 0) {
+        break;
+      }
+      sent += static_cast<std::size_t>(size);
+    }
+  } catch (const Poco::Exception&) {
+    return sent == 0 ? SendResult::kNothingSent : SendResult::kPartlySent;
+  }
+  if (sent == aBytes.size()) {
+    return SendResult::kSent;
+  }
+  return sent == 0 ? SendResult::kNothingSent : SendResult::kPartlySent;
+}
+
+} // namespace
+
+HttpPool::HttpPool(HttpPoolOptions aOptions)
+  : mOptions(std::move(aOptions))
+{
+}
+
+HttpPool::~HttpPool() = default;
+
+std::uint64_t
+HttpPool::Opened() const
+{
+  const std::lock_guard lock(mMutex);
+  return mOpened;
+}
+
+bool
+HttpPool::Reserve()
+{
+  const std::lock_guard lock(mMutex);
+  if (mInUse >= mOptions.mMaxConnections) {
+    return false;
+  }
+  ++mInUse;
+  return true;
+}
+
+std::unique_ptr<ClientConnection>
+HttpPool::TakeIdle()
+{
+  const auto now = Now();
+  std::deque<std::unique_ptr<ClientConnection>> old; // closed without the lock
+  std::unique_ptr<ClientConnection> taken;
+  const std::lock_guard lock(mMutex);
+  while (!mIdle.empty() &&
+         now >= mIdle.front()->mIdleSince + mOptions.mIdleClose) {
+    old.push_back(std::move(mIdle.front()));
+    mIdle.pop_front();
+  }
+  while (!mIdle.empty() && !taken) {
+    taken = std::move(mIdle.back());
+    mIdle.pop_back();
+    if (now >= taken->mUsableUntil || !IsQuiet(*taken)) {
+      old.push_back(std::move(taken));
+    }
+  }
+  if (taken) {
+    taken->mRested = now - taken->mIdleSince;
+  }
+  return taken;
+}
+
+tl::expected<std::unique_ptr<ClientConnection>, ExchangeError>
+HttpPool::Connect(TimePoint aDeadline)
+{
+  const auto limit =
+    std::min<Micros>(aDeadline - Now(), mOptions.mConnectTimeout);
+  auto connection = std::make_unique<ClientConnection>(ClientConnection{
+    .mReader = MessageReader(MessageKind::kAnswer, mOptions.mLimits) });
+  try {
+    connection->mSocket.connect(Poco::Net::SocketAddress(mOptions.mAddress),
+                                ToTimespan(limit));
+    connection->mSocket.setNoDelay(true);
+    SetUserTimeout(connection->mSocket, mOptions.mUserTimeout);
+  } catch (const Poco::Exception&) {
+    return tl::make_unexpected(ExchangeError::kNotSent);
+  }
+  const std::lock_guard lock(mMutex);
+  ++mOpened;
+  return connection;
+}
+
+void
+HttpPool::Return(std::unique_ptr<ClientConnection> aConnection)
+{
+  const std::lock_guard lock(mMutex);
+  --mInUse;
+  aConnection->mIdleSince = Now();
+  mIdle.push_back(std::move(aConnection));
+}
+
+void
+HttpPool::Drop()
+{
+  const std::lock_guard lock(mMutex);
+  --mInUse;
+}
+
+tl::expected<std::unique_ptr<HttpExchange>, ExchangeError>
+HttpPool::Begin(const HttpRequestData& aRequest, TimePoint aDeadline)
+{
+  if (!Reserve()) {
+    return tl::make_unexpected(ExchangeError::kBusy);
+  }
+  const auto bytes = ToWire(aRequest);
+  for (;;) {
+    auto connection = TakeIdle();
+    const bool kept = connection != nullptr;
+    if (!kept) {
+      auto made = Connect(aDeadline);
+      if (!made) {
+        Drop();
+        return tl::make_unexpected(made.error());
+      }
+      connection = std::move(*made);
+    }
+    connection->mReader.Next(aRequest.mMethod == "HEAD");
+    const auto result = SendAll(*connection, bytes, aDeadline);
+    if (result == SendResult::kSent) {
+      return std::make_unique<HttpExchange>(
+        *this, std::move(connection), aRequest.mMethod == "HEAD");
+    }
+    if (result == SendResult::kNothingSent && kept) {
+      continue; // it had been closed; another one
+    }
+    Drop();
+    return tl::make_unexpected(result == SendResult::kNothingSent
+                                 ? ExchangeError::kNotSent
+                                 : ExchangeError::kClosed);
+  }
+}
+
+} // namespace porttiller
--- /dev/null
+++ b/packages/http/src/MessageReader.cpp
@@ -0,0 +1,324 @@
+#include "porttiller/http/MessageReader.h"
+
+#include <cassert>
+#include <http_parser.h>
+#include <optional>
+
+namespace porttiller {
+
+namespace {
+
+constexpr int kInformational = 1; // 1xx: the final answer follows
+constexpr int kStatusClass = 100;
+
+} // namespace
+
+const char*
+ToText(MessageFault aFault)
+{
+  switch (aFault) {
+    case MessageFault::kMalformed:
+      return "malformed";
+    case MessageFault::kHeadTooLarge:
+      return "headers-too-large";
+    case MessageFault::kBodyTooLarge:
+      return "body-too-large";
+    case MessageFault::kCut:
+      break;
+  }
+  return "cut";
+}
+
+class MessageReader::Parser
+{
+public:
+  Parser(MessageKind aKind, MessageLimits aLimits)
+    : mKind(aKind)
+    , mLimits(aLimits)
+  {
+    Reset(false);
+  }
+
+  void Reset(bool aAnswersHead);
+  tl::expected<std::size_t, MessageFault> Feed(std::string_view aBytes);
+  tl::expected<void, MessageFault> End();
+
+  bool mBegun = false;
+  bool mHeadDone = false;
+  bool mWhole = false;
+  bool mKeepAlive = false;
+  HttpRequestData mRequest;
+  HttpAnswer mAnswer;
+
+private:
+  static Parser& Of(http_parser* aParser)
+  {
+    return *static_cast<Parser*>(aParser->data);
+  }
+
+  static const http_parser_settings& Callbacks();
+  int OnTarget(std::string_view aBytes);
+  int OnName(std::string_view aBytes);
+  int OnValue(std::string_view aBytes);
+  int OnHeadDone();
+  int OnBody(std::string_view aBytes);
+  int OnWhole();
+  int CountHeadBytes(std::size_t aBytes);
+  MessageFault Fault() const
+  {
+    return mFault.value_or(MessageFault::kMalformed);
+  }
+  HttpHeaders& Headers()
+  {
+    return mKind == MessageKind::kRequest ? mRequest.mHeaders
+                                          : mAnswer.mHeaders;
+  }
+  std::string& Body()
+  {
+    return mKind == MessageKind::kRequest ? mRequest.mBody : mAnswer.mBody;
+  }
+
+  const MessageKind mKind;
+  const MessageLimits mLimits;
+  http_parser mState{};
+  bool mAnswersHead = false;
+  bool mLastWasValue = true;
+  std::size_t mHeadBytes = 0;
+  std::optional<MessageFault> mFault;
+};
+
+void
+MessageReader::Parser::Reset(bool aAnswersHead)
+{
+  http_parser_init(
+    &mState, mKind == MessageKind::kRequest ? HTTP_REQUEST : HTTP_RESPONSE);
+  mState.data = this;
+  mBegun = false;
+  mHeadDone = false;
+  mWhole = false;
+  mKeepAlive = false;
+  mRequest = {};
+  mAnswer = {};
+  mAnswersHead = aAnswersHead;
+  mLastWasValue = true;
+  mHeadBytes = 0;
+  mFault.reset();
+}
+
+const http_parser_settings&
+MessageReader::Parser::Callbacks()
+{
+  static const http_parser_settings settings = [] {
+    http_parser_settings made;
+    http_parser_settings_init(&made);
+    made.on_url = [](http_parser* aParser, const char* aAt, size_t aSize) {
+      return Of(aParser).OnTarget({ aAt, aSize });
+    };
+    made.on_header_field =
+      [](http_parser* aParser, const char* aAt, size_t aSize) {
+        return Of(aParser).OnName({ aAt, aSize });
+      };
+    made.on_header_value =
+      [](http_parser* aParser, const char* aAt, size_t aSize) {
+        return Of(aParser).OnValue({ aAt, aSize });
+      };
+    made.on_headers_complete = [](http_parser* aParser) {
+      return Of(aParser).OnHeadDone();
+    };
+    made.on_body = [](http_parser* aParser, const char* aAt, size_t aSize) {
+      return Of(aParser).OnBody({ aAt, aSize });
+    };
+    made.on_message_complete = [](http_parser* aParser) {
+      return Of(aParser).OnWhole();
+    };
+    return made;
+  }();
+  return settings;
+}
+
+tl::expected<std::size_t, MessageFault>
+MessageReader::Parser::Feed(std::string_view aBytes)
+{
+  if (aBytes.empty() || mWhole) {
+    return 0;
+  }
+  mBegun = true;
+  const auto used =
+    http_parser_execute(&mState, &Callbacks(), aBytes.data(), aBytes.size());
+  if (mWhole) {
+    return used; // paused at its end
+  }
+  if (mState.http_errno != HPE_OK || mState.upgrade != 0) {
+    return tl::make_unexpected(Fault());
+  }
+  return used;
+}
+
+tl::expected<void, MessageFault>
+MessageReader::Parser::End()
+{
+  if (mBegun && !mWhole && mFault == std::nullopt) {
+    http_parser_execute(&mState, &Callbacks(), nullptr, 0);
+  }
+  if (!mWhole) {
+    return tl::make_unexpected(MessageFault::kCut);
+  }
+  return {};
+}
+
+int
+MessageReader::Parser::CountHeadBytes(std::size_t aBytes)
+{
+  mHeadBytes += aBytes;
+  if (mHeadBytes > mLimits.mMaxHeaderBytes ||
+      Headers().size() > mLimits.mMaxHeaders) {
+    mFault = MessageFault::kHeadTooLarge;
+    return -1;
+  }
+  return 0;
+}
+
+int
+MessageReader::Parser::OnTarget(std::string_view aBytes)
+{
+  mRequest.mTarget += aBytes;
+  return CountHeadBytes(aBytes.size());
+}
+
+int
+MessageReader::Parser::OnName(std::string_view aBytes)
+{
+  if (mLastWasValue) {
+    Headers().emplace_back();
+    mLastWasValue = false;
+  }
+  Headers().back().mName += aBytes;
+  return CountHeadBytes(aBytes.size());
+}
+
+int
+MessageReader::Parser::OnValue(std::string_view aBytes)
+{
+  mLastWasValue = true;
+  if (Headers().empty()) {
+    return -1;
+  }
+  Headers().back().mValue += aBytes;
+  return CountHeadBytes(aBytes.size());
+}
+
+int
+MessageReader::Parser::OnHeadDone()
+{
+  mHeadDone = true;
+  mKeepAlive = http_should_keep_alive(&mState) != 0;
+  if (mKind == MessageKind::kRequest) {
+    mRequest.mMethod = http_method_str(static_cast<http_method>(mState.method));
+    mRequest.mVersion = mState.http_major == 1 && mState.http_minor == 0
+                          ? "HTTP/1.0"
+                        : mState.http_major == 1 ? "HTTP/1.1"
+                                                 : "HTTP/x";
+  } else {
+    mAnswer.mStatus = static_cast<int>(mState.status_code);
+  }
+  const bool hasLength = mState.content_length != ULLONG_MAX;
+  if (hasLength && mState.content_length > mLimits.mMaxBodyBytes) {
+    mFault = MessageFault::kBodyTooLarge;
+    return -1;
+  }
+  return mAnswersHead ? 1 : 0; // 1: there is no body
+}
+
+int
+MessageReader::Parser::OnBody(std::string_view aBytes)
+{
+  if (Body().size() + aBytes.size() > mLimits.mMaxBodyBytes) {
+    mFault = MessageFault::kBodyTooLarge;
+    return -1;
+  }
+  Body() += aBytes;
+  return 0;
+}
+
+int
+MessageReader::Parser::OnWhole()
+{
+  if (mKind == MessageKind::kAnswer &&
+      mAnswer.mStatus / kStatusClass == kInformational) {
+    mAnswer = {};
+    mHeadDone = false;
+    mHeadBytes = 0;
+    return 0; // the final answer follows
+  }
+  mWhole = true;
+  http_parser_pause(&mState, 1);
+  return 0;
+}
+
+MessageReader::MessageReader(MessageKind aKind, MessageLimits aLimits)
+  : mParser(std::make_unique<Parser>(aKind, aLimits))
+{
+}
+
+MessageReader::~MessageReader() = default;
+MessageReader::MessageReader(MessageReader&&) noexcept = default;
+MessageReader&
+MessageReader::operator=(MessageReader&&) noexcept = default;
+
+tl::expected<std::size_t, MessageFault>
+MessageReader::Feed(std::string_view aBytes)
+{
+  return mParser->Feed(aBytes);
+}
+
+tl::expected<void, MessageFault>
+MessageReader::End()
+{
+  return mParser->End();
+}
+
+void
+MessageReader::Next(bool aAnswersHead)
+{
+  mParser->Reset(aAnswersHead);
+}
+
+bool
+MessageReader::Begun() const
+{
+  return mParser->mBegun;
+}
+
+bool
+MessageReader::HeadDone() const
+{
+  return mParser->mHeadDone;
+}
+
+bool
+MessageReader::Whole() const
+{
+  return mParser->mWhole;
+}
+
+bool
+MessageReader::KeepAlive() const
+{
+  return mParser->mKeepAlive;
+}
+
+HttpRequestData
+MessageReader::TakeRequest()
+{
+  assert(mParser->mWhole);
+  return std::move(mParser->mRequest);
+}
+
+HttpAnswer
+MessageReader::TakeAnswer()
+{
+  assert(mParser->mWhole);
+  return std::move(mParser->mAnswer);
+}
+
+} // namespace porttiller
--- /dev/null
+++ b/packages/http/src/SocketsPriv.cpp
@@ -0,0 +1,53 @@
+#include "SocketsPriv.h"
+
+#include <Poco/Exception.h>
+#include <algorithm>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
+namespace porttiller {
+
+Poco::Timespan
+ToTimespan(Micros aTime)
+{
+  return { std::max<std::int64_t>(1, aTime.count()) };
+}
+
+void
+SetUserTimeout(Poco::Net::StreamSocket& aSocket, Millis aTime)
+{
+  aSocket.setOption(
+    IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(aTime.count()));
+}
+
+WakeUp::WakeUp()
+  : mSocket(Poco::Net::SocketAddress("127.0.0.1", 0))
+{
+  mSocket.connect(mSocket.address());
+  mSocket.setBlocking(false);
+}
+
+void
+WakeUp::Signal()
+{
+  const char byte = 0;
+  try {
+    mSocket.sendBytes(&byte, 1);
+  } catch (const Poco::Exception&) {
+    return; // its buffer is full, so the thread is woken already
+  }
+}
+
+void
+WakeUp::Clear()
+{
+  char byte = 0;
+  try {
+    while (mSocket.receiveBytes(&byte, 1) > 0) {
+    }
+  } catch (const Poco::Exception&) {
+    return; // nothing more to read
+  }
+}
+
+} // namespace porttiller
--- /dev/null
+++ b/packages/http/tests/HttpListenerTest.cpp
@@ -0,0 +1,234 @@
+// The listener over real sockets: order, hang-up, draining, limits.
+#include "porttiller/http/HttpListener.h"
+#include "porttiller/http/HttpPool.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/StreamSocket.h>
+#include <array>
+#include <condition_variable>
+#include <doctest/doctest.h>
+#include <mutex>
+#include <set>
+#include <thread>
+
+using namespace porttiller;
+
+namespace {
+
+constexpr const char* kAddress = "127.0.0.1:22950";
+
+// Holds requests back until they are let go by target.
+class Gate
+{
+public:
+  HttpReply Handle(HttpCall& aCall)
+  {
+    std::unique_lock lock(mMutex);
+    ++mArrived;
+    mChanged.notify_all();
+    mChanged.wait(lock, [&] {
+      return mOpen.contains(aCall.mHttp.mTarget) || *aCall.mCancelled;
+    });
+    mCancelled = mCancelled || *aCall.mCancelled;
+    return { .mAnswer = { .mStatus = 200, .mBody = aCall.mHttp.mTarget } };
+  }
+
+  void Open(const std::string& aTarget)
+  {
+    const std::lock_guard lock(mMutex);
+    mOpen.insert(aTarget);
+    mChanged.notify_all();
+  }
+
+  bool WaitArrived(int aCount)
+  {
+    std::unique_lock lock(mMutex);
+    return mChanged.wait_for(
+      lock, std::chrono::seconds(10), [&] { return mArrived >= aCount; });
+  }
+
+  // Looks again at the cancel flags, which tell nobody.
+  bool WaitCancelled(int aLooks = 1000)
+  {
+    std::unique_lock lock(mMutex);
+    for (int i = 0; i < aLooks && !mCancelled; ++i) {
+      mChanged.notify_all();
+      mChanged.wait_for(lock, std::chrono::milliseconds(10));
+    }
+    return mCancelled;
+  }
+
+private:
+  std::mutex mMutex;
+  std::condition_variable mChanged;
+  std::set<std::string> mOpen;
+  int mArrived = 0;
+  bool mCancelled = false;
+};
+
+std::unique_ptr<HttpListener>
+Listen(Gate& aGate, HttpListenerOptions aOptions = {})
+{
+  aOptions.mAddress = kAddress;
+  auto made = HttpListener::Make(
+    aOptions, [&aGate](HttpCall& aCall) { return aGate.Handle(aCall); });
+  REQUIRE(made);
+  return std::move(*made);
+}
+
+class Client
+{
+public:
+  Client()
+    : mSocket(Poco::Net::SocketAddress(kAddress))
+  {
+    mSocket.setReceiveTimeout(Poco::Timespan(10, 0));
+  }
+
+  void Send(const std::string& aBytes)
+  {
+    mSocket.sendBytes(aBytes.data(), static_cast<int>(aBytes.size()));
+  }
+
+  // What arrives until aEnd is in it, or the connection ends.
+  std::string ReadUntil(const std::string& aEnd)
+  {
+    std::array<char, 4096> buffer{};
+    while (mText.find(aEnd) == std::string::npos) {
+      const int size = mSocket.receiveBytes(buffer.data(), buffer.size());
+      if (size <= 0) {
+        break;
+      }
+      mText.append(buffer.data(), static_cast<std::size_t>(size));
+    }
+    return mText;
+  }
+
+  void Close() { mSocket.close(); }
+
+private:
+  Poco::Net::StreamSocket mSocket;
+  std::string mText;
+};
+
+std::string
+Get(const std::string& aTarget)
+{
+  return "GET " + aTarget + " HTTP/1.1\r\nHost: a\r\n\r\n";
+}
+
+} // namespace
+
+TEST_CASE("Pipelined requests run side by side and are answered in order")
+{
+  Gate gate;
+  const auto listener = Listen(gate);
+  Client client;
+  client.Send(Get("/one") + Get("/two") + Get("/three"));
+  REQUIRE(gate.WaitArrived(3));
+  gate.Open("/three");
+  gate.Open("/two");
+  gate.Open("/one");
+  const auto text = client.ReadUntil("/three");
+  CHECK(text.find("/one") < text.find("/two"));
+  CHECK(text.find("/two") < text.find("/three"));
+}
+
+TEST_CASE("A request that may change something runs alone")
+{
+  Gate gate;
+  const auto listener = Listen(gate);
+  Client client;
+  client.Send(Get("/one") +
+              "POST /two HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n" +
+              Get("/three"));
+  REQUIRE(gate.WaitArrived(1));
+  gate.Open("/two");
+  gate.Open("/three");
+  CHECK_FALSE(gate.WaitCancelled(5));
+  gate.Open("/one");
+  const auto text = client.ReadUntil("/three");
+  CHECK(text.find("/one") < text.find("/two"));
+  CHECK(text.find("/two") < text.find("/three"));
+}
+
+TEST_CASE("A caller that hangs up cancels its requests")
+{
+  Gate gate;
+  const auto listener = Listen(gate);
+  Client client;
+  client.Send(Get("/one"));
+  REQUIRE(gate.WaitArrived(1));
+  client.Close();
+  CHECK(gate.WaitCancelled());
+}
+
+TEST_CASE("Draining answers what was read and asks callers to close")
+{
+  Gate gate;
+  auto listener = Listen(gate);
+  Client client;
+  Client resting;
+  client.Send(Get("/one"));
+  REQUIRE(gate.WaitArrived(1));
+  listener->BeginDrain();
+  std::thread stopper([&] { listener->StopGracefully(); });
+  CHECK(resting.ReadUntil("anything").empty());
+  gate.Open("/one");
+  const auto text = client.ReadUntil("/one");
+  CHECK(text.find("Connection: close") != std::string::npos);
+  CHECK(text.find("/one") != std::string::npos);
+  client.Close();
+  stopper.join();
+}
+
+TEST_CASE("What is sent behind a closing answer is not run")
+{
+  Gate gate;
+  const auto listener = Listen(gate);
+  Client client;
+  client.Send("GET /one HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n" +
+              Get("/two"));
+  REQUIRE(gate.WaitArrived(1));
+  gate.Open("/one");
+  gate.Open("/two");
+  const auto text = client.ReadUntil("/two");
+  CHECK(text.find("/one") != std::string::npos);
+  CHECK(text.find("/two") == std::string::npos);
+}
+
+TEST_CASE("Slow, oversized and malformed requests get a status of their own")
+{
+  Gate gate;
+  const auto listener =
+    Listen(gate,
+           { .mLimits = { .mMaxHeaderBytes = 100, .mMaxBodyBytes = 10 },
+             .mReadTimeout = Millis(300) });
+  const auto answerTo = [](const std::string& aBytes) {
+    Client client;
+    client.Send(aBytes);
+    return client.ReadUntil("never").substr(0, 12);
+  };
+  CHECK(answerTo("GET / HT") == "HTTP/1.1 408");
+  CHECK(answerTo("what\r\n\r\n") == "HTTP/1.1 400");
+  CHECK(answerTo(Get("/" + std::string(200, 'x'))) == "HTTP/1.1 431");
+  CHECK(answerTo("POST / HTTP/1.1\r\nContent-Length: 11\r\n\r\n") ==
+        "HTTP/1.1 413");
+}
+
+TEST_CASE("A pool keeps connections, and drops those with bytes to spare")
+{
+  Gate gate;
+  const auto listener = Listen(gate);
+  gate.Open("/one");
+  HttpPool pool({ .mAddress = kAddress });
+  for (int i = 0; i < 3; ++i) {
+    auto exchange = pool.Begin({ .mMethod = "GET", .mTarget = "/one" },
+                               Now() + Millis(10'000));
+    REQUIRE(exchange);
+    const auto answer = (*exchange)->ReadAnswer(Now() + Millis(10'000));
+    REQUIRE(answer);
+    CHECK(answer->mBody == "/one");
+  }
+  CHECK(pool.Opened() == 1);
+}
--- /dev/null
+++ b/packages/http/tests/MessageReaderTest.cpp
@@ -0,0 +1,139 @@
+#include "porttiller/http/MessageReader.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+using namespace porttiller;
+
+namespace {
+
+MessageReader
+Requests(MessageLimits aLimits = {})
+{
+  return { MessageKind::kRequest, aLimits };
+}
+
+MessageReader
+Answers(MessageLimits aLimits = {})
+{
+  return { MessageKind::kAnswer, aLimits };
+}
+
+} // namespace
+
+TEST_CASE("Two pipelined requests are told apart")
+{
+  auto reader = Requests();
+  const std::string first = "GET /a HTTP/1.1\r\nHost: x\r\n\r\n";
+  const std::string second =
+    "POST /b HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabc";
+  const auto both = first + second;
+  const auto used = reader.Feed(both);
+  REQUIRE(used);
+  CHECK(*used == first.size());
+  REQUIRE(reader.Whole());
+  CHECK(reader.KeepAlive());
+  CHECK(reader.TakeRequest().mTarget == "/a");
+  reader.Next();
+  REQUIRE(reader.Feed(std::string_view(both).substr(*used)) == second.size());
+  const auto request = reader.TakeRequest();
+  CHECK(request.mMethod == "POST");
+  CHECK(request.mBody == "abc");
+}
+
+TEST_CASE("A message reads the same however it is cut into pieces")
+{
+  const std::string text = "POST /b HTTP/1.1\r\nHost: x\r\nA: 1\r\nA: 2\r\n"
+                           "Transfer-Encoding: chunked\r\n\r\n"
+                           "4\r\nabcd\r\n10\r\n0123456789abcdef\r\n0\r\n\r\n";
+  CHECK(rc::check([&] {
+    auto reader = Requests();
+    std::size_t at = 0;
+    while (at < text.size()) {
+      const auto size = *rc::gen::inRange<std::size_t>(1, 30);
+      const auto used = reader.Feed(std::string_view(text).substr(at, size));
+      RC_ASSERT(used.has_value());
+      at += *used;
+    }
+    RC_ASSERT(reader.Whole());
+    const auto request = reader.TakeRequest();
+    RC_ASSERT(request.mBody == "abcd0123456789abcdef");
+    RC_ASSERT(request.mHeaders.size() == 4U);
+    RC_ASSERT(request.mHeaders[2].mValue == "2");
+  }));
+}
+
+TEST_CASE("What could be read in two ways is malformed")
+{
+  for (const char* headers : {
+         "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n",
+         "Content-Length: 0\r\nContent-Length: 35\r\n",
+         "Content-Length: +4\r\n",
+         "Content-Length: -1\r\n",
+         "Content-Length: 4, 4\r\n",
+         "Content-Length: 0x4\r\n",
+         "Content-Length: 99999999999999999999\r\n",
+         "Transfer-Encoding: xchunked\r\n",
+       }) {
+    CAPTURE(headers);
+    auto reader = Requests();
+    const auto used = reader.Feed("POST /x HTTP/1.1\r\nHost: a\r\n" +
+                                  std::string(headers) + "\r\nabcd");
+    REQUIRE_FALSE(used.has_value());
+    CHECK(used.error() == MessageFault::kMalformed);
+  }
+}
+
+TEST_CASE("Limits on headers and bodies hold")
+{
+  auto small = Requests({ .mMaxHeaderBytes = 64, .mMaxBodyBytes = 8 });
+  CHECK(small.Feed("GET /" + std::string(100, 'x') + " HTTP/1.1\r\n").error() ==
+        MessageFault::kHeadTooLarge);
+  auto body = Requests({ .mMaxBodyBytes = 8 });
+  CHECK(body.Feed("POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\n").error() ==
+        MessageFault::kBodyTooLarge);
+  auto chunked = Requests({ .mMaxBodyBytes = 8 });
+  CHECK(chunked
+          .Feed("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                "9\r\n123456789\r\n")
+          .error() == MessageFault::kBodyTooLarge);
+}
+
+TEST_CASE("An answer without a length ends with its connection")
+{
+  auto reader = Answers();
+  REQUIRE(reader.Feed("HTTP/1.1 200 OK\r\nA: b\r\n\r\nabc"));
+  CHECK_FALSE(reader.Whole());
+  REQUIRE(reader.End());
+  CHECK(reader.Whole());
+  CHECK_FALSE(reader.KeepAlive());
+  CHECK(reader.TakeAnswer().mBody == "abc");
+}
+
+TEST_CASE("A cut answer is never whole")
+{
+  const std::string text = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc";
+  const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked"
+                              "\r\n\r\n3\r\nabc\r\n0\r\n\r\n";
+  for (const auto& whole : { text, chunked }) {
+    for (std::size_t size = 1; size < whole.size(); ++size) {
+      auto reader = Answers();
+      REQUIRE(reader.Feed(std::string_view(whole).substr(0, size)));
+      CHECK_FALSE(reader.Whole());
+      CHECK_FALSE(reader.End().has_value());
+    }
+  }
+}
+
+TEST_CASE("An answer to HEAD has no body, and 100 Continue is no answer")
+{
+  auto reader = Answers();
+  reader.Next(true);
+  REQUIRE(reader.Feed("HTTP/1.1 200 OK\r\nContent-Length: 30\r\n\r\n"));
+  CHECK(reader.Whole());
+  reader.Next();
+  REQUIRE(reader.Feed("HTTP/1.1 100 Continue\r\n\r\n"
+                      "HTTP/1.1 201 Created\r\nContent-Length: 0\r\n\r\n"));
+  REQUIRE(reader.Whole());
+  CHECK(reader.TakeAnswer().mStatus == 201);
+}
--- a/packages/node/include/porttiller/node/AdminServer.h
+++ b/packages/node/include/porttiller/node/AdminServer.h
@@ -1,7 +1,7 @@
 // The operators' HTTP server of one daemon: /metrics, /state and /health.
 #pragma once
 
-#include "porttiller/node/HttpServing.h"
+#include "porttiller/http/HttpListener.h"
 #include "porttiller/node/Metrics.h"
 
 #include <functional>
--- a/packages/node/include/porttiller/node/ConfigController.h
+++ b/packages/node/include/porttiller/node/ConfigController.h
@@ -10,7 +10,7 @@
 #include "porttiller/node/Metrics.h"
 #include "porttiller/node/Worker.h"
 #include "porttiller/peer/PeerTransport.h"
-#include "porttiller/platform/ObjectClient.h"
+#include "porttiller/store/ObjectClient.h"
 
 #include <atomic>
 #include <condition_variable>
@@ -45,7 +45,12 @@
   void Start(ConfigPeers aPeers);
   void Stop();
 
-  // Null until the first configuration is known.
+  // The boxes and servers that told about themselves; switches as a new
+  // configuration does.
+  void SetDirectory(std::vector<BoxRecord> aRecords);
+
+  // Null until anything is known; its revision is 0 until that is a
+  // configuration.
   SnapshotPtr Current() const;
   // This node's revision and digest; the address is left empty.
   PeerRevision Own() const;
@@ -65,6 +70,7 @@
 private:
   void Run();
   void FollowPlatform();
+  void Switch(const SnapshotPtr& aSnapshot);
   void AskSeeds();
   void Pull(const std::string& aAddress);
   void Announce(std::uint64_t aRevision);
@@ -78,9 +84,11 @@
   std::vector<SnapshotListener> mListeners;
   std::mutex mApplyMutex; // one switch at a time, listeners included
   mutable std::mutex mMutex;
-  ObjectSet mObjects;       // under mMutex
-  SnapshotBuilder mBuilder; // under mApplyMutex
-  SnapshotPtr mCurrent;     // under mMutex
+  ObjectSet mObjects;                // under mMutex
+  SnapshotBuilder mBuilder;          // under mApplyMutex
+  std::vector<BoxRecord> mDirectory; // under mMutex
+  SnapshotPtr mCurrent;              // under mMutex
+  std::uint64_t mCursor = 0;         // of mThread: where the next watch goes on
   std::atomic<bool> mPlatformReachable{ false };
   std::atomic<bool> mPulling{ false };
   std::atomic<bool> mStop{ false };
--- a/packages/node/include/porttiller/node/ControlCodec.h
+++ b/packages/node/include/porttiller/node/ControlCodec.h
@@ -1,6 +1,7 @@
 // Policy and configuration values as control messages, and back.
 #pragma once
 
+#include "porttiller/config/Directory.h"
 #include "porttiller/config/ObjectSet.h"
 #include "porttiller/policy/Membership.h"
 
@@ -24,4 +25,19 @@
 ObjectDelta
 DecodeDelta(const wire::Delta& aDelta);
 
+wire::BoxRecords
+EncodeRecords(const std::vector<BoxRecord>& aRecords);
+
+// Records that cannot be read are left out.
+std::vector<BoxRecord>
+DecodeRecords(const wire::BoxRecords& aMessage);
+
+void
+EncodeVersions(const std::vector<RecordVersion>& aVersions,
+               google::protobuf::RepeatedPtrField<wire::RecordVersion>& aHeld);
+
+std::vector<RecordVersion>
+DecodeVersions(
+  const google::protobuf::RepeatedPtrField<wire::RecordVersion>& aHeld);
+
 } // namespace porttiller
--- a/packages/node/include/porttiller/node/Cutoff.h
+++ b/packages/node/include/porttiller/node/Cutoff.h
@@ -28,6 +28,14 @@
   // is over; returns what the last call did.
   template<typename Wait>
   bool WaitInSlices(TimePoint aUntil, Wait aWait) const
+  {
+    return WaitInSlices(
+      aUntil, [] { return false; }, aWait);
+  }
+
+  // As above; ends between two slices, with false, once aStop says so.
+  template<typename Stop, typename Wait>
+  bool WaitInSlices(TimePoint aUntil, Stop aStop, Wait aWait) const
   {
     for (;;) {
       const auto now = Now();
@@ -35,7 +43,7 @@
       if (aWait(std::min<TimePoint>(end, now + kSlice))) {
         return true;
       }
-      if (Now() >= end) {
+      if (Now() >= end || aStop()) {
         return false;
       }
     }
--- /dev/null
+++ b/packages/node/include/porttiller/node/Dialects.h
@@ -0,0 +1,16 @@
+// The dialects that the settings choose.
+#pragma once
+
+#include "porttiller/config/EdgeHeaders.h"
+#include "porttiller/config/Settings.h"
+#include "porttiller/store/ObjectClient.h"
+
+namespace porttiller {
+
+EdgeHeaders
+EdgeHeadersOf(const Settings& aSettings);
+
+StoreDialect
+StoreDialectOf(const Settings& aSettings);
+
+} // namespace porttiller
--- /dev/null
+++ b/packages/node/include/porttiller/node/DirectoryController.h
@@ -0,0 +1,114 @@
+// Which boxes and backend servers there are, where no operator lists them. Each
+// box writes a record of itself and its server to the platform's store when it
+// changes, and tells its peers; they pass it on. The store is read at the start
+// of a box; after that digests on membership's probes find what got lost.
+#pragma once
+
+#include "porttiller/config/Directory.h"
+#include "porttiller/config/Registrar.h"
+#include "porttiller/config/Settings.h"
+#include "porttiller/node/MembershipController.h"
+#include "porttiller/node/Worker.h"
+#include "porttiller/peer/PeerTransport.h"
+#include "porttiller/store/ObjectClient.h"
+
+#include <atomic>
+#include <condition_variable>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+namespace porttiller {
+
+struct DirectoryHooks
+{
+  // The directory changed. Called one at a time, without the lock.
+  std::function<void(std::vector<BoxRecord>)> mOnChange;
+  // The own server takes nothing new from now on; called before its word is
+  // acknowledged.
+  std::function<void(const BackendServerName&)> mOnServerLeaving;
+  std::function<std::vector<BoxSpec>(std::size_t)> mRandomPeers;
+};
+
+// Why a server's message is not acknowledged; it calls again.
+enum class RegistrationError
+{
+  kStarting, // what an earlier life of this box recorded is not known yet
+  kNotKept   // neither the store nor a peer holds it
+};
+
+const char*
+ToText(RegistrationError aError);
+
+// Owned by the node. Thread-safe.
+class DirectoryController
+{
+public:
+  DirectoryController(const Settings& aSettings,
+                      Incarnation aIncarnation,
+                      PeerTransport& aTransport,
+                      DirectoryHooks aHooks);
+  ~DirectoryController();
+
+  void Start();
+  void Stop();
+  // This box leaves: its peers are told.
+  void Leave();
+
+  // A message of the server beside this box. Returns once it may be
+  // acknowledged: what it says will then hold in a next life of this box, too.
+  tl::expected<void, RegistrationError> Take(const ServerMessage& aMessage);
+
+  // Peers' messages.
+  void OnRecords(const wire::BoxRecords& aMessage);
+  wire::Envelope OnDirectoryRequest(const wire::DirectoryRequest& aRequest);
+  // A peer's digest: a lasting difference is asked about. Does not block.
+  void OnPeerDigest(const PeerRevision& aPeer);
+
+  std::uint64_t Digest() const;
+  bool Loaded() const { return mLoaded; }
+
+private:
+  void Run();
+  bool LoadFromStore();
+  bool WriteToStore(ObjectClient& aClient);
+  void AskSeeds();
+  void Adopt(const BoxRecord& aOwn);
+  void RaiseOwn();
+  void Merge(const std::vector<BoxRecord>& aRecords, const char* aSource);
+  void Publish();
+  void Push(const std::vector<BoxRecord>& aRecords);
+  void Request(const std::string& aAddress);
+  bool KeepAtPeers(const BoxRecord& aRecord);
+  bool Keep(const BoxRecord& aRecord);
+  std::uint64_t WrittenRevision() const;
+  void Sleep(Millis aTime);
+  void LogServer(const ServerMessage& aMessage, RegistrarVerdict aVerdict);
+
+  const Settings& mSettings;
+  PeerTransport& mTransport;
+  const DirectoryHooks mHooks;
+  mutable std::mutex mMutex;
+  std::condition_variable mWake;
+  Directory mDirectory;          // under mMutex
+  Registrar mRegistrar;          // under mMutex
+  BoxRecord mOwn;                // under mMutex
+  std::uint64_t mWritten = 0;    // revision that the store holds; under mMutex
+  std::uint64_t mVersion = 0;    // of the own object there; under mMutex
+  std::uint64_t mPeerDigest = 0; // a difference seen once; under mMutex
+  TimePoint mPeerDigestSince;
+  TimePoint mNextRequest;
+  bool mServerKnown = false; // under mMutex
+  std::mutex mPublishMutex;  // one call of mOnChange at a time
+  std::mutex mStoreMutex;    // one write of the own record at a time
+  std::atomic<bool> mLoaded{ false };
+  std::atomic<bool> mStop{ false };
+  ObjectClient mClient;    // of mThread
+  ObjectClient mAckClient; // under mStoreMutex
+  Worker mWorker;          // applies what peers send
+  std::thread mThread;
+};
+
+} // namespace porttiller
--- a/packages/node/include/porttiller/node/Dispatcher.h
+++ b/packages/node/include/porttiller/node/Dispatcher.h
@@ -65,6 +65,11 @@
                      HomeRequest aRequest,
                      const std::function<bool()>& aMayMoveOn);
 
+  // Asks the home what became of an attempt.
+  AttemptFate Query(const BoxSpec& aBox,
+                    Incarnation aNamed,
+                    const AttemptId& aAttempt,
+                    const std::string& aRequestKey);
   // Asks the home to make sure that the attempt never runs.
   AttemptFate Revoke(const BoxSpec& aBox,
                      Incarnation aNamed,
@@ -72,6 +77,7 @@
                      const std::string& aRequestKey);
 
 private:
+  AttemptFate Ask(const BoxSpec& aBox, wire::Envelope aQuestion);
   HttpPool& PoolOf(const BoxSpec& aBox);
   AttemptResult SendLocal(const HomeRequest& aRequest);
   AttemptResult SendRemote(const BoxSpec& aBox,
@@ -81,14 +87,15 @@
                       const HomeRequest& aRequest,
                       HttpExchange& aExchange,
                       const std::function<bool()>& aMayMoveOn);
-  bool WaitReadable(HttpExchange& aExchange, TimePoint aUntil) const;
+  bool WaitReadable(const HomeRequest& aRequest,
+                    HttpExchange& aExchange,
+                    TimePoint aUntil) const;
   AttemptResult Read(const BoxSpec& aBox,
                      const HomeRequest& aRequest,
                      HttpExchange& aExchange);
   AttemptResult Settle(const BoxSpec& aBox,
                        const HomeRequest& aRequest,
                        const std::string& aReason);
-  void Learn(const BoxSpec& aBox, const HttpAnswer& aHttp);
 
   const Settings& mSettings;
   Home& mHome;
--- a/packages/node/include/porttiller/node/EntryServer.h
+++ b/packages/node/include/porttiller/node/EntryServer.h
@@ -1,11 +1,10 @@
 // The entry role's HTTP server: callers' requests through the filter chain.
 #pragma once
 
+#include "porttiller/http/HttpListener.h"
 #include "porttiller/node/ConfigController.h"
 #include "porttiller/node/Filters.h"
-#include "porttiller/node/HttpServing.h"
 
-#include <atomic>
 #include <memory>
 
 namespace porttiller {
@@ -20,7 +19,9 @@
     AttemptServices aServices);
 
   // Answers from now on end their connections; nothing is refused yet.
-  void BeginDrain() { mDraining = true; }
+  void BeginDrain() { mListener->BeginDrain(); }
+  // What callers may send, from the next connection on.
+  void SetLimits(const LimitsSpec& aLimits);
   // Waits until every request has its answer.
   void Stop();
 
@@ -29,18 +30,18 @@
               const ConfigController& aConfig,
               AttemptServices aServices);
 
-  void Serve(Poco::Net::HTTPServerRequest& aRequest,
-             Poco::Net::HTTPServerResponse& aResponse);
-  RequestContext MakeContext(Poco::Net::HTTPServerRequest& aRequest) const;
-  void Write(const RequestContext& aContext,
-             const CallerAnswer& aAnswer,
-             Poco::Net::HTTPServerResponse& aResponse);
+  HttpListenerOptions ListenerOptions() const;
+  HttpReply Serve(HttpCall& aCall);
+  RequestContext MakeContext(HttpCall& aCall) const;
+  HttpReply ToReply(CallerAnswer aAnswer, const std::string& aRequestId) const;
+  void LogAnswer(const RequestContext& aContext,
+                 const CallerAnswer& aAnswer) const;
 
   const Settings& mSettings;
   const ConfigController& mConfig;
+  const EdgeHeaders mNames;
   AttemptServices mServices;
   const std::vector<Filter> mFilters;
-  std::atomic<bool> mDraining{ false };
   std::unique_ptr<HttpListener> mListener;
 };
 
--- a/packages/node/include/porttiller/node/EntryView.h
+++ b/packages/node/include/porttiller/node/EntryView.h
@@ -3,6 +3,7 @@
 // the home decides.
 #pragma once
 
+#include "porttiller/config/Settings.h"
 #include "porttiller/config/Snapshot.h"
 #include "porttiller/node/HomeTypes.h"
 #include "porttiller/policy/AttemptPlan.h"
@@ -28,7 +29,9 @@
 class EntryView
 {
 public:
-  EntryView(AvailabilityZone aZone, BalancerOptions aOptions);
+  EntryView(AvailabilityZone aZone,
+            RetrySettings aRetries,
+            BalancerOptions aOptions);
 
   // The server for the next attempt; null when none is left.
   const BackendServerSpec* Choose(const Snapshot& aSnapshot,
@@ -43,6 +46,7 @@
   void OnRefused(const BackendServerSpec& aServer,
                  Refusal aRefusal,
                  Millis aRetryAfter,
+                 bool aMayFail, // the request that was refused
                  TimePoint aNow);
 
   // The way to a box fails or works; never held against its servers.
@@ -53,7 +57,8 @@
   // What membership knows of a box: dead and leaving ones are used last.
   void SetBoxUsable(const BoxName& aBox, bool aUsable);
 
-  void OnFirstAttempt(const ServiceSpec& aService);
+  // aBoxes share the fleet's burst of retries.
+  void OnFirstAttempt(const ServiceSpec& aService, std::size_t aBoxes);
   bool TryRetry(const ServiceName& aService);
 
   std::string Dump() const;
@@ -68,6 +73,9 @@
     TimePoint mLoadAt;
     Standing mStanding = Standing::kOpen;
     TimePoint mStandingUntil;
+    // Its home turns away what must not fail there, and what may fail, too.
+    TimePoint mBrokenUntil;
+    TimePoint mNoTrialUntil;
   };
 
   struct ServiceShard
@@ -100,6 +108,7 @@
                           TimePoint aNow) const;
 
   const AvailabilityZone mZone;
+  const RetrySettings mRetries;
   const BalancerOptions mOptions;
   mutable std::array<ServiceShard, kShards> mServices;
   mutable std::array<BoxShard, kShards> mBoxes;
--- a/packages/node/include/porttiller/node/Filters.h
+++ b/packages/node/include/porttiller/node/Filters.h
@@ -10,8 +10,8 @@
 
 namespace porttiller {
 
-// Refuses what could be read in two ways, or is too large.
-class FramingFilter
+// Refuses versions of HTTP that are not spoken here.
+class VersionFilter
 {
 public:
   std::optional<CallerAnswer> Apply(RequestContext& aContext) const;
@@ -31,19 +31,8 @@
   std::optional<CallerAnswer> Apply(RequestContext& aContext) const;
 };
 
-// Reads the body whole.
-class BodyFilter
-{
-public:
-  std::optional<CallerAnswer> Apply(RequestContext& aContext) const;
-};
-
-using Filter = std::variant<FramingFilter,
-                            RouteFilter,
-                            TermsFilter,
-                            BodyFilter,
-                            TokenFilter,
-                            AttemptFilter>;
+using Filter = std::
+  variant<VersionFilter, RouteFilter, TermsFilter, TokenFilter, AttemptFilter>;
 
 // The answer of the first filter that has one; the last always has.
 CallerAnswer
--- a/packages/node/include/porttiller/node/Home.h
+++ b/packages/node/include/porttiller/node/Home.h
@@ -19,7 +19,10 @@
 class Home
 {
 public:
-  Home(BoxName aBox, Incarnation aIncarnation, const Cutoff& aCutoff);
+  Home(BoxName aBox,
+       Incarnation aIncarnation,
+       LocalServerOptions aServerOptions,
+       const Cutoff& aCutoff);
 
   Incarnation OwnIncarnation() const { return mIncarnation; }
 
@@ -37,6 +40,9 @@
   // The whole box leaves: every new attempt is refused.
   void SetLeaving();
 
+  // This server takes nothing new from now on.
+  void SetServerLeaving(const BackendServerName& aName);
+
   LocalServerPtr Find(const BackendServerName& aName) const;
   std::vector<LocalServerPtr> Servers() const;
   int InFlight() const;
@@ -55,6 +61,7 @@
 
   const BoxName mBox;
   const Incarnation mIncarnation;
+  const LocalServerOptions mServerOptions; // but for the detection
   const Cutoff& mCutoff;
   mutable std::array<Shard, kShards> mShards;
   mutable std::mutex mServersMutex;
--- a/packages/node/include/porttiller/node/HomeServer.h
+++ b/packages/node/include/porttiller/node/HomeServer.h
@@ -2,8 +2,8 @@
 #pragma once
 
 #include "porttiller/config/Settings.h"
+#include "porttiller/http/HttpListener.h"
 #include "porttiller/node/Home.h"
-#include "porttiller/node/HttpServing.h"
 
 #include <memory>
 
@@ -23,10 +23,9 @@
 private:
   HomeServer(const Settings& aSettings, Home& aHome);
 
-  void Serve(Poco::Net::HTTPServerRequest& aRequest,
-             Poco::Net::HTTPServerResponse& aResponse);
+  HttpReply Serve(HttpCall& aCall);
 
-  const Settings& mSettings;
+  const EdgeHeaders mNames;
   Home& mHome;
   std::unique_ptr<HttpListener> mListener;
 };
--- a/packages/node/include/porttiller/node/HomeTypes.h
+++ b/packages/node/include/porttiller/node/HomeTypes.h
@@ -4,7 +4,8 @@
 #include "porttiller/core/Ids.h"
 #include "porttiller/core/Outcome.h"
 #include "porttiller/core/Time.h"
-#include "porttiller/node/HttpTypes.h"
+#include "porttiller/http/HttpListener.h"
+#include "porttiller/http/HttpTypes.h"
 
 #include <optional>
 #include <string>
@@ -22,6 +23,7 @@
   kEjected,     // set aside; no work at all
   kDemoted,     // set aside, but would serve as the last resort
   kOverloaded,  // no slot before the deadline, or given up for another
+  kServerBusy,  // the server itself refused it
   kExpired,     // the deadline had passed
   kRevoked,     // revoked before it arrived
   kDuplicate,   // this attempt was here before
@@ -42,10 +44,13 @@
   BackendServerName mServer;
   Priority mPriority = Priority::kNormal;
   bool mRepeatable = false;
+  bool mMayFail = false; // another server may still get it after this one
   bool mLastResort = false;
   TimePoint mDeadline; // on the clock of the process that holds the value
   std::string mRequestKey;
-  std::string mRoute; // the class of call, for detection
+  std::string mRoute;     // the class of call, for detection
+  std::string mRequestId; // the caller's, for logs; may be empty
+  CancelFlag mCancelled;  // of this process alone; may be null
   HttpRequestData mHttp;
 };
 
@@ -57,6 +62,13 @@
   return !aRequest.mRepeatable && !aRequest.mRequestKey.empty();
 }
 
+// True once nobody waits for the answer any more, nor will ask for it.
+inline bool
+IsCancelled(const HomeRequest& aRequest)
+{
+  return aRequest.mCancelled && *aRequest.mCancelled && !Lingers(aRequest);
+}
+
 struct HomeAnswer
 {
   Outcome mOutcome = Outcome::kUnknown;
--- a/packages/node/include/porttiller/node/HopCodec.h
+++ b/packages/node/include/porttiller/node/HopCodec.h
@@ -13,7 +13,8 @@
                   std::optional<Millis> aHomeClockOffset,
                   TimePoint aNow);
 
-// Null when a header is missing or malformed. aHttp keeps the caller's headers.
+// Null when its fields are missing or malformed. aHttp keeps the caller's
+// headers.
 std::optional<HomeRequest>
 DecodeHomeRequest(HttpRequestData aHttp, TimePoint aNow);
 
@@ -24,8 +25,16 @@
                  Incarnation aIncarnation,
                  TimePoint aNow);
 
+// A home's answer with what it tells of the home itself.
+struct DecodedHomeAnswer
+{
+  HomeAnswer mAnswer;
+  Incarnation mIncarnation;
+  Millis mHomeClock{ 0 }; // its monotonic clock when it answered
+};
+
 // Null when it is no answer to aAttempt: another's, or not from a home.
-std::optional<HomeAnswer>
+std::optional<DecodedHomeAnswer>
 DecodeHomeAnswer(HttpAnswer aHttp, const AttemptId& aAttempt);
 
 } // namespace porttiller
--- a/packages/node/include/porttiller/node/LedgerStore.h
+++ b/packages/node/include/porttiller/node/LedgerStore.h
@@ -1,9 +1,9 @@
 // The ejection ledgers at the platform, as one home changes them.
 #pragma once
 
-#include "porttiller/platform/ObjectClient.h"
 #include "porttiller/policy/EjectionLedger.h"
 #include "porttiller/policy/EjectionMachine.h"
+#include "porttiller/store/ObjectClient.h"
 
 #include <functional>
 #include <set>
@@ -40,7 +40,7 @@
             const std::set<BackendServerName>& aHolding);
 
   // Null while the platform is away.
-  tl::expected<EjectionLedger, PlatformError> Read(const ServiceName& aService);
+  tl::expected<EjectionLedger, StoreError> Read(const ServiceName& aService);
 
 private:
   struct Versioned
@@ -52,11 +52,11 @@
   using Change = std::function<tl::expected<EjectionLedger, FloorError>(
     const EjectionLedger&)>;
 
-  tl::expected<Versioned, PlatformError> ReadVersioned(
+  tl::expected<Versioned, StoreError> ReadVersioned(
     const ServiceName& aService);
-  tl::expected<void, PlatformError> Write(const ServiceName& aService,
-                                          const Versioned& aHeld,
-                                          const EjectionLedger& aNext);
+  tl::expected<void, StoreError> Write(const ServiceName& aService,
+                                       const Versioned& aHeld,
+                                       const EjectionLedger& aNext);
   // Reads, changes and writes, again when another writer came first.
   PermissionAnswer Replace(const ServiceName& aService, const Change& aChange);
 
@@ -70,7 +70,7 @@
 std::string
 EncodeLedger(const EjectionLedger& aLedger, const std::string& aWriter);
 
-tl::expected<EjectionLedger, PlatformError>
+tl::expected<EjectionLedger, StoreError>
 DecodeLedger(const std::string& aSpecJson);
 
 } // namespace porttiller
--- a/packages/node/include/porttiller/node/LocalServer.h
+++ b/packages/node/include/porttiller/node/LocalServer.h
@@ -2,10 +2,13 @@
 // connections, and what its answers say about it.
 #pragma once
 
+#include "porttiller/config/EdgeHeaders.h"
 #include "porttiller/config/Resources.h"
+#include "porttiller/config/Settings.h"
+#include "porttiller/http/HttpPool.h"
 #include "porttiller/node/Cutoff.h"
 #include "porttiller/node/HomeTypes.h"
-#include "porttiller/node/HttpPool.h"
+#include "porttiller/policy/CircuitBreaker.h"
 #include "porttiller/policy/EjectionMachine.h"
 #include "porttiller/policy/SlotQueue.h"
 
@@ -17,13 +20,23 @@
 
 namespace porttiller {
 
+struct LocalServerOptions
+{
+  DetectionSetting mDetection = DetectionSetting::kCareful;
+  FailingServers mFailingServers = FailingServers::kEject;
+  EdgeHeaders mHeaders;
+
+  friend bool operator==(const LocalServerOptions&,
+                         const LocalServerOptions&) = default;
+};
+
 // Owned by Home, shared with the requests that are in it. Thread-safe: one
 // lock for each server.
 class LocalServer
 {
 public:
   LocalServer(const BackendServerSpec& aSpec,
-              DetectionSetting aDetection,
+              LocalServerOptions aOptions,
               const Cutoff& aCutoff);
 
   const BackendServerSpec& Spec() const { return mSpec; }
@@ -48,7 +61,9 @@
   std::optional<PeerHealth> Health() const;
   ServerPhase Phase() const;
   bool HoldsPermission() const;
-  DetectionSetting Detection() const { return mDetection; }
+  const LocalServerOptions& Options() const { return mOptions; }
+  // The server is not the one at its address any more.
+  bool Replaced() const;
 
   // Running and waiting requests.
   int InFlight() const;
@@ -75,20 +90,33 @@
   std::optional<HomeAnswer> TakeSlot(const HomeRequest& aRequest);
   std::optional<HomeAnswer> WaitForSlot(std::unique_lock<std::mutex>& aLock,
                                         Ticket aTicket,
-                                        TimePoint aDeadline);
+                                        const HomeRequest& aRequest);
   std::optional<HomeAnswer> RefuseAside(const HomeRequest& aRequest);
+  std::optional<HomeAnswer> RefuseBroken(const HomeRequest& aRequest);
   HomeAnswer Exchange(const HomeRequest& aRequest);
+  HttpRequestData MakeRequest(const HomeRequest& aRequest) const;
+  HomeAnswer Judge(const HomeRequest& aRequest, HttpAnswer aHttp);
+  bool SaysNotRun(const HttpAnswer& aHttp) const;
   HomeAnswer RefusedByServer(const HttpAnswer& aHttp);
   void Learn(const HomeRequest& aRequest,
              const HomeAnswer& aAnswer,
              Micros aTime);
+  void LearnBreaker(const HomeRequest& aRequest,
+                    const HomeAnswer& aAnswer,
+                    Micros aTime,
+                    bool aSuspected); // it was held against the server already
+  Micros HangLimit() const;
+  Micros HangLimitLocked() const;
+  void SuspectHanging(TimePoint aNow);
+  void LogBreaker(const HomeRequest& aRequest,
+                  const std::string& aReason) const;
   void FreeSlot(std::optional<Micros> aServiceTime);
   void Mark(Ticket aTicket, WaitState aState);
   double LoadLocked() const;
   HomeAnswer RefuseLocked(Refusal aRefusal, Millis aRetryAfter) const;
 
   const BackendServerSpec mSpec;
-  const DetectionSetting mDetection;
+  const LocalServerOptions mOptions;
   const Cutoff& mCutoff;
   HttpPool mPool;
   mutable std::mutex mMutex;
@@ -96,6 +124,10 @@
   SlotQueue mQueue;
   EjectionMachine mMachine;
   std::map<Ticket, Waiter> mWaiters;
+  CircuitBreaker mBreaker;
+  RecentMean mLatency; // of answers in order; zero while there are none
+  std::map<AttemptId, TimePoint> mRunningSince; // not yet held against it
+  bool mReplaced = false;
   Ticket mNextTicket = 1;
   bool mLeaving = false;
   TimePoint mServerLeavingUntil; // said by the server itself
--- a/packages/node/include/porttiller/node/Log.h
+++ b/packages/node/include/porttiller/node/Log.h
@@ -19,6 +19,10 @@
 void
 SetUpLog(const std::string& aBox, const std::string& aLevel);
 
+// From now on; any thread may log meanwhile.
+void
+SetLogLevel(const std::string& aLevel);
+
 // One line, written when the object goes. An event that repeats more often
 // than kLogLinesPerSecond is counted instead, and the next line of it says how
 // many were left out.
@@ -39,6 +43,10 @@
   Poco::JSON::Object mFields;
 };
 
+// A request handler threw: a fault of this program.
+void
+LogException(const std::string& aWhat);
+
 inline constexpr int kLogLinesPerSecond = 20;
 
 } // namespace porttiller
--- a/packages/node/include/porttiller/node/MembershipController.h
+++ b/packages/node/include/porttiller/node/MembershipController.h
@@ -21,6 +21,7 @@
   std::string mAddress; // its control address
   std::uint64_t mRevision = 0;
   std::uint64_t mDigest = 0;
+  std::uint64_t mDirectory = 0; // digest of the records of all boxes
 };
 
 struct MembershipHooks
@@ -68,9 +69,7 @@
   void TakeBeliefs(
     const google::protobuf::RepeatedPtrField<wire::Member>& aMembers);
   wire::Envelope MakeProbe(const BoxName& aTo);
-  void NoteRevision(const std::string& aFromBox,
-                    std::uint64_t aRevision,
-                    std::uint64_t aDigest);
+  void NoteRevision(const std::string& aFromBox, const PeerRevision& aRevision);
   std::optional<BoxSpec> SpecOf(const BoxName& aBox) const;
   void RefreshUsable(const BoxName& aBox);
 
--- a/packages/node/include/porttiller/node/Metrics.h
+++ b/packages/node/include/porttiller/node/Metrics.h
@@ -41,7 +41,7 @@
   std::string Text() const;
 
 private:
-  static constexpr std::size_t kRefusalCount = 12;
+  static constexpr std::size_t kRefusalCount = 13;
 
   std::shared_ptr<prometheus::Registry> mRegistry;
   std::array<prometheus::Counter*, 3> mRequests{};
--- /dev/null
+++ b/packages/node/include/porttiller/node/RegistrationServer.h
@@ -0,0 +1,26 @@
+// Takes the messages of the backend server beside this box.
+#pragma once
+
+#include "porttiller/config/Settings.h"
+#include "porttiller/http/HttpListener.h"
+#include "porttiller/node/DirectoryController.h"
+
+#include <memory>
+#include <string>
+#include <tl/expected.hpp>
+
+namespace porttiller {
+
+// Owned by the node.
+class RegistrationServer
+{
+public:
+  static tl::expected<std::unique_ptr<RegistrationServer>, std::string> Make(
+    const Settings& aSettings,
+    DirectoryController& aDirectory);
+
+private:
+  std::unique_ptr<HttpListener> mListener;
+};
+
+} // namespace porttiller
--- a/packages/node/include/porttiller/node/RequestContext.h
+++ b/packages/node/include/porttiller/node/RequestContext.h
@@ -1,13 +1,14 @@
 // A caller's request on its way through the filters, and the answer to it.
 #pragma once
 
+#include "porttiller/config/EdgeHeaders.h"
 #include "porttiller/config/Settings.h"
 #include "porttiller/config/Snapshot.h"
 #include "porttiller/core/Outcome.h"
 #include "porttiller/core/Time.h"
-#include "porttiller/node/HttpTypes.h"
+#include "porttiller/http/HttpListener.h"
+#include "porttiller/http/HttpTypes.h"
 
-#include <istream>
 #include <optional>
 #include <string>
 
@@ -34,13 +35,13 @@
 struct RequestContext
 {
   const Settings& mSettings;
+  const EdgeHeaders& mNames;
   SnapshotPtr mSnapshot;
   TimePoint mArrival;
-  HttpRequestData mHttp; // headers as received, body once read
-  std::string mHttpVersion;
-  std::istream* mBodyStream = nullptr;
-  std::int64_t mContentLength = -1; // -1: none given
+  HttpRequestData mHttp; // as received
+  CancelFlag mCancelled; // the caller has gone
 
+  std::string mRequestId;            // the caller's, may be empty
   std::string mPath;                 // decoded, without the query
   const RouteSpec* mRoute = nullptr; // in mSnapshot
   const ServiceEntry* mService = nullptr;
--- a/packages/node/include/porttiller/node/StatusController.h
+++ b/packages/node/include/porttiller/node/StatusController.h
@@ -8,7 +8,7 @@
 #include "porttiller/node/ConfigController.h"
 #include "porttiller/node/MembershipController.h"
 #include "porttiller/node/Worker.h"
-#include "porttiller/platform/ObjectClient.h"
+#include "porttiller/store/ObjectClient.h"
 
 #include <map>
 #include <memory>
--- a/packages/node/src/AdminServer.cpp
+++ b/packages/node/src/AdminServer.cpp
@@ -1,5 +1,7 @@
 #include "porttiller/node/AdminServer.h"
 
+#include "porttiller/node/Log.h"
+
 namespace porttiller {
 
 namespace {
@@ -7,34 +9,38 @@
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
-constexpr int kThreads = 8;
+constexpr int kWorkers = 4;
+constexpr const char* kJson = "application/json";
+
+HttpReply
+Reply(int aStatus, const char* aType, std::string aBody)
+{
+  return { .mAnswer = { .mStatus = aStatus,
+                        .mHeaders = { { "Content-Type", aType } },
+                        .mBody = std::move(aBody) } };
+}
 
-void
+HttpReply
 Serve(const Metrics& aMetrics,
       const AdminSources& aSources,
-      Poco::Net::HTTPServerRequest& aRequest,
-      Poco::Net::HTTPServerResponse& aResponse)
+      const HttpCall& aCall)
 {
-  const auto& path = aRequest.getURI();
-  const bool headOnly = aRequest.getMethod() == "HEAD";
-  const HttpHeaders text = { { "Content-Type", "text/plain; version=0.0.4" } };
-  const HttpHeaders json = { { "Content-Type", "application/json" } };
+  const auto& path = aCall.mHttp.mTarget;
   if (path == "/metrics") {
     aSources.mRefresh();
-    SendWhole(aResponse, headOnly, kOk, text, aMetrics.Text());
-  } else if (path == "/state") {
-    SendWhole(aResponse, headOnly, kOk, json, aSources.mState());
-  } else if (path == "/health") {
+    return Reply(kOk, "text/plain; version=0.0.4", aMetrics.Text());
+  }
+  if (path == "/state") {
+    return Reply(kOk, kJson, aSources.mState());
+  }
+  if (path == "/health") {
     const bool draining = aSources.mDraining();
-    SendWhole(aResponse,
-              headOnly,
-              draining ? kUnavailable : kOk,
-              json,
-              draining ? "{\"status\":\"draining\"}\n"
-                       : "{\"status\":\"ready\"}\n");
-  } else {
-    SendWhole(aResponse, headOnly, kNotFound, json, "{}\n");
+    return Reply(draining ? kUnavailable : kOk,
+                 kJson,
+                 draining ? "{\"status\":\"draining\"}\n"
+                          : "{\"status\":\"ready\"}\n");
   }
+  return Reply(kNotFound, kJson, "{}\n");
 }
 
 } // namespace
@@ -44,12 +50,13 @@
                   const Metrics& aMetrics,
                   AdminSources aSources)
 {
-  auto listener =
-    HttpListener::Make({ .mAddress = aAddress, .mThreads = kThreads },
-                       [&aMetrics, sources = std::move(aSources)](
-                         auto& aRequest, auto& aResponse) {
-                         Serve(aMetrics, sources, aRequest, aResponse);
-                       });
+  auto listener = HttpListener::Make(
+    { .mAddress = aAddress,
+      .mWorkers = kWorkers,
+      .mOnException = LogException },
+    [&aMetrics, sources = std::move(aSources)](const HttpCall& aCall) {
+      return Serve(aMetrics, sources, aCall);
+    });
   if (!listener) {
     return tl::make_unexpected(listener.error());
   }
--- a/packages/node/src/AttemptFilter.cpp
+++ b/packages/node/src/AttemptFilter.cpp
@@ -14,6 +14,8 @@
 constexpr int kUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
 constexpr int kServerErrors = 500;
+// Most of them are homes that refuse, which costs a trip and no server.
+constexpr int kMaxAttempts = 12;
 constexpr Millis kDefaultRetryAfter{ 500 };
 constexpr Millis kUnknownRetryAfter{ 1000 };
 
@@ -68,7 +70,7 @@
       return Setback::kSameAgain;
     case Refusal::kDemoted:
       return Setback::kDemoted;
-    case Refusal::kOverloaded:
+    case Refusal::kServerBusy:
       return Setback::kOverloaded;
     default:
       return Setback::kElsewhere;
@@ -82,7 +84,9 @@
   AttemptRun(const AttemptServices& aServices, RequestContext& aContext)
     : mServices(aServices)
     , mContext(aContext)
-    , mPlan(aContext.mRepeatable)
+    , mPlan(aContext.mRepeatable,
+            { .mMaxAttempts = kMaxAttempts,
+              .mMaxServers = aContext.mRoute->mMaxAttempts })
   {
   }
 
@@ -96,6 +100,8 @@
 private:
   AttemptResult Attempt(const BoxSpec& aBox);
   HomeRequest MakeRequest() const;
+  HttpHeaders ServerHeaders() const;
+  void LogAttempt(const std::string& aResult) const;
   RetrySource Retry() const;
   CallerAnswer GiveUp() const;
 
@@ -113,8 +119,10 @@
 CallerAnswer
 AttemptRun::Run()
 {
-  mServices.mView.OnFirstAttempt(mContext.mService->mSpec);
-  while (Now() < mContext.mDeadline && mPlan.MayAttempt()) {
+  mServices.mView.OnFirstAttempt(mContext.mService->mSpec,
+                                 mContext.mSnapshot->mBoxes.size());
+  while (Now() < mContext.mDeadline && !*mContext.mCancelled &&
+         mPlan.MayAttempt()) {
     mServer = mServices.mView.Choose(
       *mContext.mSnapshot, *mContext.mService, mPlan, Now());
     if (mServer == nullptr) {
@@ -146,15 +154,37 @@
                        .mServer = mServer->mName,
                        .mPriority = mContext.mRoute->mPriority,
                        .mRepeatable = mContext.mRepeatable,
+                       .mMayFail = mPlan.MayFailNext(),
                        .mLastResort = mPlan.LastResort(),
                        .mDeadline = mContext.mDeadline,
                        .mRequestKey = mContext.mRequestKey,
-                       .mRoute = mContext.mRoute->mName };
+                       .mRoute = mContext.mRoute->mName,
+                       .mRequestId = mContext.mRequestId,
+                       .mCancelled = mContext.mCancelled };
   request.mHttp = mContext.mHttp;
-  request.mHttp.mHeaders = WithoutHopHeaders(mContext.mHttp.mHeaders);
+  request.mHttp.mHeaders = ServerHeaders();
   return request;
 }
 
+// What goes on to the server, less what its home sets for each attempt.
+HttpHeaders
+AttemptRun::ServerHeaders() const
+{
+  auto headers = WithoutHopHeaders(mContext.mHttp.mHeaders);
+  const auto& names = mContext.mNames;
+  RemoveHeader(headers, names.mServerDeadline);
+  if (!names.mExpectedServer.empty()) {
+    RemoveHeader(headers, names.mExpectedServer);
+  }
+  if (!names.mCallerService.empty()) {
+    // Whatever the sender says: it began on this box.
+    RemoveHeader(headers, names.mCallerService);
+    headers.push_back(
+      { names.mCallerService, mContext.mSettings.mService.Value() });
+  }
+  return headers;
+}
+
 AttemptResult
 AttemptRun::Attempt(const BoxSpec& aBox)
 {
@@ -182,9 +212,13 @@
 AttemptRun::operator()(const AttemptNotRun& aNotRun)
 {
   mServices.mMetrics.CountRefusal(aNotRun.mRefusal);
-  mServices.mView.OnRefused(
-    *mServer, aNotRun.mRefusal, aNotRun.mRetryAfter, Now());
+  mServices.mView.OnRefused(*mServer,
+                            aNotRun.mRefusal,
+                            aNotRun.mRetryAfter,
+                            mPlan.MayFailNext(),
+                            Now());
   mReason = std::string(ToText(aNotRun.mRefusal));
+  LogAttempt(mReason);
   if (aNotRun.mRefusal == Refusal::kOverloaded) {
     mRetryAfter =
       std::min(mRetryAfter.value_or(aNotRun.mRetryAfter), aNotRun.mRetryAfter);
@@ -196,11 +230,28 @@
 AttemptRun::operator()(const AttemptUnknown& aUnknown)
 {
   mReason = aUnknown.mReason;
+  LogAttempt(mReason);
   const auto life = mServices.mView.LifeOf(mServer->mBox).mIncarnation;
   mToken = MakeToken(mServer->mBox, life, mAttempt);
   mPlan.OnUnknown(Retry());
 }
 
+void
+AttemptRun::LogAttempt(const std::string& aResult) const
+{
+  const auto left =
+    std::chrono::duration_cast<Millis>(mContext.mDeadline - Now());
+  LogLine(LogLevel::kInfo, "attempt_failed")
+    .With("request", mContext.mRequestId)
+    .With("attempt", mAttempt.ToString())
+    .With("number", mPlan.Attempts())
+    .With("server", mServer->mName.Value())
+    .With("home", mServer->mBox.Value())
+    .With("reason", aResult)
+    .With("repeatable", mContext.mRepeatable ? "yes" : "no")
+    .With("left_ms", left.count());
+}
+
 CallerAnswer
 AttemptRun::GiveUp() const
 {
--- a/packages/node/src/ConfigController.cpp
+++ b/packages/node/src/ConfigController.cpp
@@ -2,6 +2,7 @@
 
 #include "porttiller/core/Rendezvous.h"
 #include "porttiller/node/ControlCodec.h"
+#include "porttiller/node/Dialects.h"
 #include "porttiller/node/Log.h"
 #include "porttiller/node/Random.h"
 
@@ -11,7 +12,9 @@
 
 namespace {
 
-constexpr Millis kWatchWait{ 10'000 };
+// A watch that the platform has silently dropped is noticed after this.
+constexpr Millis kWatchWait{ 3000 };
+constexpr Millis kCallTimeout{ 1000 };
 constexpr Millis kRetryWait{ 500 };
 // A node that is no watcher looks at the platform this rarely, in case no
 // peer reaches it.
@@ -37,7 +40,9 @@
   : mSettings(aSettings)
   , mTransport(aTransport)
   , mMetrics(aMetrics)
-  , mClient({ .mAddress = aSettings.mPlatformAddress })
+  , mClient({ .mAddress = aSettings.mPlatformAddress,
+              .mTimeout = kCallTimeout,
+              .mDialect = StoreDialectOf(aSettings) })
 {
 }
 
@@ -101,12 +106,10 @@
       return false;
     }
     changes = changed->size();
-    snapshot = mBuilder.Build(mObjects, *changed);
+    snapshot = mBuilder.Build(mObjects, *changed, mDirectory);
     mCurrent = snapshot;
   }
-  for (const auto& listener : mListeners) {
-    listener(snapshot);
-  }
+  Switch(snapshot);
   mMetrics.ConfigRevision().Set(static_cast<double>(snapshot->mRevision));
   if (changes > 0) {
     LogLine(LogLevel::kInfo, "configuration_in_force")
@@ -120,6 +123,28 @@
   return true;
 }
 
+void
+ConfigController::Switch(const SnapshotPtr& aSnapshot)
+{
+  for (const auto& listener : mListeners) {
+    listener(aSnapshot);
+  }
+}
+
+void
+ConfigController::SetDirectory(std::vector<BoxRecord> aRecords)
+{
+  const std::lock_guard applyLock(mApplyMutex);
+  SnapshotPtr snapshot;
+  {
+    const std::lock_guard lock(mMutex);
+    mDirectory = std::move(aRecords);
+    snapshot = mBuilder.Build(mObjects, {}, mDirectory);
+    mCurrent = snapshot;
+  }
+  Switch(snapshot);
+}
+
 void
 ConfigController::NotePlatform(bool aReachable, const std::string& aDetail)
 {
@@ -175,14 +200,17 @@
 void
 ConfigController::FollowPlatform()
 {
-  const auto from = Own().mRevision;
+  const auto own = Own().mRevision;
+  const auto from = std::max(own, mCursor);
   const auto wait = IsWatcher() ? kWatchWait : Millis(0);
   mMetrics.PlatformCalls().Increment();
-  auto delta = from == 0 ? mClient.List("") : mClient.Watch("", from, wait);
-  const bool lost =
-    !delta && delta.error().mKind == PlatformErrorKind::kConflict;
+  auto delta = own == 0 ? mClient.ListConfiguration()
+                        : mClient.WatchConfiguration(from, wait);
+  const bool lost = !delta && delta.error().mKind == StoreErrorKind::kConflict;
   if (lost) {
-    delta = mClient.List(""); // the platform no longer knows changes so old
+    delta =
+      mClient
+        .ListConfiguration(); // the platform no longer knows changes so old
   }
   if (mStop) {
     return; // the call was aborted: that says nothing of the platform
@@ -193,6 +221,7 @@
     Sleep(Jittered(kRetryWait));
     return;
   }
+  mCursor = std::max(mCursor, delta->mCursor);
   if (!delta->mObjects.empty() || delta->mFull) {
     Apply(*delta, "platform");
   }
@@ -209,7 +238,7 @@
   if (Own().mRevision != 0) {
     return;
   }
-  for (const auto& seed : mSettings.mPeers.mSeeds) {
+  for (const auto& seed : SeedAddresses(mSettings)) {
     wire::Envelope request;
     request.mutable_delta_request()->set_from(Own().mRevision);
     const auto reply =
--- a/packages/node/src/ControlCodec.cpp
+++ b/packages/node/src/ControlCodec.cpp
@@ -64,4 +64,49 @@
   return delta;
 }
 
+wire::BoxRecords
+EncodeRecords(const std::vector<BoxRecord>& aRecords)
+{
+  wire::BoxRecords message;
+  for (const auto& record : aRecords) {
+    message.add_records(ToJsonText(record));
+  }
+  return message;
+}
+
+std::vector<BoxRecord>
+DecodeRecords(const wire::BoxRecords& aMessage)
+{
+  std::vector<BoxRecord> records;
+  for (const auto& text : aMessage.records()) {
+    if (auto record = ParseBoxRecord(text)) {
+      records.push_back(std::move(*record));
+    }
+  }
+  return records;
+}
+
+void
+EncodeVersions(const std::vector<RecordVersion>& aVersions,
+               google::protobuf::RepeatedPtrField<wire::RecordVersion>& aHeld)
+{
+  for (const auto& version : aVersions) {
+    auto* held = aHeld.Add();
+    held->set_box(version.mBox.Value());
+    held->set_revision(version.mRevision);
+  }
+}
+
+std::vector<RecordVersion>
+DecodeVersions(
+  const google::protobuf::RepeatedPtrField<wire::RecordVersion>& aHeld)
+{
+  std::vector<RecordVersion> versions;
+  for (const auto& held : aHeld) {
+    versions.push_back(
+      { .mBox = BoxName(held.box()), .mRevision = held.revision() });
+  }
+  return versions;
+}
+
 } // namespace porttiller
--- /dev/null
+++ b/packages/node/src/Dialects.cpp
@@ -0,0 +1,28 @@
+#include "porttiller/node/Dialects.h"
+
+#include "porttiller/node/HopHeaders.h"
+#include "porttiller/platform/MeshHeaders.h"
+
+namespace porttiller {
+
+EdgeHeaders
+EdgeHeadersOf(const Settings& aSettings)
+{
+  if (aSettings.mDialect == Dialect::kMesh) {
+    return platform::MeshHeaders();
+  }
+  return { .mDeadline = hop::kDeadlineMs,
+           .mServerDeadline = hop::kDeadlineMs,
+           .mTellOutcome = true };
+}
+
+StoreDialect
+StoreDialectOf(const Settings& aSettings)
+{
+  if (aSettings.mDialect == Dialect::kMesh) {
+    return platform::ObjectStoreDialect{};
+  }
+  return NativeDialect{};
+}
+
+} // namespace porttiller
--- /dev/null
+++ b/packages/node/src/DirectoryController.cpp
@@ -0,0 +1,530 @@
+#include "porttiller/node/DirectoryController.h"
+
+#include "porttiller/node/ControlCodec.h"
+#include "porttiller/node/Dialects.h"
+#include "porttiller/node/Log.h"
+
+#include <Poco/Timestamp.h>
+#include <algorithm>
+
+namespace porttiller {
+
+namespace {
+
+constexpr Millis kCallTimeout{ 1500 };
+// A server waits a second for its acknowledgement; the store and then the
+// peers must fit in.
+constexpr Millis kAckStoreTimeout{ 350 };
+constexpr Millis kAckPeerTimeout{ 300 };
+constexpr std::size_t kAckPeers = 4;
+constexpr Millis kPushTimeout{ 1000 };
+constexpr std::size_t kPushFanout = 4;
+constexpr Millis kRetryWait{ 700 };
+// At the very first start the server's first heartbeat is waited for, so that
+// one write tells both. It comes within a heartbeat interval.
+constexpr Millis kFirstHeartbeatWait{ 1800 };
+// A difference between two directories that is older than this is no news on
+// its way any more.
+constexpr Millis kDifferenceLasts{ 1200 };
+constexpr Millis kRequestGap{ 1000 };
+
+std::uint64_t
+WallClockMicros()
+{
+  return static_cast<std::uint64_t>(Poco::Timestamp().epochMicroseconds());
+}
+
+ObjectClientOptions
+ClientOptions(const Settings& aSettings, Millis aTimeout)
+{
+  return { .mAddress = aSettings.mPlatformAddress,
+           .mTimeout = aTimeout,
+           .mDialect = StoreDialectOf(aSettings) };
+}
+
+} // namespace
+
+const char*
+ToText(RegistrationError aError)
+{
+  return aError == RegistrationError::kStarting ? "starting" : "not-kept";
+}
+
+DirectoryController::DirectoryController(const Settings& aSettings,
+                                         Incarnation aIncarnation,
+                                         PeerTransport& aTransport,
+                                         DirectoryHooks aHooks)
+  : mSettings(aSettings)
+  , mTransport(aTransport)
+  , mHooks(std::move(aHooks))
+  , mClient(ClientOptions(aSettings, kCallTimeout))
+  , mAckClient(ClientOptions(aSettings, kAckStoreTimeout))
+{
+  mOwn.mBox = { .mName = aSettings.mBox,
+                .mZone = aSettings.mZone,
+                .mHomeAddress = aSettings.mPeers.mHomeAddress,
+                .mControlAddress = aSettings.mPeers.mControlAddress };
+  mOwn.mIncarnation = aIncarnation;
+  mOwn.mRevision = WallClockMicros();
+}
+
+DirectoryController::~DirectoryController()
+{
+  Stop();
+}
+
+void
+DirectoryController::Start()
+{
+  Merge({ mOwn }, "own");
+  mThread = std::thread([this] { Run(); });
+}
+
+void
+DirectoryController::Stop()
+{
+  {
+    const std::lock_guard lock(mMutex);
+    mStop = true;
+    mWake.notify_all();
+  }
+  mClient.Abort();
+  mAckClient.Abort();
+  mWorker.Stop();
+  if (mThread.joinable()) {
+    mThread.join();
+  }
+}
+
+std::uint64_t
+DirectoryController::Digest() const
+{
+  const std::lock_guard lock(mMutex);
+  return mDirectory.Digest();
+}
+
+std::uint64_t
+DirectoryController::WrittenRevision() const
+{
+  const std::lock_guard lock(mMutex);
+  return mWritten;
+}
+
+void
+DirectoryController::Sleep(Millis aTime)
+{
+  std::unique_lock lock(mMutex);
+  mWake.wait_for(lock, aTime, [this] {
+    return mStop || (mLoaded && mWritten < mOwn.mRevision);
+  });
+}
+
+// Loads what is known, then keeps the own record in the store up to date.
+void
+DirectoryController::Run()
+{
+  if (mSettings.mRegistration.mFirstStart) {
+    std::unique_lock lock(mMutex);
+    mWake.wait_for(
+      lock, kFirstHeartbeatWait, [this] { return mStop || mServerKnown; });
+  }
+  while (!mStop && !LoadFromStore()) {
+    AskSeeds();
+    Sleep(kRetryWait);
+  }
+  while (!mStop) {
+    bool due = false;
+    {
+      std::unique_lock lock(mMutex);
+      mWake.wait(lock, [this] { return mStop || mWritten < mOwn.mRevision; });
+      due = !mStop;
+    }
+    bool written = false;
+    if (due) {
+      const std::lock_guard lock(mStoreMutex);
+      written = WrittenRevision() >= mOwn.mRevision || WriteToStore(mClient);
+    }
+    if (due && !written) {
+      std::unique_lock lock(mMutex);
+      mWake.wait_for(lock, kRetryWait, [this] { return mStop.load(); });
+    }
+  }
+}
+
+// The own record is written before the list is read: of two boxes that start
+// together the later reader then sees the other one, and tells it.
+bool
+DirectoryController::LoadFromStore()
+{
+  if (!mSettings.mRegistration.mFirstStart) {
+    const auto own = mClient.Get({ kBoxRecordKind, mSettings.mBox.Value() });
+    if (!own && own.error().mKind != StoreErrorKind::kNotFound) {
+      return false;
+    }
+    if (own) {
+      const auto record = ParseBoxRecord(own->mSpecJson);
+      const std::lock_guard lock(mMutex);
+      mVersion = own->mVersion;
+      if (record) {
+        Adopt(*record);
+      }
+    }
+  }
+  {
+    const std::lock_guard lock(mStoreMutex);
+    if (!WriteToStore(mClient)) {
+      return false;
+    }
+  }
+  const auto list = mClient.List(kBoxRecordKind);
+  if (!list) {
+    return false;
+  }
+  std::vector<BoxRecord> records;
+  for (const auto& object : list->mObjects) {
+    if (auto record = ParseBoxRecord(object.mSpecJson)) {
+      records.push_back(std::move(*record));
+    } else {
+      LogLine(LogLevel::kWarning, "box_record_unreadable")
+        .With("box", object.mKey.mName)
+        .With("version", static_cast<std::int64_t>(object.mVersion))
+        .With("error", ToText(record.error()));
+    }
+  }
+  mLoaded = true;
+  Merge(records, "store");
+  BoxRecord own;
+  {
+    const std::lock_guard lock(mMutex);
+    own = mOwn;
+  }
+  Push({ own });
+  return true;
+}
+
+// Under mStoreMutex.
+bool
+DirectoryController::WriteToStore(ObjectClient& aClient)
+{
+  BoxRecord record;
+  std::uint64_t version = 0;
+  {
+    const std::lock_guard lock(mMutex);
+    record = mOwn;
+    version = mVersion;
+  }
+  const ObjectKey key{ kBoxRecordKind, mSettings.mBox.Value() };
+  auto written = version == 0
+                   ? aClient.Create(key, ToJsonText(record))
+                   : aClient.Update(key, version, ToJsonText(record));
+  if (!written && written.error().mKind != StoreErrorKind::kUnavailable) {
+    // Another version is there: of this write, whose answer was lost, or of an
+    // earlier life of this box. This life's record replaces it.
+    if (const auto held = aClient.Get(key)) {
+      const auto heldRecord = ParseBoxRecord(held->mSpecJson);
+      if (heldRecord && *heldRecord == record) {
+        written = held->mVersion;
+      } else {
+        const std::lock_guard lock(mMutex);
+        mVersion = held->mVersion;
+        if (heldRecord && heldRecord->mIncarnation != mOwn.mIncarnation) {
+          Adopt(*heldRecord);
+        }
+        mWake.notify_all();
+      }
+    } else if (held.error().mKind == StoreErrorKind::kNotFound) {
+      const std::lock_guard lock(mMutex);
+      mVersion = 0;
+    }
+  }
+  if (!written) {
+    LogLine(LogLevel::kWarning, "box_record_not_written")
+      .With("revision", std::to_string(record.mRevision))
+      .With("error", ToText(written.error().mKind))
+      .With("detail", written.error().mDetail);
+    return false;
+  }
+  const std::lock_guard lock(mMutex);
+  mVersion = *written;
+  mWritten = std::max(mWritten, record.mRevision);
+  return true;
+}
+
+// Goes on from the record of an earlier life. Under mMutex.
+void
+DirectoryController::Adopt(const BoxRecord& aOwn)
+{
+  if (aOwn.mServer) {
+    mRegistrar.Restore(*aOwn.mServer);
+    mOwn.mServer = mRegistrar.Server();
+  }
+  if (aOwn.mRevision >= mOwn.mRevision) {
+    // That life's clock was ahead of this one's.
+    mOwn.mRevision = aOwn.mRevision;
+  }
+  RaiseOwn();
+}
+
+// Under mMutex; the next write and message carry the new revision.
+void
+DirectoryController::RaiseOwn()
+{
+  mOwn.mRevision = std::max(mOwn.mRevision + 1, WallClockMicros());
+  mDirectory.Merge(mOwn);
+  mWake.notify_all();
+}
+
+void
+DirectoryController::AskSeeds()
+{
+  for (const auto& seed : SeedAddresses(mSettings)) {
+    Request(seed);
+  }
+}
+
+void
+DirectoryController::Merge(const std::vector<BoxRecord>& aRecords,
+                           const char* aSource)
+{
+  std::vector<BoxRecord> news;
+  {
+    const std::lock_guard lock(mMutex);
+    for (const auto& record : aRecords) {
+      const bool own = record.mBox.mName == mSettings.mBox;
+      if (own && record.mIncarnation != mOwn.mIncarnation) {
+        if (record.mRevision >= mOwn.mRevision) {
+          Adopt(record);
+          news.push_back(mOwn);
+        }
+      } else if (mDirectory.Merge(record)) {
+        news.push_back(record);
+      }
+    }
+  }
+  if (news.empty()) {
+    return;
+  }
+  for (const auto& record : news) {
+    LogLine(LogLevel::kInfo, "box_record")
+      .With("of", record.mBox.mName.Value())
+      .With("revision", std::to_string(record.mRevision))
+      .With("source", aSource)
+      .With("leaving", record.mBox.mState == BoxState::kLeaving ? "yes" : "no")
+      .With("server", record.mServer ? record.mServer->mId.Value() : "")
+      .With("state", record.mServer ? ToText(record.mServer->mState) : "");
+  }
+  Publish();
+  if (std::string_view(aSource) == "peer") {
+    Push(news);
+  }
+}
+
+void
+DirectoryController::Publish()
+{
+  const std::lock_guard publishLock(mPublishMutex);
+  std::vector<BoxRecord> records;
+  {
+    const std::lock_guard lock(mMutex);
+    records = mDirectory.Records();
+  }
+  mHooks.mOnChange(std::move(records));
+}
+
+void
+DirectoryController::Push(const std::vector<BoxRecord>& aRecords)
+{
+  wire::Envelope message;
+  *message.mutable_box_records() = EncodeRecords(aRecords);
+  for (const auto& peer : mHooks.mRandomPeers(kPushFanout)) {
+    mTransport.Send(
+      peer.mControlAddress, message, kPushTimeout, [](const PeerResult&) {
+        // What is lost is found by the digests.
+      });
+  }
+}
+
+void
+DirectoryController::OnRecords(const wire::BoxRecords& aMessage)
+{
+  auto records = DecodeRecords(aMessage);
+  mWorker.Post(
+    [this, records = std::move(records)] { Merge(records, "peer"); });
+}
+
+wire::Envelope
+DirectoryController::OnDirectoryRequest(const wire::DirectoryRequest& aRequest)
+{
+  const auto theirs = DecodeVersions(aRequest.held());
+  wire::Envelope reply;
+  const std::lock_guard lock(mMutex);
+  *reply.mutable_box_records() = EncodeRecords(mDirectory.NewerThan(theirs));
+  if (mDirectory.LacksAnyOf(theirs)) {
+    EncodeVersions(mDirectory.Versions(),
+                   *reply.mutable_box_records()->mutable_held());
+  }
+  return reply;
+}
+
+void
+DirectoryController::OnPeerDigest(const PeerRevision& aPeer)
+{
+  const auto now = Now();
+  {
+    const std::lock_guard lock(mMutex);
+    if (aPeer.mDirectory == mDirectory.Digest()) {
+      mPeerDigest = 0;
+      return;
+    }
+    if (mPeerDigest == 0) {
+      mPeerDigest = aPeer.mDirectory;
+      mPeerDigestSince = now;
+    }
+    if (now < mPeerDigestSince + kDifferenceLasts || now < mNextRequest) {
+      return;
+    }
+    mNextRequest = now + kRequestGap;
+  }
+  Request(aPeer.mAddress);
+}
+
+// Asks a peer for what is newer there, and sends it what it lacks.
+void
+DirectoryController::Request(const std::string& aAddress)
+{
+  wire::Envelope request;
+  {
+    const std::lock_guard lock(mMutex);
+    EncodeVersions(mDirectory.Versions(),
+                   *request.mutable_directory_request()->mutable_held());
+  }
+  mTransport.Send(
+    aAddress,
+    std::move(request),
+    kPushTimeout,
+    [this, aAddress](const PeerResult& aResult) {
+      if (!aResult || !aResult->has_box_records()) {
+        return;
+      }
+      OnRecords(aResult->box_records());
+      const auto theirs = DecodeVersions(aResult->box_records().held());
+      if (theirs.empty()) {
+        return;
+      }
+      wire::Envelope message;
+      {
+        const std::lock_guard lock(mMutex);
+        *message.mutable_box_records() =
+          EncodeRecords(mDirectory.NewerThan(theirs));
+      }
+      mTransport.Send(
+        aAddress, std::move(message), kPushTimeout, [](const PeerResult&) {});
+    });
+}
+
+tl::expected<void, RegistrationError>
+DirectoryController::Take(const ServerMessage& aMessage)
+{
+  if (!mSettings.mRegistration.mFirstStart && !mLoaded) {
+    return tl::make_unexpected(RegistrationError::kStarting);
+  }
+  RegistrarVerdict verdict{};
+  BoxRecord record;
+  {
+    const std::lock_guard lock(mMutex);
+    verdict = mRegistrar.Take(aMessage);
+    mServerKnown = true;
+    mWake.notify_all();
+    if (verdict == RegistrarVerdict::kNothingNew) {
+      return {};
+    }
+    mOwn.mServer = mRegistrar.Server();
+    RaiseOwn();
+    record = mOwn;
+  }
+  LogServer(aMessage, verdict);
+  if (verdict == RegistrarVerdict::kLeaving) {
+    mHooks.mOnServerLeaving(aMessage.mServer.mId);
+  }
+  Publish();
+  Push({ record });
+  if (verdict == RegistrarVerdict::kLeaving && !Keep(record)) {
+    return tl::make_unexpected(RegistrationError::kNotKept);
+  }
+  return {};
+}
+
+void
+DirectoryController::LogServer(const ServerMessage& aMessage,
+                               RegistrarVerdict aVerdict)
+{
+  const auto& server = aMessage.mServer;
+  LogLine(LogLevel::kInfo, "server_message")
+    .With("server", server.mId.Value())
+    .With("service", server.mService.Value())
+    .With("state", ToText(server.mState))
+    .With("sequence", static_cast<std::int64_t>(server.mSequence))
+    .With("verdict",
+          aVerdict == RegistrarVerdict::kLeaving ? "leaving" : "new");
+}
+
+// Sees to it that a next life of this box knows the record.
+bool
+DirectoryController::Keep(const BoxRecord& aRecord)
+{
+  {
+    const std::lock_guard lock(mStoreMutex);
+    if (WrittenRevision() >= aRecord.mRevision || WriteToStore(mAckClient)) {
+      return true;
+    }
+  }
+  return KeepAtPeers(aRecord);
+}
+
+bool
+DirectoryController::KeepAtPeers(const BoxRecord& aRecord)
+{
+  struct Round
+  {
+    std::mutex mMutex;
+    std::condition_variable mChanged;
+    std::size_t mOpen = 0;
+    bool mKept = false;
+  };
+  const auto round = std::make_shared<Round>();
+  const auto peers = mHooks.mRandomPeers(kAckPeers);
+  round->mOpen = peers.size();
+  wire::Envelope message;
+  *message.mutable_box_records() = EncodeRecords({ aRecord });
+  for (const auto& peer : peers) {
+    mTransport.Send(peer.mControlAddress,
+                    message,
+                    kAckPeerTimeout,
+                    [round](const PeerResult& aResult) {
+                      const std::lock_guard lock(round->mMutex);
+                      --round->mOpen;
+                      round->mKept = round->mKept || aResult.has_value();
+                      round->mChanged.notify_all();
+                    });
+  }
+  std::unique_lock lock(round->mMutex);
+  round->mChanged.wait(lock, [&] { return round->mKept || round->mOpen == 0; });
+  return round->mKept;
+}
+
+void
+DirectoryController::Leave()
+{
+  BoxRecord record;
+  {
+    const std::lock_guard lock(mMutex);
+    mOwn.mBox.mState = BoxState::kLeaving;
+    mOwn.mRevision = std::max(mOwn.mRevision + 1, WallClockMicros());
+    mWritten = mOwn.mRevision; // peers are enough: a next life writes its own
+    mDirectory.Merge(mOwn);
+    record = mOwn;
+  }
+  Push({ record });
+}
+
+} // namespace porttiller
--- a/packages/node/src/Dispatcher.cpp
+++ b/packages/node/src/Dispatcher.cpp
@@ -58,6 +58,21 @@
   return fate;
 }
 
+wire::Envelope
+MakeQuestion(Incarnation aNamed,
+             const AttemptId& aAttempt,
+             const std::string& aRequestKey,
+             bool aRevoke)
+{
+  wire::Envelope question;
+  auto* body = question.mutable_attempt();
+  body->set_attempt(aAttempt.ToString());
+  body->set_home_incarnation(aNamed.Value());
+  body->set_revoke(aRevoke);
+  body->set_request_key(aRequestKey);
+  return question;
+}
+
 HttpAnswer
 ToHttp(const RecordedAnswer& aAnswer)
 {
@@ -91,9 +106,11 @@
   const std::lock_guard lock(mPoolsMutex);
   auto& pool = mPools[aBox.mHomeAddress];
   if (!pool) {
-    pool = std::make_unique<HttpPool>(HttpPoolOptions{
-      .mAddress = aBox.mHomeAddress,
-      .mMaxConnections = mSettings.mPeers.mConnectionsPerBox });
+    pool = std::make_unique<HttpPool>(
+      HttpPoolOptions{ .mAddress = aBox.mHomeAddress,
+                       .mMaxConnections = mSettings.mPeers.mConnectionsPerBox,
+                       .mConnectTimeout = mSettings.mPeers.mConnectTimeout,
+                       .mUserTimeout = mSettings.mPeers.mUserTimeout });
   }
   return *pool;
 }
@@ -141,11 +158,14 @@
 }
 
 bool
-Dispatcher::WaitReadable(HttpExchange& aExchange, TimePoint aUntil) const
+Dispatcher::WaitReadable(const HomeRequest& aRequest,
+                         HttpExchange& aExchange,
+                         TimePoint aUntil) const
 {
-  return mCutoff.WaitInSlices(aUntil, [&](TimePoint aSliceEnd) {
-    return aExchange.WaitReadable(aSliceEnd);
-  });
+  return mCutoff.WaitInSlices(
+    aUntil,
+    [&] { return IsCancelled(aRequest); },
+    [&](TimePoint aSliceEnd) { return aExchange.WaitReadable(aSliceEnd); });
 }
 
 AttemptResult
@@ -155,16 +175,33 @@
                   const std::function<bool()>& aMayMoveOn)
 {
   const auto patience = Now() + mSettings.mTiming.mAttemptPatience;
-  if (WaitReadable(aExchange, std::min(patience, aRequest.mDeadline))) {
+  if (WaitReadable(
+        aRequest, aExchange, std::min(patience, aRequest.mDeadline))) {
     return Read(aBox, aRequest, aExchange);
   }
+  if (IsCancelled(aRequest)) {
+    return AttemptUnknown{ "caller-gone" }; // the home sees the connection end
+  }
+  // Its home is alive and has it: it knows better than we when to give up.
+  if (mSettings.mFailingServers == FailingServers::kBreak &&
+      Query(aBox, aRequest.mHomeIncarnation, aRequest.mAttempt, "").mState ==
+        AttemptState::kRunning) {
+    if (WaitReadable(aRequest, aExchange, aRequest.mDeadline)) {
+      return Read(aBox, aRequest, aExchange);
+    }
+    return IsCancelled(aRequest) ? AttemptUnknown{ "caller-gone" }
+                                 : Settle(aBox, aRequest, "deadline");
+  }
   auto early = Settle(aBox, aRequest, "slow");
   if (!std::holds_alternative<AttemptUnknown>(early) || aMayMoveOn()) {
     return early;
   }
-  if (WaitReadable(aExchange, aRequest.mDeadline)) {
+  if (WaitReadable(aRequest, aExchange, aRequest.mDeadline)) {
     return Read(aBox, aRequest, aExchange);
   }
+  if (IsCancelled(aRequest)) {
+    return AttemptUnknown{ "caller-gone" };
+  }
   return Settle(aBox, aRequest, "deadline");
 }
 
@@ -173,36 +210,27 @@
                  const HomeRequest& aRequest,
                  HttpExchange& aExchange)
 {
-  auto http = aExchange.ReadAnswer(mCutoff.Limit(aRequest.mDeadline));
+  auto http = aExchange.ReadAnswer(mCutoff.Limit(aRequest.mDeadline),
+                                   [&] { return IsCancelled(aRequest); });
+  if (!http && http.error() == ExchangeError::kCancelled) {
+    return AttemptUnknown{ "caller-gone" };
+  }
   if (!http) {
     mMetrics.DroppedAnswers().Increment();
     mView.OnPathFailure(aBox.mName, Now());
     return Settle(aBox, aRequest, std::string("home-") + ToText(http.error()));
   }
-  Learn(aBox, *http);
-  auto answer = DecodeHomeAnswer(std::move(*http), aRequest.mAttempt);
-  if (!answer) {
+  auto decoded = DecodeHomeAnswer(std::move(*http), aRequest.mAttempt);
+  if (!decoded) {
     mMetrics.DroppedAnswers().Increment();
     return Settle(aBox, aRequest, "foreign-answer");
   }
-  mView.OnPathSuccess(aBox.mName);
-  return FromHome(std::move(*answer));
-}
-
-void
-Dispatcher::Learn(const BoxSpec& aBox, const HttpAnswer& aHttp)
-{
-  const auto incarnation =
-    ParseUnsigned(HeaderValue(aHttp.mHeaders, hop::kIncarnation));
-  const auto clock =
-    ParseUnsigned(HeaderValue(aHttp.mHeaders, hop::kHomeClockMs));
-  if (!incarnation || !clock) {
-    return;
-  }
-  const Millis offset(static_cast<std::int64_t>(*clock) - ToMillis(Now()));
+  const Millis offset = decoded->mHomeClock - Millis(ToMillis(Now()));
   mView.SetLife(
     aBox.mName,
-    { .mIncarnation = Incarnation(*incarnation), .mClockOffset = offset });
+    { .mIncarnation = decoded->mIncarnation, .mClockOffset = offset });
+  mView.OnPathSuccess(aBox.mName);
+  return FromHome(std::move(decoded->mAnswer));
 }
 
 AttemptResult
@@ -219,12 +247,22 @@
     return AttemptAnswered{ ToHttp(*fate.mAnswer), 0.0 };
   }
   LogLine(LogLevel::kWarning, "attempt_unknown")
+    .With("request", aRequest.mRequestId)
     .With("attempt", aRequest.mAttempt.ToString())
     .With("home", aBox.mName.Value())
     .With("reason", aReason);
   return AttemptUnknown{ aReason };
 }
 
+AttemptFate
+Dispatcher::Query(const BoxSpec& aBox,
+                  Incarnation aNamed,
+                  const AttemptId& aAttempt,
+                  const std::string& aRequestKey)
+{
+  return Ask(aBox, MakeQuestion(aNamed, aAttempt, aRequestKey, false));
+}
+
 AttemptFate
 Dispatcher::Revoke(const BoxSpec& aBox,
                    Incarnation aNamed,
@@ -235,19 +273,21 @@
     return ToFate(mHome.Revoke(aAttempt, aNamed), aRequestKey);
   }
   mMetrics.Revokes().Increment();
-  wire::Envelope request;
-  auto* body = request.mutable_attempt();
-  body->set_attempt(aAttempt.ToString());
-  body->set_home_incarnation(aNamed.Value());
-  body->set_revoke(true);
-  body->set_request_key(aRequestKey);
-  const auto reply = mTransport.Call(
-    aBox.mControlAddress, std::move(request), mSettings.mTiming.mRevokeTimeout);
+  return Ask(aBox, MakeQuestion(aNamed, aAttempt, aRequestKey, true));
+}
+
+AttemptFate
+Dispatcher::Ask(const BoxSpec& aBox, wire::Envelope aQuestion)
+{
+  const auto key = aQuestion.attempt().request_key();
+  const auto reply = mTransport.Call(aBox.mControlAddress,
+                                     std::move(aQuestion),
+                                     mSettings.mTiming.mRevokeTimeout);
   if (!reply || !reply->has_attempt_reply()) {
     mView.OnPathFailure(aBox.mName, Now());
     return {};
   }
-  return ToFate(reply->attempt_reply(), aRequestKey);
+  return ToFate(reply->attempt_reply(), key);
 }
 
 } // namespace porttiller
--- a/packages/node/src/EntryServer.cpp
+++ b/packages/node/src/EntryServer.cpp
@@ -1,19 +1,29 @@
 #include "porttiller/node/EntryServer.h"
 
+#include "porttiller/node/Dialects.h"
 #include "porttiller/node/HopHeaders.h"
 #include "porttiller/node/Log.h"
 
+#include <Poco/NumberFormatter.h>
+
 namespace porttiller {
 
 namespace {
 
 constexpr Millis kCallerKeepAlive{ 30'000 };
 
-// Whole seconds, rounded up, as HTTP's Retry-After has it.
+// In seconds. HTTP has whole ones; where callers take fractions they are told
+// the time as it is.
 std::string
-RetryAfterSeconds(Millis aTime)
+RetryAfterSeconds(Millis aTime, bool aWhole)
 {
-  return std::to_string(std::chrono::ceil<std::chrono::seconds>(aTime).count());
+  constexpr double kMillisPerSecond = 1000.0;
+  if (aWhole) {
+    return std::to_string(
+      std::chrono::ceil<std::chrono::seconds>(aTime).count());
+  }
+  return Poco::NumberFormatter::format(
+    static_cast<double>(aTime.count()) / kMillisPerSecond, 3);
 }
 
 } // namespace
@@ -23,11 +33,11 @@
                          AttemptServices aServices)
   : mSettings(aSettings)
   , mConfig(aConfig)
+  , mNames(EdgeHeadersOf(aSettings))
   , mServices(aServices)
-  , mFilters({ FramingFilter(),
+  , mFilters({ VersionFilter(),
                RouteFilter(),
                TermsFilter(),
-               BodyFilter(),
                TokenFilter(aServices),
                AttemptFilter(aServices) })
 {
@@ -40,13 +50,9 @@
 {
   std::unique_ptr<EntryServer> server(
     new EntryServer(aSettings, aConfig, aServices));
-  auto listener =
-    HttpListener::Make({ .mAddress = aSettings.mCallers.mAddress,
-                         .mThreads = aSettings.mCallers.mThreads,
-                         .mKeepAlive = kCallerKeepAlive },
-                       [raw = server.get()](auto& aRequest, auto& aResponse) {
-                         raw->Serve(aRequest, aResponse);
-                       });
+  auto listener = HttpListener::Make(
+    server->ListenerOptions(),
+    [raw = server.get()](HttpCall& aCall) { return raw->Serve(aCall); });
   if (!listener) {
     return tl::make_unexpected(listener.error());
   }
@@ -54,65 +60,130 @@
   return server;
 }
 
+HttpListenerOptions
+EntryServer::ListenerOptions() const
+{
+  const auto& callers = mSettings.mCallers;
+  return { .mAddress = callers.mAddress,
+           .mWorkers = callers.mThreads,
+           .mLimits = { .mMaxHeaders =
+                          static_cast<std::size_t>(callers.mMaxHeaders),
+                        .mMaxHeaderBytes =
+                          static_cast<std::size_t>(callers.mMaxHeaderBytes),
+                        .mMaxBodyBytes =
+                          static_cast<std::size_t>(callers.mMaxBodyBytes) },
+           .mIdleClose = kCallerKeepAlive,
+           .mRefuse =
+             [this](ListenerRefusal aRefusal) {
+               LogLine(LogLevel::kInfo, "request_unreadable")
+                 .With("reason", ToText(aRefusal));
+               auto answer = MakeProxyAnswer(
+                 StatusOf(aRefusal), Outcome::kNotRun, ToText(aRefusal));
+               answer.mCloseConnection = true;
+               return ToReply(std::move(answer), "");
+             },
+           .mOnException = LogException };
+}
+
+void
+EntryServer::SetLimits(const LimitsSpec& aLimits)
+{
+  mListener->SetLimits(
+    { .mMaxHeaders = static_cast<std::size_t>(mSettings.mCallers.mMaxHeaders),
+      .mMaxHeaderBytes = static_cast<std::size_t>(aLimits.mMaxHeaderBytes),
+      .mMaxBodyBytes = static_cast<std::size_t>(aLimits.mMaxBodyBytes) },
+    aLimits.mHeaderTimeout,
+    aLimits.mIdleTimeout);
+}
+
 RequestContext
-EntryServer::MakeContext(Poco::Net::HTTPServerRequest& aRequest) const
+EntryServer::MakeContext(HttpCall& aCall) const
 {
   RequestContext context{ .mSettings = mSettings,
+                          .mNames = mNames,
                           .mSnapshot = mConfig.Current(),
-                          .mArrival = Now(),
-                          .mHttp = ReadHead(aRequest),
-                          .mHttpVersion = aRequest.getVersion(),
-                          .mBodyStream = &aRequest.stream() };
-  if (aRequest.hasContentLength()) {
-    context.mContentLength = static_cast<std::int64_t>(
-      ParseUnsigned(aRequest.get("Content-Length", "")).value_or(0));
+                          .mArrival = aCall.mArrival,
+                          .mHttp = std::move(aCall.mHttp),
+                          .mCancelled = aCall.mCancelled };
+  if (!mNames.mRequestId.empty()) {
+    context.mRequestId = HeaderValue(context.mHttp.mHeaders, mNames.mRequestId);
   }
   return context;
 }
 
-void
-EntryServer::Serve(Poco::Net::HTTPServerRequest& aRequest,
-                   Poco::Net::HTTPServerResponse& aResponse)
+HttpReply
+EntryServer::Serve(HttpCall& aCall)
 {
-  auto context = MakeContext(aRequest);
-  const auto answer = ApplyFilters(mFilters, context);
+  auto context = MakeContext(aCall);
+  auto answer = ApplyFilters(mFilters, context);
   mServices.mMetrics.CountRequest(answer.mOutcome);
   if (answer.mOutcome == Outcome::kRun) {
     const auto added = Now() - context.mArrival - context.mHomeTime;
     mServices.mMetrics.AddedLatency().Observe(
       std::chrono::duration<double>(added).count());
   }
-  Write(context, answer, aResponse);
+  LogAnswer(context, answer);
+  return ToReply(std::move(answer), context.mRequestId);
 }
 
+// Whatever a caller may complain about has a line; a plain success has none.
 void
-EntryServer::Write(const RequestContext& aContext,
-                   const CallerAnswer& aAnswer,
-                   Poco::Net::HTTPServerResponse& aResponse)
+EntryServer::LogAnswer(const RequestContext& aContext,
+                       const CallerAnswer& aAnswer) const
 {
-  aResponse.setVersion(Poco::Net::HTTPMessage::HTTP_1_1);
-  auto headers = aAnswer.mHeaders;
+  constexpr int kErrors = 400;
+  if (aAnswer.mStatus < kErrors) {
+    return;
+  }
+  const auto held =
+    std::chrono::duration_cast<Millis>(Now() - aContext.mArrival);
+  const auto given =
+    std::chrono::duration_cast<Millis>(aContext.mDeadline - aContext.mArrival);
+  LogLine(LogLevel::kInfo, "request_failed")
+    .With("request", aContext.mRequestId)
+    .With("route", aContext.mRoute == nullptr ? "" : aContext.mRoute->mName)
+    .With("status", aAnswer.mStatus)
+    .With("outcome", std::string(ToText(aAnswer.mOutcome)))
+    .With("reason", aAnswer.mReason)
+    .With("held_ms", held.count())
+    .With("given_ms", given.count())
+    .With("caller_gone", *aContext.mCancelled ? "yes" : "no")
+    .With("revision",
+          static_cast<std::int64_t>(
+            aContext.mSnapshot ? aContext.mSnapshot->mRevision : 0));
+}
+
+HttpReply
+EntryServer::ToReply(CallerAnswer aAnswer, const std::string& aRequestId) const
+{
+  HttpReply reply{ .mClose = aAnswer.mCloseConnection };
+  reply.mAnswer = { .mStatus = aAnswer.mStatus,
+                    .mHeaders = std::move(aAnswer.mHeaders),
+                    .mBody = std::move(aAnswer.mBody) };
+  auto& headers = reply.mAnswer.mHeaders;
+  if (!aRequestId.empty() && HeaderValue(headers, mNames.mRequestId).empty()) {
+    headers.push_back({ mNames.mRequestId, aRequestId });
+  }
+  if (aAnswer.mRetryAfter) {
+    headers.push_back(
+      { "Retry-After",
+        RetryAfterSeconds(*aAnswer.mRetryAfter, mNames.mTellOutcome) });
+  }
+  if (!mNames.mTellOutcome) {
+    return reply;
+  }
   headers.push_back({ hop::kOutcome, std::string(ToText(aAnswer.mOutcome)) });
   if (!aAnswer.mReason.empty()) {
     headers.push_back({ hop::kReason, aAnswer.mReason });
   }
   if (aAnswer.mRetryAfter) {
-    headers.push_back(
-      { "Retry-After", RetryAfterSeconds(*aAnswer.mRetryAfter) });
     headers.push_back(
       { hop::kRetryAfterMs, std::to_string(aAnswer.mRetryAfter->count()) });
   }
   if (!aAnswer.mToken.empty()) {
     headers.push_back({ hop::kToken, aAnswer.mToken });
   }
-  if (aAnswer.mCloseConnection || mDraining) {
-    aResponse.setKeepAlive(false);
-  }
-  SendWhole(aResponse,
-            aContext.mHttp.mMethod == "HEAD",
-            aAnswer.mStatus,
-            headers,
-            aAnswer.mBody);
+  return reply;
 }
 
 void
--- a/packages/node/src/EntryView.cpp
+++ b/packages/node/src/EntryView.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr Millis kMinAvoid{ 200 };
+// The first time; one that fails again is avoided for longer.
+constexpr Millis kPathAvoid{ 800 };
 constexpr Millis kMaxAvoid{ 5000 };
 constexpr int kMaxAvoidDoublings = 5;
 constexpr double kPercent = 100.0;
@@ -24,8 +26,8 @@
     case Refusal::kEjected:
     case Refusal::kNoServer:
       return Standing::kClosed;
-    case Refusal::kDemoted:
     case Refusal::kOverloaded:
+    case Refusal::kServerBusy:
     case Refusal::kUnreachable:
       return Standing::kAvoid;
     default:
@@ -43,8 +45,11 @@
 
 } // namespace
 
-EntryView::EntryView(AvailabilityZone aZone, BalancerOptions aOptions)
+EntryView::EntryView(AvailabilityZone aZone,
+                     RetrySettings aRetries,
+                     BalancerOptions aOptions)
   : mZone(std::move(aZone))
+  , mRetries(aRetries)
   , mOptions(aOptions)
 {
 }
@@ -96,6 +101,10 @@
     const auto& view = it->second;
     candidate.mInFlight = view.mInFlight;
     candidate.mReportedLoad = Aged(view.mLoad, aNow - view.mLoadAt);
+    const bool trial = aPlan.MayFailNext() && aNow >= view.mNoTrialUntil;
+    if (!trial && aNow < view.mBrokenUntil) {
+      candidate.mStanding = std::max(candidate.mStanding, Standing::kAvoid);
+    }
     if (aNow < view.mStandingUntil) {
       candidate.mStanding = std::max(candidate.mStanding, view.mStanding);
     }
@@ -157,15 +166,23 @@
 EntryView::OnRefused(const BackendServerSpec& aServer,
                      Refusal aRefusal,
                      Millis aRetryAfter,
+                     bool aMayFail,
                      TimePoint aNow)
 {
   const auto standing = StandingAfter(aRefusal);
-  if (!standing) {
+  if (!standing && aRefusal != Refusal::kDemoted) {
     return;
   }
   auto& shard = ShardOf(aServer.mService);
   const std::lock_guard lock(shard.mMutex);
   auto& view = shard.mServers[aServer.mName];
+  if (!standing) {
+    view.mBrokenUntil = aNow + std::clamp(aRetryAfter, kMinAvoid, kMaxAvoid);
+    if (aMayFail) {
+      view.mNoTrialUntil = view.mBrokenUntil; // it has its trials
+    }
+    return;
+  }
   view.mStanding = *standing;
   view.mStandingUntil = aNow + std::clamp(aRetryAfter, kMinAvoid, kMaxAvoid);
 }
@@ -177,7 +194,7 @@
   const std::lock_guard lock(shard.mMutex);
   auto& view = shard.mBoxes[aBox];
   const int doublings = std::min(view.mFailures, kMaxAvoidDoublings);
-  view.mAvoidUntil = aNow + std::min(kMinAvoid * (1 << doublings), kMaxAvoid);
+  view.mAvoidUntil = aNow + std::min(kPathAvoid * (1 << doublings), kMaxAvoid);
   ++view.mFailures;
 }
 
@@ -217,12 +234,15 @@
 }
 
 void
-EntryView::OnFirstAttempt(const ServiceSpec& aService)
+EntryView::OnFirstAttempt(const ServiceSpec& aService, std::size_t aBoxes)
 {
   auto& shard = ShardOf(aService.mName);
   const std::lock_guard lock(shard.mMutex);
   auto& budget = shard.mBudgets[aService.mName];
-  budget.SetShare(aService.mRetryPercent / kPercent);
+  const auto boxes = static_cast<double>(std::max<std::size_t>(1, aBoxes));
+  budget.SetOptions(
+    { .mShare = std::min(aService.mRetryPercent / kPercent, mRetries.mShare),
+      .mBurst = std::min(aService.mRetryBurst, mRetries.mBurst) / boxes });
   budget.OnFirstAttempt();
 }
 
--- a/packages/node/src/Filters.cpp
+++ b/packages/node/src/Filters.cpp
@@ -1,8 +1,10 @@
 #include "porttiller/node/Filters.h"
 
 #include "porttiller/node/HopHeaders.h"
+#include "porttiller/node/Random.h"
 
 #include <Poco/Exception.h>
+#include <Poco/String.h>
 #include <Poco/URI.h>
 #include <algorithm>
 
@@ -12,10 +14,9 @@
 
 constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
-constexpr int kLengthRequired = 411;
-constexpr int kTooLarge = 413;
-constexpr int kHeadersTooLarge = 431;
 constexpr int kUnavailable = 503;
+// Of what a caller waits, left for its answer to reach it.
+constexpr Millis kWayBack{ 25 };
 constexpr std::uint64_t kMaxDeadlineMs = 600'000;
 constexpr std::size_t kMaxKeyBytes = 256;
 constexpr Millis kStartingRetryAfter{ 1000 };
@@ -28,14 +29,40 @@
   return answer;
 }
 
-std::size_t
-CountHeaders(const HttpHeaders& aHeaders, std::string_view aName)
+// The host that a route may name: without its port, in lower case.
+std::string
+HostOf(const HttpHeaders& aHeaders)
 {
-  std::size_t count = 0;
-  for (const auto& header : aHeaders) {
-    count += HeaderValue({ header }, aName).empty() ? 0 : 1;
+  auto host = Poco::toLower(HeaderValue(aHeaders, "Host"));
+  const auto colon = host.rfind(':');
+  if (colon != std::string::npos &&
+      host.find(']', colon) == std::string::npos) {
+    host.resize(colon);
   }
-  return count;
+  return host;
+}
+
+// One of the targets, each as often as its weight says.
+const RouteTarget&
+DrawTarget(const RouteSpec& aRoute)
+{
+  const auto& targets = aRoute.mTargets;
+  if (targets.size() == 1) {
+    return targets.front();
+  }
+  std::uint64_t sum = 0;
+  for (const auto& target : targets) {
+    sum += static_cast<std::uint64_t>(target.mWeight);
+  }
+  auto draw = Random() % sum;
+  for (const auto& target : targets) {
+    const auto weight = static_cast<std::uint64_t>(target.mWeight);
+    if (draw < weight) {
+      return target;
+    }
+    draw -= weight;
+  }
+  return targets.back();
 }
 
 // A path that every reader takes for the same one: from the root, no second
@@ -85,35 +112,12 @@
 }
 
 std::optional<CallerAnswer>
-FramingFilter::Apply(RequestContext& aContext) const
+VersionFilter::Apply(RequestContext& aContext) const
 {
-  const auto& headers = aContext.mHttp.mHeaders;
-  const auto& limits = aContext.mSettings.mCallers;
-  if (aContext.mHttpVersion != "HTTP/1.1" &&
-      aContext.mHttpVersion != "HTTP/1.0") {
+  const auto& version = aContext.mHttp.mVersion;
+  if (version != "HTTP/1.1" && version != "HTTP/1.0") {
     return RefuseAndClose(kBadRequest, "bad-version");
   }
-  if (!HeaderValue(headers, "Transfer-Encoding").empty()) {
-    return RefuseAndClose(kLengthRequired, "transfer-encoding");
-  }
-  if (CountHeaders(headers, "Content-Length") > 1) {
-    return RefuseAndClose(kBadRequest, "two-lengths");
-  }
-  const auto length = HeaderValue(headers, "Content-Length");
-  if (!length.empty() && !ParseUnsigned(length)) {
-    return RefuseAndClose(kBadRequest, "bad-length");
-  }
-  std::size_t bytes = 0;
-  for (const auto& header : headers) {
-    bytes += header.mName.size() + header.mValue.size();
-  }
-  if (bytes > static_cast<std::size_t>(limits.mMaxHeaderBytes) ||
-      headers.size() > static_cast<std::size_t>(limits.mMaxHeaders)) {
-    return RefuseAndClose(kHeadersTooLarge, "headers-too-large");
-  }
-  if (aContext.mContentLength > limits.mMaxBodyBytes) {
-    return RefuseAndClose(kTooLarge, "body-too-large");
-  }
   return std::nullopt;
 }
 
@@ -128,19 +132,20 @@
   if (!IsPlainPath(aContext.mHttp.mTarget, aContext.mPath)) {
     return RefuseAndClose(kBadRequest, "bad-target");
   }
-  if (!aContext.mSnapshot) {
+  if (!aContext.mSnapshot || aContext.mSnapshot->mRevision == 0) {
     auto answer =
       MakeProxyAnswer(kUnavailable, Outcome::kNotRun, "no-configuration");
     answer.mRetryAfter = kStartingRetryAfter;
     return answer;
   }
   const auto& snapshot = *aContext.mSnapshot;
-  aContext.mRoute =
-    snapshot.mRoutes.Find(aContext.mHttp.mMethod, aContext.mPath);
+  aContext.mRoute = snapshot.mRoutes.Find(
+    HostOf(aContext.mHttp.mHeaders), aContext.mHttp.mMethod, aContext.mPath);
   if (aContext.mRoute == nullptr) {
-    return RefuseAndClose(kNotFound, "no-route");
+    return MakeProxyAnswer(kNotFound, Outcome::kNotRun, "no-route");
   }
-  aContext.mService = snapshot.FindService(aContext.mRoute->mService);
+  aContext.mService =
+    snapshot.FindService(DrawTarget(*aContext.mRoute).mService);
   return std::nullopt;
 }
 
@@ -149,13 +154,16 @@
 {
   const auto& headers = aContext.mHttp.mHeaders;
   auto budget = aContext.mService->mSpec.mDefaultDeadline;
-  const auto deadline = HeaderValue(headers, hop::kDeadlineMs);
+  const auto deadline = HeaderValue(headers, aContext.mNames.mDeadline);
   if (!deadline.empty()) {
     const auto millis = ParseUnsigned(deadline);
     if (!millis || *millis == 0 || *millis > kMaxDeadlineMs) {
       return RefuseAndClose(kBadRequest, "bad-deadline");
     }
-    budget = Millis(*millis);
+    budget = std::max(Millis(1), Millis(*millis) - kWayBack);
+  }
+  if (aContext.mRoute->mTimeout) {
+    budget = std::min(budget, *aContext.mRoute->mTimeout);
   }
   aContext.mDeadline = aContext.mArrival + budget;
 
@@ -176,17 +184,4 @@
   return std::nullopt;
 }
 
-std::optional<CallerAnswer>
-BodyFilter::Apply(RequestContext& aContext) const
-{
-  const auto length = std::max<std::int64_t>(0, aContext.mContentLength);
-  auto& body = aContext.mHttp.mBody;
-  body.resize(static_cast<std::size_t>(length));
-  aContext.mBodyStream->read(body.data(), length);
-  if (aContext.mBodyStream->gcount() != length) {
-    return RefuseAndClose(kBadRequest, "body-cut");
-  }
-  return std::nullopt;
-}
-
 } // namespace porttiller
--- a/packages/node/src/Home.cpp
+++ b/packages/node/src/Home.cpp
@@ -10,6 +10,15 @@
 constexpr Millis kNotHereRetryAfter{ 100 };
 constexpr Millis kDuplicateRetryAfter{ 1000 };
 
+// Whether a server goes on with its state: leaving changes nothing else.
+bool
+SameServer(const BackendServerSpec& aHeld, const BackendServerSpec& aNew)
+{
+  auto held = aHeld;
+  held.mLeaving = aNew.mLeaving;
+  return held == aNew;
+}
+
 HomeAnswer
 Refuse(Refusal aRefusal, Millis aRetryAfter)
 {
@@ -45,9 +54,13 @@
 
 } // namespace
 
-Home::Home(BoxName aBox, Incarnation aIncarnation, const Cutoff& aCutoff)
+Home::Home(BoxName aBox,
+           Incarnation aIncarnation,
+           LocalServerOptions aServerOptions,
+           const Cutoff& aCutoff)
   : mBox(std::move(aBox))
   , mIncarnation(aIncarnation)
+  , mServerOptions(std::move(aServerOptions))
   , mCutoff(aCutoff)
 {
 }
@@ -89,7 +102,7 @@
 {
   const auto server = Find(aRequest.mServer);
   HomeAnswer answer;
-  if (aRequest.mDeadline <= Now()) {
+  if (aRequest.mDeadline <= Now() || IsCancelled(aRequest)) {
     answer = Refuse(Refusal::kExpired, Millis(0));
   } else if (!server) {
     answer = Refuse(Refusal::kNoServer, kNotHereRetryAfter);
@@ -154,13 +167,15 @@
       }
       auto& server = kept[spec.mName];
       const auto it = mServers.find(spec.mName);
-      const auto detection = service.mSpec.mDetection;
-      const bool same = it != mServers.end() && it->second->Spec() == spec &&
-                        it->second->Detection() == detection;
+      auto options = mServerOptions;
+      options.mDetection = service.mSpec.mDetection;
+      const bool same = it != mServers.end() &&
+                        SameServer(it->second->Spec(), spec) &&
+                        it->second->Options() == options;
       server = same ? it->second
-                    : std::make_shared<LocalServer>(spec, detection, mCutoff);
-      if (mLeaving) {
-        server->SetLeaving(true);
+                    : std::make_shared<LocalServer>(spec, options, mCutoff);
+      if (mLeaving || spec.mLeaving) {
+        server->SetLeaving(true); // never taken back
       }
     }
   }
@@ -191,6 +206,14 @@
   }
 }
 
+void
+Home::SetServerLeaving(const BackendServerName& aName)
+{
+  if (const auto server = Find(aName)) {
+    server->SetLeaving(true);
+  }
+}
+
 LocalServerPtr
 Home::Find(const BackendServerName& aName) const
 {
--- a/packages/node/src/HomeServer.cpp
+++ b/packages/node/src/HomeServer.cpp
@@ -1,6 +1,8 @@
 #include "porttiller/node/HomeServer.h"
 
+#include "porttiller/node/Dialects.h"
 #include "porttiller/node/HopCodec.h"
+#include "porttiller/node/Log.h"
 
 namespace porttiller {
 
@@ -12,6 +14,10 @@
 // Longer than an entry keeps its idle connections, so that the entry closes
 // first and never writes into a closing one.
 constexpr Millis kPeerKeepAlive{ 30'000 };
+// Entries have checked callers' limits; these only bound what a box takes in.
+constexpr std::size_t kMaxHeaders = 1000;
+constexpr std::size_t kMaxHeaderBytes = 1 << 20;
+constexpr std::size_t kMaxBodyBytes = 64 << 20;
 
 int
 StatusOf(const HomeAnswer& aAnswer)
@@ -27,28 +33,10 @@
   return kTimeout;
 }
 
-// True once the whole body is in aRequest.mBody.
-bool
-ReadBody(Poco::Net::HTTPServerRequest& aHttp,
-         std::int64_t aMaxBytes,
-         HttpRequestData& aRequest)
-{
-  if (!aHttp.hasContentLength()) {
-    return true;
-  }
-  const auto length = aHttp.getContentLength64();
-  if (length < 0 || length > aMaxBytes) {
-    return false;
-  }
-  aRequest.mBody.resize(static_cast<std::size_t>(length));
-  aHttp.stream().read(aRequest.mBody.data(), length);
-  return aHttp.stream().gcount() == length;
-}
-
 } // namespace
 
 HomeServer::HomeServer(const Settings& aSettings, Home& aHome)
-  : mSettings(aSettings)
+  : mNames(EdgeHeadersOf(aSettings))
   , mHome(aHome)
 {
 }
@@ -57,13 +45,15 @@
 HomeServer::Make(const Settings& aSettings, Home& aHome)
 {
   std::unique_ptr<HomeServer> server(new HomeServer(aSettings, aHome));
-  auto listener =
-    HttpListener::Make({ .mAddress = aSettings.mPeers.mHomeAddress,
-                         .mThreads = aSettings.mPeers.mThreads,
-                         .mKeepAlive = kPeerKeepAlive },
-                       [raw = server.get()](auto& aRequest, auto& aResponse) {
-                         raw->Serve(aRequest, aResponse);
-                       });
+  auto listener = HttpListener::Make(
+    { .mAddress = aSettings.mPeers.mHomeAddress,
+      .mWorkers = aSettings.mPeers.mThreads,
+      .mLimits = { .mMaxHeaders = kMaxHeaders,
+                   .mMaxHeaderBytes = kMaxHeaderBytes,
+                   .mMaxBodyBytes = kMaxBodyBytes },
+      .mIdleClose = kPeerKeepAlive,
+      .mOnException = LogException },
+    [raw = server.get()](HttpCall& aCall) { return raw->Serve(aCall); });
   if (!listener) {
     return tl::make_unexpected(listener.error());
   }
@@ -71,25 +61,28 @@
   return server;
 }
 
-void
-HomeServer::Serve(Poco::Net::HTTPServerRequest& aRequest,
-                  Poco::Net::HTTPServerResponse& aResponse)
+HttpReply
+HomeServer::Serve(HttpCall& aCall)
 {
-  auto http = ReadHead(aRequest);
-  const bool whole = ReadBody(aRequest, mSettings.mCallers.mMaxBodyBytes, http);
-  const bool headOnly = http.mMethod == "HEAD";
-  const auto request = DecodeHomeRequest(std::move(http), Now());
-  if (!whole || !request) {
-    aResponse.setKeepAlive(false);
-    SendWhole(aResponse, headOnly, kBadRequest, {}, "not an attempt\n");
-    return;
+  auto request = DecodeHomeRequest(std::move(aCall.mHttp), aCall.mArrival);
+  if (!request) {
+    return { .mAnswer = { .mStatus = kBadRequest, .mBody = "not an attempt\n" },
+             .mClose = true };
   }
+  if (!mNames.mRequestId.empty()) {
+    request->mRequestId =
+      HeaderValue(request->mHttp.mHeaders, mNames.mRequestId);
+  }
+  request->mCancelled = aCall.mCancelled;
   auto answer = mHome.Handle(*request);
-  auto headers =
+  HttpReply reply{ .mAnswer = { .mStatus = StatusOf(answer) } };
+  reply.mAnswer.mHeaders =
     EncodeHomeAnswer(answer, request->mAttempt, mHome.OwnIncarnation(), Now());
-  const auto passedOn = WithoutHopHeaders(answer.mHttp.mHeaders);
-  headers.insert(headers.end(), passedOn.begin(), passedOn.end());
-  SendWhole(aResponse, headOnly, StatusOf(answer), headers, answer.mHttp.mBody);
+  for (auto& header : WithoutHopHeaders(answer.mHttp.mHeaders)) {
+    reply.mAnswer.mHeaders.push_back(std::move(header));
+  }
+  reply.mAnswer.mBody = std::move(answer.mHttp.mBody);
+  return reply;
 }
 
 void
--- a/packages/node/src/HopCodec.cpp
+++ b/packages/node/src/HopCodec.cpp
@@ -2,38 +2,127 @@
 
 #include "porttiller/node/HopHeaders.h"
 
+#include <Poco/StringTokenizer.h>
 #include <algorithm>
 #include <array>
-#include <charconv>
 
 namespace porttiller {
 
 namespace {
 
-constexpr std::array<std::string_view, 12> kRefusals = {
-  "none",    "incarnation", "no-server",  "leaving",
-  "ejected", "demoted",     "overloaded", "expired",
-  "revoked", "duplicate",   "stale",      "unreachable"
+constexpr std::array<std::string_view, 13> kRefusals = {
+  "none",      "incarnation", "no-server",   "leaving", "ejected",
+  "demoted",   "overloaded",  "server-busy", "expired", "revoked",
+  "duplicate", "stale",       "unreachable"
 };
-constexpr const char* kYes = "1";
 constexpr double kLoadScale = 1000.0;
+constexpr char kSeparator = ';';
+constexpr const char* kNone = "-";
+constexpr char kRepeatableFlag = 'r';
+constexpr char kMayFailFlag = 'f';
+constexpr char kLastResortFlag = 'l';
+
+// The one header between entry and home: its fields in a fixed order. Bytes
+// between availability zones cost, so they are few.
+class FieldWriter
+{
+public:
+  FieldWriter& Add(std::string_view aText)
+  {
+    mText += mText.empty() ? "" : std::string(1, kSeparator);
+    mText += aText.empty() ? kNone : aText;
+    return *this;
+  }
+
+  FieldWriter& Add(std::int64_t aNumber)
+  {
+    return Add(std::to_string(std::max<std::int64_t>(0, aNumber)));
+  }
+
+  FieldWriter& Add(Incarnation aIncarnation)
+  {
+    return Add(std::to_string(aIncarnation.Value()));
+  }
+
+  std::string Take() { return std::move(mText); }
+
+private:
+  std::string mText;
+};
+
+// Fields of a header in their order; "" for one that is missing or empty.
+class HopFields
+{
+public:
+  explicit HopFields(const std::string& aText)
+    : mFields(aText, std::string(1, kSeparator))
+  {
+  }
+
+  std::string Text(std::size_t aIndex) const
+  {
+    const auto text = aIndex < mFields.count() ? mFields[aIndex] : "";
+    return text == kNone ? "" : text;
+  }
+
+  std::optional<std::uint64_t> Number(std::size_t aIndex) const
+  {
+    return ParseUnsigned(Text(aIndex));
+  }
+
+private:
+  Poco::StringTokenizer mFields;
+};
+
+// The order of the fields.
+namespace request_field {
+enum Index : std::size_t
+{
+  kAttempt,
+  kHomeIncarnation,
+  kServer,
+  kPriority,
+  kBudget,
+  kHomeDeadline,
+  kFlags,
+  kRoute
+};
+} // namespace request_field
+
+namespace answer_field {
+enum Index : std::size_t
+{
+  kSequence,
+  kIncarnation,
+  kOutcome,
+  kRefusal,
+  kClock,
+  kLoad,
+  kRetryAfter,
+  kReason
+};
+} // namespace answer_field
 
 std::string
-ToText(std::int64_t aNumber)
+FlagsOf(const HomeRequest& aRequest)
 {
-  return std::to_string(std::max<std::int64_t>(0, aNumber));
+  std::string flags;
+  flags += aRequest.mRepeatable ? std::string(1, kRepeatableFlag) : "";
+  flags += aRequest.mMayFail ? std::string(1, kMayFailFlag) : "";
+  flags += aRequest.mLastResort ? std::string(1, kLastResortFlag) : "";
+  return flags;
 }
 
-Millis
-Remaining(TimePoint aDeadline, TimePoint aNow)
+bool
+Has(const std::string& aFlags, char aFlag)
 {
-  return std::chrono::duration_cast<Millis>(aDeadline - aNow);
+  return aFlags.find(aFlag) != std::string::npos;
 }
 
-std::optional<std::uint64_t>
-Number(const HttpHeaders& aHeaders, const char* aName)
+Millis
+Remaining(TimePoint aDeadline, TimePoint aNow)
 {
-  return ParseUnsigned(HeaderValue(aHeaders, aName));
+  return std::chrono::duration_cast<Millis>(aDeadline - aNow);
 }
 
 } // namespace
@@ -60,29 +149,21 @@
                   TimePoint aNow)
 {
   auto http = aRequest.mHttp;
-  auto& headers = http.mHeaders;
-  headers.push_back({ hop::kAttempt, aRequest.mAttempt.ToString() });
-  headers.push_back(
-    { hop::kIncarnation, std::to_string(aRequest.mHomeIncarnation.Value()) });
-  headers.push_back({ hop::kServer, aRequest.mServer.Value() });
-  headers.push_back(
-    { hop::kPriority, std::string(ToText(aRequest.mPriority)) });
-  headers.push_back(
-    { hop::kBudgetMs, ToText(Remaining(aRequest.mDeadline, aNow).count()) });
-  headers.push_back({ hop::kRoute, aRequest.mRoute });
+  FieldWriter fields;
+  fields.Add(aRequest.mAttempt.ToString())
+    .Add(aRequest.mHomeIncarnation)
+    .Add(aRequest.mServer.Value())
+    .Add(static_cast<std::int64_t>(aRequest.mPriority))
+    .Add(Remaining(aRequest.mDeadline, aNow).count());
   if (aHomeClockOffset) {
-    headers.push_back(
-      { hop::kHomeDeadlineMs,
-        ToText(ToMillis(aRequest.mDeadline) + aHomeClockOffset->count()) });
-  }
-  if (aRequest.mRepeatable) {
-    headers.push_back({ hop::kRepeatable, kYes });
-  }
-  if (aRequest.mLastResort) {
-    headers.push_back({ hop::kLastResort, kYes });
+    fields.Add(ToMillis(aRequest.mDeadline) + aHomeClockOffset->count());
+  } else {
+    fields.Add("");
   }
+  fields.Add(FlagsOf(aRequest)).Add(aRequest.mRoute);
+  http.mHeaders.push_back({ hop::kRequestHop, fields.Take() });
   if (!aRequest.mRequestKey.empty()) {
-    headers.push_back({ hop::kRequestKey, aRequest.mRequestKey });
+    http.mHeaders.push_back({ hop::kRequestKey, aRequest.mRequestKey });
   }
   return http;
 }
@@ -90,28 +171,32 @@
 std::optional<HomeRequest>
 DecodeHomeRequest(HttpRequestData aHttp, TimePoint aNow)
 {
-  const auto& headers = aHttp.mHeaders;
-  const auto attempt = AttemptId::Parse(HeaderValue(headers, hop::kAttempt));
-  const auto incarnation = Number(headers, hop::kIncarnation);
-  const auto budget = Number(headers, hop::kBudgetMs);
-  const auto priority = ParsePriority(HeaderValue(headers, hop::kPriority));
-  if (!attempt || !incarnation || !budget || !priority) {
+  using namespace request_field;
+  const HopFields fields(HeaderValue(aHttp.mHeaders, hop::kRequestHop));
+  const auto attempt = AttemptId::Parse(fields.Text(kAttempt));
+  const auto incarnation = fields.Number(kHomeIncarnation);
+  const auto budget = fields.Number(kBudget);
+  const auto priority = fields.Number(kPriority);
+  if (!attempt || !incarnation || !budget || !priority ||
+      *priority >= kPriorityCount) {
     return std::nullopt;
   }
   HomeRequest request{ .mAttempt = *attempt,
                        .mHomeIncarnation = Incarnation(*incarnation),
-                       .mPriority = *priority,
+                       .mPriority = static_cast<Priority>(*priority),
                        .mDeadline = aNow + Millis(*budget) };
-  if (const auto deadline = Number(headers, hop::kHomeDeadlineMs)) {
+  if (const auto deadline = fields.Number(kHomeDeadline)) {
     request.mDeadline =
       std::min(request.mDeadline, TimePoint(Millis(*deadline)));
   }
-  request.mServer = BackendServerName(HeaderValue(headers, hop::kServer));
-  request.mRoute = HeaderValue(headers, hop::kRoute);
-  request.mRepeatable = HeaderValue(headers, hop::kRepeatable) == kYes;
-  request.mLastResort = HeaderValue(headers, hop::kLastResort) == kYes;
-  request.mRequestKey = HeaderValue(headers, hop::kRequestKey);
-  aHttp.mHeaders = WithoutHopHeaders(headers);
+  const auto flags = fields.Text(kFlags);
+  request.mRepeatable = Has(flags, kRepeatableFlag);
+  request.mMayFail = Has(flags, kMayFailFlag);
+  request.mLastResort = Has(flags, kLastResortFlag);
+  request.mServer = BackendServerName(fields.Text(kServer));
+  request.mRoute = fields.Text(kRoute);
+  request.mRequestKey = HeaderValue(aHttp.mHeaders, hop::kRequestKey);
+  aHttp.mHeaders = WithoutHopHeaders(aHttp.mHeaders);
   request.mHttp = std::move(aHttp);
   return request;
 }
@@ -122,43 +207,44 @@
                  Incarnation aIncarnation,
                  TimePoint aNow)
 {
-  HttpHeaders headers;
-  headers.push_back({ hop::kAttempt, aAttempt.ToString() });
-  headers.push_back(
-    { hop::kIncarnation, std::to_string(aIncarnation.Value()) });
-  headers.push_back({ hop::kOutcome, std::string(ToText(aAnswer.mOutcome)) });
-  headers.push_back({ hop::kRefusal, std::string(ToText(aAnswer.mRefusal)) });
-  headers.push_back({ hop::kHomeClockMs, ToText(ToMillis(aNow)) });
-  headers.push_back(
-    { hop::kLoad,
-      ToText(static_cast<std::int64_t>(aAnswer.mLoad * kLoadScale)) });
-  if (aAnswer.mRefusal != Refusal::kNone) {
-    headers.push_back(
-      { hop::kRetryAfterMs, ToText(aAnswer.mRetryAfter.count()) });
-  }
-  if (!aAnswer.mReason.empty()) {
-    headers.push_back({ hop::kReason, aAnswer.mReason });
-  }
-  return headers;
+  FieldWriter fields;
+  fields.Add(static_cast<std::int64_t>(aAttempt.Sequence()))
+    .Add(aIncarnation)
+    .Add(static_cast<std::int64_t>(aAnswer.mOutcome))
+    .Add(ToText(aAnswer.mRefusal))
+    .Add(ToMillis(aNow))
+    .Add(static_cast<std::int64_t>(aAnswer.mLoad * kLoadScale))
+    .Add(aAnswer.mRetryAfter.count())
+    .Add(aAnswer.mReason);
+  return { { hop::kAnswerHop, fields.Take() } };
 }
 
-std::optional<HomeAnswer>
+std::optional<DecodedHomeAnswer>
 DecodeHomeAnswer(HttpAnswer aHttp, const AttemptId& aAttempt)
 {
-  const auto& headers = aHttp.mHeaders;
-  const auto outcome = ParseOutcome(HeaderValue(headers, hop::kOutcome));
-  const auto refusal = ParseRefusal(HeaderValue(headers, hop::kRefusal));
-  if (HeaderValue(headers, hop::kAttempt) != aAttempt.ToString() || !outcome ||
-      !refusal) {
+  using namespace answer_field;
+  const HopFields fields(HeaderValue(aHttp.mHeaders, hop::kAnswerHop));
+  const auto outcome = fields.Number(kOutcome);
+  const auto refusal = ParseRefusal(fields.Text(kRefusal));
+  const auto incarnation = fields.Number(kIncarnation);
+  const auto clock = fields.Number(kClock);
+  if (fields.Number(kSequence) != aAttempt.Sequence() || !outcome ||
+      *outcome > static_cast<std::uint64_t>(Outcome::kUnknown) || !refusal ||
+      !incarnation || !clock) {
     return std::nullopt;
   }
-  HomeAnswer answer{ .mOutcome = *outcome, .mRefusal = *refusal };
+  DecodedHomeAnswer decoded{ .mIncarnation = Incarnation(*incarnation),
+                             .mHomeClock =
+                               Millis(static_cast<std::int64_t>(*clock)) };
+  auto& answer = decoded.mAnswer;
+  answer.mOutcome = static_cast<Outcome>(*outcome);
+  answer.mRefusal = *refusal;
   answer.mLoad =
-    static_cast<double>(Number(headers, hop::kLoad).value_or(0)) / kLoadScale;
-  answer.mRetryAfter = Millis(Number(headers, hop::kRetryAfterMs).value_or(0));
-  answer.mReason = HeaderValue(headers, hop::kReason);
+    static_cast<double>(fields.Number(kLoad).value_or(0)) / kLoadScale;
+  answer.mRetryAfter = Millis(fields.Number(kRetryAfter).value_or(0));
+  answer.mReason = fields.Text(kReason);
   answer.mHttp = std::move(aHttp);
-  return answer;
+  return decoded;
 }
 
 } // namespace porttiller
--- a/packages/node/src/LedgerStore.cpp
+++ b/packages/node/src/LedgerStore.cpp
@@ -1,7 +1,7 @@
 #include "porttiller/node/LedgerStore.h"
 
 #include "porttiller/config/JsonText.h"
-#include "porttiller/platform/SettledWrite.h"
+#include "porttiller/store/SettledWrite.h"
 
 #include <Poco/Exception.h>
 #include <Poco/JSON/Array.h>
@@ -50,13 +50,13 @@
   return ToJsonText(document);
 }
 
-tl::expected<EjectionLedger, PlatformError>
+tl::expected<EjectionLedger, StoreError>
 DecodeLedger(const std::string& aSpecJson)
 {
   const auto bad = [](const std::string& aDetail) {
     return tl::make_unexpected(
-      PlatformError{ .mKind = PlatformErrorKind::kBadAnswer,
-                     .mDetail = "ejection ledger: " + aDetail });
+      StoreError{ .mKind = StoreErrorKind::kBadAnswer,
+                  .mDetail = "ejection ledger: " + aDetail });
   };
   const auto json = ParseJsonObject(aSpecJson);
   if (!json) {
@@ -86,12 +86,12 @@
 {
 }
 
-tl::expected<LedgerStore::Versioned, PlatformError>
+tl::expected<LedgerStore::Versioned, StoreError>
 LedgerStore::ReadVersioned(const ServiceName& aService)
 {
   const auto object = mClient.Get(KeyOf(aService));
   if (!object) {
-    if (object.error().mKind == PlatformErrorKind::kNotFound) {
+    if (object.error().mKind == StoreErrorKind::kNotFound) {
       return Versioned();
     }
     return tl::make_unexpected(object.error());
@@ -103,14 +103,14 @@
   return Versioned{ std::move(*ledger), object->mVersion };
 }
 
-tl::expected<EjectionLedger, PlatformError>
+tl::expected<EjectionLedger, StoreError>
 LedgerStore::Read(const ServiceName& aService)
 {
   return ReadVersioned(aService).map(
     [](const Versioned& aHeld) { return aHeld.mLedger; });
 }
 
-tl::expected<void, PlatformError>
+tl::expected<void, StoreError>
 LedgerStore::Write(const ServiceName& aService,
                    const Versioned& aHeld,
                    const EjectionLedger& aNext)
@@ -140,7 +140,7 @@
     if (written) {
       return PermissionAnswer::kGranted;
     }
-    if (written.error().mKind != PlatformErrorKind::kConflict) {
+    if (written.error().mKind != StoreErrorKind::kConflict) {
       return PermissionAnswer::kUnavailable;
     }
   }
