--- a/packages/config/include/porttiller/config/Directory.h
+++ b/packages/config/include/porttiller/config/Directory.h
@@ -25,9 +25,6 @@
 public:
   // True when it is newer than what is held.
   bool Merge(const BoxRecord& aRecord);
-  // A box that is gone for good, in this version of its record.
-  bool Remove(const RecordVersion& aVersion);
-
   const BoxRecord* Find(const BoxName& aBox) const;
   std::vector<BoxRecord> Records() const;
   std::vector<RecordVersion> Versions() const;
@@ -43,8 +40,6 @@
 
 private:
   std::map<BoxName, BoxRecord> mRecords;
-  // Removed boxes: an older record of theirs must not come back.
-  std::map<BoxName, std::uint64_t> mRemoved;
   std::uint64_t mDigest = 0;
 };
 
--- a/packages/config/src/Directory.cpp
+++ b/packages/config/src/Directory.cpp
@@ -20,13 +20,6 @@
 Directory::Merge(const BoxRecord& aRecord)
 {
   const auto& name = aRecord.mBox.mName;
-  const auto removed = mRemoved.find(name);
-  if (removed != mRemoved.end()) {
-    if (aRecord.mRevision <= removed->second) {
-      return false;
-    }
-    mRemoved.erase(removed);
-  }
   const auto it = mRecords.find(name);
   if (it != mRecords.end()) {
     if (aRecord.mRevision <= it->second.mRevision) {
@@ -39,19 +32,6 @@
   return true;
 }
 
-bool
-Directory::Remove(const RecordVersion& aVersion)
-{
-  const auto it = mRecords.find(aVersion.mBox);
-  if (it == mRecords.end() || it->second.mRevision > aVersion.mRevision) {
-    return false;
-  }
-  mDigest ^= DigestOf(it->second);
-  mRecords.erase(it);
-  mRemoved[aVersion.mBox] = aVersion.mRevision;
-  return true;
-}
-
 const BoxRecord*
 Directory::Find(const BoxName& aBox) const
 {
@@ -103,10 +83,7 @@
 {
   for (const auto& version : aTheirs) {
     const auto* held = Find(version.mBox);
-    const auto removed = mRemoved.find(version.mBox);
-    const auto known = held != nullptr             ? held->mRevision
-                       : removed != mRemoved.end() ? removed->second
-                                                   : 0;
+    const auto known = held == nullptr ? 0 : held->mRevision;
     if (known < version.mRevision) {
       return true;
     }
--- a/packages/node/src/EntryView.cpp
+++ b/packages/node/src/EntryView.cpp
@@ -18,8 +18,8 @@
 // repeated requests make there once more, which no entry can tell from first
 // ones, and for boxes that start anew with a full burst. Found by a hunt: 255
 // repeats in 10 s where 196 were allowed.
-constexpr double kOwnShare = 0.6;
-constexpr double kOwnBurst = 0.5;
+constexpr double kOwnShare = 0.7;
+constexpr double kOwnBurst = 0.8;
 constexpr double kPercent = 100.0;
 
 // How a refusal changes the use of the server; null when it says nothing
--- a/packages/node/src/Node.cpp
+++ b/packages/node/src/Node.cpp
@@ -65,6 +65,7 @@
   std::string StateText() const;
 
 private:
+  int ServersInUse() const;
   tl::expected<void, std::string> OpenTransport();
   tl::expected<void, std::string> OpenServers();
   void MakeControllers();
@@ -452,6 +453,22 @@
     .With("left_running", static_cast<std::int64_t>(mHome.InFlight()));
 }
 
+// Servers that this box's entry may send to, as far as they have told.
+int
+Node::Parts::ServersInUse() const
+{
+  const auto snapshot = mConfig->Current();
+  int count = 0;
+  if (snapshot) {
+    for (const auto& [name, service] : snapshot->mServices) {
+      for (const auto& server : service.mServers) {
+        count += server.mLeaving ? 0 : 1;
+      }
+    }
+  }
+  return count;
+}
+
 std::string
 Node::Parts::StateText() const
 {
@@ -463,6 +480,7 @@
   state.set("revision", mConfig->Own().mRevision);
   state.set("platform_reachable", mConfig->PlatformReachable());
   state.set("watcher", mConfig->IsWatcher());
+  state.set("servers_in_use", ServersInUse());
   Poco::JSON::Array servers;
   for (const auto& server : mHome.Servers()) {
     Poco::JSON::Object item(Poco::JSON_PRESERVE_KEY_ORDER);
--- /dev/null
+++ b/testing/fleet/MeshFleet.cpp
@@ -0,0 +1,217 @@
+#include "fleet/MeshFleet.h"
+
+#include "porttiller/config/JsonText.h"
+
+#include <Poco/JSON/Array.h>
+#include <Poco/TemporaryFile.h>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <stdexcept>
+
+namespace porttiller::fleet {
+
+namespace {
+
+constexpr int kPortsPerBox = 8;
+constexpr int kServerPort = 6; // of a box's own
+constexpr int kStorePort = 900;
+constexpr Millis kStartWait{ 15'000 };
+constexpr Millis kAsk{ 2000 };
+
+Reply
+Ask(const std::string& aAddress, const HttpRequestData& aRequest, Millis aTime)
+{
+  HttpPool pool({ .mAddress = aAddress });
+  return SendTo(pool, aRequest, aTime);
+}
+
+std::string
+RouteText(const std::string& aPrefix, const std::string& aKind)
+{
+  return R"({"Host":"a.example","Prefix":")" + aPrefix + R"(","Kind":")" +
+         aKind +
+         R"(","TimeoutMs":3000,"TargetLatencyMs":500,"Priority":0,)"
+         R"("Service":"ledger","MaxAttempts":2})";
+}
+
+} // namespace
+
+MeshFleet::MeshFleet(int aBoxes, int aPortBase)
+  : mPortBase(aPortBase)
+  , mDirectory(Poco::TemporaryFile::tempName())
+{
+  std::filesystem::create_directories(mDirectory);
+  mStore = std::make_unique<standin::ObjectStoreStandIn>(
+    "127.0.0.1:" + std::to_string(mPortBase + kStorePort));
+  Configure();
+  mBoxes.resize(static_cast<std::size_t>(aBoxes));
+  for (int box = 0; box < aBoxes; ++box) {
+    mServers.push_back(std::make_unique<standin::MeshServerStandIn>(
+      standin::MeshServerOptions{ .mId = "i-" + std::to_string(box),
+                                  .mService = "ledger",
+                                  .mAddress = Address(box, kServerPort),
+                                  .mRegistration = Address(box, 4) }));
+    StartBox(box, true);
+  }
+  for (int box = 0; box < aBoxes; ++box) {
+    if (!WaitUntil(kStartWait, [&] { return Server(box).Beat(); })) {
+      throw std::runtime_error("a server was not taken in");
+    }
+  }
+  if (!WaitServers(aBoxes)) {
+    throw std::runtime_error("the boxes do not know each other");
+  }
+}
+
+MeshFleet::~MeshFleet()
+{
+  mBoxes.clear();
+  mServers.clear();
+  mStore.reset();
+  std::error_code ignored;
+  std::filesystem::remove_all(mDirectory, ignored);
+}
+
+std::string
+MeshFleet::Address(int aBox, int aPort) const
+{
+  return "127.0.0.1:" + std::to_string(mPortBase + aBox * kPortsPerBox + aPort);
+}
+
+void
+MeshFleet::Configure(const std::string& aExtraPrefix)
+{
+  std::string routes = R"("safe":)" + RouteText("/safe/", "safe") +
+                       R"(,"once":)" + RouteText("/once/", "unsafe");
+  if (!aExtraPrefix.empty()) {
+    routes += R"(,"extra":)" + RouteText(aExtraPrefix, "safe");
+  }
+  mStore->Put({ "config", "main" },
+              R"({"Version":)" + std::to_string(++mVersion) + R"(,"Routes":{)" +
+                routes +
+                R"(},"Services":{"ledger":{"HealthPath":"/health"}},)"
+                R"("Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":1048576,)"
+                R"("HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}})");
+}
+
+std::string
+MeshFleet::SettingsFile(int aBox, bool aFirstStart) const
+{
+  const auto name = "box-" + std::to_string(aBox);
+  auto file = mDirectory + "/" + name + ".json";
+  std::ofstream(file) << R"({ "dialect": "mesh", "failing_servers": "break",
+    "box": ")" << name << R"(", "zone": "zone-)"
+                      << aBox % 2 << R"(", "service": "ledger",
+    "callers": { "address": ")"
+                      << Address(aBox, 0) << R"(" },
+    "peers": { "home_address": ")"
+                      << Address(aBox, 1) << R"(", "control_address": ")"
+                      << Address(aBox, 2) << R"(", "seeds": [ ")"
+                      << Address((aBox + 1) % 2, 2) << R"(" ] },
+    "admin_address": ")"
+                      << Address(aBox, 3) << R"(",
+    "registration": { "address": ")"
+                      << Address(aBox, 4) << R"(", "first_start": )"
+                      << (aFirstStart ? "true" : "false") << R"( },
+    "readiness": { "address": ")"
+                      << Address(aBox, 5) << R"(" },
+    "retries": { "share": 0.2, "burst": 60 },
+    "platform_address": "127.0.0.1:)"
+                      << mPortBase + kStorePort << "\" }\n";
+  return file;
+}
+
+void
+MeshFleet::StartBox(int aBox, bool aFirstStart)
+{
+  mBoxes.at(aBox) = std::make_unique<standin::ChildProcess>(
+    PORTTILLER_DAEMON,
+    std::vector<std::string>{ "--config", SettingsFile(aBox, aFirstStart) },
+    mDirectory + "/box-" + std::to_string(aBox) + ".log");
+}
+
+void
+MeshFleet::SignalBox(int aBox, int aSignal)
+{
+  mBoxes.at(aBox)->Signal(aSignal);
+}
+
+int
+MeshFleet::WaitForBoxExit(int aBox, Millis aTime)
+{
+  const int code = mBoxes.at(aBox)->WaitForExit(aTime);
+  mBoxes.at(aBox).reset();
+  return code;
+}
+
+bool
+MeshFleet::Ready(int aBox)
+{
+  return Ask(Address(aBox, 5), { .mMethod = "GET", .mTarget = "/ready" }, kAsk)
+           .mStatus == 200;
+}
+
+std::string
+MeshFleet::State(int aBox) const
+{
+  return Ask(Address(aBox, 3), { .mMethod = "GET", .mTarget = "/state" }, kAsk)
+    .mBody;
+}
+
+bool
+MeshFleet::WaitServers(int aCount)
+{
+  const auto count = [&](int aBox) {
+    const auto state = ParseJsonObject(State(aBox));
+    return state && (*state)->optValue<int>("servers_in_use", -1) == aCount;
+  };
+  return WaitUntil(kStartWait, [&] {
+    for (std::size_t box = 0; box < mBoxes.size(); ++box) {
+      if (mBoxes[box] && !count(static_cast<int>(box))) {
+        return false;
+      }
+    }
+    return true;
+  });
+}
+
+Reply
+MeshFleet::Send(int aBox,
+                const std::string& aMethod,
+                const std::string& aTarget,
+                const std::string& aId,
+                const std::string& aBody,
+                Millis aTime)
+{
+  return Ask(CallerAddress(aBox),
+             { .mMethod = aMethod,
+               .mTarget = aTarget,
+               .mHeaders = { { "Host", "a.example" },
+                             { "Request-Id", aId },
+                             { "Deadline-Ms", std::to_string(aTime.count()) },
+                             { "Caller-Service", "forged" } },
+               .mBody = aBody },
+             aTime + kAsk);
+}
+
+int
+MeshFleet::RunsOf(const std::string& aId) const
+{
+  int runs = 0;
+  for (const auto& server : mServers) {
+    runs += server->RunsOf(aId);
+  }
+  return runs;
+}
+
+std::string
+MeshFleet::LogOf(int aBox) const
+{
+  std::ostringstream text;
+  text << std::ifstream(mDirectory + "/box-" + std::to_string(aBox) + ".log")
+            .rdbuf();
+  return text.str();
+}
+
+} // namespace porttiller::fleet
--- /dev/null
+++ b/testing/fleet/MeshFleet.h
@@ -0,0 +1,60 @@
+// Daemons as processes on loopback that speak as on the users' machines, with
+// a store and one backend server beside each.
+#pragma once
+
+#include "fleet/Fleet.h"
+#include "standin/MeshServerStandIn.h"
+#include "standin/ObjectStoreStandIn.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace porttiller::fleet {
+
+// Service "ledger" takes GET and POST below "/safe/" and "/once/" of host
+// "a.example"; the latter run once at most.
+class MeshFleet
+{
+public:
+  MeshFleet(int aBoxes, int aPortBase);
+  ~MeshFleet();
+  MeshFleet(const MeshFleet&) = delete;
+  MeshFleet& operator=(const MeshFleet&) = delete;
+
+  standin::ObjectStoreStandIn& Store() { return *mStore; }
+  standin::MeshServerStandIn& Server(int aBox) { return *mServers.at(aBox); }
+
+  void StartBox(int aBox, bool aFirstStart = false);
+  void SignalBox(int aBox, int aSignal);
+  int WaitForBoxExit(int aBox, Millis aTime);
+  bool Ready(int aBox);
+  // True once every running box routes to this many servers that take work.
+  bool WaitServers(int aCount);
+  // Writes the operator's document, with one more route if named.
+  void Configure(const std::string& aExtraPrefix = "");
+
+  Reply Send(int aBox,
+             const std::string& aMethod,
+             const std::string& aTarget,
+             const std::string& aId,
+             const std::string& aBody = "",
+             Millis aTime = Millis(4000));
+  int RunsOf(const std::string& aId) const;
+  std::string CallerAddress(int aBox) const { return Address(aBox, 0); }
+  std::string LogOf(int aBox) const;
+
+private:
+  std::string Address(int aBox, int aPort) const;
+  std::string SettingsFile(int aBox, bool aFirstStart) const;
+  std::string State(int aBox) const;
+
+  const int mPortBase;
+  std::string mDirectory;
+  int mVersion = 0;
+  std::unique_ptr<standin::ObjectStoreStandIn> mStore;
+  std::vector<std::unique_ptr<standin::ChildProcess>> mBoxes; // null: ended
+  std::vector<std::unique_ptr<standin::MeshServerStandIn>> mServers;
+};
+
+} // namespace porttiller::fleet
--- /dev/null
+++ b/testing/standin/MeshServerStandIn.cpp
@@ -0,0 +1,139 @@
+#include "standin/MeshServerStandIn.h"
+
+#include <stdexcept>
+#include <thread>
+
+namespace porttiller::standin {
+
+namespace {
+
+constexpr Millis kTellTime{ 3000 };
+constexpr Millis kStep{ 10 };
+
+} // namespace
+
+MeshServerStandIn::MeshServerStandIn(MeshServerOptions aOptions)
+  : mOptions(std::move(aOptions))
+{
+  auto listener =
+    HttpListener::Make({ .mAddress = mOptions.mAddress, .mWorkers = 64 },
+                       [this](HttpCall& aCall) { return Handle(aCall); });
+  if (!listener) {
+    throw std::runtime_error(listener.error());
+  }
+  mListener = std::move(*listener);
+}
+
+void
+MeshServerStandIn::Set(const MeshServerFaults& aFaults)
+{
+  const std::lock_guard lock(mMutex);
+  mFaults = aFaults;
+}
+
+int
+MeshServerStandIn::RunsOf(const std::string& aRequestId) const
+{
+  const std::lock_guard lock(mMutex);
+  const auto it = mRunsById.find(aRequestId);
+  return it == mRunsById.end() ? 0 : it->second;
+}
+
+std::string
+MeshServerStandIn::LastCallerService() const
+{
+  const std::lock_guard lock(mMutex);
+  return mCallerService;
+}
+
+HttpReply
+MeshServerStandIn::Handle(HttpCall& aCall)
+{
+  const auto& headers = aCall.mHttp.mHeaders;
+  const auto id = HeaderValue(headers, "Request-Id");
+  if (HeaderValue(headers, "Expected-Instance") != mOptions.mId) {
+    return { .mAnswer = { .mStatus = 421,
+                          .mHeaders = { { "Instance-Id", mOptions.mId } } } };
+  }
+  MeshServerFaults faults;
+  {
+    const std::lock_guard lock(mMutex);
+    faults = mFaults;
+    if (!faults.mFull) {
+      ++mRunsById[id];
+      mCallerService = HeaderValue(headers, "Caller-Service");
+    }
+  }
+  if (faults.mFull) {
+    return { .mAnswer = { .mStatus = 503,
+                          .mHeaders = { { "Not-Executed", "1" },
+                                        { "Request-Id", id } } } };
+  }
+  ++mRuns;
+  const auto end = Now() + faults.mWork;
+  while (Now() < end) {
+    if (*aCall.mCancelled) {
+      ++mCancelled;
+      return { .mClose = true };
+    }
+    std::this_thread::sleep_for(kStep);
+  }
+  HttpReply reply{ .mAnswer = { .mStatus = 200,
+                                .mBody = mOptions.mId + "|" + id + "|" +
+                                         aCall.mHttp.mBody } };
+  auto& answer = reply.mAnswer.mHeaders;
+  answer.push_back({ "Request-Id", faults.mForeignId ? "another" : id });
+  answer.push_back({ "Server-Load", "1,0,4" });
+  if (!faults.mUnsigned) {
+    answer.push_back({ "Response-Signature", "s." + id });
+  }
+  return reply;
+}
+
+bool
+MeshServerStandIn::Tell(const std::string& aCall, const std::string& aBody)
+{
+  HttpPool pool({ .mAddress = mOptions.mRegistration });
+  const auto deadline = Now() + kTellTime;
+  auto exchange = pool.Begin(
+    { .mMethod = "POST",
+      .mTarget = "/porttiller/rpc?call=" + aCall + "&of=" + mOptions.mId,
+      .mHeaders = { { "Content-Type", "application/json" } },
+      .mBody = aBody },
+    deadline);
+  if (!exchange) {
+    return false;
+  }
+  const auto answer = (*exchange)->ReadAnswer(deadline);
+  return answer && answer->mStatus / 100 == 2;
+}
+
+std::string
+MeshServerStandIn::BeatBody(const std::string& aState, std::uint64_t aSequence)
+{
+  return R"({"Service":")" + mOptions.mService + R"(","Address":")" +
+         mOptions.mAddress + R"(","Zone":"z","Version":"v1","Slots":)" +
+         std::to_string(mOptions.mSlots) + R"(,"State":")" + aState +
+         R"(","ColdRemainingMs":0,"CallSeq":)" + std::to_string(aSequence) +
+         "}";
+}
+
+bool
+MeshServerStandIn::Beat(const std::string& aState)
+{
+  return Tell("instances.heartbeat", BeatBody(aState, ++mSequence));
+}
+
+bool
+MeshServerStandIn::BeatLate()
+{
+  return Tell("instances.heartbeat", BeatBody("ready", 1));
+}
+
+bool
+MeshServerStandIn::Leave()
+{
+  return Tell("instances.leave", "");
+}
+
+} // namespace porttiller::standin
--- /dev/null
+++ b/testing/standin/MeshServerStandIn.h
@@ -0,0 +1,68 @@
+// Stands in for a backend server on the users' machines: runs requests, signs
+// its answers, tells its box about itself, drains, leaves, and misbehaves.
+#pragma once
+
+#include "porttiller/core/Time.h"
+#include "porttiller/http/HttpListener.h"
+#include "porttiller/http/HttpPool.h"
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+
+namespace porttiller::standin {
+
+struct MeshServerOptions
+{
+  std::string mId;
+  std::string mService;
+  std::string mAddress;      // where it listens
+  std::string mRegistration; // where it tells about itself
+  int mSlots = 4;
+};
+
+struct MeshServerFaults
+{
+  Millis mWork{ 0 };
+  bool mUnsigned = false;  // answers without the server's signature
+  bool mForeignId = false; // answers that belong to another request
+  bool mFull = false;      // refuses, and says that it did not run
+};
+
+class MeshServerStandIn
+{
+public:
+  explicit MeshServerStandIn(MeshServerOptions aOptions);
+
+  void Set(const MeshServerFaults& aFaults);
+  // Tells its box about itself; true when that was acknowledged.
+  bool Beat(const std::string& aState = "ready");
+  // As Beat, with an earlier sequence number: a message that comes late.
+  bool BeatLate();
+  bool Leave();
+
+  int RunsOf(const std::string& aRequestId) const;
+  int Runs() const { return mRuns; }
+  // Requests whose connection ended while they ran.
+  int Cancelled() const { return mCancelled; }
+  std::string LastCallerService() const;
+
+private:
+  HttpReply Handle(HttpCall& aCall);
+  bool Tell(const std::string& aCall, const std::string& aBody);
+  std::string BeatBody(const std::string& aState, std::uint64_t aSequence);
+
+  const MeshServerOptions mOptions;
+  mutable std::mutex mMutex;
+  MeshServerFaults mFaults;
+  std::map<std::string, int> mRunsById;
+  std::string mCallerService;
+  std::uint64_t mSequence = 10;
+  std::atomic<int> mRuns{ 0 };
+  std::atomic<int> mCancelled{ 0 };
+  std::unique_ptr<HttpListener> mListener;
+};
+
+} // namespace porttiller::standin
