--- a/packages/config/tests/DirectoryTest.cpp
+++ b/packages/config/tests/DirectoryTest.cpp
@@ -48,6 +48,7 @@
     Directory right;
     std::vector<BoxRecord> records;
     const int count = Draw(1, 20);
+    records.reserve(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i) {
       records.push_back(
         Record(std::string(1, static_cast<char>('a' + Draw(0, 4))),
--- a/packages/config/tests/RegistrarTest.cpp
+++ b/packages/config/tests/RegistrarTest.cpp
@@ -75,8 +75,8 @@
   leave.mServer.mId = BackendServerName("a");
   leave.mServer.mState = ServerState::kLeft;
   CHECK(registrar.Take(leave) == RegistrarVerdict::kNothingNew);
-  for (int i = 0; i < 10; ++i) {
-    registrar.Take(Says("a", static_cast<std::uint64_t>(i + 1)));
+  for (std::uint64_t sequence = 1; sequence <= 10; ++sequence) {
+    registrar.Take(Says("a", sequence));
   }
   CHECK_FALSE(registrar.Server().has_value());
 }
--- a/packages/http/src/HttpConnectionPriv.cpp
+++ b/packages/http/src/HttpConnectionPriv.cpp
@@ -30,13 +30,13 @@
 
 } // namespace
 
-HttpConnection::HttpConnection(Poco::Net::StreamSocket aSocket,
+HttpConnection::HttpConnection(const Poco::Net::StreamSocket& aSocket,
                                const HttpListenerOptions& aOptions,
                                ConnectionLimits aLimits,
                                TimePoint aNow)
   : mOptions(aOptions)
   , mLimits(aLimits)
-  , mSocket(std::move(aSocket))
+  , mSocket(aSocket)
   , mReader(MessageKind::kRequest, aLimits.mMessage)
   , mLastUse(aNow)
 {
--- a/packages/http/src/HttpConnectionPriv.h
+++ b/packages/http/src/HttpConnectionPriv.h
@@ -46,7 +46,7 @@
 class HttpConnection
 {
 public:
-  HttpConnection(Poco::Net::StreamSocket aSocket,
+  HttpConnection(const Poco::Net::StreamSocket& aSocket,
                  const HttpListenerOptions& aOptions,
                  ConnectionLimits aLimits,
                  TimePoint aNow);
--- a/packages/http/src/HttpPool.cpp
+++ b/packages/http/src/HttpPool.cpp
@@ -95,11 +95,11 @@
     mIdle.pop_front();
   }
   while (!mIdle.empty() && !taken) {
-    taken = std::move(mIdle.back());
+    auto newest = std::move(mIdle.back());
     mIdle.pop_back();
-    if (now >= taken->mUsableUntil || !IsQuiet(*taken)) {
-      old.push_back(std::move(taken));
-    }
+    const bool usable = now < newest->mUsableUntil && IsQuiet(*newest);
+    auto& place = usable ? taken : old.emplace_back();
+    place = std::move(newest);
   }
   if (taken) {
     taken->mRested = now - taken->mIdleSince;
--- a/packages/http/src/HttpTypes.cpp
+++ b/packages/http/src/HttpTypes.cpp
@@ -28,10 +28,13 @@
 SameName(std::string_view aLeft, std::string_view aRight)
 {
   return aLeft.size() == aRight.size() &&
-         std::equal(
-           aLeft.begin(), aLeft.end(), aRight.begin(), [](char a, char b) {
-             return Poco::Ascii::toLower(a) == Poco::Ascii::toLower(b);
-           });
+         std::equal(aLeft.begin(),
+                    aLeft.end(),
+                    aRight.begin(),
+                    [](char aOne, char aOther) {
+                      return Poco::Ascii::toLower(aOne) ==
+                             Poco::Ascii::toLower(aOther);
+                    });
 }
 
 void
--- a/packages/node/include/porttiller/node/DirectoryController.h
+++ b/packages/node/include/porttiller/node/DirectoryController.h
@@ -68,7 +68,9 @@
   void OnPeerDigest(const PeerRevision& aPeer);
 
   std::uint64_t Digest() const;
-  bool Loaded() const { return mLoaded; }
+  // What earlier lives and other boxes have told is known, from the store or
+  // from peers, or neither has answered for long.
+  bool Usable() const;
 
 private:
   void Run();
@@ -103,6 +105,7 @@
   bool mServerKnown = false; // under mMutex
   std::mutex mPublishMutex;  // one call of mOnChange at a time
   std::mutex mStoreMutex;    // one write of the own record at a time
+  const TimePoint mStarted;
   std::atomic<bool> mLoaded{ false };
   std::atomic<bool> mStop{ false };
   ObjectClient mClient;    // of mThread
--- a/packages/node/src/DirectoryController.cpp
+++ b/packages/node/src/DirectoryController.cpp
@@ -27,6 +27,8 @@
 // its way any more.
 constexpr Millis kDifferenceLasts{ 1200 };
 constexpr Millis kRequestGap{ 1000 };
+// A box that nobody answers works with what its own server tells.
+constexpr Millis kStartPatience{ 3000 };
 
 std::uint64_t
 WallClockMicros()
@@ -57,6 +59,7 @@
   : mSettings(aSettings)
   , mTransport(aTransport)
   , mHooks(std::move(aHooks))
+  , mStarted(Now())
   , mClient(ClientOptions(aSettings, kCallTimeout))
   , mAckClient(ClientOptions(aSettings, kAckStoreTimeout))
 {
@@ -103,6 +106,16 @@
   return mDirectory.Digest();
 }
 
+bool
+DirectoryController::Usable() const
+{
+  if (mLoaded || Now() >= mStarted + kStartPatience) {
+    return true;
+  }
+  const std::lock_guard lock(mMutex);
+  return mDirectory.Size() > 1; // peers have answered
+}
+
 std::uint64_t
 DirectoryController::WrittenRevision() const
 {
@@ -425,7 +438,7 @@
 tl::expected<void, RegistrationError>
 DirectoryController::Take(const ServerMessage& aMessage)
 {
-  if (!mSettings.mRegistration.mFirstStart && !mLoaded) {
+  if (!mSettings.mRegistration.mFirstStart && !Usable()) {
     return tl::make_unexpected(RegistrationError::kStarting);
   }
   RegistrarVerdict verdict{};
--- a/packages/node/src/Filters.cpp
+++ b/packages/node/src/Filters.cpp
@@ -7,6 +7,7 @@
 #include <Poco/String.h>
 #include <Poco/URI.h>
 #include <algorithm>
+#include <cassert>
 
 namespace porttiller {
 
@@ -54,7 +55,8 @@
   for (const auto& target : targets) {
     sum += static_cast<std::uint64_t>(target.mWeight);
   }
-  auto draw = Random() % sum;
+  assert(sum > 0); // ParseResource sees to it
+  auto draw = Random() % std::max<std::uint64_t>(1, sum);
   for (const auto& target : targets) {
     const auto weight = static_cast<std::uint64_t>(target.mWeight);
     if (draw < weight) {
--- a/packages/node/src/Node.cpp
+++ b/packages/node/src/Node.cpp
@@ -253,7 +253,8 @@
 {
   const auto snapshot = mConfig->Current();
   const bool configured = snapshot && snapshot->mRevision != 0;
-  return configured && !mDraining;
+  const bool placed = !mDirectory || mDirectory->Usable();
+  return configured && placed && !mDraining;
 }
 
 PeerRevision
--- a/testing/fleet/tests/MeshFleetTest.cpp
+++ b/testing/fleet/tests/MeshFleetTest.cpp
@@ -75,6 +75,21 @@
   }));
 }
 
+TEST_CASE("A box that starts while the store is away takes its server in")
+{
+  // Found on the users' days: until the store was back such a box served
+  // nothing, and its server's heartbeats got no acknowledgement.
+  MeshFleet fleet(3, kPortBase);
+  fleet.Store().SetDown(true);
+  fleet.SignalBox(2, SIGKILL);
+  fleet.WaitForBoxExit(2, kWait);
+  fleet.StartBox(2);
+  REQUIRE(WaitUntil(kWait, [&] { return fleet.Server(2).Beat(); }));
+  CHECK(fleet.WaitServers(3));
+  CHECK(WaitUntil(kWait, [&] { return fleet.Ready(2); }));
+  CHECK(fleet.Send(2, "POST", "/once/x", "away").mStatus == 200);
+}
+
 TEST_CASE("A lost answer of the store does not keep a record from being kept")
 {
   MeshFleet fleet(2, kPortBase);
