--- a/packages/http/include/porttiller/http/MessageReader.h
+++ b/packages/http/include/porttiller/http/MessageReader.h
@@ -56,8 +56,6 @@
 
   // Bytes of the message at hand have been seen.
   bool Begun() const;
-  // All headers have been seen.
-  bool HeadDone() const;
   bool Whole() const;
   // The connection may carry another message after this one.
   bool KeepAlive() const;
--- a/packages/http/src/HttpConnectionPriv.cpp
+++ b/packages/http/src/HttpConnectionPriv.cpp
@@ -279,13 +279,6 @@
            .mOver = mState == State::kOver };
 }
 
-bool
-HttpConnection::Idle() const
-{
-  const std::lock_guard lock(mMutex);
-  return mCalls.empty() && mOut.empty();
-}
-
 void
 HttpConnection::Abandon()
 {
--- a/packages/http/src/HttpConnectionPriv.h
+++ b/packages/http/src/HttpConnectionPriv.h
@@ -65,7 +65,6 @@
                                        bool aDraining);
 
   ConnectionWants Wants() const;
-  bool Idle() const;
   // Cancels what runs; its answers go nowhere.
   void Abandon();
 
--- a/packages/http/src/MessageReader.cpp
+++ b/packages/http/src/MessageReader.cpp
@@ -44,7 +44,6 @@
   tl::expected<void, MessageFault> End();
 
   bool mBegun = false;
-  bool mHeadDone = false;
   bool mWhole = false;
   bool mKeepAlive = false;
   HttpRequestData mRequest;
@@ -94,7 +93,6 @@
     &mState, mKind == MessageKind::kRequest ? HTTP_REQUEST : HTTP_RESPONSE);
   mState.data = this;
   mBegun = false;
-  mHeadDone = false;
   mWhole = false;
   mKeepAlive = false;
   mRequest = {};
@@ -210,7 +208,6 @@
 int
 MessageReader::Parser::OnHeadDone()
 {
-  mHeadDone = true;
   mKeepAlive = http_should_keep_alive(&mState) != 0;
   if (mKind == MessageKind::kRequest) {
     mRequest.mMethod = http_method_str(static_cast<http_method>(mState.method));
@@ -246,7 +243,6 @@
   if (mKind == MessageKind::kAnswer &&
       mAnswer.mStatus / kStatusClass == kInformational) {
     mAnswer = {};
-    mHeadDone = false;
     mHeadBytes = 0;
     return 0; // the final answer follows
   }
@@ -289,12 +285,6 @@
   return mParser->mBegun;
 }
 
-bool
-MessageReader::HeadDone() const
-{
-  return mParser->mHeadDone;
-}
-
 bool
 MessageReader::Whole() const
 {
--- a/packages/node/include/porttiller/node/DirectoryController.h
+++ b/packages/node/include/porttiller/node/DirectoryController.h
@@ -86,6 +86,7 @@
   bool KeepAtPeers(const BoxRecord& aRecord);
   bool Keep(const BoxRecord& aRecord);
   std::uint64_t WrittenRevision() const;
+  bool OwnIsWritten() const;
   void Sleep(Millis aTime);
   void LogServer(const ServerMessage& aMessage, RegistrarVerdict aVerdict);
 
--- a/packages/node/src/ConfigController.cpp
+++ b/packages/node/src/ConfigController.cpp
@@ -56,6 +56,7 @@
 void
 ConfigController::AddListener(SnapshotListener aListener)
 {
+  const std::lock_guard applyLock(mApplyMutex);
   mListeners.push_back(std::move(aListener));
 }
 
--- a/packages/node/src/DirectoryController.cpp
+++ b/packages/node/src/DirectoryController.cpp
@@ -79,7 +79,12 @@
 void
 DirectoryController::Start()
 {
-  Merge({ mOwn }, "own");
+  {
+    const std::lock_guard lock(mMutex);
+    mDirectory.Merge(mOwn);
+  }
+  // Whatever peers or the server said before now had nobody to hear it.
+  Publish();
   mThread = std::thread([this] { Run(); });
 }
 
@@ -116,6 +121,13 @@
   return mDirectory.Size() > 1; // peers have answered
 }
 
+bool
+DirectoryController::OwnIsWritten() const
+{
+  const std::lock_guard lock(mMutex);
+  return mWritten >= mOwn.mRevision;
+}
+
 std::uint64_t
 DirectoryController::WrittenRevision() const
 {
@@ -155,7 +167,7 @@
     bool written = false;
     if (due) {
       const std::lock_guard lock(mStoreMutex);
-      written = WrittenRevision() >= mOwn.mRevision || WriteToStore(mClient);
+      written = OwnIsWritten() || WriteToStore(mClient);
     }
     if (due && !written) {
       std::unique_lock lock(mMutex);
--- a/packages/node/src/Dispatcher.cpp
+++ b/packages/node/src/Dispatcher.cpp
@@ -182,19 +182,16 @@
   if (IsCancelled(aRequest)) {
     return AttemptUnknown{ "caller-gone" }; // the home sees the connection end
   }
-  // Its home is alive and has it: it knows better than we when to give up.
-  if (mSettings.mFailingServers == FailingServers::kBreak &&
-      Query(aBox, aRequest.mHomeIncarnation, aRequest.mAttempt, "").mState ==
-        AttemptState::kRunning) {
-    if (WaitReadable(aRequest, aExchange, aRequest.mDeadline)) {
-      return Read(aBox, aRequest, aExchange);
+  // A home that is alive and has it knows better than we when to give up.
+  const bool homeHasIt =
+    mSettings.mFailingServers == FailingServers::kBreak &&
+    Query(aBox, aRequest.mHomeIncarnation, aRequest.mAttempt, "").mState ==
+      AttemptState::kRunning;
+  if (!homeHasIt) {
+    auto early = Settle(aBox, aRequest, "slow");
+    if (!std::holds_alternative<AttemptUnknown>(early) || aMayMoveOn()) {
+      return early;
     }
-    return IsCancelled(aRequest) ? AttemptUnknown{ "caller-gone" }
-                                 : Settle(aBox, aRequest, "deadline");
-  }
-  auto early = Settle(aBox, aRequest, "slow");
-  if (!std::holds_alternative<AttemptUnknown>(early) || aMayMoveOn()) {
-    return early;
   }
   if (WaitReadable(aRequest, aExchange, aRequest.mDeadline)) {
     return Read(aBox, aRequest, aExchange);
