Use a box again as soon as it is known to live

Whoever had probed one of them meanwhile marked its path as broken, and only its own next probe cleared that, while a box probes one other a second: up to 79 s on 79 boxes. News of the box's new life changed its state and left the path broken; entries kept their back-off of up to 5 s against the earlier life.

Ruled out: records (the new ones were everywhere within 2 s, box_record lines).

Change: an update that a box lives clears the broken path; a record of a new life makes the box alive; an entry forgets failures of the way to an earlier life; every second probe goes to a box that was not reached, if there is one.

Tests, each failing before: MembershipTest (three cases), EntryViewTest "A box that started anew is used at once".

--- a/packages/node/src/EntryView.cpp
+++ b/packages/node/src/EntryView.cpp
@@ -237,7 +237,12 @@
 {
   auto& shard = ShardOf(aBox);
   const std::lock_guard lock(shard.mMutex);
-  shard.mBoxes[aBox].mLife = aLife;
+  auto& view = shard.mBoxes[aBox];
+  if (view.mLife.mIncarnation < aLife.mIncarnation) {
+    // What failed was the way to an earlier life.
+    view = {};
+  }
+  view.mLife = aLife;
 }
 
 void
--- a/packages/node/src/MembershipController.cpp
+++ b/packages/node/src/MembershipController.cpp
@@ -70,6 +70,9 @@
   const std::lock_guard lock(mMutex);
   mSnapshot = aSnapshot;
   mMembership.SetBoxes(boxes);
+  for (const auto& [box, incarnation] : aSnapshot->mIncarnations) {
+    mMembership.OnNewLife(box, incarnation);
+  }
 }
 
 std::optional<BoxSpec>
--- a/packages/node/tests/EntryViewTest.cpp
+++ b/packages/node/tests/EntryViewTest.cpp
@@ -63,3 +63,17 @@
   CHECK(CountFirst(view, snapshot, kStart) == 0);
   CHECK(CountFirst(view, snapshot, kStart + Millis(6000)) > 0);
 }
+
+TEST_CASE("A box that started anew is used at once")
+{
+  const auto snapshot = MakeSnapshot();
+  EntryView view(AvailabilityZone("entry"), {}, {});
+  const BoxName box("a");
+  view.SetLife(box, { .mIncarnation = Incarnation(1) });
+  view.OnPathFailure(box, kStart);
+  view.SetBoxUsable(box, false);
+  view.SetLife(box, { .mIncarnation = Incarnation(1) });
+  CHECK(CountFirst(view, snapshot, kStart) == 0);
+  view.SetLife(box, { .mIncarnation = Incarnation(2) });
+  CHECK(CountFirst(view, snapshot, kStart) > 0);
+}
--- a/packages/policy/include/porttiller/policy/Membership.h
+++ b/packages/policy/include/porttiller/policy/Membership.h
@@ -58,7 +58,9 @@
   // The platform's list, self included; it lags and only names candidates.
   void SetBoxes(const std::vector<BoxName>& aBoxes);
 
-  // The next box to probe: each in turn, in an order shuffled by aRandom.
+  // The next box to probe: each in turn, in an order shuffled by aRandom. Every
+  // second probe goes to a box that this one could not reach, if there is one:
+  // its turn comes only once for each box of the fleet.
   std::optional<BoxName> NextProbe(std::uint64_t aRandom);
   // Others, thought alive, that may probe aTarget for this node.
   std::vector<BoxName> Helpers(const BoxName& aTarget,
@@ -70,6 +72,9 @@
   void OnReachedByOthers(const BoxName& aBox, Incarnation aIncarnation);
   // Nobody who tried got an answer.
   void OnNotReached(const BoxName& aBox, TimePoint aNow);
+  // The box has started anew, as its record tells; records spread by
+  // themselves, so this is no news for others.
+  void OnNewLife(const BoxName& aBox, Incarnation aIncarnation);
   // Beliefs of another node.
   void OnUpdates(const std::vector<MemberUpdate>& aUpdates, TimePoint aNow);
   // This box is leaving.
@@ -106,12 +111,14 @@
   void Refute(const MemberUpdate& aUpdate);
   void MarkAlive(const BoxName& aBox, Incarnation aIncarnation, bool aPath);
   void MarkNews(Member& aMember) const;
+  std::optional<BoxName> UnreachedBox(std::uint64_t aRandom) const;
   MemberUpdate ToUpdate(const BoxName& aBox, const Member& aMember) const;
 
   BoxName mSelf;
   MembershipOptions mOptions;
   std::map<BoxName, Member> mMembers;
   std::deque<BoxName> mProbeOrder;
+  bool mProbeUnreached = false; // next, if there is one
 };
 
 } // namespace porttiller
--- a/packages/policy/src/Membership.cpp
+++ b/packages/policy/src/Membership.cpp
@@ -49,9 +49,32 @@
                 [&](const BoxName& aBox) { return !mMembers.contains(aBox); });
 }
 
+std::optional<BoxName>
+Membership::UnreachedBox(std::uint64_t aRandom) const
+{
+  std::vector<BoxName> unreached;
+  for (const auto& [box, member] : mMembers) {
+    const bool gone = member.mState == MemberState::kDead ||
+                      member.mState == MemberState::kLeaving;
+    if (!member.mPathWorks && !gone) {
+      unreached.push_back(box);
+    }
+  }
+  if (unreached.empty()) {
+    return std::nullopt;
+  }
+  return unreached[aRandom % unreached.size()];
+}
+
 std::optional<BoxName>
 Membership::NextProbe(std::uint64_t aRandom)
 {
+  mProbeUnreached = !mProbeUnreached;
+  if (mProbeUnreached) {
+    if (auto box = UnreachedBox(aRandom)) {
+      return box;
+    }
+  }
   if (mProbeOrder.empty()) {
     for (const auto& [box, member] : mMembers) {
       if (box != mSelf) {
@@ -174,6 +197,11 @@
     return;
   }
   auto& member = it->second;
+  if (aUpdate.mState == MemberState::kAlive) {
+    // Somebody has reached it since. Whether this box can is for its requests
+    // and its next probe to find out.
+    member.mPathWorks = true;
+  }
   member.mIncarnation = aUpdate.mIncarnation;
   member.mRefutation = aUpdate.mRefutation;
   member.mState = aUpdate.mState;
@@ -181,6 +209,17 @@
   MarkNews(member);
 }
 
+void
+Membership::OnNewLife(const BoxName& aBox, Incarnation aIncarnation)
+{
+  const auto it = mMembers.find(aBox);
+  if (aBox == mSelf || it == mMembers.end() ||
+      aIncarnation <= it->second.mIncarnation) {
+    return;
+  }
+  it->second = { .mIncarnation = aIncarnation };
+}
+
 void
 Membership::OnUpdates(const std::vector<MemberUpdate>& aUpdates, TimePoint aNow)
 {
--- a/packages/policy/tests/MembershipTest.cpp
+++ b/packages/policy/tests/MembershipTest.cpp
@@ -161,3 +161,47 @@
   });
   CHECK(ok);
 }
+
+TEST_CASE("A box that was not reached is used again once others say it lives")
+{
+  // Found on the grown fleets (FLOOR): after many boxes were killed at once,
+  // those that had probed one of them in that second kept away from it until
+  // their own next probe of it, one for each box of the fleet later.
+  auto a = MakeMember(kBoxes[0]);
+  a.OnReached(kBoxes[1], Incarnation(1));
+  a.OnNotReached(kBoxes[1], kStart);
+  CHECK_FALSE(a.PathWorks(kBoxes[1]));
+  a.OnUpdates({ { .mBox = kBoxes[1], .mIncarnation = Incarnation(2) } },
+              kStart);
+  CHECK(a.StateOf(kBoxes[1]) == MemberState::kAlive);
+  CHECK(a.PathWorks(kBoxes[1]));
+}
+
+TEST_CASE("A new life that its record tells of is alive, an old one is not")
+{
+  auto a = MakeMember(kBoxes[0]);
+  a.OnReached(kBoxes[1], Incarnation(2));
+  a.OnNotReached(kBoxes[1], kStart);
+  a.OnTick(kStart + Millis(3000));
+  a.OnNewLife(kBoxes[1], Incarnation(2));
+  CHECK(a.StateOf(kBoxes[1]) == MemberState::kDead);
+  a.OnNewLife(kBoxes[1], Incarnation(3));
+  CHECK(a.StateOf(kBoxes[1]) == MemberState::kAlive);
+  CHECK(a.PathWorks(kBoxes[1]));
+}
+
+TEST_CASE("A box that was not reached is probed again soon in a large fleet")
+{
+  std::vector<BoxName> boxes;
+  for (int i = 0; i < 100; ++i) {
+    boxes.emplace_back("box-" + std::to_string(i));
+  }
+  Membership a(boxes[0], Incarnation(1));
+  a.SetBoxes(boxes);
+  a.OnReachedByOthers(boxes[50], Incarnation(1));
+  bool probed = false;
+  for (std::uint64_t i = 0; i < 4; ++i) {
+    probed = probed || a.NextProbe(i) == boxes[50];
+  }
+  CHECK(probed);
+}
