Answer all running pipelined requests before a drain ends their connection

Cause: once a stop was announced, the first answer on a connection closed it, and requests behind it that servers were already at work on were cancelled and got no answer.

Change: the last request that runs ends the connection; what was read behind it and not started counts as unread, as before. Answers are put into bytes when they are sent, so that the last one can still carry Connection: close.

Test: HttpListenerTest "Draining answers every pipelined request that runs already", failing before. MeshFleetTest passes.

--- a/packages/http/src/HttpConnectionPriv.cpp
+++ b/packages/http/src/HttpConnectionPriv.cpp
@@ -3,6 +3,7 @@
 #include <Poco/Exception.h>
 #include <algorithm>
 #include <array>
+#include <cassert>
 
 namespace porttiller {
 
@@ -136,7 +137,7 @@
   call->mDispatched = true;
   call->mDone = true;
   call->mClose = true;
-  call->mBytes = ToWire(MakeRefusal(aRefusal).mAnswer, false, true);
+  call->mAnswer = MakeRefusal(aRefusal).mAnswer;
   mCalls.push_back(std::move(call));
   Flush();
 }
@@ -176,9 +177,10 @@
 {
   const std::lock_guard lock(mMutex);
   aCall->mDone = true;
-  aCall->mClose = aCall->mClose || aReply.mClose || aDraining;
-  aCall->mBytes =
-    ToWire(aReply.mAnswer, aCall->mCall.mHttp.mMethod == "HEAD", aCall->mClose);
+  aCall->mAnswer = aReply.mAnswer;
+  if (aReply.mClose || aDraining) {
+    EndAfterRunning();
+  }
   if (mState != State::kOpen) {
     return {};
   }
@@ -191,21 +193,32 @@
   return TakeRunnable();
 }
 
+// Requests that run have been passed on and are owed their answers. The last
+// of them ends the connection; what was read behind it counts as unread.
+void
+HttpConnection::EndAfterRunning()
+{
+  mReadOver = true;
+  mIn.clear();
+  while (!mCalls.empty() && !mCalls.back()->mDispatched) {
+    mCalls.pop_back();
+  }
+  if (!mCalls.empty()) {
+    mCalls.back()->mClose = true;
+  }
+}
+
 void
 HttpConnection::Flush()
 {
   while (!mCalls.empty() && mCalls.front()->mDone && mState == State::kOpen) {
     const auto call = mCalls.front();
     mCalls.pop_front();
-    mOut += call->mBytes;
+    const bool head = call->mCall.mHttp.mMethod == "HEAD";
+    mOut += ToWire(call->mAnswer, head, call->mClose);
     if (call->mClose) {
+      assert(mCalls.empty()); // nothing is taken behind it
       mState = State::kClosing;
-      mReadOver = true;
-      mIn.clear();
-      for (const auto& behind : mCalls) {
-        *behind->mCall.mCancelled = true;
-      }
-      mCalls.clear();
     }
   }
   SendOut();
--- a/packages/http/src/HttpConnectionPriv.h
+++ b/packages/http/src/HttpConnectionPriv.h
@@ -20,8 +20,8 @@
   HttpCall mCall;
   bool mDispatched = false;
   bool mDone = false;
-  bool mClose = false;
-  std::string mBytes; // the answer as it goes over the wire
+  bool mClose = false; // the connection ends with its answer
+  HttpAnswer mAnswer;  // once done
 };
 
 // What one connection may do.
@@ -82,6 +82,7 @@
   void Parse(TimePoint aNow);
   void Refuse(ListenerRefusal aRefusal);
   std::vector<PendingCallPtr> TakeRunnable();
+  void EndAfterRunning();
   void Flush();
   void SendOut();
   void Linger();
--- a/packages/http/tests/HttpListenerTest.cpp
+++ b/packages/http/tests/HttpListenerTest.cpp
@@ -182,6 +182,28 @@
   stopper.join();
 }
 
+TEST_CASE("Draining answers every pipelined request that runs already")
+{
+  // The first answer used to end the connection, and with it requests that
+  // servers were at work on.
+  Gate gate;
+  auto listener = Listen(gate);
+  Client client;
+  client.Send(Get("/one") + Get("/two") + Get("/three"));
+  REQUIRE(gate.WaitArrived(3));
+  gate.Open("/three"); // done before the stop, sent after it
+  listener->BeginDrain();
+  gate.Open("/one");
+  gate.Open("/two");
+  const auto text = client.ReadUntil("/three");
+  CHECK(text.find("/one") < text.find("/two"));
+  CHECK(text.find("/two") < text.find("/three"));
+  CHECK(text.find("/three") != std::string::npos);
+  CHECK(text.find("Connection: close") > text.find("/two"));
+  CHECK(text.find("Connection: close") != std::string::npos);
+  client.Close();
+}
+
 TEST_CASE("What is sent behind a closing answer is not run")
 {
   Gate gate;
