Serve the own server until late in a planned stop; leave nothing that may run

Change: the callers' side stops first; the home leaves once that is done, or at half of the stop's time. A stopping box moves on from no attempt. A home breaks an attempt off for taking long only at a server whose breaker is open: one alone may be the request's own length.

--- a/packages/node/include/porttiller/node/Cutoff.h
+++ b/packages/node/include/porttiller/node/Cutoff.h
@@ -18,6 +18,12 @@
 
   void Set(TimePoint aEnd) { mEnd = aEnd.time_since_epoch().count(); }
 
+  // A planned stop has begun.
+  bool IsSet() const
+  {
+    return mEnd != TimePoint::max().time_since_epoch().count();
+  }
+
   // The end of a wait that wants to last until aUntil.
   TimePoint Limit(TimePoint aUntil) const
   {
--- a/packages/node/include/porttiller/node/LocalServer.h
+++ b/packages/node/include/porttiller/node/LocalServer.h
@@ -105,7 +105,7 @@
                     const HomeAnswer& aAnswer,
                     Micros aTime,
                     bool aSuspected); // it was held against the server already
-  Micros HangLimit() const;
+  bool GivesUpAfter(Micros aTime) const;
   Micros HangLimitLocked() const;
   void SuspectHanging(TimePoint aNow);
   void LogBreaker(const HomeRequest& aRequest,
--- a/packages/node/src/Dispatcher.cpp
+++ b/packages/node/src/Dispatcher.cpp
@@ -182,11 +182,14 @@
   if (IsCancelled(aRequest)) {
     return AttemptUnknown{ "caller-gone" }; // the home sees the connection end
   }
-  // A home that is alive and has it knows better than we when to give up.
+  // A home that is alive and has it knows better than we when to give up. In a
+  // planned stop nothing is left that may be running: what comes of it is owed
+  // to the caller, and there is little time for another attempt.
   const bool homeHasIt =
-    mSettings.mFailingServers == FailingServers::kBreak &&
-    Query(aBox, aRequest.mHomeIncarnation, aRequest.mAttempt, "").mState ==
-      AttemptState::kRunning;
+    mCutoff.IsSet() ||
+    (mSettings.mFailingServers == FailingServers::kBreak &&
+     Query(aBox, aRequest.mHomeIncarnation, aRequest.mAttempt, "").mState ==
+       AttemptState::kRunning);
   if (!homeHasIt) {
     auto early = Settle(aBox, aRequest, "slow");
     if (!std::holds_alternative<AttemptUnknown>(early) || aMayMoveOn()) {
--- a/packages/node/src/LocalServer.cpp
+++ b/packages/node/src/LocalServer.cpp
@@ -238,11 +238,14 @@
            : std::max(Micros(kHangFloor), kHangMeans * mLatency.Value());
 }
 
-Micros
-LocalServer::HangLimit() const
+// A server that is known to fail need not be waited for any longer. Otherwise
+// it may be the request that takes its time.
+bool
+LocalServer::GivesUpAfter(Micros aTime) const
 {
   const std::lock_guard lock(mMutex);
-  return HangLimitLocked();
+  return mBreaker.State() == BreakerState::kHalfOpen &&
+         aTime >= HangLimitLocked();
 }
 
 // A request without an answer tells of its server before its deadline does.
@@ -505,7 +508,7 @@
   bool hanging = false;
   const auto stop = [&] {
     const auto now = Now();
-    hanging = aRequest.mMayFail && now >= begunAt + HangLimit();
+    hanging = aRequest.mMayFail && GivesUpAfter(now - begunAt);
     return IsCancelled(aRequest) || hanging || now >= mCutoff.Limit(deadline);
   };
   const auto& idName = mOptions.mHeaders.mRequestId;
--- a/packages/node/src/Node.cpp
+++ b/packages/node/src/Node.cpp
@@ -24,6 +24,7 @@
 #include <Poco/JSON/Array.h>
 #include <Poco/Timestamp.h>
 #include <atomic>
+#include <future>
 #include <optional>
 #include <thread>
 
@@ -34,6 +35,9 @@
 constexpr int kRandomBits = 10;
 constexpr std::uint64_t kRandomMask = (1U << kRandomBits) - 1;
 constexpr Millis kDrainPoll{ 10 };
+// Of a planned stop, the last half is for the home to finish what it runs. On
+// the users' machines that is 2.6 s, and few requests take longer.
+constexpr int kHomeFinishPart = 2;
 
 Incarnation
 DrawIncarnation()
@@ -62,6 +66,7 @@
 
   tl::expected<void, std::string> Open();
   void Drain();
+  void LeaveHome();
   std::string StateText() const;
 
 private:
@@ -429,6 +434,23 @@
   }
 }
 
+// No more work for the servers of this box; others are told.
+void
+Node::Parts::LeaveHome()
+{
+  LogLine(LogLevel::kInfo, "home_leaving")
+    .With("running", static_cast<std::int64_t>(mHome.InFlight()));
+  mHome.SetLeaving();
+  mMembership->Leave();
+  if (mDirectory) {
+    mDirectory->Leave();
+  }
+}
+
+// The callers' side stops first. The backend server beside this box runs on,
+// and is worth using until shortly before the end: with many boxes stopped in
+// turn, each second that homes refuse costs the service a share of its
+// capacity.
 void
 Node::Parts::Drain()
 {
@@ -437,14 +459,13 @@
     .With("bound_ms", mSettings.mTiming.mDrain.count());
   mDraining = true;
   mCutoff.Set(bound);
-  mHome.SetLeaving();
-  mMembership->Leave();
-  if (mDirectory) {
-    mDirectory->Leave();
-  }
   mEntryServer->BeginDrain();
   std::this_thread::sleep_for(mSettings.mTiming.mDrainNotice);
-  mEntryServer->Stop();
+  auto entryStopped =
+    std::async(std::launch::async, [this] { mEntryServer->Stop(); });
+  entryStopped.wait_until(bound - mSettings.mTiming.mDrain / kHomeFinishPart);
+  LeaveHome();
+  entryStopped.get();
   while (mHome.InFlight() > 0 && Now() < bound) {
     std::this_thread::sleep_for(kDrainPoll);
   }
--- a/testing/fleet/MeshFleet.cpp
+++ b/testing/fleet/MeshFleet.cpp
@@ -117,6 +117,7 @@
     "readiness": { "address": ")"
                       << Address(aBox, 5) << R"(" },
     "retries": { "share": 0.2, "burst": 60 },
+    "timing": { "drain_notice_ms": 2000, "drain_ms": 12000 },
     "platform_address": "127.0.0.1:)"
                       << mPortBase + kStorePort << "\" }\n";
   return file;
--- a/testing/fleet/tests/MeshFleetTest.cpp
+++ b/testing/fleet/tests/MeshFleetTest.cpp
@@ -192,6 +192,23 @@
   CHECK(fleet.RunsOf("none") == 0);
 }
 
+TEST_CASE("A box that is stopped lets others use its server for a while longer")
+{
+  // Found on the grown fleets (FLOOR): with boxes stopped in turn, servers that
+  // ran on got nothing for the whole notice that only callers need.
+  MeshFleet fleet(2, kPortBase);
+  fleet.Server(0).Set({ .mFull = true });
+  fleet.SignalBox(1, SIGTERM);
+  REQUIRE(WaitUntil(kWait, [&] {
+    return fleet.LogOf(1).find("\"draining\"") != std::string::npos;
+  }));
+  CHECK_FALSE(fleet.Ready(1));
+  CHECK(fleet.Send(0, "POST", "/once/x", "notice").mStatus == 200);
+  CHECK(fleet.WaitForBoxExit(1, kWait) == 0);
+  CHECK(fleet.Send(0, "POST", "/once/x", "gone").mStatus == 503);
+  CHECK(fleet.RunsOf("gone") == 0);
+}
+
 TEST_CASE("SIGHUP reloads, and a broken settings file changes nothing")
 {
   MeshFleet fleet(2, kPortBase);
