--- a/packages/policy/include/porttiller/policy/Balancer.h
+++ b/packages/policy/include/porttiller/policy/Balancer.h
@@ -1,5 +1,5 @@
-// Picks the backend server for an attempt: power of two choices, one of them
-// from the own availability zone, by load and by the cost of the trip.
+// Picks the backend server for an attempt: the best of three choices, two of
+// them from the own availability zone, by load and by the cost of the trip.
 #pragma once
 
 #include "porttiller/core/Ids.h"
--- a/packages/policy/src/Balancer.cpp
+++ b/packages/policy/src/Balancer.cpp
@@ -6,6 +6,8 @@
 
 namespace {
 
+constexpr int kHalfDraw = 32; // bits
+
 double
 Cost(const Candidate& aCandidate, const BalancerOptions& aOptions)
 {
@@ -47,12 +49,17 @@
   if (all.empty()) {
     return std::nullopt;
   }
-  const auto& first = near.empty() ? all : near;
-  const auto one = first[aRandom1 % first.size()];
-  const auto two = all[aRandom2 % all.size()];
-  const bool oneIsCheaper =
-    Cost(aCandidates[one], aOptions) <= Cost(aCandidates[two], aOptions);
-  return oneIsCheaper ? one : two;
+  const auto& home = near.empty() ? all : near;
+  auto best = home[aRandom1 % home.size()];
+  // The upper half of the draw is as good as another one.
+  for (const auto other : { home[(aRandom1 >> kHalfDraw) % home.size()],
+                            all[aRandom2 % all.size()] }) {
+    if (Cost(aCandidates[other], aOptions) <
+        Cost(aCandidates[best], aOptions)) {
+      best = other;
+    }
+  }
+  return best;
 }
 
 } // namespace porttiller
