Ask the store less at the first start; let idle connections keep no buffers

Memory: 13 MB a box at 99 boxes, 6.5 at 21; each of some hundred resting connections kept a buffer as large as its last message.

Change: at the first start a box waits up to 3 s to know others, and only watchers ask; the wait for the heartbeat is 2.6 s; of a zone's three watchers the second and third wait 9 s instead of 3. Buffers are released when empty.

Ruled out: longer waits for all watchers, as a silently cut watch is noticed only then, and a change must be in force 2 s after the store's return.

MeshFleetTest passes.

--- a/packages/http/src/HttpConnectionPriv.cpp
+++ b/packages/http/src/HttpConnectionPriv.cpp
@@ -16,6 +16,16 @@
 // bytes would reset the connection and could destroy that answer.
 constexpr Millis kLinger{ 1000 };
 
+// Most connections rest most of the time, and a box of a large fleet holds
+// hundreds: a buffer as large as the last message would stay with each.
+void
+ReleaseIfEmpty(std::string& aBuffer)
+{
+  if (aBuffer.empty()) {
+    aBuffer.shrink_to_fit();
+  }
+}
+
 ListenerRefusal
 RefusalOf(MessageFault aFault)
 {
@@ -116,6 +126,7 @@
     mReader.Next();
   }
   mIn.erase(0, done);
+  ReleaseIfEmpty(mIn);
 }
 
 HttpReply
@@ -240,6 +251,7 @@
     }
     mOut.erase(0, static_cast<std::size_t>(sent));
   }
+  ReleaseIfEmpty(mOut);
   if (mState == State::kClosing) {
     Linger();
   }
--- a/packages/http/src/HttpExchange.cpp
+++ b/packages/http/src/HttpExchange.cpp
@@ -204,6 +204,7 @@
   if (!mInStep || !mConnection->mIn.empty()) {
     return;
   }
+  mConnection->mIn.shrink_to_fit(); // it may rest for long
   mConnection->mUsableUntil = UsableUntil(aAnswer);
   mPool.Return(std::move(mConnection));
 }
--- a/packages/node/include/porttiller/node/ConfigController.h
+++ b/packages/node/include/porttiller/node/ConfigController.h
@@ -16,6 +16,7 @@
 #include <condition_variable>
 #include <functional>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <thread>
 #include <vector>
@@ -56,7 +57,7 @@
   // This node's revision and digest; the address is left empty.
   PeerRevision Own() const;
   bool PlatformReachable() const { return mPlatformReachable; }
-  bool IsWatcher() const;
+  bool IsWatcher() const { return WatcherRank().has_value(); }
 
   // A peer holds this revision: one that is ahead is asked for what lacks
   // here. Does not block.
@@ -69,7 +70,10 @@
   bool Apply(const ObjectDelta& aDelta, const char* aSource);
 
 private:
+  // The place among the watchers of the zone; null for all other boxes.
+  std::optional<std::size_t> WatcherRank() const;
   void Run();
+  void MeetOthers();
   void FollowPlatform();
   void Switch(const SnapshotPtr& aSnapshot);
   void AskSeeds();
--- a/packages/node/src/ConfigController.cpp
+++ b/packages/node/src/ConfigController.cpp
@@ -13,7 +13,18 @@
 namespace {
 
 // A watch that the platform has silently dropped is noticed after this.
+// A watch whose connection was silently cut is noticed after its wait. The
+// first watcher of a zone looks that often, so that a change is in force in
+// time after the platform was away; the others stand by, as each wait is a
+// call.
 constexpr Millis kWatchWait{ 3000 };
+constexpr Millis kStandbyWatchWait{ 9000 };
+// At the very first start of the whole system a box learns from the others who
+// watches, before it asks the platform itself.
+constexpr Millis kFirstStartWait{ 3000 };
+constexpr Millis kMeetCheck{ 500 };
+// A box that is no watcher then waits so long for what watchers announce.
+constexpr Millis kFirstFallback{ 2000 };
 constexpr Millis kCallTimeout{ 1000 };
 constexpr Millis kRetryWait{ 500 };
 // A node that is no watcher looks at the platform this rarely, in case no
@@ -159,12 +170,13 @@
   }
 }
 
-bool
-ConfigController::IsWatcher() const
+// First comes the one that looks most often.
+std::optional<std::size_t>
+ConfigController::WatcherRank() const
 {
   const auto snapshot = Current();
   if (!snapshot || snapshot->FindBox(mSettings.mBox) == nullptr) {
-    return true;
+    return 0; // as long as nobody else is known
   }
   std::vector<BoxName> zoneBoxes;
   for (const auto& box : mPeers.mLiveBoxes()) {
@@ -175,8 +187,28 @@
   }
   const auto owners = RendezvousOwners(
     "watch/" + mSettings.mZone.Value(), zoneBoxes, kWatchersPerZone);
-  return std::find(owners.begin(), owners.end(), mSettings.mBox) !=
-         owners.end();
+  const auto own = std::find(owners.begin(), owners.end(), mSettings.mBox);
+  if (own == owners.end()) {
+    return std::nullopt;
+  }
+  return static_cast<std::size_t>(own - owners.begin());
+}
+
+// At the very first start of the whole system every box would ask the platform
+// until it is configured. Once they know of each other, the watchers do.
+void
+ConfigController::MeetOthers()
+{
+  const auto until = Now() + kFirstStartWait;
+  const auto known = [this] {
+    const auto snapshot = Current();
+    return snapshot &&
+           (snapshot->mRevision != 0 || snapshot->mBoxes.size() > 1);
+  };
+  while (!mStop && Now() < until && !known()) {
+    Sleep(kMeetCheck);
+  }
+  Sleep(kMeetCheck); // others are on their way
 }
 
 void
@@ -190,6 +222,10 @@
 ConfigController::Run()
 {
   auto nextFallback = Now();
+  if (mSettings.mRegistration.mFirstStart) {
+    MeetOthers();
+    nextFallback = Now() + kFirstFallback;
+  }
   while (!mStop) {
     if (IsWatcher() || Now() >= nextFallback) {
       FollowPlatform();
@@ -205,7 +241,10 @@
 {
   const auto own = Own().mRevision;
   const auto from = std::max(own, mCursor);
-  const auto wait = IsWatcher() ? kWatchWait : Millis(0);
+  const auto rank = WatcherRank();
+  const auto wait = !rank        ? Millis(0)
+                    : *rank == 0 ? kWatchWait
+                                 : kStandbyWatchWait;
   mMetrics.PlatformCalls().Increment();
   auto delta = own == 0 ? mClient.ListConfiguration()
                         : mClient.WatchConfiguration(from, wait);
--- a/packages/node/src/DirectoryController.cpp
+++ b/packages/node/src/DirectoryController.cpp
@@ -21,8 +21,8 @@
 constexpr std::size_t kPushFanout = 4;
 constexpr Millis kRetryWait{ 700 };
 // At the very first start the server's first heartbeat is waited for, so that
-// one write tells both. It comes within a heartbeat interval.
-constexpr Millis kFirstHeartbeatWait{ 1800 };
+// one write tells both. On the users' days it comes up to 2.3 s after the box.
+constexpr Millis kFirstHeartbeatWait{ 2600 };
 // A difference between two directories that is older than this is no news on
 // its way any more.
 constexpr Millis kDifferenceLasts{ 1200 };
