Give an address to its newest life; end waits that cannot succeed

Change: of records with one home address only that of the newest life is used; all are still held, so that peers agree on what they hold. At the deadline the caller is answered at once. A wait for a slot ends when it cannot succeed.

Tests: DirectoryTest (new case), SlotQueueTest.

--- a/packages/config/include/porttiller/config/Directory.h
+++ b/packages/config/include/porttiller/config/Directory.h
@@ -26,7 +26,9 @@
   // True when it is newer than what is held.
   bool Merge(const BoxRecord& aRecord);
   const BoxRecord* Find(const BoxName& aBox) const;
-  std::vector<BoxRecord> Records() const;
+  // Those that may be used: an address belongs to the newest life that claims
+  // it, and the platform gives addresses of boxes that are gone to others.
+  std::vector<BoxRecord> InUse() const;
   std::vector<RecordVersion> Versions() const;
   // Equal on nodes that hold the same versions.
   std::uint64_t Digest() const { return mDigest; }
--- a/packages/config/src/Directory.cpp
+++ b/packages/config/src/Directory.cpp
@@ -40,12 +40,21 @@
 }
 
 std::vector<BoxRecord>
-Directory::Records() const
+Directory::InUse() const
 {
+  std::map<std::string, const BoxRecord*> owners; // by home address
+  for (const auto& [name, record] : mRecords) {
+    auto& owner = owners[record.mBox.mHomeAddress];
+    if (owner == nullptr || owner->mIncarnation < record.mIncarnation) {
+      owner = &record;
+    }
+  }
   std::vector<BoxRecord> records;
-  records.reserve(mRecords.size());
+  records.reserve(owners.size());
   for (const auto& [name, record] : mRecords) {
-    records.push_back(record);
+    if (owners[record.mBox.mHomeAddress] == &record) {
+      records.push_back(record);
+    }
   }
   return records;
 }
--- a/packages/config/tests/DirectoryTest.cpp
+++ b/packages/config/tests/DirectoryTest.cpp
@@ -88,3 +88,24 @@
   }
   CHECK(theirs.Digest() == mine.Digest());
 }
+
+TEST_CASE("An address belongs to the newest life that claims it")
+{
+  // Found on the grown fleets: the record of a box that was gone for good kept
+  // sending requests to the box that had its address, 12,000 in a day.
+  Directory directory;
+  auto gone = Record("gone", 9);
+  directory.Merge(gone);
+  auto other = Record("other", 1);
+  other.mBox.mHomeAddress = "10.0.0.2:1";
+  directory.Merge(other);
+  CHECK(directory.InUse().size() == 2);
+  auto next = Record("next", 3);
+  next.mIncarnation = Incarnation(6);
+  directory.Merge(next);
+  const auto used = directory.InUse();
+  REQUIRE(used.size() == 2);
+  CHECK(used[0].mBox.mName == BoxName("next"));
+  CHECK(used[1].mBox.mName == BoxName("other"));
+  CHECK(directory.Size() == 3); // peers must still agree on what they hold
+}
--- a/packages/node/src/DirectoryController.cpp
+++ b/packages/node/src/DirectoryController.cpp
@@ -351,7 +351,7 @@
   std::vector<BoxRecord> records;
   {
     const std::lock_guard lock(mMutex);
-    records = mDirectory.Records();
+    records = mDirectory.InUse();
   }
   mHooks.mOnChange(std::move(records));
 }
--- a/packages/node/src/Dispatcher.cpp
+++ b/packages/node/src/Dispatcher.cpp
@@ -202,7 +202,9 @@
   if (IsCancelled(aRequest)) {
     return AttemptUnknown{ "caller-gone" };
   }
-  return Settle(aBox, aRequest, "deadline");
+  // The caller is owed its answer now. The home has the deadline, too, and runs
+  // nothing after it.
+  return AttemptUnknown{ "deadline" };
 }
 
 AttemptResult
--- a/packages/node/src/LocalServer.cpp
+++ b/packages/node/src/LocalServer.cpp
@@ -407,7 +407,7 @@
                          const HomeRequest& aRequest)
 {
   mCutoff.WaitInSlices(
-    aRequest.mDeadline,
+    mQueue.LatestStart(aRequest.mDeadline),
     [&] { return IsCancelled(aRequest); },
     [&](TimePoint aUntil) {
       return mChanged.wait_until(aLock, aUntil, [&] {
--- a/packages/policy/include/porttiller/policy/SlotQueue.h
+++ b/packages/policy/include/porttiller/policy/SlotQueue.h
@@ -75,6 +75,11 @@
   int Running() const { return mRunning; }
   int Waiting() const;
   int SlotLimit() const { return mSlotLimit; }
+  // A waiting request that has no slot by then cannot end in time.
+  TimePoint LatestStart(TimePoint aDeadline) const
+  {
+    return aDeadline - MinService();
+  }
   // When a request offered now could expect a slot.
   Millis ExpectedWait() const;
   std::string Dump() const;
@@ -86,10 +91,10 @@
     TimePoint mDeadline;
   };
 
+  Micros MinService() const;
   int WaitingAhead(Priority aPriority) const;
   Micros ExpectedWait(int aAhead) const;
   int QueueLimit() const;
-  Micros MinService() const;
   std::optional<Ticket> DisplaceBelow(Priority aPriority);
   std::optional<Waiter> PopNext();
 
--- a/packages/policy/tests/SlotQueueTest.cpp
+++ b/packages/policy/tests/SlotQueueTest.cpp
@@ -102,3 +102,12 @@
   CHECK(late.mStart.empty());
   CHECK(late.mExpired.size() == 1);
 }
+
+TEST_CASE("A waiting request is given up once it could not end in time")
+{
+  SlotQueue queue({ .mSlots = 1,
+                    .mInitialServiceTime = Millis(100),
+                    .mMinServiceShare = 0.6 });
+  const TimePoint deadline{ Millis(1000) };
+  CHECK(queue.LatestStart(deadline) == deadline - Millis(60));
+}
