--- a/packages/node/include/porttiller/node/ConfigController.h
+++ b/packages/node/include/porttiller/node/ConfigController.h
@@ -39,12 +39,14 @@
 public:
   ConfigController(const Settings& aSettings,
                    PeerTransport& aTransport,
-                   Metrics& aMetrics);
+                   Metrics& aMetrics,
+                   ConfigPeers aPeers);
   ~ConfigController();
 
   // Before Start.
   void AddListener(SnapshotListener aListener);
-  void Start(ConfigPeers aPeers);
+  // Listeners hear of what peers have told before now.
+  void Start();
   void Stop();
 
   // The boxes and servers that told about themselves; switches as a new
@@ -87,7 +89,7 @@
   const Settings& mSettings;
   PeerTransport& mTransport;
   Metrics& mMetrics;
-  ConfigPeers mPeers;
+  const ConfigPeers mPeers;
   std::vector<SnapshotListener> mListeners;
   std::mutex mApplyMutex; // one switch at a time, listeners included
   mutable std::mutex mMutex;
--- a/packages/node/src/ConfigController.cpp
+++ b/packages/node/src/ConfigController.cpp
@@ -49,10 +49,12 @@
 
 ConfigController::ConfigController(const Settings& aSettings,
                                    PeerTransport& aTransport,
-                                   Metrics& aMetrics)
+                                   Metrics& aMetrics,
+                                   ConfigPeers aPeers)
   : mSettings(aSettings)
   , mTransport(aTransport)
   , mMetrics(aMetrics)
+  , mPeers(std::move(aPeers))
   , mClient({ .mAddress = aSettings.mPlatformAddress,
               .mTimeout = kCallTimeout,
               .mDialect = StoreDialectOf(aSettings) })
@@ -72,9 +74,14 @@
 }
 
 void
-ConfigController::Start(ConfigPeers aPeers)
+ConfigController::Start()
 {
-  mPeers = std::move(aPeers);
+  {
+    const std::lock_guard applyLock(mApplyMutex);
+    if (const auto snapshot = Current()) {
+      Switch(snapshot);
+    }
+  }
   mThread = std::thread([this] { Run(); });
 }
 
--- a/packages/node/src/DirectoryController.cpp
+++ b/packages/node/src/DirectoryController.cpp
@@ -218,6 +218,8 @@
   }
   mLoaded = true;
   Merge(records, "store");
+  // Also when the list brought no news: the own server may be one.
+  Publish();
   BoxRecord own;
   {
     const std::lock_guard lock(mMutex);
--- a/packages/node/src/Node.cpp
+++ b/packages/node/src/Node.cpp
@@ -172,8 +172,15 @@
 void
 Node::Parts::MakeControllers()
 {
-  mConfig =
-    std::make_unique<ConfigController>(mSettings, *mTransport, mMetrics);
+  mConfig = std::make_unique<ConfigController>(
+    mSettings,
+    *mTransport,
+    mMetrics,
+    ConfigPeers{ .mLiveBoxes = [this] { return mMembership->LiveBoxes(); },
+                 .mRandomPeers =
+                   [this](std::size_t aCount) {
+                     return mMembership->RandomPeers(aCount);
+                   } });
   mMembership = std::make_unique<MembershipController>(
     mSettings,
     mIncarnation,
@@ -317,11 +324,7 @@
     [this](const SnapshotPtr& aSnapshot) { mMembership->Apply(aSnapshot); });
   mConfig->AddListener(
     [this](const SnapshotPtr& aSnapshot) { OnSnapshot(*aSnapshot); });
-  mConfig->Start({ .mLiveBoxes = [this] { return mMembership->LiveBoxes(); },
-                   .mRandomPeers =
-                     [this](std::size_t aCount) {
-                       return mMembership->RandomPeers(aCount);
-                     } });
+  mConfig->Start();
   mMembership->Start();
   if (mDirectory) {
     mDirectory->Start();
--- a/packages/node/tests/ConfigControllerTest.cpp
+++ b/packages/node/tests/ConfigControllerTest.cpp
@@ -3,6 +3,7 @@
 
 #include "porttiller/node/ControlCodec.h"
 
+#include <atomic>
 #include <doctest/doctest.h>
 #include <thread>
 
@@ -15,6 +16,11 @@
 constexpr const char* kAnsweringAddress = "127.0.0.1:22963";
 constexpr const char* kNoPlatform = "127.0.0.1:22964"; // nothing listens there
 
+const ConfigPeers kNoPeers{
+  .mLiveBoxes = [] { return std::vector<BoxName>{}; },
+  .mRandomPeers = [](std::size_t) { return std::vector<BoxSpec>{}; }
+};
+
 std::unique_ptr<PeerTransport>
 MakePeer(const std::string& aAddress, const std::string& aBox, bool aAnswers)
 {
@@ -57,17 +63,38 @@
   // peer held its one question open.
   const auto silent = MakePeer(kSilentAddress, "silent", false);
   const auto answering = MakePeer(kAnsweringAddress, "answering", true);
-  const auto own = MakePeer(kOwnAddress, "own", false);
+  auto own = MakePeer(kOwnAddress, "own", false);
   Settings settings;
   settings.mBox = BoxName("own");
   settings.mPlatformAddress = kNoPlatform;
   Metrics metrics;
-  ConfigController controller(settings, *own, metrics);
-  controller.Start(
-    { .mLiveBoxes = [] { return std::vector<BoxName>{}; },
-      .mRandomPeers = [](std::size_t) { return std::vector<BoxSpec>{}; } });
+  ConfigController controller(settings, *own, metrics, kNoPeers);
+  controller.Start();
   controller.OnPeerRevision({ .mAddress = kSilentAddress, .mRevision = 5 });
   controller.OnPeerRevision({ .mAddress = kAnsweringAddress, .mRevision = 5 });
   CHECK(WaitRevision(controller, 5));
   controller.Stop();
+  own.reset(); // as in a node: what is still asked must not call back later
+}
+
+TEST_CASE("What a peer tells before the start is in force, and heard of later")
+{
+  // Found by a fleet test: a box that started among running ones ended with
+  // bad_function_call when a peer's change came before its own start was done.
+  const auto answering = MakePeer(kAnsweringAddress, "answering", true);
+  auto own = MakePeer(kOwnAddress, "own", false);
+  Settings settings;
+  settings.mBox = BoxName("own");
+  settings.mPlatformAddress = kNoPlatform;
+  Metrics metrics;
+  ConfigController controller(settings, *own, metrics, kNoPeers);
+  controller.OnPeerRevision({ .mAddress = kAnsweringAddress, .mRevision = 5 });
+  REQUIRE(WaitRevision(controller, 5));
+  std::atomic<std::uint64_t> heard{ 0 };
+  controller.AddListener(
+    [&](const SnapshotPtr& aSnapshot) { heard = aSnapshot->mRevision; });
+  controller.Start();
+  CHECK(heard == 5);
+  controller.Stop();
+  own.reset(); // as in a node: what is still asked must not call back later
 }
--- a/testing/fleet/MeshFleet.cpp
+++ b/testing/fleet/MeshFleet.cpp
@@ -37,37 +37,68 @@
 
 } // namespace
 
-MeshFleet::MeshFleet(int aBoxes, int aPortBase)
-  : mPortBase(aPortBase)
+MeshFleet::MeshFleet(MeshFleetOptions aOptions)
+  : mOptions(aOptions)
   , mDirectory(Poco::TemporaryFile::tempName())
 {
   std::filesystem::create_directories(mDirectory);
-  mStore = std::make_unique<standin::ObjectStoreStandIn>(
-    "127.0.0.1:" + std::to_string(mPortBase + kStorePort));
+  const auto store =
+    "127.0.0.1:" + std::to_string(mOptions.mPortBase + kStorePort);
+  mStore = std::make_unique<standin::ObjectStoreStandIn>(store);
   Configure();
-  mBoxes.resize(static_cast<std::size_t>(aBoxes));
-  for (int box = 0; box < aBoxes; ++box) {
-    mServers.push_back(std::make_unique<standin::MeshServerStandIn>(
-      standin::MeshServerOptions{ .mId = "i-" + std::to_string(box),
-                                  .mService = "ledger",
-                                  .mAddress = Address(box, kServerPort),
-                                  .mRegistration = Address(box, 4) }));
+  mBoxes.resize(static_cast<std::size_t>(mOptions.mBoxes));
+  for (int box = 0; box < mOptions.mBoxes; ++box) {
+    if (mOptions.mLinks) {
+      mStoreLinks.push_back(std::make_unique<standin::LinkStandIn>(store));
+      mServerLinks.push_back(
+        std::make_unique<standin::LinkStandIn>(Address(box, kServerPort)));
+    }
+    mServers.push_back(MakeServer(box));
     StartBox(box, true);
   }
-  for (int box = 0; box < aBoxes; ++box) {
+  for (int box = 0; box < mOptions.mBoxes; ++box) {
     if (!WaitUntil(kStartWait, [&] { return Server(box).Beat(); })) {
       throw std::runtime_error("a server was not taken in");
     }
   }
-  if (!WaitServers(aBoxes)) {
+  if (!WaitServers(mOptions.mBoxes)) {
     throw std::runtime_error("the boxes do not know each other");
   }
 }
 
+std::unique_ptr<standin::MeshServerStandIn>
+MeshFleet::MakeServer(int aBox)
+{
+  auto id = "i-" + std::to_string(aBox);
+  if (mReplacements > 0) {
+    id += "." + std::to_string(mReplacements);
+  }
+  return std::make_unique<standin::MeshServerStandIn>(
+    standin::MeshServerOptions{
+      .mId = id,
+      .mService = "ledger",
+      .mAddress = Address(aBox, kServerPort),
+      .mAdvertised = mOptions.mLinks ? ServerLink(aBox).Address() : "",
+      .mRegistration = Address(aBox, 4) });
+}
+
+void
+MeshFleet::ReplaceServer(int aBox)
+{
+  auto& server = mServers.at(static_cast<std::size_t>(aBox));
+  server->Stop();
+  mRetired.push_back(std::move(server));
+  ++mReplacements;
+  server = MakeServer(aBox);
+}
+
 MeshFleet::~MeshFleet()
 {
   mBoxes.clear();
   mServers.clear();
+  mRetired.clear();
+  mServerLinks.clear();
+  mStoreLinks.clear();
   mStore.reset();
   std::error_code ignored;
   std::filesystem::remove_all(mDirectory, ignored);
@@ -76,7 +107,8 @@
 std::string
 MeshFleet::Address(int aBox, int aPort) const
 {
-  return "127.0.0.1:" + std::to_string(mPortBase + aBox * kPortsPerBox + aPort);
+  return "127.0.0.1:" +
+         std::to_string(mOptions.mPortBase + aBox * kPortsPerBox + aPort);
 }
 
 void
@@ -99,6 +131,10 @@
 MeshFleet::SettingsFile(int aBox, bool aFirstStart) const
 {
   const auto name = "box-" + std::to_string(aBox);
+  const auto platform =
+    mOptions.mLinks
+      ? mStoreLinks.at(static_cast<std::size_t>(aBox))->Address()
+      : "127.0.0.1:" + std::to_string(mOptions.mPortBase + kStorePort);
   auto file = mDirectory + "/" + name + ".json";
   std::ofstream(file) << R"({ "dialect": "mesh", "failing_servers": "break",
     "box": ")" << name << R"(", "zone": "zone-)"
@@ -117,9 +153,11 @@
     "readiness": { "address": ")"
                       << Address(aBox, 5) << R"(" },
     "retries": { "share": 0.2, "burst": 60 },
-    "timing": { "drain_notice_ms": 2000, "drain_ms": 12000 },
-    "platform_address": "127.0.0.1:)"
-                      << mPortBase + kStorePort << "\" }\n";
+    "timing": { "drain_notice_ms": )"
+                      << mOptions.mDrainNotice.count() << R"(, "drain_ms": )"
+                      << mOptions.mDrain.count() << R"( },
+    "platform_address": ")"
+                      << platform << "\" }\n";
   return file;
 }
 
@@ -203,6 +241,9 @@
   for (const auto& server : mServers) {
     runs += server->RunsOf(aId);
   }
+  for (const auto& server : mRetired) {
+    runs += server->RunsOf(aId);
+  }
   return runs;
 }
 
--- a/testing/fleet/MeshFleet.h
+++ b/testing/fleet/MeshFleet.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "fleet/Fleet.h"
+#include "standin/LinkStandIn.h"
 #include "standin/MeshServerStandIn.h"
 #include "standin/ObjectStoreStandIn.h"
 
@@ -14,10 +15,24 @@
 
 // Service "ledger" takes GET and POST below "/safe/" and "/once/" of host
 // "a.example"; the latter run once at most.
+struct MeshFleetOptions
+{
+  int mBoxes = 3;
+  int mPortBase = 25000;
+  // Relays between each box and the store, and each box and its server.
+  bool mLinks = false;
+  Millis mDrainNotice{ 2000 };
+  Millis mDrain{ 12'000 };
+};
+
 class MeshFleet
 {
 public:
-  MeshFleet(int aBoxes, int aPortBase);
+  explicit MeshFleet(MeshFleetOptions aOptions);
+  MeshFleet(int aBoxes, int aPortBase)
+    : MeshFleet({ .mBoxes = aBoxes, .mPortBase = aPortBase })
+  {
+  }
   ~MeshFleet();
   MeshFleet(const MeshFleet&) = delete;
   MeshFleet& operator=(const MeshFleet&) = delete;
@@ -25,6 +40,12 @@
   standin::ObjectStoreStandIn& Store() { return *mStore; }
   standin::MeshServerStandIn& Server(int aBox) { return *mServers.at(aBox); }
 
+  // With mLinks.
+  standin::LinkStandIn& StoreLink(int aBox) { return *mStoreLinks.at(aBox); }
+  standin::LinkStandIn& ServerLink(int aBox) { return *mServerLinks.at(aBox); }
+  // The server of a box ends, and one with another id has its address.
+  void ReplaceServer(int aBox);
+
   void StartBox(int aBox, bool aFirstStart = false);
   void SignalBox(int aBox, int aSignal);
   int WaitForBoxExit(int aBox, Millis aTime);
@@ -48,13 +69,18 @@
   std::string Address(int aBox, int aPort) const;
   std::string SettingsFile(int aBox, bool aFirstStart) const;
   std::string State(int aBox) const;
+  std::unique_ptr<standin::MeshServerStandIn> MakeServer(int aBox);
 
-  const int mPortBase;
+  const MeshFleetOptions mOptions;
   std::string mDirectory;
   int mVersion = 0;
+  int mReplacements = 0;
   std::unique_ptr<standin::ObjectStoreStandIn> mStore;
   std::vector<std::unique_ptr<standin::ChildProcess>> mBoxes; // null: ended
+  std::vector<std::unique_ptr<standin::LinkStandIn>> mStoreLinks;
+  std::vector<std::unique_ptr<standin::LinkStandIn>> mServerLinks;
   std::vector<std::unique_ptr<standin::MeshServerStandIn>> mServers;
+  std::vector<std::unique_ptr<standin::MeshServerStandIn>> mRetired;
 };
 
 } // namespace porttiller::fleet
--- /dev/null
+++ b/testing/fleet/tests/DirectoryStartTest.cpp
@@ -0,0 +1,98 @@
+// How a box that starts again learns of its own server and of the others.
+#include "fleet/Fleet.h"
+#include "porttiller/node/ControlCodec.h"
+#include "porttiller/node/DirectoryController.h"
+#include "standin/ObjectStoreStandIn.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+#include <mutex>
+
+using namespace porttiller;
+using namespace porttiller::fleet;
+
+namespace {
+
+constexpr Millis kWait{ 15'000 };
+constexpr const char* kStore = "127.0.0.1:22970";
+constexpr const char* kControl = "127.0.0.1:22971";
+
+BoxRecord
+MakeRecord(const std::string& aBox, const std::string& aAddress)
+{
+  return { .mBox = { .mName = BoxName(aBox),
+                     .mZone = AvailabilityZone("z"),
+                     .mHomeAddress = aAddress,
+                     .mControlAddress = aAddress },
+           .mIncarnation = Incarnation(1),
+           .mRevision = 1,
+           .mServer = ServerRecord{ .mId = BackendServerName("i-" + aBox),
+                                    .mService = ServiceName("s"),
+                                    .mAddress = "127.0.0.1:9",
+                                    .mSlots = 4,
+                                    .mSequence = 1 } };
+}
+
+// The records last published.
+class Published
+{
+public:
+  void Set(std::vector<BoxRecord> aRecords)
+  {
+    const std::lock_guard lock(mMutex);
+    mRecords = std::move(aRecords);
+  }
+
+  bool HasServerOf(const std::string& aBox) const
+  {
+    const std::lock_guard lock(mMutex);
+    return std::any_of(
+      mRecords.begin(), mRecords.end(), [&](const BoxRecord& aRecord) {
+        return aRecord.mBox.mName.Value() == aBox && aRecord.mServer;
+      });
+  }
+
+private:
+  mutable std::mutex mMutex;
+  std::vector<BoxRecord> mRecords;
+};
+
+} // namespace
+
+TEST_CASE("A box takes its server in again though peers told it all the rest")
+{
+  // Found by a fleet test that failed once in twelve runs: the list from the
+  // store brought nothing new, so what the box had read of its own server was
+  // not published, and its home refused every request for it.
+  standin::ObjectStoreStandIn store(kStore);
+  const auto other = MakeRecord("other", "127.0.0.1:22972");
+  store.Put({ "box-records", "own" },
+            ToJsonText(MakeRecord("own", "127.0.0.1:22973")));
+  store.Put({ "box-records", "other" }, ToJsonText(other));
+  Settings settings;
+  settings.mBox = BoxName("own");
+  settings.mDialect = Dialect::kMesh;
+  settings.mPlatformAddress = kStore;
+  auto transport =
+    PeerTransport::Make({ .mBindAddress = kControl, .mBox = settings.mBox },
+                        [](const wire::Envelope&, const PeerReplier&) {});
+  REQUIRE(transport);
+  Published published;
+  DirectoryController controller(
+    settings,
+    Incarnation(2),
+    **transport,
+    { .mOnChange =
+        [&](std::vector<BoxRecord> aRecords) {
+          published.Set(std::move(aRecords));
+        },
+      .mOnServerLeaving = [](const BackendServerName&) {},
+      .mRandomPeers = [](std::size_t) { return std::vector<BoxSpec>{}; } });
+  controller.OnRecords(EncodeRecords({ other }));
+  REQUIRE(WaitUntil(kWait, [&] { return published.HasServerOf("other"); }));
+  CHECK_FALSE(published.HasServerOf("own"));
+  controller.Start();
+  CHECK(WaitUntil(kWait, [&] { return published.HasServerOf("own"); }));
+  controller.Stop();
+  transport->reset(); // as in a node: nothing calls back later
+}
--- a/testing/standin/MeshServerStandIn.cpp
+++ b/testing/standin/MeshServerStandIn.cpp
@@ -112,7 +112,9 @@
 MeshServerStandIn::BeatBody(const std::string& aState, std::uint64_t aSequence)
 {
   return R"({"Service":")" + mOptions.mService + R"(","Address":")" +
-         mOptions.mAddress + R"(","Zone":"z","Version":"v1","Slots":)" +
+         (mOptions.mAdvertised.empty() ? mOptions.mAddress
+                                       : mOptions.mAdvertised) +
+         R"(","Zone":"z","Version":"v1","Slots":)" +
          std::to_string(mOptions.mSlots) + R"(,"State":")" + aState +
          R"(","ColdRemainingMs":0,"CallSeq":)" + std::to_string(aSequence) +
          "}";
--- a/testing/standin/MeshServerStandIn.h
+++ b/testing/standin/MeshServerStandIn.h
@@ -19,6 +19,7 @@
   std::string mId;
   std::string mService;
   std::string mAddress;      // where it listens
+  std::string mAdvertised;   // where others reach it; empty: as mAddress
   std::string mRegistration; // where it tells about itself
   int mSlots = 4;
 };
@@ -36,7 +37,10 @@
 public:
   explicit MeshServerStandIn(MeshServerOptions aOptions);
 
+  const std::string& Id() const { return mOptions.mId; }
   void Set(const MeshServerFaults& aFaults);
+  // Ends, as a server that has left; what it ran stays known.
+  void Stop() { mListener.reset(); }
   // Tells its box about itself; true when that was acknowledged.
   bool Beat(const std::string& aState = "ready");
   // As Beat, with an earlier sequence number: a message that comes late.
