Split LocalServer: the call to the server, and its breaker

LocalServer.cpp held admission, the exchange with the server and what is learned of it in 600 lines. Names: what was hang and suspect in turns is silence now. No change of behaviour meant; the running count in server_breaker lines is that of attempts not yet suspected.

policy, node, config, http tests and MeshFleetTest pass.

--- a/packages/node/include/porttiller/node/HomeTypes.h
+++ b/packages/node/include/porttiller/node/HomeTypes.h
@@ -13,6 +13,10 @@
 
 namespace porttiller {
 
+// Reasons of an unknown outcome that say something of the server's silence.
+inline constexpr const char* kTimeoutReason = "server-timeout";
+inline constexpr const char* kHangingReason = "server-hanging"; // given up
+
 // Why a home did not run an attempt.
 enum class Refusal
 {
--- a/packages/node/include/porttiller/node/LocalServer.h
+++ b/packages/node/include/porttiller/node/LocalServer.h
@@ -5,10 +5,10 @@
 #include "porttiller/config/EdgeHeaders.h"
 #include "porttiller/config/Resources.h"
 #include "porttiller/config/Settings.h"
-#include "porttiller/http/HttpPool.h"
 #include "porttiller/node/Cutoff.h"
 #include "porttiller/node/HomeTypes.h"
-#include "porttiller/policy/CircuitBreaker.h"
+#include "porttiller/node/ServerBreaker.h"
+#include "porttiller/node/ServerCall.h"
 #include "porttiller/policy/EjectionMachine.h"
 #include "porttiller/policy/SlotQueue.h"
 
@@ -93,23 +93,10 @@
                                         const HomeRequest& aRequest);
   std::optional<HomeAnswer> RefuseAside(const HomeRequest& aRequest);
   std::optional<HomeAnswer> RefuseBroken(const HomeRequest& aRequest);
-  HomeAnswer Exchange(const HomeRequest& aRequest);
-  HttpRequestData MakeRequest(const HomeRequest& aRequest) const;
-  HomeAnswer Judge(const HomeRequest& aRequest, HttpAnswer aHttp);
-  bool SaysNotRun(const HttpAnswer& aHttp) const;
-  HomeAnswer RefusedByServer(const HttpAnswer& aHttp);
+  void NoteRefusal(HomeAnswer& aAnswer);
   void Learn(const HomeRequest& aRequest,
              const HomeAnswer& aAnswer,
              Micros aTime);
-  void LearnBreaker(const HomeRequest& aRequest,
-                    const HomeAnswer& aAnswer,
-                    Micros aTime,
-                    bool aSuspected); // it was held against the server already
-  bool GivesUpAfter(Micros aTime) const;
-  Micros HangLimitLocked() const;
-  void SuspectHanging(TimePoint aNow);
-  void LogBreaker(const HomeRequest& aRequest,
-                  const std::string& aReason) const;
   void FreeSlot(std::optional<Micros> aServiceTime);
   void Mark(Ticket aTicket, WaitState aState);
   double LoadLocked() const;
@@ -118,15 +105,13 @@
   const BackendServerSpec mSpec;
   const LocalServerOptions mOptions;
   const Cutoff& mCutoff;
-  HttpPool mPool;
+  ServerCall mCall;
   mutable std::mutex mMutex;
   std::condition_variable mChanged;
   SlotQueue mQueue;
   EjectionMachine mMachine;
   std::map<Ticket, Waiter> mWaiters;
-  CircuitBreaker mBreaker;
-  RecentMean mLatency; // of answers in order; zero while there are none
-  std::map<AttemptId, TimePoint> mRunningSince; // not yet held against it
+  ServerBreaker mBreaker; // fed only where failing servers are broken off
   bool mReplaced = false;
   Ticket mNextTicket = 1;
   bool mLeaving = false;
--- a/packages/node/src/LocalServer.cpp
+++ b/packages/node/src/LocalServer.cpp
@@ -1,6 +1,5 @@
 #include "porttiller/node/LocalServer.h"
 
-#include "porttiller/node/HopHeaders.h"
 #include "porttiller/node/Log.h"
 
 #include <algorithm>
@@ -13,26 +12,8 @@
 
 constexpr Millis kLeavingRetryAfter{ 1000 };
 constexpr int kServerErrors = 500;
-constexpr Millis kLinger{ 5000 };
 // A time-out says something of the server only if it had this long.
 constexpr Millis kTellingTimeout{ 500 };
-// A backend server closes idle connections after some ten seconds; ours go
-// first, as a request must not meet a close.
-constexpr Millis kIdleClose{ 7000 };
-// An unanswered request is a failure of its server after this many mean times
-// of its answers, and never sooner than after kHangFloor.
-constexpr int kHangMeans = 5;
-constexpr Millis kHangFloor{ 800 };
-constexpr Millis kHangUnknown{ 2000 }; // while no mean is known
-// Entries keep away from an open breaker for so long before they ask again.
-constexpr Millis kBrokenRetryAfter{ 2000 };
-constexpr int kMisdirected = 421;
-// A connection that had rested may have been closing when it was used.
-constexpr Millis kRestedLong{ 1000 };
-constexpr const char* kTimeoutReason = "server-timeout";
-constexpr const char* kHangingReason = "server-hanging";
-constexpr const char* kLeavingReason = "leaving";
-
 EjectionOptions
 OptionsFor(DetectionSetting aSetting)
 {
@@ -53,13 +34,6 @@
            .mMinServiceShare = 0.6 };
 }
 
-HomeAnswer
-Unknown(ExchangeError aError)
-{
-  return { .mOutcome = Outcome::kUnknown,
-           .mReason = std::string("server-") + ToText(aError) };
-}
-
 } // namespace
 
 LocalServer::LocalServer(const BackendServerSpec& aSpec,
@@ -68,11 +42,10 @@
   : mSpec(aSpec)
   , mOptions(std::move(aOptions))
   , mCutoff(aCutoff)
-  , mPool({ .mAddress = aSpec.mAddress,
-            .mMaxConnections = std::min(aSpec.mConnections, aSpec.mSlots),
-            .mIdleClose = kIdleClose })
+  , mCall(aSpec, mOptions.mHeaders, aCutoff)
   , mQueue(QueueOptionsFor(aSpec, mOptions.mFailingServers))
   , mMachine(OptionsFor(mOptions.mDetection), Now())
+  , mBreaker(aSpec.mName)
   , mLeaving(aSpec.mLeaving)
 {
 }
@@ -129,8 +102,14 @@
     return *refused;
   }
   const auto start = Now();
-  auto answer = Exchange(aRequest);
+  auto answer = mCall.Run(aRequest, [this](Micros aTime) {
+    const std::lock_guard lock(mMutex);
+    return mBreaker.GivesUpAfter(aTime);
+  });
   const auto time = Now() - start;
+  if (answer.mOutcome == Outcome::kNotRun) {
+    NoteRefusal(answer);
+  }
   Learn(aRequest, answer, time);
   const bool ran = answer.mOutcome != Outcome::kNotRun;
   FreeSlot(ran ? std::optional<Micros>(time) : std::nullopt);
@@ -138,6 +117,29 @@
   return answer;
 }
 
+// What the server's own refusal says of the next requests.
+void
+LocalServer::NoteRefusal(HomeAnswer& aAnswer)
+{
+  const std::lock_guard lock(mMutex);
+  switch (aAnswer.mRefusal) {
+    case Refusal::kNoServer:
+      mReplaced = true;
+      LogLine(LogLevel::kWarning, "server_replaced")
+        .With("server", mSpec.mName.Value())
+        .With("address", mSpec.mAddress);
+      break;
+    case Refusal::kLeaving:
+      mServerLeavingUntil = Now() + aAnswer.mRetryAfter;
+      break;
+    case Refusal::kServerBusy:
+      aAnswer.mRetryAfter = mQueue.ExpectedWait();
+      break;
+    default:
+      break;
+  }
+}
+
 // What an answer says of the server. Nothing is said by connections that are
 // all in use, or by a caller that gave it no time.
 void
@@ -146,9 +148,8 @@
                    Micros aTime)
 {
   const std::lock_guard lock(mMutex);
-  const bool suspected = mRunningSince.erase(aRequest.mAttempt) == 0;
   if (mOptions.mFailingServers == FailingServers::kBreak) {
-    LearnBreaker(aRequest, aAnswer, aTime, suspected);
+    mBreaker.OnEnded(aRequest, aAnswer, aTime, Now());
     return;
   }
   Evidence evidence{ .mLatency = aTime };
@@ -173,103 +174,6 @@
   mMachine.OnEvidence(evidence, Now());
 }
 
-void
-LocalServer::LearnBreaker(const HomeRequest& aRequest,
-                          const HomeAnswer& aAnswer,
-                          Micros aTime,
-                          bool aSuspected)
-{
-  const auto now = Now();
-  if (IsCancelled(aRequest) || aAnswer.mRefusal == Refusal::kServerBusy ||
-      aAnswer.mRefusal == Refusal::kOverloaded ||
-      aAnswer.mRefusal == Refusal::kLeaving) {
-    return; // says nothing of the server
-  }
-  LogLine(LogLevel::kDebug, "server_answer")
-    .With("request", aRequest.mRequestId)
-    .With("outcome", std::string(ToText(aAnswer.mOutcome)))
-    .With("status", aAnswer.mHttp.mStatus)
-    .With("reason", aAnswer.mReason)
-    .With("trial", mBreaker.State() == BreakerState::kHalfOpen ? "yes" : "no")
-    .With("time_ms", std::chrono::duration_cast<Millis>(aTime).count());
-  bool changed = false;
-  if (aAnswer.mReason == kTimeoutReason || aAnswer.mReason == kHangingReason) {
-    const bool counts = aTime >= Micros(kHangFloor) && !aSuspected;
-    changed = counts && mBreaker.OnNoAnswer(now);
-  } else if (aAnswer.mOutcome != Outcome::kRun) {
-    changed = mBreaker.OnFailure(now);
-  } else if (aAnswer.mHttp.mStatus >= kServerErrors) {
-    changed = mBreaker.OnError(now);
-  } else {
-    mLatency.Observe(aTime);
-    changed = mBreaker.OnSuccess(now - aTime);
-  }
-  if (changed) {
-    LogBreaker(aRequest,
-               aAnswer.mOutcome == Outcome::kRun
-                 ? "status " + std::to_string(aAnswer.mHttp.mStatus)
-                 : aAnswer.mReason);
-  }
-}
-
-void
-LocalServer::LogBreaker(const HomeRequest& aRequest,
-                        const std::string& aReason) const
-{
-  LogLine(LogLevel::kInfo, "server_breaker")
-    .With("request", aRequest.mRequestId)
-    .With("server", mSpec.mName.Value())
-    .With("state", ToText(mBreaker.State()))
-    .With("reason", aReason)
-    .With("running", mQueue.Running())
-    .With("mean_ms",
-          std::chrono::duration_cast<Millis>(mLatency.Value()).count());
-}
-
-// Requests without an answer for so long hang.
-Micros
-LocalServer::HangLimitLocked() const
-{
-  if (mOptions.mFailingServers == FailingServers::kEject) {
-    return Micros::max() / 2;
-  }
-  return mLatency.Value() == Micros(0)
-           ? Micros(kHangUnknown)
-           : std::max(Micros(kHangFloor), kHangMeans * mLatency.Value());
-}
-
-// A server that is known to fail need not be waited for any longer. Otherwise
-// it may be the request that takes its time.
-bool
-LocalServer::GivesUpAfter(Micros aTime) const
-{
-  const std::lock_guard lock(mMutex);
-  return mBreaker.State() == BreakerState::kHalfOpen &&
-         aTime >= HangLimitLocked();
-}
-
-// A request without an answer tells of its server before its deadline does.
-void
-LocalServer::SuspectHanging(TimePoint aNow)
-{
-  const auto limit = HangLimitLocked();
-  for (auto it = mRunningSince.begin(); it != mRunningSince.end();) {
-    if (aNow - it->second < limit) {
-      ++it;
-      continue;
-    }
-    if (mBreaker.OnNoAnswer(aNow)) {
-      LogLine(LogLevel::kInfo, "server_breaker")
-        .With("attempt", it->first.ToString())
-        .With("server", mSpec.mName.Value())
-        .With("state", ToText(mBreaker.State()))
-        .With("reason", "no answer for long")
-        .With("limit_ms", std::chrono::duration_cast<Millis>(limit).count());
-    }
-    it = mRunningSince.erase(it);
-  }
-}
-
 bool
 LocalServer::Replaced() const
 {
@@ -363,13 +267,13 @@
     return RefuseLocked(Refusal::kOverloaded, offer.mRetryAfter);
   }
   if (offer.mVerdict == OfferVerdict::kStart) {
-    mRunningSince[aRequest.mAttempt] = Now();
+    mBreaker.OnStarted(aRequest.mAttempt, Now());
     return std::nullopt;
   }
   mWaiters[ticket] = { .mAttempt = aRequest.mAttempt };
   auto refused = WaitForSlot(lock, ticket, aRequest);
   if (!refused) {
-    mRunningSince[aRequest.mAttempt] = Now();
+    mBreaker.OnStarted(aRequest.mAttempt, Now());
   }
   return refused;
 }
@@ -378,12 +282,10 @@
 LocalServer::RefuseBroken(const HomeRequest& aRequest)
 {
   const auto now = Now();
-  SuspectHanging(now);
-  if (mBreaker.Admit(aRequest.mMayFail, aRequest.mLastResort, now)) {
+  if (mBreaker.Admit(aRequest, now)) {
     return std::nullopt;
   }
-  return RefuseLocked(Refusal::kDemoted,
-                      std::max(mBreaker.RetryAfter(now), kBrokenRetryAfter));
+  return RefuseLocked(Refusal::kDemoted, mBreaker.RetryAfter(now));
 }
 
 std::optional<HomeAnswer>
@@ -466,127 +368,4 @@
   return false;
 }
 
-HttpRequestData
-LocalServer::MakeRequest(const HomeRequest& aRequest) const
-{
-  const auto& names = mOptions.mHeaders;
-  auto http = aRequest.mHttp;
-  RemoveHeader(http.mHeaders, names.mServerDeadline);
-  const auto left = std::chrono::ceil<Millis>(aRequest.mDeadline - Now());
-  http.mHeaders.push_back(
-    { names.mServerDeadline,
-      std::to_string(std::max<Millis::rep>(1, left.count())) });
-  if (!names.mExpectedServer.empty()) {
-    RemoveHeader(http.mHeaders, names.mExpectedServer);
-    http.mHeaders.push_back({ names.mExpectedServer, mSpec.mName.Value() });
-  }
-  return http;
-}
-
-HomeAnswer
-LocalServer::Exchange(const HomeRequest& aRequest)
-{
-  auto begun = mPool.Begin(MakeRequest(aRequest), aRequest.mDeadline);
-  if (!begun) {
-    if (begun.error() == ExchangeError::kBusy ||
-        begun.error() == ExchangeError::kNotSent) {
-      const std::lock_guard lock(mMutex);
-      const bool busy = begun.error() == ExchangeError::kBusy;
-      auto refused =
-        RefuseLocked(busy ? Refusal::kOverloaded : Refusal::kUnreachable,
-                     kLeavingRetryAfter);
-      refused.mReason = ToText(begun.error());
-      return refused;
-    }
-    return Unknown(begun.error());
-  }
-  // Dropping the exchange closes its connection: the server may stop then.
-  auto& exchange = **begun;
-  const auto deadline =
-    aRequest.mDeadline + (Lingers(aRequest) ? kLinger : Millis(0));
-  const auto begunAt = Now();
-  bool hanging = false;
-  const auto stop = [&] {
-    const auto now = Now();
-    hanging = aRequest.mMayFail && GivesUpAfter(now - begunAt);
-    return IsCancelled(aRequest) || hanging || now >= mCutoff.Limit(deadline);
-  };
-  const auto& idName = mOptions.mHeaders.mRequestId;
-  const auto belongs = [&](const HttpAnswer& aAnswer) {
-    const auto id = idName.empty() ? "" : HeaderValue(aAnswer.mHeaders, idName);
-    return id.empty() || id == aRequest.mRequestId;
-  };
-  const auto rested = exchange.Rested();
-  auto answer = exchange.ReadAnswer(deadline, stop, belongs);
-  if (answer) {
-    return Judge(aRequest, std::move(*answer));
-  }
-  if (hanging) {
-    return { .mOutcome = Outcome::kUnknown, .mReason = kHangingReason };
-  }
-  if (answer.error() == ExchangeError::kCancelled && !IsCancelled(aRequest)) {
-    return Unknown(ExchangeError::kTimeout); // cut off by a planned stop
-  }
-  auto unknown = Unknown(answer.error());
-  if (answer.error() == ExchangeError::kClosed && rested >= kRestedLong) {
-    unknown.mReason += "-after-rest";
-  }
-  return unknown;
-}
-
-// What an answer is worth. One that does not show that the server made it
-// whole is no answer.
-HomeAnswer
-LocalServer::Judge(const HomeRequest& aRequest, HttpAnswer aHttp)
-{
-  if (SaysNotRun(aHttp)) {
-    return RefusedByServer(aHttp);
-  }
-  const auto& names = mOptions.mHeaders;
-  const bool unsignedAnswer =
-    !names.mSignature.empty() &&
-    (HeaderValue(aHttp.mHeaders, names.mSignature).empty() ||
-     HeaderValue(aHttp.mHeaders, names.mRequestId) != aRequest.mRequestId);
-  // Nobody asked for an encoding, so an encoded body is not the server's own.
-  const bool encoded = !names.mSignature.empty() &&
-                       !HeaderValue(aHttp.mHeaders, "Content-Encoding").empty();
-  if (unsignedAnswer || encoded) {
-    return { .mOutcome = Outcome::kUnknown,
-             .mReason = "server-spoiled-answer" };
-  }
-  return { .mOutcome = Outcome::kRun, .mHttp = std::move(aHttp) };
-}
-
-bool
-LocalServer::SaysNotRun(const HttpAnswer& aHttp) const
-{
-  const auto& notRun = mOptions.mHeaders.mNotRun;
-  if (notRun.empty()) {
-    return HeaderValue(aHttp.mHeaders, hop::kOutcome) ==
-           ToText(Outcome::kNotRun);
-  }
-  return aHttp.mStatus == kMisdirected ||
-         !HeaderValue(aHttp.mHeaders, notRun).empty();
-}
-
-// The server's own word that it did not run the request: it is shedding load,
-// leaving, or another one than the request was for.
-HomeAnswer
-LocalServer::RefusedByServer(const HttpAnswer& aHttp)
-{
-  const std::lock_guard lock(mMutex);
-  if (aHttp.mStatus == kMisdirected) {
-    mReplaced = true;
-    LogLine(LogLevel::kWarning, "server_replaced")
-      .With("server", mSpec.mName.Value())
-      .With("address", mSpec.mAddress);
-    return RefuseLocked(Refusal::kNoServer, kLeavingRetryAfter);
-  }
-  if (HeaderValue(aHttp.mHeaders, hop::kReason) == kLeavingReason) {
-    mServerLeavingUntil = Now() + kLeavingRetryAfter;
-    return RefuseLocked(Refusal::kLeaving, kLeavingRetryAfter);
-  }
-  return RefuseLocked(Refusal::kServerBusy, mQueue.ExpectedWait());
-}
-
 } // namespace porttiller
