A randomized fault soak over real processes

Checked for every request, from what callers and servers saw: whole answers of its own, at most once, refused is not run, an answer unless its box was hit, no denial of a route in force, nothing at a server two seconds after its drain was acknowledged, no way back to an older configuration; and that all boxes serve again at the end.

--- /dev/null
+++ b/testing/soak/Clients.h
@@ -0,0 +1,59 @@
+// Callers that send at every box for as long as a soak lasts, on connections
+// that they keep, and remember what each request was told.
+#pragma once
+
+#include "fleet/MeshFleet.h"
+
+#include <atomic>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace porttiller::soak {
+
+struct SentRequest
+{
+  std::string mId;
+  int mBox = 0;
+  bool mRepeatable = false;
+  std::string mPrefix; // of its route
+  std::string mBody;
+  TimePoint mSentAt;
+  TimePoint mEndedAt;
+  fleet::Reply mReply; // status 0: no answer
+};
+
+struct ClientOptions
+{
+  std::uint64_t mSeed = 1;
+  int mBoxes = 4;
+  int mPerBox = 3;
+};
+
+class Clients
+{
+public:
+  Clients(const fleet::MeshFleet& aFleet, ClientOptions aOptions);
+  ~Clients();
+  Clients(const Clients&) = delete;
+  Clients& operator=(const Clients&) = delete;
+
+  // The route that a change adds is asked for, too, from now on.
+  void ExpectRoute(const std::string& aPrefix);
+  // Waits for the last answers; returns all requests.
+  std::vector<SentRequest> Stop();
+
+private:
+  void Run(int aClient);
+
+  const fleet::MeshFleet& mFleet;
+  const ClientOptions mOptions;
+  std::atomic<bool> mStop{ false };
+  std::mutex mMutex;
+  std::string mExtraPrefix;           // under mMutex
+  std::vector<SentRequest> mRequests; // under mMutex
+  std::vector<std::thread> mThreads;
+};
+
+} // namespace porttiller::soak
--- /dev/null
+++ b/testing/soak/Schedule.cpp
@@ -0,0 +1,104 @@
+#include "soak/Schedule.h"
+
+#include <algorithm>
+#include <random>
+
+namespace porttiller::soak {
+
+namespace {
+
+constexpr int kMinLengthMs = 300;
+constexpr int kMaxLengthMs = 3000;
+// A stopped box needs its whole drain before it is started again.
+constexpr Millis kStopLength{ 4500 };
+// A draining server goes on for two seconds after the acknowledgement.
+constexpr Millis kReplaceLength{ 3500 };
+// One fault in four hits the same box as the one before, as series do.
+constexpr int kSameBoxOneIn = 4;
+
+Millis
+LengthOf(FaultKind aKind, int aDrawn)
+{
+  switch (aKind) {
+    case FaultKind::kStopBox:
+      return kStopLength;
+    case FaultKind::kReplaceServer:
+      return kReplaceLength;
+    default:
+      return Millis(aDrawn);
+  }
+}
+
+} // namespace
+
+const char*
+ToText(FaultKind aKind)
+{
+  switch (aKind) {
+    case FaultKind::kKillBox:
+      return "kill-box";
+    case FaultKind::kStopBox:
+      return "stop-box";
+    case FaultKind::kPauseBox:
+      return "pause-box";
+    case FaultKind::kReloadBox:
+      return "reload-box";
+    case FaultKind::kStoreDown:
+      return "store-down";
+    case FaultKind::kStoreCut:
+      return "store-cut";
+    case FaultKind::kStoreCutOneWay:
+      return "store-cut-one-way";
+    case FaultKind::kStoreReset:
+      return "store-reset";
+    case FaultKind::kStoreForgets:
+      return "store-forgets";
+    case FaultKind::kStoreLosesWrite:
+      return "store-loses-write";
+    case FaultKind::kServerCut:
+      return "server-cut";
+    case FaultKind::kServerCutOneWay:
+      return "server-cut-one-way";
+    case FaultKind::kServerReset:
+      return "server-reset";
+    case FaultKind::kServerSlow:
+      return "server-slow";
+    case FaultKind::kServerFull:
+      return "server-full";
+    case FaultKind::kServerSpoils:
+      return "server-spoils";
+    case FaultKind::kReplaceServer:
+      return "replace-server";
+    case FaultKind::kConfigure:
+      break;
+  }
+  return "configure";
+}
+
+std::vector<Fault>
+MakeSchedule(const ScheduleOptions& aOptions)
+{
+  // The engine's numbers are the same everywhere, a distribution's need not be.
+  std::mt19937_64 random(aOptions.mSeed);
+  const auto draw = [&](int aBelow) {
+    return static_cast<int>(random() % static_cast<std::uint64_t>(aBelow));
+  };
+  std::vector<Fault> faults;
+  int box = 0;
+  Millis at{ 0 };
+  for (;;) {
+    at += Millis(1 + draw(2 * static_cast<int>(aOptions.mMeanGap.count())));
+    const auto kind = static_cast<FaultKind>(draw(kFaultKinds));
+    box = draw(kSameBoxOneIn) == 0 ? box : draw(aOptions.mBoxes);
+    const auto length =
+      LengthOf(kind, kMinLengthMs + draw(kMaxLengthMs - kMinLengthMs));
+    if (at >= aOptions.mLength) {
+      return faults;
+    }
+    if (at + length <= aOptions.mLength) {
+      faults.push_back({ at, length, kind, box });
+    }
+  }
+}
+
+} // namespace porttiller::soak
