Send nothing to a suspected box while others would take it

Entries went on sending to a suspect for the three seconds that it has to refute.

Change: a suspect counts as unusable for requests as a dead box does, until it refutes; it stays a member and is probed.

Ruled out: a shorter time to refute, which would call slow boxes dead.

Test: MembershipTest "Nothing is sent to a suspect while others would take it".

--- a/packages/node/src/MembershipController.cpp
+++ b/packages/node/src/MembershipController.cpp
@@ -102,16 +102,14 @@
   ProbeNext();
 }
 
-// The entry avoids boxes that are gone and paths that are cut.
+// The entry avoids boxes that are gone or suspected, and paths that are cut.
 void
 MembershipController::RefreshUsable(const BoxName& aBox)
 {
   bool usable = true;
   {
     const std::lock_guard lock(mMutex);
-    const auto state = mMembership.StateOf(aBox);
-    usable = state != MemberState::kDead && state != MemberState::kLeaving &&
-             mMembership.PathWorks(aBox);
+    usable = mMembership.WorthSending(aBox);
   }
   mView.SetBoxUsable(aBox, usable || aBox == mSettings.mBox);
 }
--- a/packages/policy/include/porttiller/policy/Membership.h
+++ b/packages/policy/include/porttiller/policy/Membership.h
@@ -90,6 +90,9 @@
   Incarnation LifeOf(const BoxName& aBox) const;
   // False while only others reach it.
   bool PathWorks(const BoxName& aBox) const;
+  // Whether requests should go there while other boxes would take them: a
+  // suspect may still refute, but what is lost on the way to it stays lost.
+  bool WorthSending(const BoxName& aBox) const;
   // Neither dead nor leaving, self included.
   std::vector<BoxName> LiveBoxes() const;
   std::size_t Size() const { return mMembers.size(); }
--- a/packages/policy/src/Membership.cpp
+++ b/packages/policy/src/Membership.cpp
@@ -306,6 +306,12 @@
   return it != mMembers.end() && it->second.mPathWorks;
 }
 
+bool
+Membership::WorthSending(const BoxName& aBox) const
+{
+  return StateOf(aBox) == MemberState::kAlive && PathWorks(aBox);
+}
+
 std::vector<BoxName>
 Membership::LiveBoxes() const
 {
--- a/packages/policy/tests/MembershipTest.cpp
+++ b/packages/policy/tests/MembershipTest.cpp
@@ -205,3 +205,22 @@
   }
   CHECK(probed);
 }
+
+TEST_CASE("Nothing is sent to a suspect while others would take it")
+{
+  // Found on days with many boxes cut off: requests that may run once were lost
+  // on the way to a box for the three seconds that it had to refute.
+  auto a = MakeMember(kBoxes[0]);
+  a.OnReached(kBoxes[1], Incarnation(1));
+  CHECK(a.WorthSending(kBoxes[1]));
+  a.OnUpdates({ { .mBox = kBoxes[1],
+                  .mIncarnation = Incarnation(1),
+                  .mState = MemberState::kSuspect } },
+              kStart);
+  CHECK_FALSE(a.WorthSending(kBoxes[1]));
+  a.OnUpdates({ { .mBox = kBoxes[1],
+                  .mIncarnation = Incarnation(1),
+                  .mRefutation = 1 } },
+              kStart);
+  CHECK(a.WorthSending(kBoxes[1]));
+}
