One copy of a listener's refusals, in a file of its own

HttpConnection::MakeRefusal and the listener's Refusal were twins; both call MakeRefusal of ListenerRefusal.cpp now.

--- a/packages/http/src/HttpConnectionPriv.cpp
+++ b/packages/http/src/HttpConnectionPriv.cpp
@@ -1,5 +1,7 @@
 #include "HttpConnectionPriv.h"
 
+#include "ListenerRefusalPriv.h"
+
 #include <Poco/Exception.h>
 #include <algorithm>
 #include <array>
@@ -129,16 +131,6 @@
   ReleaseIfEmpty(mIn);
 }
 
-HttpReply
-HttpConnection::MakeRefusal(ListenerRefusal aRefusal) const
-{
-  if (mOptions.mRefuse) {
-    return mOptions.mRefuse(aRefusal);
-  }
-  return { .mAnswer = { .mStatus = StatusOf(aRefusal),
-                        .mBody = std::string(ToText(aRefusal)) + "\n" } };
-}
-
 // Ends the connection with an answer to what could not be read as a request.
 void
 HttpConnection::Refuse(ListenerRefusal aRefusal)
@@ -148,7 +140,7 @@
   call->mDispatched = true;
   call->mDone = true;
   call->mClose = true;
-  call->mAnswer = MakeRefusal(aRefusal).mAnswer;
+  call->mAnswer = MakeRefusal(mOptions, aRefusal).mAnswer;
   mCalls.push_back(std::move(call));
   Flush();
 }
--- a/packages/http/src/HttpConnectionPriv.h
+++ b/packages/http/src/HttpConnectionPriv.h
@@ -87,7 +87,6 @@
   void SendOut();
   void Linger();
   void AbandonLocked();
-  HttpReply MakeRefusal(ListenerRefusal aRefusal) const;
 
   const HttpListenerOptions& mOptions;
   const ConnectionLimits mLimits;
--- a/packages/http/src/HttpListener.cpp
+++ b/packages/http/src/HttpListener.cpp
@@ -1,6 +1,7 @@
 #include "porttiller/http/HttpListener.h"
 
 #include "HttpConnectionPriv.h"
+#include "ListenerRefusalPriv.h"
 #include "SocketsPriv.h"
 
 #include <Poco/Exception.h>
@@ -31,46 +32,6 @@
 
 } // namespace
 
-const char*
-ToText(ListenerRefusal aRefusal)
-{
-  switch (aRefusal) {
-    case ListenerRefusal::kMalformed:
-      return "malformed-request";
-    case ListenerRefusal::kHeadTooLarge:
-      return "headers-too-large";
-    case ListenerRefusal::kBodyTooLarge:
-      return "body-too-large";
-    case ListenerRefusal::kSlowHead:
-      return "request-too-slow";
-    case ListenerRefusal::kNoWorker:
-      return "no-worker";
-    case ListenerRefusal::kHandlerFailed:
-      break;
-  }
-  return "internal-error";
-}
-
-int
-StatusOf(ListenerRefusal aRefusal)
-{
-  switch (aRefusal) {
-    case ListenerRefusal::kMalformed:
-      return 400;
-    case ListenerRefusal::kHeadTooLarge:
-      return 431;
-    case ListenerRefusal::kBodyTooLarge:
-      return 413;
-    case ListenerRefusal::kSlowHead:
-      return 408;
-    case ListenerRefusal::kNoWorker:
-      return 503;
-    case ListenerRefusal::kHandlerFailed:
-      break;
-  }
-  return 500;
-}
-
 // The reading thread and the workers. Owned by the listener.
 class HttpListener::Loop
 {
@@ -110,7 +71,6 @@
                 const std::vector<PendingCallPtr>& aCalls);
   void Serve(const HttpConnectionPtr& aConnection, const PendingCallPtr& aCall);
   HttpReply RunHandler(PendingCall& aCall);
-  HttpReply Refusal(ListenerRefusal aRefusal) const;
   bool Quiet() const;
   ConnectionLimits Limits()
   {
@@ -334,22 +294,13 @@
       job.release(); // NOLINT(bugprone-unused-return-value): it owns itself
     } catch (const Poco::NoThreadAvailableException&) {
       const auto next = aConnection->Complete(
-        call, Refusal(ListenerRefusal::kNoWorker), mDraining);
+        call, MakeRefusal(mOptions, ListenerRefusal::kNoWorker), mDraining);
       --mOpenCalls;
       Dispatch(aConnection, next);
     }
   }
 }
 
-HttpReply
-HttpListener::Loop::Refusal(ListenerRefusal aRefusal) const
-{
-  if (mOptions.mRefuse) {
-    return mOptions.mRefuse(aRefusal);
-  }
-  return { .mAnswer = { .mStatus = StatusOf(aRefusal) } };
-}
-
 HttpReply
 HttpListener::Loop::RunHandler(PendingCall& aCall)
 {
@@ -359,7 +310,7 @@
     if (mOptions.mOnException) {
       mOptions.mOnException(e.what());
     }
-    return Refusal(ListenerRefusal::kHandlerFailed);
+    return MakeRefusal(mOptions, ListenerRefusal::kHandlerFailed);
   }
 }
 
