--- a/packages/policy/tests/MembershipTest.cpp
+++ b/packages/policy/tests/MembershipTest.cpp
@@ -192,8 +192,10 @@
 
 TEST_CASE("A box that was not reached is probed again soon in a large fleet")
 {
+  constexpr int kCount = 100;
   std::vector<BoxName> boxes;
-  for (int i = 0; i < 100; ++i) {
+  boxes.reserve(kCount);
+  for (int i = 0; i < kCount; ++i) {
     boxes.emplace_back("box-" + std::to_string(i));
   }
   Membership a(boxes[0], Incarnation(1));
