--- a/packages/policy/tests/MembershipTest.cpp
+++ b/packages/policy/tests/MembershipTest.cpp
@@ -220,9 +220,8 @@
                   .mState = MemberState::kSuspect } },
               kStart);
   CHECK_FALSE(a.WorthSending(kBoxes[1]));
-  a.OnUpdates({ { .mBox = kBoxes[1],
-                  .mIncarnation = Incarnation(1),
-                  .mRefutation = 1 } },
-              kStart);
+  a.OnUpdates(
+    { { .mBox = kBoxes[1], .mIncarnation = Incarnation(1), .mRefutation = 1 } },
+    kStart);
   CHECK(a.WorthSending(kBoxes[1]));
 }
