--- a/packages/policy/tests/MembershipTest.cpp
+++ b/packages/policy/tests/MembershipTest.cpp
@@ -164,9 +164,9 @@
 
 TEST_CASE("A box that was not reached is used again once others say it lives")
 {
-  // Found on the grown fleets (FLOOR): after many boxes were killed at once,
-  // those that had probed one of them in that second kept away from it until
-  // their own next probe of it, one for each box of the fleet later.
+  // Found while looking for a broken floor on the grown fleets: whoever had
+  // probed a box in the second it was away kept from it until its own next
+  // probe, which comes once for each box of the fleet.
   auto a = MakeMember(kBoxes[0]);
   a.OnReached(kBoxes[1], Incarnation(1));
   a.OnNotReached(kBoxes[1], kStart);
