--- a/packages/node/src/ServerCall.cpp
+++ b/packages/node/src/ServerCall.cpp
@@ -2,6 +2,8 @@
 
 #include "porttiller/node/HopHeaders.h"
 
+#include <algorithm>
+
 namespace porttiller {
 
 namespace {
--- a/packages/node/tests/ConfigControllerTest.cpp
+++ b/packages/node/tests/ConfigControllerTest.cpp
@@ -43,6 +43,35 @@
   return std::move(*made);
 }
 
+Settings
+OwnSettings()
+{
+  Settings settings;
+  settings.mBox = BoxName("own");
+  settings.mPlatformAddress = kNoPlatform;
+  return settings;
+}
+
+// The box under test. As in a node, its transport ends before its controller:
+// what is still asked must not call back later.
+struct OwnBox
+{
+  OwnBox() = default;
+  ~OwnBox()
+  {
+    mController.Stop();
+    mTransport.reset();
+  }
+  OwnBox(const OwnBox&) = delete;
+  OwnBox& operator=(const OwnBox&) = delete;
+
+  const Settings mSettings = OwnSettings();
+  std::unique_ptr<PeerTransport> mTransport =
+    MakePeer(kOwnAddress, "own", false);
+  Metrics mMetrics;
+  ConfigController mController{ mSettings, *mTransport, mMetrics, kNoPeers };
+};
+
 bool
 WaitRevision(const ConfigController& aController, std::uint64_t aRevision)
 {
@@ -63,18 +92,12 @@
   // peer held its one question open.
   const auto silent = MakePeer(kSilentAddress, "silent", false);
   const auto answering = MakePeer(kAnsweringAddress, "answering", true);
-  auto own = MakePeer(kOwnAddress, "own", false);
-  Settings settings;
-  settings.mBox = BoxName("own");
-  settings.mPlatformAddress = kNoPlatform;
-  Metrics metrics;
-  ConfigController controller(settings, *own, metrics, kNoPeers);
+  OwnBox own;
+  auto& controller = own.mController;
   controller.Start();
   controller.OnPeerRevision({ .mAddress = kSilentAddress, .mRevision = 5 });
   controller.OnPeerRevision({ .mAddress = kAnsweringAddress, .mRevision = 5 });
   CHECK(WaitRevision(controller, 5));
-  controller.Stop();
-  own.reset(); // as in a node: what is still asked must not call back later
 }
 
 TEST_CASE("What a peer tells before the start is in force, and heard of later")
@@ -82,12 +105,8 @@
   // Found by a fleet test: a box that started among running ones ended with
   // bad_function_call when a peer's change came before its own start was done.
   const auto answering = MakePeer(kAnsweringAddress, "answering", true);
-  auto own = MakePeer(kOwnAddress, "own", false);
-  Settings settings;
-  settings.mBox = BoxName("own");
-  settings.mPlatformAddress = kNoPlatform;
-  Metrics metrics;
-  ConfigController controller(settings, *own, metrics, kNoPeers);
+  OwnBox own;
+  auto& controller = own.mController;
   controller.OnPeerRevision({ .mAddress = kAnsweringAddress, .mRevision = 5 });
   REQUIRE(WaitRevision(controller, 5));
   std::atomic<std::uint64_t> heard{ 0 };
@@ -95,6 +114,4 @@
     [&](const SnapshotPtr& aSnapshot) { heard = aSnapshot->mRevision; });
   controller.Start();
   CHECK(heard == 5);
-  controller.Stop();
-  own.reset(); // as in a node: what is still asked must not call back later
 }
