Turn away what waits for a server that leaves

Ruled out: requests admitted after the ack, of which the reports show none. A stopping box also took requests that may run once and may outlast it; it now takes them as the last resort only, so that capacity is not lost.

Both cases of LocalServerTest failed first.

--- a/packages/node/include/porttiller/node/LocalServer.h
+++ b/packages/node/include/porttiller/node/LocalServer.h
@@ -49,7 +49,8 @@
   // it was waiting, and so will not run.
   bool CancelWaiting(const AttemptId& aAttempt);
 
-  // From now on every new request is refused; running ones go on.
+  // From now on every new request is refused, and so are those that wait for a
+  // slot; running ones go on.
   void SetLeaving(bool aLeaving);
 
   // The ejection machine's events; see EjectionMachine.
@@ -76,6 +77,7 @@
     kWaiting,
     kStarted,
     kGivenUp,
+    kTurnedAway, // the server leaves
     kExpired
   };
 
@@ -99,6 +101,8 @@
              Micros aTime);
   void FreeSlot(std::optional<Micros> aServiceTime);
   void Mark(Ticket aTicket, WaitState aState);
+  void TurnWaitersAway();
+  bool EndsTooSoonFor(const HomeRequest& aRequest) const;
   double LoadLocked() const;
   HomeAnswer RefuseLocked(Refusal aRefusal, Millis aRetryAfter) const;
 
--- a/packages/node/src/LocalServer.cpp
+++ b/packages/node/src/LocalServer.cpp
@@ -76,6 +76,21 @@
 {
   const std::lock_guard lock(mMutex);
   mLeaving = aLeaving;
+  if (mLeaving) {
+    TurnWaitersAway();
+  }
+}
+
+// A waiting request would reach the server seconds after its box promised that
+// none will; another server may still take it.
+void
+LocalServer::TurnWaitersAway()
+{
+  for (const auto& [ticket, waiter] : mWaiters) {
+    if (waiter.mState == WaitState::kWaiting && mQueue.Cancel(ticket)) {
+      Mark(ticket, WaitState::kTurnedAway);
+    }
+  }
 }
 
 std::string
@@ -282,12 +297,24 @@
 LocalServer::RefuseBroken(const HomeRequest& aRequest)
 {
   const auto now = Now();
+  if (EndsTooSoonFor(aRequest)) {
+    return RefuseLocked(Refusal::kDemoted, kLeavingRetryAfter);
+  }
   if (mBreaker.Admit(aRequest, now)) {
     return std::nullopt;
   }
   return RefuseLocked(Refusal::kDemoted, mBreaker.RetryAfter(now));
 }
 
+// A box that is stopped may have to break off what hangs at its server. What
+// may run only once goes elsewhere, unless no other server would take it.
+bool
+LocalServer::EndsTooSoonFor(const HomeRequest& aRequest) const
+{
+  return !aRequest.mRepeatable && !aRequest.mLastResort &&
+         mCutoff.Limit(aRequest.mDeadline) < aRequest.mDeadline;
+}
+
 std::optional<HomeAnswer>
 LocalServer::RefuseAside(const HomeRequest& aRequest)
 {
@@ -323,6 +350,8 @@
       return std::nullopt;
     case WaitState::kGivenUp:
       return RefuseLocked(Refusal::kOverloaded, waiter.mRetryAfter);
+    case WaitState::kTurnedAway:
+      return RefuseLocked(Refusal::kLeaving, kLeavingRetryAfter);
     case WaitState::kWaiting:
       mQueue.Cancel(aTicket);
       break;
--- /dev/null
+++ b/packages/node/tests/LocalServerTest.cpp
@@ -0,0 +1,124 @@
+#include "porttiller/node/LocalServer.h"
+
+#include "porttiller/http/HttpListener.h"
+
+#include <atomic>
+#include <doctest/doctest.h>
+#include <future>
+#include <thread>
+
+using namespace porttiller;
+
+namespace {
+
+constexpr const char* kAddress = "127.0.0.1:22981";
+constexpr Millis kPoll{ 2 };
+constexpr Millis kLong{ 20'000 };
+
+// A backend server with one slot whose requests run until they are let go.
+class OneSlotServer
+{
+public:
+  OneSlotServer()
+    : mListener(*HttpListener::Make(
+        { .mAddress = kAddress },
+        [this](const HttpCall& aCall) { return Serve(aCall); }))
+    , mServer({ .mName = BackendServerName("s"),
+                .mService = ServiceName("ledger"),
+                .mBox = BoxName("a"),
+                .mAddress = kAddress },
+              { .mFailingServers = FailingServers::kBreak,
+                .mHeaders = { .mServerDeadline = "X-Deadline" } },
+              mCutoff)
+  {
+  }
+
+  ~OneSlotServer() { mLetGo = true; }
+
+  std::future<HomeAnswer> Begin(const HomeRequest& aRequest)
+  {
+    return std::async(std::launch::async,
+                      [this, aRequest] { return mServer.Run(aRequest); });
+  }
+
+  // Waits until so many requests run or wait.
+  void AwaitInFlight(int aCount) const
+  {
+    const auto bound = Now() + kLong;
+    while (mServer.InFlight() < aCount && Now() < bound) {
+      std::this_thread::sleep_for(kPoll);
+    }
+    CHECK(mServer.InFlight() == aCount);
+  }
+
+  Cutoff mCutoff;
+  std::atomic<bool> mLetGo{ false };
+
+private:
+  HttpReply Serve(const HttpCall& aCall) const
+  {
+    while (!mLetGo && !*aCall.mCancelled) {
+      std::this_thread::sleep_for(kPoll);
+    }
+    return { .mAnswer = { .mStatus = 200 } };
+  }
+
+  std::unique_ptr<HttpListener> mListener;
+
+public:
+  LocalServer mServer;
+};
+
+HomeRequest
+Request(std::uint64_t aNumber, bool aRepeatable = false)
+{
+  HomeRequest request{ .mAttempt =
+                         AttemptId(BoxName("b"), Incarnation(1), aNumber),
+                       .mServer = BackendServerName("s"),
+                       .mRepeatable = aRepeatable,
+                       .mDeadline = Now() + kLong };
+  request.mHttp = { .mMethod = "GET",
+                    .mTarget = "/",
+                    .mHeaders = { { "Host", "ledger" } } };
+  return request;
+}
+
+} // namespace
+
+TEST_CASE("A server that leaves turns away what waits for its slot")
+{
+  OneSlotServer server;
+  auto running = server.Begin(Request(1));
+  server.AwaitInFlight(1);
+  auto waiting = server.Begin(Request(2));
+  server.AwaitInFlight(2);
+
+  server.mServer.SetLeaving(true);
+  const auto turnedAway = waiting.get(); // while the first one still runs
+  CHECK(turnedAway.mOutcome == Outcome::kNotRun);
+  CHECK(turnedAway.mRefusal == Refusal::kLeaving);
+  CHECK(server.mServer.InFlight() == 1);
+
+  server.mLetGo = true;
+  CHECK(running.get().mOutcome == Outcome::kRun);
+}
+
+TEST_CASE("A box that is stopped takes what may run once as the last resort")
+{
+  OneSlotServer server;
+  server.mLetGo = true;
+  server.mCutoff.Set(Now() + kLong / 2);
+
+  const auto once = server.Begin(Request(1)).get();
+  CHECK(once.mOutcome == Outcome::kNotRun);
+  CHECK(once.mRefusal == Refusal::kDemoted);
+  CHECK(server.Begin(Request(2, true)).get().mOutcome == Outcome::kRun);
+
+  auto lastResort = Request(3);
+  lastResort.mLastResort = true;
+  CHECK(server.Begin(lastResort).get().mOutcome == Outcome::kRun);
+
+  auto brief = Request(4);
+  brief.mDeadline = Now() + kLong / 4; // it ends before the box does
+  CHECK(server.Begin(brief).get().mOutcome == Outcome::kRun);
+}
