Pass on what a new document changes, and compress large messages

Cause: every version of the operator's document gave all its objects a new version, so each box was sent the whole configuration by a peer at each change: most of the control bytes between zones. Objects of a document now keep the version since which they are unchanged, what is gone leaves a tombstone, and a node that holds a revision this one never held gets the full set. The digest counts contents.

What is left of control traffic is not split by kind yet.

--- a/packages/config/include/porttiller/config/ObjectSet.h
+++ b/packages/config/include/porttiller/config/ObjectSet.h
@@ -1,11 +1,12 @@
 // The configuration objects that a node holds, ordered by the platform's
-// store-wide revision. The set at revision R is the same on every node, so a
-// revision number alone tells two nodes who is behind.
+// store-wide revision. The set at revision R has the same contents on every
+// node, so a revision number alone tells two nodes who is behind.
 #pragma once
 
 #include <compare>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <tl/expected.hpp>
 #include <vector>
@@ -24,7 +25,9 @@
 struct Object
 {
   ObjectKey mKey;
-  std::uint64_t mVersion = 0; // the store's revision when it was written
+  // The store's revision when it was written. Of an object of a document: a
+  // revision since which its holder has seen it unchanged.
+  std::uint64_t mVersion = 0;
   bool mDeleted = false;
   std::string mSpecJson;
 
@@ -38,6 +41,9 @@
   std::uint64_t mFrom = 0;
   std::uint64_t mTo = 0;
   bool mFull = false;
+  // The objects come from one document that is written as a whole. Revisions
+  // between mFrom and mTo may then have had contents that are not told here.
+  bool mOfDocument = false;
   std::vector<Object> mObjects;
   // Where the store's next watch goes on; at or after mTo.
   std::uint64_t mCursor = 0;
@@ -55,6 +61,9 @@
 {
   // Tombstones kept for deltas; older nodes get the full set instead.
   std::size_t mMaxTombstones = 4096;
+  // Revisions of a document that are remembered as held; a node that holds
+  // another one gets the full set.
+  std::size_t mMaxHeld = 64;
 };
 
 // Owned by the configuration controller, under its lock.
@@ -64,7 +73,7 @@
   explicit ObjectSet(ObjectSetOptions aOptions = {});
 
   std::uint64_t Revision() const { return mRevision; }
-  // Hash over all objects, to check that equal revisions mean equal sets.
+  // Hash over all contents, to check that equal revisions mean equal sets.
   std::uint64_t Digest() const { return mDigest; }
   std::size_t Size() const { return mObjects.size(); }
 
@@ -80,16 +89,26 @@
   const Object* Find(const ObjectKey& aKey) const;
 
 private:
-  void Put(const Object& aObject, std::vector<ObjectKey>& aChanged);
+  using Objects = std::map<ObjectKey, Object>;
+
+  void Put(const Object& aObject,
+           bool aOfDocument,
+           std::vector<ObjectKey>& aChanged);
   void DropAbsent(const ObjectDelta& aFull, std::vector<ObjectKey>& aChanged);
+  Objects::iterator Forget(Objects::iterator aObject);
+  Objects::iterator Bury(Objects::iterator aObject, std::uint64_t aVersion);
   void TrimTombstones();
+  void NoteHeld(bool aOfDocument);
+  bool CoversFrom(std::uint64_t aFrom) const;
 
   ObjectSetOptions mOptions;
   std::uint64_t mRevision = 0;
   std::uint64_t mDigest = 0;
   std::uint64_t mCompacted = 0; // deltas from before this are full
-  std::map<ObjectKey, Object> mObjects;
-  std::map<std::uint64_t, ObjectKey> mTombstones; // by version
+  bool mOfDocument = false;      // of the last delta
+  std::set<std::uint64_t> mHeld; // newest revisions of a document
+  Objects mObjects;
+  std::set<std::pair<std::uint64_t, ObjectKey>> mTombstones; // by version
 };
 
 } // namespace porttiller
--- a/packages/config/src/ObjectSet.cpp
+++ b/packages/config/src/ObjectSet.cpp
@@ -1,18 +1,20 @@
 #include "porttiller/config/ObjectSet.h"
 
-#include <set>
 #include <xxhash.h>
 
 namespace porttiller {
 
 namespace {
 
-// Order does not matter: the digest of a set is the xor over its objects.
+// Order does not matter: the digest of a set is the xor over its objects. Two
+// nodes may know a content since different revisions, so it counts alone.
 std::uint64_t
 DigestOf(const Object& aObject)
 {
   const auto& key = aObject.mKey;
-  const auto kind = XXH64(key.mKind.data(), key.mKind.size(), aObject.mVersion);
+  const auto& spec = aObject.mSpecJson;
+  const auto content = XXH64(spec.data(), spec.size(), 0);
+  const auto kind = XXH64(key.mKind.data(), key.mKind.size(), content);
   return XXH64(key.mName.data(), key.mName.size(), kind);
 }
 
@@ -39,23 +41,52 @@
   if (aDelta.mTo <= mRevision) {
     return tl::make_unexpected(ApplyError::kStale);
   }
-  if (!aDelta.mFull && aDelta.mFrom > mRevision) {
+  // The sender may never have seen what a document held in between.
+  const bool joins = aDelta.mOfDocument ? aDelta.mFrom == mRevision
+                                        : aDelta.mFrom <= mRevision;
+  if (!aDelta.mFull && !joins) {
     return tl::make_unexpected(ApplyError::kGap);
   }
   std::vector<ObjectKey> changed;
-  for (const auto& object : aDelta.mObjects) {
-    Put(object, changed);
+  for (auto object : aDelta.mObjects) {
+    if (aDelta.mFull && aDelta.mOfDocument) {
+      // What differs is new here, since whenever the sender may know it.
+      object.mVersion = aDelta.mTo;
+    }
+    Put(object, aDelta.mOfDocument, changed);
   }
   if (aDelta.mFull) {
     DropAbsent(aDelta, changed);
   }
   mRevision = aDelta.mTo;
   TrimTombstones();
+  NoteHeld(aDelta.mOfDocument);
   return changed;
 }
 
 void
-ObjectSet::Put(const Object& aObject, std::vector<ObjectKey>& aChanged)
+ObjectSet::NoteHeld(bool aOfDocument)
+{
+  mOfDocument = aOfDocument;
+  mHeld.insert(mRevision);
+  if (mHeld.size() > mOptions.mMaxHeld) {
+    mHeld.erase(mHeld.begin());
+  }
+}
+
+// Whether what has changed since aFrom is known here.
+bool
+ObjectSet::CoversFrom(std::uint64_t aFrom) const
+{
+  const bool known =
+    !mOfDocument || aFrom >= mRevision || mHeld.contains(aFrom);
+  return known && aFrom >= mCompacted;
+}
+
+void
+ObjectSet::Put(const Object& aObject,
+               bool aOfDocument,
+               std::vector<ObjectKey>& aChanged)
 {
   auto& held = mObjects[aObject.mKey];
   if (held.mVersion >= aObject.mVersion) {
@@ -64,12 +95,16 @@
   if (held.mVersion != 0 && !held.mDeleted) {
     mDigest ^= DigestOf(held);
   }
-  mTombstones.erase(held.mVersion);
+  mTombstones.erase({ held.mVersion, held.mKey });
   const bool same = held.mVersion != 0 && !held.mDeleted && !aObject.mDeleted &&
                     held.mSpecJson == aObject.mSpecJson;
+  if (same && aOfDocument) {
+    mDigest ^= DigestOf(held);
+    return; // known since its earlier version: whoever held that has it
+  }
   held = aObject;
   if (held.mDeleted) {
-    mTombstones[held.mVersion] = held.mKey;
+    mTombstones.emplace(held.mVersion, held.mKey);
   } else {
     mDigest ^= DigestOf(held);
   }
@@ -95,11 +130,34 @@
       mDigest ^= DigestOf(it->second);
       aChanged.push_back(it->first);
     }
-    mTombstones.erase(it->second.mVersion);
-    it = mObjects.erase(it);
+    it = aFull.mOfDocument ? Bury(it, aFull.mTo) : Forget(it);
+  }
+  if (!aFull.mOfDocument || mRevision == 0) {
+    // Deletions up to here are not known one by one.
+    mCompacted = aFull.mTo;
+  }
+}
+
+ObjectSet::Objects::iterator
+ObjectSet::Forget(Objects::iterator aObject)
+{
+  mTombstones.erase({ aObject->second.mVersion, aObject->first });
+  return mObjects.erase(aObject);
+}
+
+// Leaves a tombstone in place of an object that a document has no more.
+ObjectSet::Objects::iterator
+ObjectSet::Bury(Objects::iterator aObject, std::uint64_t aVersion)
+{
+  auto& object = aObject->second;
+  if (!object.mDeleted) {
+    object = { .mKey = aObject->first,
+               .mVersion = aVersion,
+               .mDeleted = true,
+               .mSpecJson = "" };
+    mTombstones.emplace(aVersion, aObject->first);
   }
-  // Deletions up to here are not known one by one.
-  mCompacted = aFull.mTo;
+  return std::next(aObject);
 }
 
 void
@@ -118,7 +176,8 @@
 {
   ObjectDelta delta{ .mFrom = aFrom,
                      .mTo = mRevision,
-                     .mFull = aFrom < mCompacted,
+                     .mFull = !CoversFrom(aFrom),
+                     .mOfDocument = mOfDocument,
                      .mObjects = {} };
   for (const auto& [key, object] : mObjects) {
     const bool wanted =
--- a/packages/config/tests/ObjectSetTest.cpp
+++ b/packages/config/tests/ObjectSetTest.cpp
@@ -122,3 +122,127 @@
   });
   CHECK(ok);
 }
+
+namespace {
+
+// One document, as operators write it: each revision has all objects anew.
+class Document
+{
+public:
+  void Write(const std::string& aName, bool aDelete)
+  {
+    auto next = mRevisions.back();
+    if (aDelete) {
+      next.erase(aName);
+    } else {
+      next[aName] = std::to_string(mRevisions.size() % 3); // also as before
+    }
+    mRevisions.push_back(next);
+  }
+
+  std::uint64_t Revision() const { return mRevisions.size() - 1; }
+
+  ObjectDelta Whole() const
+  {
+    ObjectDelta delta{ .mTo = Revision(), .mFull = true, .mOfDocument = true };
+    for (const auto& [name, spec] : mRevisions.back()) {
+      delta.mObjects.push_back({ .mKey = { "Route", name },
+                                 .mVersion = Revision(),
+                                 .mSpecJson = spec });
+    }
+    return delta;
+  }
+
+  void CheckMatches(const ObjectSet& aSet) const
+  {
+    const auto& held = mRevisions.at(aSet.Revision());
+    for (const char* name : { "a", "b", "c", "d" }) {
+      const auto* object = aSet.Find({ "Route", name });
+      const auto it = held.find(name);
+      RC_ASSERT((object != nullptr) == (it != held.end()));
+      if (object != nullptr) {
+        RC_ASSERT(object->mSpecJson == it->second);
+      }
+    }
+  }
+
+private:
+  std::vector<std::map<std::string, std::string>> mRevisions{ {} };
+};
+
+} // namespace
+
+TEST_CASE("Nodes that skip revisions of a document agree at each they hold")
+{
+  // Some read the document, each at revisions of its own; all take deltas from
+  // one another, late, doubled and in any order, and restart empty.
+  const bool ok = rc::check([] {
+    Document document;
+    const ObjectSetOptions options{ .mMaxTombstones = 2, .mMaxHeld = 3 };
+    std::vector<ObjectSet> nodes(3, ObjectSet(options));
+    std::vector<ObjectDelta> inFlight;
+    const auto steps = Draw(1, 60);
+    for (int step = 0; step < steps; ++step) {
+      auto& node = nodes[Draw<std::size_t>(0, nodes.size())];
+      const auto before = node.Revision();
+      switch (Draw(0, 5)) {
+        case 0:
+          document.Write(*rc::gen::element<std::string>("a", "b", "c", "d"),
+                         Draw(0, 3) == 0);
+          break;
+        case 1:
+          static_cast<void>(node.Apply(document.Whole()));
+          break;
+        case 2:
+          inFlight.push_back(nodes[Draw<std::size_t>(0, nodes.size())].Since(
+            nodes[Draw<std::size_t>(0, nodes.size())].Revision()));
+          break;
+        case 3:
+          if (!inFlight.empty()) {
+            static_cast<void>(
+              node.Apply(inFlight[Draw<std::size_t>(0, inFlight.size())]));
+          }
+          break;
+        default:
+          if (Draw(0, 4) == 0) {
+            node = ObjectSet(options);
+            continue;
+          }
+          break;
+      }
+      RC_ASSERT(node.Revision() >= before);
+      document.CheckMatches(node);
+    }
+    for (const auto& left : nodes) {
+      for (const auto& right : nodes) {
+        if (left.Revision() == right.Revision()) {
+          RC_ASSERT(left.Digest() == right.Digest());
+        }
+      }
+    }
+  });
+  CHECK(ok);
+}
+
+TEST_CASE("A new document tells peers what it changes, and no more")
+{
+  Document document;
+  for (const char* name : { "a", "b", "c" }) {
+    document.Write(name, false);
+  }
+  ObjectSet set;
+  REQUIRE(set.Apply(document.Whole()).has_value());
+  const auto held = set.Revision();
+  document.Write("b", false);
+  document.Write("c", true);
+  REQUIRE(set.Apply(document.Whole()).has_value());
+
+  const auto delta = set.Since(held);
+  CHECK_FALSE(delta.mFull);
+  REQUIRE(delta.mObjects.size() == 2);
+  CHECK(delta.mObjects[0].mKey.mName == "b");
+  CHECK(delta.mObjects[1].mKey.mName == "c");
+  CHECK(delta.mObjects[1].mDeleted);
+  CHECK(set.Since(held - 1).mFull); // a revision that it never held
+  CHECK(set.Since(set.Revision()).mObjects.empty());
+}
--- a/packages/node/src/ControlCodec.cpp
+++ b/packages/node/src/ControlCodec.cpp
@@ -38,6 +38,7 @@
   delta.set_from(aDelta.mFrom);
   delta.set_to(aDelta.mTo);
   delta.set_full(aDelta.mFull);
+  delta.set_of_document(aDelta.mOfDocument);
   for (const auto& object : aDelta.mObjects) {
     auto* item = delta.add_objects();
     item->set_kind(object.mKey.mKind);
@@ -54,7 +55,8 @@
 {
   ObjectDelta delta{ .mFrom = aDelta.from(),
                      .mTo = aDelta.to(),
-                     .mFull = aDelta.full() };
+                     .mFull = aDelta.full(),
+                     .mOfDocument = aDelta.of_document() };
   for (const auto& item : aDelta.objects()) {
     delta.mObjects.push_back({ .mKey = { item.kind(), item.name() },
                                .mVersion = item.version(),
--- a/packages/peer/include/porttiller/peer/PeerTransport.h
+++ b/packages/peer/include/porttiller/peer/PeerTransport.h
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <tl/expected.hpp>
@@ -45,7 +46,9 @@
   std::uint64_t mBytesSent = 0;
   std::uint64_t mBytesReceived = 0;
   std::uint64_t mLateReplies = 0; // dropped: nobody waits for them any more
+  std::uint64_t mUnreadable = 0;  // messages that were no envelopes
   std::uint64_t mLinks = 0;
+  std::map<wire::Envelope::BodyCase, std::uint64_t> mSentByKind; // bytes
 };
 
 using PeerResult = tl::expected<wire::Envelope, PeerError>;
--- a/packages/peer/src/PeerLoopPriv.cpp
+++ b/packages/peer/src/PeerLoopPriv.cpp
@@ -1,5 +1,7 @@
 #include "PeerLoopPriv.h"
 
+#include "MessageCodecPriv.h"
+
 #include <algorithm>
 #include <vector>
 
@@ -10,7 +12,6 @@
 constexpr const char* kWakeAddress = "inproc://wake";
 constexpr int kHighWaterMark = 256; // messages queued for one peer
 constexpr Millis kMaxPollWait{ 1000 };
-constexpr std::int64_t kMaxMessageBytes = 8 << 20;
 constexpr int kReconnectMs = 100;
 // A link over which a cut has lost bytes is made anew after this: TCP itself
 // would wait as long again as the cut has lasted.
@@ -109,7 +110,8 @@
   aRequest.set_from_box(mOptions.mBox.Value());
   aRequest.set_from_incarnation(mOptions.mIncarnation.Value());
   aRequest.set_correlation(command.mCorrelation);
-  command.mPayload = aRequest.SerializeAsString();
+  command.mKind = aRequest.body_case();
+  command.mPayload = EncodeMessage(aRequest);
   if (!Post(command)) {
     command.mCallback(
       tl::make_unexpected(MakeError(PeerErrorKind::kClosed, "stopping")));
@@ -219,14 +221,24 @@
 PeerLoop::SendRequest(PeerCommand aCommand)
 {
   auto& link = LinkTo(aCommand.mAddress);
-  const auto size = aCommand.mPayload.size();
   mPending[aCommand.mCorrelation] = { std::move(aCommand.mCallback),
                                       aCommand.mAddress };
   mDeadlines.emplace(aCommand.mDeadline, aCommand.mCorrelation);
   // A full queue drops the request; its time-out tells the caller.
   if (link.mSocket.send(zmq::buffer(aCommand.mPayload),
                         zmq::send_flags::dontwait)) {
-    mSent += size;
+    CountSent(aCommand);
+  }
+}
+
+void
+PeerLoop::CountSent(const PeerCommand& aCommand)
+{
+  const auto size = aCommand.mPayload.size();
+  mSent += size;
+  const auto kind = static_cast<std::size_t>(aCommand.mKind);
+  if (kind < mSentByKind.size()) {
+    mSentByKind.at(kind) += size;
   }
 }
 
@@ -236,7 +248,7 @@
   const auto more = zmq::send_flags::dontwait | zmq::send_flags::sndmore;
   if (mRouter.send(zmq::buffer(aCommand.mRoute), more) &&
       mRouter.send(zmq::buffer(aCommand.mPayload), zmq::send_flags::dontwait)) {
-    mSent += aCommand.mPayload.size();
+    CountSent(aCommand);
   }
 }
 
@@ -250,20 +262,21 @@
       continue;
     }
     mReceived += payload.size();
-    wire::Envelope request;
-    if (!request.ParseFromArray(payload.data(),
-                                static_cast<int>(payload.size()))) {
+    const auto request = DecodeMessage(payload.to_string_view());
+    if (!request) {
+      ++mUnreadable;
       continue;
     }
-    const auto correlation = request.correlation();
+    const auto correlation = request->correlation();
     mHandler(
-      request,
+      *request,
       [this, to = route.to_string(), correlation](wire::Envelope aReply) {
         aReply.set_from_box(mOptions.mBox.Value());
         aReply.set_from_incarnation(mOptions.mIncarnation.Value());
         aReply.set_correlation(correlation);
         PeerCommand reply{ .mRoute = to,
-                           .mPayload = aReply.SerializeAsString() };
+                           .mKind = aReply.body_case(),
+                           .mPayload = EncodeMessage(aReply) };
         Post(reply);
       });
   }
@@ -275,12 +288,12 @@
   zmq::message_t payload;
   while (aLink.mSocket.recv(payload, zmq::recv_flags::dontwait)) {
     mReceived += payload.size();
-    wire::Envelope reply;
-    if (!reply.ParseFromArray(payload.data(),
-                              static_cast<int>(payload.size()))) {
+    auto reply = DecodeMessage(payload.to_string_view());
+    if (!reply) {
+      ++mUnreadable;
       continue;
     }
-    const auto it = mPending.find(reply.correlation());
+    const auto it = mPending.find(reply->correlation());
     if (it == mPending.end()) {
       ++mLate;
       continue;
@@ -288,7 +301,7 @@
     const auto callback = std::move(it->second.mCallback);
     mPending.erase(it);
     --mPendingCount;
-    callback(std::move(reply));
+    callback(std::move(*reply));
   }
 }
 
@@ -334,10 +347,18 @@
 PeerTraffic
 PeerLoop::Traffic() const
 {
-  return { .mBytesSent = mSent,
-           .mBytesReceived = mReceived,
-           .mLateReplies = mLate,
-           .mLinks = mLinkCount };
+  PeerTraffic traffic{ .mBytesSent = mSent,
+                       .mBytesReceived = mReceived,
+                       .mLateReplies = mLate,
+                       .mUnreadable = mUnreadable,
+                       .mLinks = mLinkCount };
+  for (std::size_t kind = 0; kind < mSentByKind.size(); ++kind) {
+    if (mSentByKind.at(kind) > 0) {
+      traffic.mSentByKind[static_cast<wire::Envelope::BodyCase>(kind)] =
+        mSentByKind.at(kind);
+    }
+  }
+  return traffic;
 }
 
 } // namespace porttiller
--- a/packages/peer/src/PeerLoopPriv.h
+++ b/packages/peer/src/PeerLoopPriv.h
@@ -3,6 +3,7 @@
 
 #include "porttiller/peer/PeerTransport.h"
 
+#include <array>
 #include <atomic>
 #include <deque>
 #include <map>
@@ -13,11 +14,14 @@
 
 namespace porttiller {
 
+inline constexpr std::int64_t kMaxMessageBytes = 8 << 20; // unpacked, too
+
 // What other threads ask of the loop: a request to send, or a reply.
 struct PeerCommand
 {
   std::string mAddress; // of a request
   std::string mRoute;   // of a reply
+  wire::Envelope::BodyCase mKind = wire::Envelope::BODY_NOT_SET;
   std::string mPayload;
   std::uint64_t mCorrelation = 0;
   TimePoint mDeadline;
@@ -59,12 +63,15 @@
   PeerTraffic Traffic() const;
 
 private:
+  static constexpr std::size_t kKinds = 32; // field numbers of the bodies
+
   void Run();
   Millis PollWait() const;
   void PollOnce();
   void TakeCommands();
   void SendRequest(PeerCommand aCommand);
   void SendReply(const PeerCommand& aCommand);
+  void CountSent(const PeerCommand& aCommand);
   void ReceiveRequests();
   void ReceiveReplies(PeerLink& aLink);
   void Expire();
@@ -86,7 +93,9 @@
   bool mStopping = false;
   std::uint64_t mNextCorrelation = 1;
   std::atomic<std::uint64_t> mSent{ 0 };
+  std::array<std::atomic<std::uint64_t>, kKinds> mSentByKind{};
   std::atomic<std::uint64_t> mReceived{ 0 };
+  std::atomic<std::uint64_t> mUnreadable{ 0 };
   std::atomic<std::uint64_t> mLate{ 0 };
   std::atomic<std::uint64_t> mLinkCount{ 0 };
   std::atomic<std::size_t> mPendingCount{ 0 };
