Race what takes unusually long; break nothing off at the home

Cause: a repeatable request at a server that fails was given up by its home, whether or not another server could be had; without one the entry answered 504 with time left, and after a SIGTERM that is LOST.

Change: homes break nothing off. An entry sends a repeatable request to a second server once it outlasts nine in ten of its route's requests, as their homes tell with each answer (a log-normal fit by route); the first whole answer wins, the other attempt is cancelled. Repeatable attempts run on threads of a pool. Races take from the retry budget.

--- a/packages/node/include/porttiller/node/AttemptFilter.h
+++ b/packages/node/include/porttiller/node/AttemptFilter.h
@@ -2,6 +2,7 @@
 // final answer.
 #pragma once
 
+#include "porttiller/node/AttemptPool.h"
 #include "porttiller/node/Dispatcher.h"
 #include "porttiller/node/RequestContext.h"
 
@@ -30,6 +31,7 @@
   Dispatcher& mDispatcher;
   Metrics& mMetrics;
   AttemptNamer& mNamer;
+  AttemptPool& mPool;
 };
 
 // A caller that was told "unknown" asks again: its home says what became of
--- a/packages/node/include/porttiller/node/Dispatcher.h
+++ b/packages/node/include/porttiller/node/Dispatcher.h
@@ -9,7 +9,6 @@
 #include "porttiller/node/Metrics.h"
 #include "porttiller/peer/PeerTransport.h"
 
-#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -21,7 +20,8 @@
 struct AttemptAnswered
 {
   HttpAnswer mHttp;
-  double mLoad = 0.0; // of the server, as its home reports it
+  double mLoad = 0.0;     // of the server, as its home reports it
+  Micros mUsualTime{ 0 }; // nine in ten requests like it take no longer
 };
 
 // It was not run and will not be.
@@ -59,11 +59,9 @@
              Metrics& aMetrics,
              const Cutoff& aCutoff);
 
-  // Sends aRequest, filling in its home's incarnation. aMayMoveOn is asked
-  // when the attempt takes long and runs: true gives it up as unknown.
-  AttemptResult Send(const BoxSpec& aBox,
-                     HomeRequest aRequest,
-                     const std::function<bool()>& aMayMoveOn);
+  // Sends aRequest, filling in its home's incarnation, and waits for what
+  // becomes of it.
+  AttemptResult Send(const BoxSpec& aBox, HomeRequest aRequest);
 
   // Asks the home what became of an attempt.
   AttemptFate Query(const BoxSpec& aBox,
@@ -80,13 +78,10 @@
   AttemptFate Ask(const BoxSpec& aBox, wire::Envelope aQuestion);
   HttpPool& PoolOf(const BoxSpec& aBox);
   AttemptResult SendLocal(const HomeRequest& aRequest);
-  AttemptResult SendRemote(const BoxSpec& aBox,
-                           const HomeRequest& aRequest,
-                           const std::function<bool()>& aMayMoveOn);
+  AttemptResult SendRemote(const BoxSpec& aBox, const HomeRequest& aRequest);
   AttemptResult Await(const BoxSpec& aBox,
                       const HomeRequest& aRequest,
-                      HttpExchange& aExchange,
-                      const std::function<bool()>& aMayMoveOn);
+                      HttpExchange& aExchange);
   bool WaitReadable(const HomeRequest& aRequest,
                     HttpExchange& aExchange,
                     TimePoint aUntil) const;
--- a/packages/node/include/porttiller/node/EntryView.h
+++ b/packages/node/include/porttiller/node/EntryView.h
@@ -25,6 +25,13 @@
   std::optional<Millis> mClockOffset; // the home's clock less the entry's
 };
 
+// What the next attempt may be sent to.
+struct ChoiceTerms
+{
+  bool mMayFail = false;  // it may be a trial of a server that fails
+  bool mOpenOnly = false; // nothing may speak against the server
+};
+
 // Thread-safe: services and boxes are in shards, each under its own lock.
 class EntryView
 {
@@ -33,12 +40,11 @@
             RetrySettings aRetries,
             BalancerOptions aOptions);
 
-  // The server for the next attempt; null when none is left. aMayFail: the
-  // attempt may be a trial of a server that fails.
+  // The server for the next attempt; null when none is left.
   const BackendServerSpec* Choose(const Snapshot& aSnapshot,
                                   const ServiceEntry& aService,
                                   const AttemptPlan& aPlan,
-                                  bool aMayFail,
+                                  const ChoiceTerms& aTerms,
                                   TimePoint aNow);
 
   void OnSent(const BackendServerSpec& aServer);
@@ -67,6 +73,14 @@
   bool AffordsTrial(const ServiceName& aService) const;
   bool TryRetry(const ServiceName& aService);
 
+  // What homes tell of a route: nine in ten of its requests take no longer.
+  void OnUsualTime(const ServiceName& aService,
+                   const std::string& aRoute,
+                   Micros aTime);
+  // After this a repeatable request of the route is worth a second server.
+  Micros RaceDelay(const ServiceName& aService,
+                   const std::string& aRoute) const;
+
   std::string Dump() const;
 
 private:
@@ -89,6 +103,7 @@
     mutable std::mutex mMutex;
     std::map<BackendServerName, ServerView> mServers;
     std::map<ServiceName, RetryBudget> mBudgets;
+    std::map<std::string, Micros> mUsualTimes; // by route
   };
 
   struct BoxView
--- a/packages/node/include/porttiller/node/HomeTypes.h
+++ b/packages/node/include/porttiller/node/HomeTypes.h
@@ -13,9 +13,8 @@
 
 namespace porttiller {
 
-// Reasons of an unknown outcome that say something of the server's silence.
+// The reason of an unknown outcome that says something of a server's silence.
 inline constexpr const char* kTimeoutReason = "server-timeout";
-inline constexpr const char* kHangingReason = "server-hanging"; // given up
 
 // Why a home did not run an attempt.
 enum class Refusal
@@ -79,8 +78,11 @@
   Refusal mRefusal = Refusal::kNone;
   Millis mRetryAfter{ 0 }; // with a refusal
   double mLoad = 0.0;      // share of the server's slots in use or waited for
-  HttpAnswer mHttp;        // with kRun
-  std::string mReason;     // with kUnknown
+  // With kRun: nine in ten requests of the route take no longer here; zero
+  // while that is not known.
+  Micros mUsualTime{ 0 };
+  HttpAnswer mHttp;    // with kRun
+  std::string mReason; // with kUnknown
 };
 
 } // namespace porttiller
--- a/packages/node/include/porttiller/node/LocalServer.h
+++ b/packages/node/include/porttiller/node/LocalServer.h
@@ -10,6 +10,7 @@
 #include "porttiller/node/ServerBreaker.h"
 #include "porttiller/node/ServerCall.h"
 #include "porttiller/policy/EjectionMachine.h"
+#include "porttiller/policy/RouteTimes.h"
 #include "porttiller/policy/SlotQueue.h"
 
 #include <condition_variable>
@@ -115,6 +116,7 @@
   SlotQueue mQueue;
   EjectionMachine mMachine;
   std::map<Ticket, Waiter> mWaiters;
+  RouteTimes mRouteTimes;
   ServerBreaker mBreaker; // fed only where failing servers are broken off
   bool mReplaced = false;
   Ticket mNextTicket = 1;
--- a/packages/node/include/porttiller/node/Metrics.h
+++ b/packages/node/include/porttiller/node/Metrics.h
@@ -23,6 +23,8 @@
   void CountRequest(Outcome aOutcome);
   void CountRefusal(Refusal aRefusal);
   prometheus::Counter& Retries() { return *mRetries; }
+  // Attempts at a second server while the first one takes unusually long.
+  prometheus::Counter& Races() { return *mRaces; }
   prometheus::Counter& Revokes() { return *mRevokes; }
   prometheus::Counter& DroppedAnswers() { return *mDroppedAnswers; }
   prometheus::Counter& PlatformCalls() { return *mPlatformCalls; }
@@ -47,6 +49,7 @@
   std::array<prometheus::Counter*, 3> mRequests{};
   std::array<prometheus::Counter*, kRefusalCount> mRefusals{};
   prometheus::Counter* mRetries;
+  prometheus::Counter* mRaces;
   prometheus::Counter* mRevokes;
   prometheus::Counter* mDroppedAnswers;
   prometheus::Counter* mPlatformCalls;
--- a/packages/node/include/porttiller/node/ServerBreaker.h
+++ b/packages/node/include/porttiller/node/ServerBreaker.h
@@ -29,9 +29,6 @@
                Micros aTime,
                TimePoint aNow);
 
-  // A server that is known to fail need not be waited for any longer.
-  // Otherwise it may be the request that takes its time.
-  bool GivesUpAfter(Micros aTime) const;
   std::string Dump() const { return mBreaker.Dump(); }
 
 private:
--- a/packages/node/include/porttiller/node/ServerCall.h
+++ b/packages/node/include/porttiller/node/ServerCall.h
@@ -8,14 +8,9 @@
 #include "porttiller/node/Cutoff.h"
 #include "porttiller/node/HomeTypes.h"
 
-#include <functional>
 
 namespace porttiller {
 
-// Whether a request that may be repeated is given up after so long without an
-// answer.
-using PatienceCheck = std::function<bool(Micros)>;
-
 // Owned by LocalServer. Thread-safe.
 class ServerCall
 {
@@ -26,7 +21,7 @@
 
   // kNotRun only when the server got nothing, or says itself that it did not
   // run the request: kNoServer from another server at its address.
-  HomeAnswer Run(const HomeRequest& aRequest, const PatienceCheck& aGivesUp);
+  HomeAnswer Run(const HomeRequest& aRequest);
 
 private:
   HttpRequestData MakeRequest(const HomeRequest& aRequest) const;
--- a/packages/node/src/Dispatcher.cpp
+++ b/packages/node/src/Dispatcher.cpp
@@ -17,7 +17,9 @@
 {
   switch (aAnswer.mOutcome) {
     case Outcome::kRun:
-      return AttemptAnswered{ std::move(aAnswer.mHttp), aAnswer.mLoad };
+      return AttemptAnswered{ std::move(aAnswer.mHttp),
+                              aAnswer.mLoad,
+                              aAnswer.mUsualTime };
     case Outcome::kNotRun:
       return AttemptNotRun{ aAnswer.mRefusal, aAnswer.mRetryAfter };
     case Outcome::kUnknown:
@@ -116,9 +118,7 @@
 }
 
 AttemptResult
-Dispatcher::Send(const BoxSpec& aBox,
-                 HomeRequest aRequest,
-                 const std::function<bool()>& aMayMoveOn)
+Dispatcher::Send(const BoxSpec& aBox, HomeRequest aRequest)
 {
   if (aBox.mName == mSettings.mBox && !Lingers(aRequest)) {
     aRequest.mHomeIncarnation = mHome.OwnIncarnation();
@@ -127,7 +127,7 @@
   // A home may outlast the caller's deadline with a lingering request; the
   // entry must not, so it is sent as if to another box.
   aRequest.mHomeIncarnation = mView.LifeOf(aBox.mName).mIncarnation;
-  return SendRemote(aBox, aRequest, aMayMoveOn);
+  return SendRemote(aBox, aRequest);
 }
 
 AttemptResult
@@ -137,15 +137,13 @@
 }
 
 AttemptResult
-Dispatcher::SendRemote(const BoxSpec& aBox,
-                       const HomeRequest& aRequest,
-                       const std::function<bool()>& aMayMoveOn)
+Dispatcher::SendRemote(const BoxSpec& aBox, const HomeRequest& aRequest)
 {
   const auto offset = mView.LifeOf(aBox.mName).mClockOffset;
   const auto http = EncodeHomeRequest(aRequest, offset, Now());
   auto exchange = PoolOf(aBox).Begin(http, aRequest.mDeadline);
   if (exchange) {
-    return Await(aBox, aRequest, **exchange, aMayMoveOn);
+    return Await(aBox, aRequest, **exchange);
   }
   if (exchange.error() == ExchangeError::kBusy) {
     return AttemptNotRun{ Refusal::kOverloaded, kUnreachableRetryAfter };
@@ -171,8 +169,7 @@
 AttemptResult
 Dispatcher::Await(const BoxSpec& aBox,
                   const HomeRequest& aRequest,
-                  HttpExchange& aExchange,
-                  const std::function<bool()>& aMayMoveOn)
+                  HttpExchange& aExchange)
 {
   const auto patience = Now() + mSettings.mTiming.mAttemptPatience;
   if (WaitReadable(
@@ -192,7 +189,7 @@
        AttemptState::kRunning);
   if (!homeHasIt) {
     auto early = Settle(aBox, aRequest, "slow");
-    if (!std::holds_alternative<AttemptUnknown>(early) || aMayMoveOn()) {
+    if (!std::holds_alternative<AttemptUnknown>(early)) {
       return early;
     }
   }
--- a/packages/node/src/EntryView.cpp
+++ b/packages/node/src/EntryView.cpp
@@ -27,6 +27,13 @@
 // last one from a request that fails by surprise.
 constexpr int kRetriesForTrial = 2;
 constexpr double kPercent = 100.0;
+// A second server costs a trip; answers that come sooner are not worth it.
+constexpr Micros kMinRaceDelay{ 50'000 };
+// While no home has told how long a route's requests take.
+constexpr Micros kRaceUnknown{ 1'500'000 };
+// Of the target's 4,900 routes, spread over the shards, with room for those
+// that are replaced.
+constexpr std::size_t kMaxRoutesInShard = 1000;
 
 // How a refusal changes the use of the server; null when it says nothing
 // about the next request.
@@ -129,16 +136,21 @@
 EntryView::Choose(const Snapshot& aSnapshot,
                   const ServiceEntry& aService,
                   const AttemptPlan& aPlan,
-                  bool aMayFail,
+                  const ChoiceTerms& aTerms,
                   TimePoint aNow)
 {
   std::vector<Candidate> candidates;
   candidates.reserve(aService.mServers.size());
   for (const auto& server : aService.mServers) {
     candidates.push_back(
-      MakeCandidate(aSnapshot, server, aPlan, aMayFail, aNow));
+      MakeCandidate(aSnapshot, server, aPlan, aTerms.mMayFail, aNow));
   }
   auto chosen = ChooseServer(candidates, mOptions, Random(), Random());
+  if (aTerms.mOpenOnly) {
+    const bool open =
+      chosen && candidates[*chosen].mStanding == Standing::kOpen;
+    return open ? &aService.mServers[*chosen] : nullptr;
+  }
   if (!chosen && aPlan.Attempts() == 0) {
     // Every hint speaks against every server, and hints age: ask the homes.
     for (auto& candidate : candidates) {
@@ -290,6 +302,31 @@
   return shard.mBudgets[aService].TryRetry();
 }
 
+void
+EntryView::OnUsualTime(const ServiceName& aService,
+                       const std::string& aRoute,
+                       Micros aTime)
+{
+  auto& shard = ShardOf(aService);
+  const std::lock_guard lock(shard.mMutex);
+  const bool known = shard.mUsualTimes.contains(aRoute);
+  if (aTime > Micros(0) &&
+      (known || shard.mUsualTimes.size() < kMaxRoutesInShard)) {
+    shard.mUsualTimes[aRoute] = aTime;
+  }
+}
+
+Micros
+EntryView::RaceDelay(const ServiceName& aService,
+                     const std::string& aRoute) const
+{
+  auto& shard = ShardOf(aService);
+  const std::lock_guard lock(shard.mMutex);
+  const auto it = shard.mUsualTimes.find(aRoute);
+  return std::max<Micros>(
+    kMinRaceDelay, it == shard.mUsualTimes.end() ? kRaceUnknown : it->second);
+}
+
 std::string
 EntryView::Dump() const
 {
--- a/packages/node/src/HopCodec.cpp
+++ b/packages/node/src/HopCodec.cpp
@@ -99,7 +99,8 @@
   kClock,
   kLoad,
   kRetryAfter,
-  kReason
+  kReason,
+  kUsualTime
 };
 } // namespace answer_field
 
@@ -216,6 +217,9 @@
     .Add(static_cast<std::int64_t>(aAnswer.mLoad * kLoadScale))
     .Add(aAnswer.mRetryAfter.count())
     .Add(aAnswer.mReason);
+  if (aAnswer.mUsualTime > Micros(0)) {
+    fields.Add(std::chrono::ceil<Millis>(aAnswer.mUsualTime).count());
+  }
   return { { hop::kAnswerHop, fields.Take() } };
 }
 
@@ -243,6 +247,7 @@
     static_cast<double>(fields.Number(kLoad).value_or(0)) / kLoadScale;
   answer.mRetryAfter = Millis(fields.Number(kRetryAfter).value_or(0));
   answer.mReason = fields.Text(kReason);
+  answer.mUsualTime = Millis(fields.Number(kUsualTime).value_or(0));
   answer.mHttp = std::move(aHttp);
   return decoded;
 }
--- a/packages/node/src/LocalServer.cpp
+++ b/packages/node/src/LocalServer.cpp
@@ -117,10 +117,7 @@
     return *refused;
   }
   const auto start = Now();
-  auto answer = mCall.Run(aRequest, [this](Micros aTime) {
-    const std::lock_guard lock(mMutex);
-    return mBreaker.GivesUpAfter(aTime);
-  });
+  auto answer = mCall.Run(aRequest);
   const auto time = Now() - start;
   if (answer.mOutcome == Outcome::kNotRun) {
     NoteRefusal(answer);
@@ -128,7 +125,9 @@
   Learn(aRequest, answer, time);
   const bool ran = answer.mOutcome != Outcome::kNotRun;
   FreeSlot(ran ? std::optional<Micros>(time) : std::nullopt);
-  answer.mLoad = Load();
+  const std::lock_guard lock(mMutex);
+  answer.mLoad = LoadLocked();
+  answer.mUsualTime = mRouteTimes.UsualTime(aRequest.mRoute);
   return answer;
 }
 
@@ -163,6 +162,11 @@
                    Micros aTime)
 {
   const std::lock_guard lock(mMutex);
+  const bool answered = aAnswer.mOutcome == Outcome::kRun &&
+                        aAnswer.mHttp.mStatus < kServerErrors;
+  if (answered) {
+    mRouteTimes.Observe(aRequest.mRoute, aTime);
+  }
   if (mOptions.mFailingServers == FailingServers::kBreak) {
     mBreaker.OnEnded(aRequest, aAnswer, aTime, Now());
     return;
--- a/packages/node/src/Metrics.cpp
+++ b/packages/node/src/Metrics.cpp
@@ -44,6 +44,9 @@
   , mRetries(MakeCounter(*mRegistry,
                          "porttiller_retries_total",
                          "Second and later attempts"))
+  , mRaces(MakeCounter(*mRegistry,
+                       "porttiller_races_total",
+                       "Attempts sent while an earlier one took long"))
   , mRevokes(MakeCounter(*mRegistry,
                          "porttiller_revokes_total",
                          "Attempts whose home was asked to revoke them"))
--- a/packages/node/src/Node.cpp
+++ b/packages/node/src/Node.cpp
@@ -101,6 +101,7 @@
   std::unique_ptr<EjectionController> mEjection;
   std::unique_ptr<StatusController> mStatus;
   std::unique_ptr<Dispatcher> mDispatcher;
+  AttemptPool mAttemptPool;
   std::unique_ptr<HomeServer> mHomeServer;
   std::unique_ptr<EntryServer> mEntryServer;
   std::unique_ptr<DirectoryController> mDirectory; // null: operators list all
@@ -231,7 +232,7 @@
   }
   mAdminServer = std::move(*admin);
   auto entry = EntryServer::Make(
-    mSettings, *mConfig, { mView, *mDispatcher, mMetrics, mNamer });
+    mSettings, *mConfig, { mView, *mDispatcher, mMetrics, mNamer, mAttemptPool });
   if (!entry) {
     return tl::make_unexpected(entry.error());
   }
--- a/packages/node/src/ServerBreaker.cpp
+++ b/packages/node/src/ServerBreaker.cpp
@@ -93,7 +93,7 @@
                     TimePoint aNow,
                     bool aSuspected)
 {
-  if (aAnswer.mReason == kTimeoutReason || aAnswer.mReason == kHangingReason) {
+  if (aAnswer.mReason == kTimeoutReason) {
     const bool counts = aTime >= Micros(kSilenceFloor) && !aSuspected;
     return counts && mBreaker.OnNoAnswer(aNow);
   }
@@ -115,12 +115,6 @@
            : std::max(Micros(kSilenceFloor), kSilenceMeans * mLatency.Value());
 }
 
-bool
-ServerBreaker::GivesUpAfter(Micros aTime) const
-{
-  return mBreaker.State() == BreakerState::kHalfOpen && aTime >= SilenceLimit();
-}
-
 // A request without an answer tells of its server before its deadline does.
 void
 ServerBreaker::SuspectSilent(TimePoint aNow)
--- a/packages/node/src/ServerCall.cpp
+++ b/packages/node/src/ServerCall.cpp
@@ -57,7 +57,7 @@
 }
 
 HomeAnswer
-ServerCall::Run(const HomeRequest& aRequest, const PatienceCheck& aGivesUp)
+ServerCall::Run(const HomeRequest& aRequest)
 {
   auto begun = mPool.Begin(MakeRequest(aRequest), aRequest.mDeadline);
   if (!begun) {
@@ -75,12 +75,8 @@
   auto& exchange = **begun;
   const auto deadline =
     aRequest.mDeadline + (Lingers(aRequest) ? kLinger : Millis(0));
-  const auto begunAt = Now();
-  bool hanging = false;
   const auto stop = [&] {
-    const auto now = Now();
-    hanging = aRequest.mMayFail && aGivesUp(now - begunAt);
-    return IsCancelled(aRequest) || hanging || now >= mCutoff.Limit(deadline);
+    return IsCancelled(aRequest) || Now() >= mCutoff.Limit(deadline);
   };
   const auto& idName = mNames.mRequestId;
   const auto belongs = [&](const HttpAnswer& aAnswer) {
@@ -92,9 +88,6 @@
   if (answer) {
     return Judge(aRequest, std::move(*answer));
   }
-  if (hanging) {
-    return { .mOutcome = Outcome::kUnknown, .mReason = kHangingReason };
-  }
   if (answer.error() == ExchangeError::kCancelled && !IsCancelled(aRequest)) {
     return Unknown(ExchangeError::kTimeout); // cut off by a planned stop
   }
--- a/packages/policy/include/porttiller/policy/AttemptPlan.h
+++ b/packages/policy/include/porttiller/policy/AttemptPlan.h
@@ -46,14 +46,17 @@
   // No server is left that MayUse allows; false when there is none at all.
   bool Widen();
 
+  // Each attempt that was sent ends with one of the three calls below.
   void OnSent(const BackendServerName& aServer);
   // The server answered; one that failed may be tried elsewhere.
   void OnAnswered(bool aFailed, const RetrySource& aRetry);
-  void OnNotRun(Setback aSetback, const RetrySource& aRetry);
+  void OnNotRun(const BackendServerName& aServer,
+                Setback aSetback,
+                const RetrySource& aRetry);
   void OnUnknown(const RetrySource& aRetry);
 
-  // Whether an attempt that may be running can be left for another one.
-  bool MayAbandon(const RetrySource& aRetry);
+  // Whether another attempt may be sent while one runs. Takes a retry.
+  bool MayRace(const RetrySource& aRetry);
   bool Repeatable() const { return mRepeatable; }
   // The next attempt may fail without the request being lost.
   bool MayFailNext() const;
@@ -65,20 +68,19 @@
 private:
   // Once aServers more have got the request.
   bool MayReachAnother(int aServers = 0) const;
+  bool MayRepeat(const RetrySource& aRetry);
 
   const bool mRepeatable;
   const AttemptPlanOptions mOptions;
   std::set<BackendServerName> mTried;
   std::set<BackendServerName> mDemoted;
-  BackendServerName mCurrent;
   int mAttempts = 0;
   int mServersReached = 0; // or perhaps reached
-  bool mInFlight = false;  // the current attempt counts as reached, too
+  int mInFlight = 0;       // these count as reached, too
   int mMaxAttempts;
   bool mLastResort = false;
   bool mEnded = false;
   bool mMaybeRun = false;
-  bool mRetryTaken = false; // for leaving the current attempt
 };
 
 } // namespace porttiller
--- a/packages/policy/src/AttemptPlan.cpp
+++ b/packages/policy/src/AttemptPlan.cpp
@@ -41,10 +41,8 @@
 void
 AttemptPlan::OnSent(const BackendServerName& aServer)
 {
-  mCurrent = aServer;
   mTried.insert(aServer);
-  mRetryTaken = false;
-  mInFlight = true;
+  ++mInFlight;
   ++mAttempts;
 }
 
@@ -52,7 +50,7 @@
 AttemptPlan::MayReachAnother(int aServers) const
 {
   return mOptions.mMaxServers == 0 ||
-         mServersReached + aServers < mOptions.mMaxServers;
+         mServersReached + mInFlight + aServers < mOptions.mMaxServers;
 }
 
 bool
@@ -65,28 +63,33 @@
 AttemptPlan::OnAnswered(bool aFailed, const RetrySource& aRetry)
 {
   ++mServersReached;
-  mInFlight = false;
+  --mInFlight;
   mMaybeRun = true;
-  mEnded = !aFailed || !MayAbandon(aRetry);
+  mEnded = !aFailed || !MayRepeat(aRetry);
 }
 
 void
-AttemptPlan::OnNotRun(Setback aSetback, const RetrySource& aRetry)
+AttemptPlan::OnNotRun(const BackendServerName& aServer,
+                      Setback aSetback,
+                      const RetrySource& aRetry)
 {
-  mInFlight = false;
+  --mInFlight;
   switch (aSetback) {
     case Setback::kElsewhere:
       break;
     case Setback::kSameAgain:
-      mTried.erase(mCurrent);
+      mTried.erase(aServer);
       break;
     case Setback::kDemoted:
-      mDemoted.insert(mCurrent);
+      mDemoted.insert(aServer);
       break;
     case Setback::kOverloaded:
       ++mServersReached;
       mEnded = !MayReachAnother() || !aRetry();
-      break;
+      return;
+  }
+  if (mEnded && mInFlight == 0) {
+    mEnded = !MayRepeat(aRetry); // what failed before had relied on it
   }
 }
 
@@ -94,25 +97,30 @@
 AttemptPlan::OnUnknown(const RetrySource& aRetry)
 {
   ++mServersReached;
-  mInFlight = false;
+  --mInFlight;
   mMaybeRun = true;
-  mEnded = !MayAbandon(aRetry);
+  mEnded = !MayRepeat(aRetry);
 }
 
+// While another attempt runs it may still make the failure good, and no retry
+// is spent.
 bool
-AttemptPlan::MayAbandon(const RetrySource& aRetry)
+AttemptPlan::MayRepeat(const RetrySource& aRetry)
 {
-  if (!mRepeatable || !MayReachAnother(mInFlight ? 1 : 0)) {
-    return false;
-  }
-  mRetryTaken = mRetryTaken || aRetry();
-  return mRetryTaken;
+  return mRepeatable && mInFlight == 0 && MayReachAnother() && aRetry();
+}
+
+bool
+AttemptPlan::MayRace(const RetrySource& aRetry)
+{
+  return mRepeatable && !mEnded && mAttempts < mMaxAttempts &&
+         MayReachAnother() && aRetry();
 }
 
 Outcome
 AttemptPlan::OutcomeWithoutAnswer() const
 {
-  return mMaybeRun ? Outcome::kUnknown : Outcome::kNotRun;
+  return mMaybeRun || mInFlight > 0 ? Outcome::kUnknown : Outcome::kNotRun;
 }
 
 } // namespace porttiller
--- /dev/null
+++ b/packages/policy/src/RouteTimes.cpp
@@ -0,0 +1,47 @@
+#include "porttiller/policy/RouteTimes.h"
+
+namespace porttiller {
+
+namespace {
+
+// One service has 20 routes in the mean at the target size.
+constexpr std::size_t kMaxRoutes = 128;
+// Fewer answers of a route say too little about its rare ones.
+constexpr int kMinSamples = 5;
+constexpr double kNinthDecile = 1.2816; // sigmas above the median
+
+} // namespace
+
+void
+RouteTimes::Observe(const std::string& aRoute, Micros aTime)
+{
+  mOthers.Observe(aTime);
+  if (mRoutes.size() < kMaxRoutes || mRoutes.contains(aRoute)) {
+    mRoutes[aRoute].Observe(aTime);
+  }
+}
+
+const LatencyModel&
+RouteTimes::ModelOf(const std::string& aRoute) const
+{
+  const auto it = mRoutes.find(aRoute);
+  const bool known =
+    it != mRoutes.end() && it->second.Samples() >= kMinSamples;
+  return known ? it->second : mOthers;
+}
+
+double
+RouteTimes::Survival(const std::string& aRoute, Micros aTime) const
+{
+  return ModelOf(aRoute).Survival(aTime);
+}
+
+Micros
+RouteTimes::UsualTime(const std::string& aRoute) const
+{
+  const auto& model = ModelOf(aRoute);
+  return model.Samples() < kMinSamples ? Micros(0)
+                                       : model.TimeAt(kNinthDecile);
+}
+
+} // namespace porttiller
--- a/testing/fleet/tests/MeshFleetTest.cpp
+++ b/testing/fleet/tests/MeshFleetTest.cpp
@@ -218,3 +218,37 @@
   }));
   CHECK(fleet.Send(0, "POST", "/once/x", "after").mStatus == 200);
 }
+
+TEST_CASE("A repeatable request at a server that hangs is answered by another")
+{
+  MeshFleet fleet(3, kPortBase);
+  for (int i = 0; i < 12; ++i) { // how long requests take is known
+    const auto id = "before-" + std::to_string(i);
+    REQUIRE(fleet.Send(0, "GET", "/safe/x", id).mStatus == 200);
+  }
+  constexpr Millis kHangs{ 60'000 };
+  constexpr int kRequests = 9;
+  fleet.Server(1).Set({ .mWork = kHangs });
+  fleet.Server(2).Set({ .mWork = kHangs });
+  for (int i = 0; i < kRequests; ++i) {
+    const auto id = "safe-" + std::to_string(i);
+    CHECK(fleet.Send(0, "GET", "/safe/x", id).mStatus == 200);
+  }
+  // Nobody waits there any more, so nothing runs on.
+  const auto hung = [&] {
+    return fleet.Server(1).Runs() + fleet.Server(2).Runs();
+  };
+  CHECK(hung() > 0);
+}
+
+TEST_CASE("A request with no other server is not given up before its time")
+{
+  MeshFleet fleet(1, kPortBase);
+  for (int i = 0; i < 12; ++i) {
+    const auto id = "before-" + std::to_string(i);
+    REQUIRE(fleet.Send(0, "GET", "/safe/x", id).mStatus == 200);
+  }
+  fleet.Server(0).Set({ .mWork = Millis(2500) });
+  CHECK(fleet.Send(0, "GET", "/safe/x", "slow").mStatus == 200);
+  CHECK(fleet.Server(0).Cancelled() == 0);
+}
