Tell hanging servers by the ages of all running requests, and spread the news

Cause: silence counted after max(800 ms, 5 means over all routes) and from two requests on, looked at only when the next request came; each spell cost two to five requests that may run once.

Change: each running request adds the log-likelihood ratio of its age (log-normal by route) under "hangs" against "well", each answer speaks for the server, and the sum since the likeliest onset (CUSUM) raises the alarm; the suspected requests' own answers end it. Homes look every 100 ms and tell the boxes that sent to the server in the last 10 s when its breaker opens or closes; entries then stay away for 4 s in place of 2, or until told.

Tests: the cases on counted silence (CircuitBreaker, ServerBreaker) went with the count; in their place SilenceDetectorTest and four cases of ServerBreakerTest. One late request alone now closes the server, as it did not before, but only until it is answered.

--- a/packages/node/include/porttiller/node/EntryView.h
+++ b/packages/node/include/porttiller/node/EntryView.h
@@ -6,6 +6,7 @@
 #include "porttiller/config/Settings.h"
 #include "porttiller/config/Snapshot.h"
 #include "porttiller/node/HomeTypes.h"
+#include "porttiller/node/ServerNews.h"
 #include "porttiller/policy/AttemptPlan.h"
 #include "porttiller/policy/Balancer.h"
 #include "porttiller/policy/RetryBudget.h"
@@ -57,6 +58,9 @@
                  bool aMayFail, // the request that was refused
                  TimePoint aNow);
 
+  // From the home of a server, unasked.
+  void OnNews(const ServerNews& aNews, TimePoint aNow);
+
   // The way to a box fails or works; never held against its servers.
   void OnPathFailure(const BoxName& aBox, TimePoint aNow);
   void OnPathSuccess(const BoxName& aBox);
--- a/packages/node/include/porttiller/node/LocalServer.h
+++ b/packages/node/include/porttiller/node/LocalServer.h
@@ -7,8 +7,10 @@
 #include "porttiller/config/Settings.h"
 #include "porttiller/node/Cutoff.h"
 #include "porttiller/node/HomeTypes.h"
+#include "porttiller/node/RecentSenders.h"
 #include "porttiller/node/ServerBreaker.h"
 #include "porttiller/node/ServerCall.h"
+#include "porttiller/node/ServerNews.h"
 #include "porttiller/policy/EjectionMachine.h"
 #include "porttiller/policy/RouteTimes.h"
 #include "porttiller/policy/SlotQueue.h"
@@ -54,6 +56,9 @@
   // slot; running ones go on.
   void SetLeaving(bool aLeaving);
 
+  // What those who send here should know, once for each change of the breaker.
+  std::optional<ServerNews> TakeNews(TimePoint aNow);
+
   // The ejection machine's events; see EjectionMachine.
   std::vector<EjectionAction> Tick(TimePoint aNow);
   void OnPeers(const std::vector<PeerHealth>& aPeers, int aOthers);
@@ -117,6 +122,8 @@
   EjectionMachine mMachine;
   std::map<Ticket, Waiter> mWaiters;
   RouteTimes mRouteTimes;
+  RecentSenders mSenders;
+  bool mToldDemoted = false;
   ServerBreaker mBreaker; // fed only where failing servers are broken off
   bool mReplaced = false;
   Ticket mNextTicket = 1;
--- /dev/null
+++ b/packages/node/include/porttiller/node/NewsController.h
@@ -0,0 +1,44 @@
+// Watches the breakers of this box's servers and tells the boxes that send to
+// them when one opens or closes; takes what other homes tell.
+#pragma once
+
+#include "porttiller/config/Snapshot.h"
+#include "porttiller/node/EntryView.h"
+#include "porttiller/node/Home.h"
+#include "porttiller/node/Worker.h"
+#include "porttiller/peer/PeerTransport.h"
+
+#include <functional>
+#include <memory>
+
+namespace porttiller {
+
+// Owned by the node. Thread-safe.
+class NewsController
+{
+public:
+  NewsController(const Settings& aSettings,
+                 Home& aHome,
+                 EntryView& aView,
+                 PeerTransport& aTransport,
+                 std::function<SnapshotPtr()> aSnapshot);
+
+  void Start();
+  void Stop();
+
+  // From another home.
+  void OnNews(const wire::ServerNews& aMessage);
+
+private:
+  void Tick();
+  void Tell(const ServerNews& aNews);
+
+  const Settings& mSettings;
+  Home& mHome;
+  EntryView& mView;
+  PeerTransport& mTransport;
+  const std::function<SnapshotPtr()> mSnapshot;
+  std::unique_ptr<Ticker> mTicker;
+};
+
+} // namespace porttiller
--- a/packages/node/include/porttiller/node/ServerBreaker.h
+++ b/packages/node/include/porttiller/node/ServerBreaker.h
@@ -4,9 +4,9 @@
 
 #include "porttiller/node/HomeTypes.h"
 #include "porttiller/policy/CircuitBreaker.h"
-#include "porttiller/policy/Detector.h"
+#include "porttiller/policy/RouteTimes.h"
+#include "porttiller/policy/SilenceDetector.h"
 
-#include <map>
 #include <string>
 
 namespace porttiller {
@@ -15,42 +15,44 @@
 class ServerBreaker
 {
 public:
-  explicit ServerBreaker(BackendServerName aServer);
+  // aTimes: of the server's answers; kept by its owner.
+  ServerBreaker(BackendServerName aServer, const RouteTimes& aTimes);
 
   // Whether the request may be sent to the server now.
   bool Admit(const HomeRequest& aRequest, TimePoint aNow);
+  // Whether it turns away what must not fail.
+  bool Demotes(TimePoint aNow);
   // When a request that was not admitted may come back.
   Millis RetryAfter(TimePoint aNow) const;
 
-  void OnStarted(const AttemptId& aAttempt, TimePoint aNow);
+  void OnStarted(const HomeRequest& aRequest, TimePoint aNow);
   // Of every attempt that was started; aTime is how long it ran.
   void OnEnded(const HomeRequest& aRequest,
                const HomeAnswer& aAnswer,
                Micros aTime,
                TimePoint aNow);
-
   std::string Dump() const { return mBreaker.Dump(); }
 
 private:
-  void Learn(const HomeRequest& aRequest,
-             const HomeAnswer& aAnswer,
-             Micros aTime,
-             TimePoint aNow,
-             bool aSuspected); // its silence has been counted already
-  bool Feed(const HomeAnswer& aAnswer,
+  void NoteSilence(const HomeRequest& aRequest,
+                   const HomeAnswer& aAnswer,
+                   TimePoint aNow);
+  bool Feed(const HomeRequest& aRequest,
+            const HomeAnswer& aAnswer,
             Micros aTime,
-            TimePoint aNow,
-            bool aSuspected);
-  void SuspectSilent(TimePoint aNow);
-  Micros SilenceLimit() const;
+            TimePoint aNow);
+  void JudgeSilence(TimePoint aNow);
+  SurvivalOf Survival() const;
   void LogChange(const char* aKey,
-                 const std::string& aCause, // a request or an attempt
-                 const std::string& aReason) const;
+                 const std::string& aCause, // a request, or "silence"
+                 const std::string& aReason,
+                 TimePoint aNow) const;
 
   const BackendServerName mServer;
+  const RouteTimes& mTimes;
   CircuitBreaker mBreaker;
-  RecentMean mLatency; // of answers in order; zero while there are none
-  std::map<AttemptId, TimePoint> mRunningSince; // not yet suspected
+  SilenceDetector mSilence;
+  bool mBySilence = false; // why the breaker is half open
 };
 
 } // namespace porttiller
--- a/packages/node/src/EntryView.cpp
+++ b/packages/node/src/EntryView.cpp
@@ -214,6 +214,26 @@
   view.mStandingUntil = aNow + std::clamp(aRetryAfter, kMinAvoid, kMaxAvoid);
 }
 
+void
+EntryView::OnNews(const ServerNews& aNews, TimePoint aNow)
+{
+  auto& shard = ShardOf(aNews.mService);
+  const std::lock_guard lock(shard.mMutex);
+  auto& view = shard.mServers[aNews.mServer];
+  if (!aNews.mDemoted) {
+    view.mBrokenUntil = {};
+    view.mNoTrialUntil = {};
+    return;
+  }
+  const auto retryAfter =
+    std::clamp(aNews.mRetryAfter, kMinAvoid, kMaxAvoid);
+  view.mBrokenUntil = aNow + retryAfter;
+  // Its home needs few trials, and all that were told have some.
+  const auto span = static_cast<std::uint64_t>(retryAfter.count());
+  view.mNoTrialUntil =
+    aNow + Millis(static_cast<Millis::rep>(Random() % span));
+}
+
 void
 EntryView::OnPathFailure(const BoxName& aBox, TimePoint aNow)
 {
--- a/packages/node/src/LocalServer.cpp
+++ b/packages/node/src/LocalServer.cpp
@@ -45,7 +45,7 @@
   , mCall(aSpec, mOptions.mHeaders, aCutoff)
   , mQueue(QueueOptionsFor(aSpec, mOptions.mFailingServers))
   , mMachine(OptionsFor(mOptions.mDetection), Now())
-  , mBreaker(aSpec.mName)
+  , mBreaker(aSpec.mName, mRouteTimes)
   , mLeaving(aSpec.mLeaving)
 {
 }
@@ -259,10 +259,27 @@
   return mMachine.HoldsPermission();
 }
 
+std::optional<ServerNews>
+LocalServer::TakeNews(TimePoint aNow)
+{
+  const std::lock_guard lock(mMutex);
+  const bool demoted = mBreaker.Demotes(aNow);
+  if (demoted == mToldDemoted) {
+    return std::nullopt;
+  }
+  mToldDemoted = demoted;
+  return ServerNews{ .mServer = mSpec.mName,
+                     .mService = mSpec.mService,
+                     .mDemoted = demoted,
+                     .mRetryAfter = mBreaker.RetryAfter(aNow),
+                     .mReceivers = mSenders.Since(aNow) };
+}
+
 std::optional<HomeAnswer>
 LocalServer::TakeSlot(const HomeRequest& aRequest)
 {
   std::unique_lock lock(mMutex);
+  mSenders.OnRequest(aRequest.mAttempt.Box(), Now());
   if (mLeaving || Now() < mServerLeavingUntil) {
     return RefuseLocked(Refusal::kLeaving, kLeavingRetryAfter);
   }
@@ -286,13 +303,13 @@
     return RefuseLocked(Refusal::kOverloaded, offer.mRetryAfter);
   }
   if (offer.mVerdict == OfferVerdict::kStart) {
-    mBreaker.OnStarted(aRequest.mAttempt, Now());
+    mBreaker.OnStarted(aRequest, Now());
     return std::nullopt;
   }
   mWaiters[ticket] = { .mAttempt = aRequest.mAttempt };
   auto refused = WaitForSlot(lock, ticket, aRequest);
   if (!refused) {
-    mBreaker.OnStarted(aRequest.mAttempt, Now());
+    mBreaker.OnStarted(aRequest, Now());
   }
   return refused;
 }
--- /dev/null
+++ b/packages/node/src/NewsController.cpp
@@ -0,0 +1,95 @@
+#include "porttiller/node/NewsController.h"
+
+#include "porttiller/node/Log.h"
+
+namespace porttiller {
+
+namespace {
+
+// Silence is noticed at most this late; a look costs a few microseconds.
+constexpr Millis kTick{ 100 };
+// Whoever does not answer by then learns by a refusal.
+constexpr Millis kTimeout{ 500 };
+
+} // namespace
+
+NewsController::NewsController(const Settings& aSettings,
+                               Home& aHome,
+                               EntryView& aView,
+                               PeerTransport& aTransport,
+                               std::function<SnapshotPtr()> aSnapshot)
+  : mSettings(aSettings)
+  , mHome(aHome)
+  , mView(aView)
+  , mTransport(aTransport)
+  , mSnapshot(std::move(aSnapshot))
+{
+}
+
+void
+NewsController::Start()
+{
+  mTicker = std::make_unique<Ticker>(kTick, [this] { Tick(); });
+}
+
+void
+NewsController::Stop()
+{
+  mTicker.reset();
+}
+
+void
+NewsController::Tick()
+{
+  for (const auto& server : mHome.Servers()) {
+    if (const auto news = server->TakeNews(Now())) {
+      Tell(*news);
+    }
+  }
+}
+
+void
+NewsController::Tell(const ServerNews& aNews)
+{
+  const auto snapshot = mSnapshot();
+  if (!snapshot) {
+    return;
+  }
+  wire::Envelope message;
+  auto* body = message.mutable_server_news();
+  body->set_server(aNews.mServer.Value());
+  body->set_service(aNews.mService.Value());
+  body->set_demoted(aNews.mDemoted);
+  body->set_retry_after_ms(
+    static_cast<std::uint32_t>(aNews.mRetryAfter.count()));
+  for (const auto& receiver : aNews.mReceivers) {
+    const auto* box = snapshot->FindBox(receiver);
+    if (box == nullptr) {
+      continue;
+    }
+    if (receiver == mSettings.mBox) {
+      OnNews(*body);
+      continue;
+    }
+    mTransport.Send(
+      box->mControlAddress, message, kTimeout, [](const PeerResult&) {
+        // Whoever missed it asks the home with its next request.
+      });
+  }
+  LogLine(LogLevel::kInfo, "server_news")
+    .With("server", aNews.mServer.Value())
+    .With("state", aNews.mDemoted ? "demoted" : "open")
+    .With("told", static_cast<std::int64_t>(aNews.mReceivers.size()));
+}
+
+void
+NewsController::OnNews(const wire::ServerNews& aMessage)
+{
+  mView.OnNews({ .mServer = BackendServerName(aMessage.server()),
+                 .mService = ServiceName(aMessage.service()),
+                 .mDemoted = aMessage.demoted(),
+                 .mRetryAfter = Millis(aMessage.retry_after_ms()) },
+               Now());
+}
+
+} // namespace porttiller
--- a/packages/node/src/Node.cpp
+++ b/packages/node/src/Node.cpp
@@ -15,6 +15,7 @@
 #include "porttiller/node/Log.h"
 #include "porttiller/node/MembershipController.h"
 #include "porttiller/node/Metrics.h"
+#include "porttiller/node/NewsController.h"
 #include "porttiller/node/Random.h"
 #include "porttiller/node/ReadinessServer.h"
 #include "porttiller/node/RegistrationServer.h"
@@ -100,6 +101,7 @@
   std::unique_ptr<MembershipController> mMembership;
   std::unique_ptr<EjectionController> mEjection;
   std::unique_ptr<StatusController> mStatus;
+  std::unique_ptr<NewsController> mNews; // null: failing servers are ejected
   std::unique_ptr<Dispatcher> mDispatcher;
   AttemptPool mAttemptPool;
   std::unique_ptr<HomeServer> mHomeServer;
@@ -200,6 +202,12 @@
                                                      *mTransport,
                                                      mMetrics);
   }
+  if (mSettings.mFailingServers == FailingServers::kBreak) {
+    mNews = std::make_unique<NewsController>(
+      mSettings, mHome, mView, *mTransport, [this] {
+        return mConfig->Current();
+      });
+  }
   if (mSettings.mDialect == Dialect::kNative) {
     mStatus = std::make_unique<StatusController>(
       mSettings, *mConfig, *mMembership, *mTransport, mMetrics);
@@ -333,6 +341,9 @@
   if (mEjection) {
     mEjection->Start();
   }
+  if (mNews) {
+    mNews->Start();
+  }
   if (mStatus) {
     mStatus->Start();
   }
@@ -348,6 +359,9 @@
     if (mEjection) {
       mEjection->Stop();
     }
+    if (mNews) {
+      mNews->Stop();
+    }
     if (mDirectory) {
       mDirectory->Stop();
     }
@@ -429,6 +443,11 @@
         return mDirectory->OnDirectoryRequest(aRequest.directory_request());
       }
       return std::nullopt;
+    case wire::Envelope::kServerNews:
+      if (mNews) {
+        mNews->OnNews(aRequest.server_news());
+      }
+      return MakeAck();
     case wire::Envelope::kAnnounce: {
       mConfig->OnAnnounce(aRequest);
       return MakeAck();
--- a/packages/node/src/ServerBreaker.cpp
+++ b/packages/node/src/ServerBreaker.cpp
@@ -9,36 +9,52 @@
 namespace {
 
 constexpr int kServerErrors = 500;
-// A request without an answer says something of its server after this many
-// mean times of its answers, and never sooner than after kSilenceFloor.
-constexpr int kSilenceMeans = 5;
-constexpr Millis kSilenceFloor{ 800 };
-constexpr Millis kSilenceUnknown{ 2000 }; // while no mean is known
+// A trial that was given up tells that the server still hangs only if so few
+// requests would have taken longer.
+constexpr double kTellingSurvival = 0.3;
 // Entries keep away from an open breaker for so long before they ask again.
-constexpr Millis kRetryAfter{ 2000 };
+// They are told when it closes; this is for those that miss the news.
+constexpr Millis kRetryAfter{ 4000 };
 
 bool
-SaysNothing(const HomeRequest& aRequest, const HomeAnswer& aAnswer)
+SaysNothing(const HomeAnswer& aAnswer)
 {
-  return IsCancelled(aRequest) || aAnswer.mRefusal == Refusal::kServerBusy ||
+  return aAnswer.mRefusal == Refusal::kServerBusy ||
          aAnswer.mRefusal == Refusal::kOverloaded ||
          aAnswer.mRefusal == Refusal::kLeaving;
 }
 
+// Nobody waits any more: its time is up, or its caller or entry has gone.
+bool
+WasGivenUp(const HomeRequest& aRequest, const HomeAnswer& aAnswer)
+{
+  return aAnswer.mOutcome == Outcome::kUnknown &&
+         (aAnswer.mReason == kTimeoutReason || IsCancelled(aRequest));
+}
+
 } // namespace
 
-ServerBreaker::ServerBreaker(BackendServerName aServer)
+ServerBreaker::ServerBreaker(BackendServerName aServer,
+                             const RouteTimes& aTimes)
   : mServer(std::move(aServer))
+  , mTimes(aTimes)
 {
 }
 
 bool
 ServerBreaker::Admit(const HomeRequest& aRequest, TimePoint aNow)
 {
-  SuspectSilent(aNow);
+  JudgeSilence(aNow);
   return mBreaker.Admit(aRequest.mMayFail, aRequest.mLastResort, aNow);
 }
 
+bool
+ServerBreaker::Demotes(TimePoint aNow)
+{
+  JudgeSilence(aNow);
+  return mBreaker.State() != BreakerState::kClosed;
+}
+
 Millis
 ServerBreaker::RetryAfter(TimePoint aNow) const
 {
@@ -46,9 +62,9 @@
 }
 
 void
-ServerBreaker::OnStarted(const AttemptId& aAttempt, TimePoint aNow)
+ServerBreaker::OnStarted(const HomeRequest& aRequest, TimePoint aNow)
 {
-  mRunningSince[aAttempt] = aNow;
+  mSilence.OnStarted(aRequest.mAttempt, aRequest.mRoute, aNow);
 }
 
 void
@@ -56,19 +72,6 @@
                        const HomeAnswer& aAnswer,
                        Micros aTime,
                        TimePoint aNow)
-{
-  const bool suspected = mRunningSince.erase(aRequest.mAttempt) == 0;
-  if (!SaysNothing(aRequest, aAnswer)) {
-    Learn(aRequest, aAnswer, aTime, aNow, suspected);
-  }
-}
-
-void
-ServerBreaker::Learn(const HomeRequest& aRequest,
-                     const HomeAnswer& aAnswer,
-                     Micros aTime,
-                     TimePoint aNow,
-                     bool aSuspected)
 {
   LogLine(LogLevel::kDebug, "server_answer")
     .With("request", aRequest.mRequestId)
@@ -77,74 +80,100 @@
     .With("reason", aAnswer.mReason)
     .With("trial", mBreaker.State() == BreakerState::kHalfOpen ? "yes" : "no")
     .With("time_ms", std::chrono::duration_cast<Millis>(aTime).count());
-  if (Feed(aAnswer, aTime, aNow, aSuspected)) {
+  NoteSilence(aRequest, aAnswer, aNow);
+  if (!SaysNothing(aAnswer) && Feed(aRequest, aAnswer, aTime, aNow)) {
     LogChange("request",
               aRequest.mRequestId,
               aAnswer.mOutcome == Outcome::kRun
                 ? "status " + std::to_string(aAnswer.mHttp.mStatus)
-                : aAnswer.mReason);
+                : aAnswer.mReason,
+              aNow);
+  }
+  JudgeSilence(aNow);
+}
+
+void
+ServerBreaker::NoteSilence(const HomeRequest& aRequest,
+                           const HomeAnswer& aAnswer,
+                           TimePoint aNow)
+{
+  if (aAnswer.mOutcome == Outcome::kRun) {
+    mSilence.OnAnswered(aRequest.mAttempt);
+  } else if (WasGivenUp(aRequest, aAnswer)) {
+    mSilence.OnGivenUp(aRequest.mAttempt, aNow);
+  } else {
+    mSilence.Forget(aRequest.mAttempt);
   }
 }
 
 // True when the breaker's state changed.
 bool
-ServerBreaker::Feed(const HomeAnswer& aAnswer,
+ServerBreaker::Feed(const HomeRequest& aRequest,
+                    const HomeAnswer& aAnswer,
                     Micros aTime,
-                    TimePoint aNow,
-                    bool aSuspected)
+                    TimePoint aNow)
 {
-  if (aAnswer.mReason == kTimeoutReason) {
-    const bool counts = aTime >= Micros(kSilenceFloor) && !aSuspected;
-    return counts && mBreaker.OnNoAnswer(aNow);
+  if (WasGivenUp(aRequest, aAnswer)) {
+    const bool trial = mBreaker.State() == BreakerState::kHalfOpen;
+    const bool telling =
+      mTimes.Survival(aRequest.mRoute, aTime) < kTellingSurvival;
+    return trial && telling && mBreaker.OnFailure(aNow);
   }
   if (aAnswer.mOutcome != Outcome::kRun) {
+    mBySilence = false;
     return mBreaker.OnFailure(aNow);
   }
   if (aAnswer.mHttp.mStatus >= kServerErrors) {
     return mBreaker.OnError(aNow);
   }
-  mLatency.Observe(aTime);
-  return mBreaker.OnSuccess(aNow - aTime);
+  const bool closed = mBreaker.OnSuccess(aNow - aTime);
+  if (closed) {
+    mBySilence = false;
+    mSilence.Reset();
+  }
+  return closed;
 }
 
-Micros
-ServerBreaker::SilenceLimit() const
+// Requests without an answer tell of their server before their deadlines do,
+// and their answers end the suspicion.
+void
+ServerBreaker::JudgeSilence(TimePoint aNow)
 {
-  return mLatency.Value() == Micros(0)
-           ? Micros(kSilenceUnknown)
-           : std::max(Micros(kSilenceFloor), kSilenceMeans * mLatency.Value());
+  const bool alarm = mSilence.Alarms(Survival(), aNow);
+  if (alarm && mBreaker.State() == BreakerState::kClosed) {
+    mBySilence = true;
+    mBreaker.OnFailure(aNow);
+    LogChange("cause", "silence", "no answer for long", aNow);
+  } else if (!alarm && mBySilence) {
+    mBySilence = false;
+    mBreaker.Close();
+    LogChange("cause", "silence", "answered", aNow);
+  }
 }
 
-// A request without an answer tells of its server before its deadline does.
-void
-ServerBreaker::SuspectSilent(TimePoint aNow)
+SurvivalOf
+ServerBreaker::Survival() const
 {
-  const auto limit = SilenceLimit();
-  for (auto it = mRunningSince.begin(); it != mRunningSince.end();) {
-    if (aNow - it->second < limit) {
-      ++it;
-      continue;
-    }
-    if (mBreaker.OnNoAnswer(aNow)) {
-      LogChange("attempt", it->first.ToString(), "no answer for long");
-    }
-    it = mRunningSince.erase(it);
-  }
+  return [this](const std::string& aRoute, Micros aTime) {
+    return mTimes.Survival(aRoute, aTime);
+  };
 }
 
 void
 ServerBreaker::LogChange(const char* aKey,
                          const std::string& aCause,
-                         const std::string& aReason) const
+                         const std::string& aReason,
+                         TimePoint aNow) const
 {
+  constexpr double kHundredths = 100.0;
   LogLine(LogLevel::kInfo, "server_breaker")
     .With(aKey, aCause)
     .With("server", mServer.Value())
     .With("state", ToText(mBreaker.State()))
     .With("reason", aReason)
-    .With("running", static_cast<std::int64_t>(mRunningSince.size()))
-    .With("mean_ms",
-          std::chrono::duration_cast<Millis>(mLatency.Value()).count());
+    .With("silence_x100",
+          static_cast<std::int64_t>(kHundredths *
+                                    mSilence.Score(Survival(), aNow)));
 }
 
 } // namespace porttiller
--- a/packages/policy/include/porttiller/policy/CircuitBreaker.h
+++ b/packages/policy/include/porttiller/policy/CircuitBreaker.h
@@ -28,10 +28,6 @@
   // many among the last kErrorWindow answers. Fewer are the requests' own, or
   // come from what the server itself has to call.
   int mErrorsToFail = 3;
-  // Requests that got no answer in a time that should do are a failure when
-  // there are so many among as many answers: one alone may be the request's own
-  // doing, while a server that hangs answers hardly any.
-  int mNoAnswersToFail = 2;
 };
 
 enum class BreakerState
@@ -60,8 +56,8 @@
   bool OnSuccess(TimePoint aSent);
   // The server answered with an error of its own. True as with OnFailure.
   bool OnError(TimePoint aNow);
-  // A request has waited for its answer for too long. True as with OnFailure.
-  bool OnNoAnswer(TimePoint aNow);
+  // What had opened it was no failure.
+  void Close();
 
   BreakerState State() const { return mState; }
   // When a refused request may be tried here again.
@@ -73,7 +69,7 @@
 
   using Window = std::bitset<kErrorWindow>; // of the last answers, newest first
 
-  void Note(bool aError, bool aNoAnswer);
+  void Note(bool aError);
 
   CircuitBreakerOptions mOptions;
   BreakerState mState = BreakerState::kClosed;
@@ -82,7 +78,6 @@
   TimePoint mNextTrial;
   TimePoint mLastFailure;
   Window mErrors;
-  Window mNoAnswers;
 };
 
 } // namespace porttiller
--- a/packages/policy/src/CircuitBreaker.cpp
+++ b/packages/policy/src/CircuitBreaker.cpp
@@ -37,7 +37,6 @@
   mSuccesses = 0;
   mLastFailure = aNow;
   mErrors.reset();
-  mNoAnswers.reset();
   const bool opened = mState == BreakerState::kClosed;
   if (opened) {
     mState = BreakerState::kHalfOpen;
@@ -50,18 +49,16 @@
 }
 
 void
-CircuitBreaker::Note(bool aError, bool aNoAnswer)
+CircuitBreaker::Note(bool aError)
 {
   mErrors <<= 1;
   mErrors[0] = aError;
-  mNoAnswers <<= 1;
-  mNoAnswers[0] = aNoAnswer;
 }
 
 bool
 CircuitBreaker::OnError(TimePoint aNow)
 {
-  Note(true, false);
+  Note(true);
   const bool many = static_cast<int>(mErrors.count()) >= mOptions.mErrorsToFail;
   if (mState == BreakerState::kHalfOpen || many) {
     return OnFailure(aNow);
@@ -69,22 +66,17 @@
   return false;
 }
 
-bool
-CircuitBreaker::OnNoAnswer(TimePoint aNow)
+void
+CircuitBreaker::Close()
 {
-  Note(false, true);
-  const bool many =
-    static_cast<int>(mNoAnswers.count()) >= mOptions.mNoAnswersToFail;
-  if (mState == BreakerState::kHalfOpen || many) {
-    return OnFailure(aNow);
-  }
-  return false;
+  mState = BreakerState::kClosed;
+  mSuccesses = 0;
 }
 
 bool
 CircuitBreaker::OnSuccess(TimePoint aSent)
 {
-  Note(false, false);
+  Note(false);
   if (mState == BreakerState::kClosed || aSent < mLastFailure) {
     return false;
   }
