Tell other zones in few copies, and ask for no reply where none is used

Tests: SpreadTest (a fleet of 192 boxes hears with 6 copies over borders), PeerTransportTest "A message that needs no reply". Both use new calls.

--- a/packages/node/include/porttiller/node/ConfigController.h
+++ b/packages/node/include/porttiller/node/ConfigController.h
@@ -30,7 +30,7 @@
 struct ConfigPeers
 {
   std::function<std::vector<BoxName>()> mLiveBoxes;
-  std::function<std::vector<BoxSpec>(std::size_t)> mRandomPeers;
+  std::function<std::vector<BoxSpec>(const SpreadOptions&)> mSpreadPeers;
 };
 
 // Owned by the node. Thread-safe.
@@ -82,7 +82,7 @@
   void Pull(const std::string& aAddress);
   bool BeginPull(const std::string& aAddress);
   void EndPull(const std::string& aAddress);
-  void Announce(std::uint64_t aRevision);
+  void Announce(std::uint64_t aRevision, const SpreadOptions& aSpread);
   void NotePlatform(bool aReachable, const std::string& aDetail);
   void Sleep(Millis aTime);
 
--- a/packages/node/include/porttiller/node/DirectoryController.h
+++ b/packages/node/include/porttiller/node/DirectoryController.h
@@ -30,6 +30,7 @@
   // acknowledged.
   std::function<void(const BackendServerName&)> mOnServerLeaving;
   std::function<std::vector<BoxSpec>(std::size_t)> mRandomPeers;
+  std::function<std::vector<BoxSpec>(const SpreadOptions&)> mSpreadPeers;
 };
 
 // Why a server's message is not acknowledged; it calls again.
@@ -81,7 +82,8 @@
   void RaiseOwn();
   void Merge(const std::vector<BoxRecord>& aRecords, const char* aSource);
   void Publish();
-  void Push(const std::vector<BoxRecord>& aRecords);
+  void Push(const std::vector<BoxRecord>& aRecords,
+            const SpreadOptions& aSpread);
   void Request(const std::string& aAddress);
   bool KeepAtPeers(const BoxRecord& aRecord);
   bool Keep(const BoxRecord& aRecord);
--- a/packages/node/include/porttiller/node/LocalServer.h
+++ b/packages/node/include/porttiller/node/LocalServer.h
@@ -56,7 +56,8 @@
   // slot; running ones go on.
   void SetLeaving(bool aLeaving);
 
-  // What those who send here should know, once for each change of the breaker.
+  // What those who send here should know, once for each change of the breaker
+  // that lasts.
   std::optional<ServerNews> TakeNews(TimePoint aNow);
 
   // The ejection machine's events; see EjectionMachine.
@@ -124,6 +125,7 @@
   RouteTimes mRouteTimes;
   RecentSenders mSenders;
   bool mToldDemoted = false;
+  std::optional<TimePoint> mNewsSince; // not yet told
   ServerBreaker mBreaker; // fed only where failing servers are broken off
   bool mReplaced = false;
   Ticket mNextTicket = 1;
--- a/packages/node/include/porttiller/node/MembershipController.h
+++ b/packages/node/include/porttiller/node/MembershipController.h
@@ -7,6 +7,7 @@
 #include "porttiller/node/Worker.h"
 #include "porttiller/peer/PeerTransport.h"
 #include "porttiller/policy/Membership.h"
+#include "porttiller/policy/Spread.h"
 
 #include <functional>
 #include <memory>
@@ -58,6 +59,8 @@
   std::vector<BoxName> LiveBoxes() const;
   // Up to aCount random live boxes but this one, with their addresses.
   std::vector<BoxSpec> RandomPeers(std::size_t aCount) const;
+  // As many live boxes of this one's zone and of each other zone.
+  std::vector<BoxSpec> SpreadPeers(const SpreadOptions& aOptions) const;
   std::string Dump() const;
 
 private:
@@ -72,6 +75,7 @@
   void NoteRevision(const std::string& aFromBox, const PeerRevision& aRevision);
   std::optional<BoxSpec> SpecOf(const BoxName& aBox) const;
   void RefreshUsable(const BoxName& aBox);
+  std::vector<BoxSpec> LivePeers() const;
 
   const Settings& mSettings;
   PeerTransport& mTransport;
--- a/packages/node/src/ConfigController.cpp
+++ b/packages/node/src/ConfigController.cpp
@@ -36,7 +36,10 @@
 constexpr std::size_t kMaxPulls = 3;
 constexpr Millis kAnnounceTimeout{ 1000 };
 constexpr std::size_t kWatchersPerZone = 3;
-constexpr std::size_t kAnnounceFanout = 4;
+// Who reads the platform tells its zone, and one box of each other in case its
+// watchers cannot; who was told tells its zone.
+constexpr SpreadOptions kFirstHand{ .mOwnZone = 4, .mPerOtherZone = 1 };
+constexpr SpreadOptions kOnwards{ .mOwnZone = 4 };
 
 Millis
 Jittered(Millis aTime)
@@ -139,7 +142,8 @@
       .With("changes", static_cast<std::int64_t>(changes))
       .With("rejected",
             static_cast<std::int64_t>(snapshot->mRejections.size()));
-    Announce(snapshot->mRevision);
+    Announce(snapshot->mRevision,
+             std::string_view(aSource) == "peer" ? kOnwards : kFirstHand);
   }
   return true;
 }
@@ -364,15 +368,14 @@
 }
 
 void
-ConfigController::Announce(std::uint64_t aRevision)
+ConfigController::Announce(std::uint64_t aRevision,
+                           const SpreadOptions& aSpread)
 {
   wire::Envelope request;
   request.mutable_announce()->set_revision(aRevision);
-  for (const auto& peer : mPeers.mRandomPeers(kAnnounceFanout)) {
-    mTransport.Send(
-      peer.mControlAddress, request, kAnnounceTimeout, [](const PeerResult&) {
-        // A lost one is made up for by the next probes.
-      });
+  // A lost one is made up for by the next probes.
+  for (const auto& peer : mPeers.mSpreadPeers(aSpread)) {
+    mTransport.Tell(peer.mControlAddress, request);
   }
 }
 
--- a/packages/node/src/DirectoryController.cpp
+++ b/packages/node/src/DirectoryController.cpp
@@ -18,7 +18,11 @@
 constexpr Millis kAckPeerTimeout{ 300 };
 constexpr std::size_t kAckPeers = 4;
 constexpr Millis kPushTimeout{ 1000 };
-constexpr std::size_t kPushFanout = 4;
+// A box tells its own news to a few boxes of each zone, which tell their zone.
+// To random boxes of the fleet, each passing it on, it took 80 copies over
+// borders at 30 boxes in place of 4.
+constexpr SpreadOptions kOwnNews{ .mOwnZone = 3, .mPerOtherZone = 2 };
+constexpr SpreadOptions kOnwards{ .mOwnZone = 3 };
 constexpr Millis kRetryWait{ 700 };
 // At the very first start the server's first heartbeat is waited for, so that
 // one write tells both. On the users' days it comes up to 2.3 s after the box.
@@ -225,7 +229,7 @@
     const std::lock_guard lock(mMutex);
     own = mOwn;
   }
-  Push({ own });
+  Push({ own }, kOwnNews);
   return true;
 }
 
@@ -342,7 +346,7 @@
   }
   Publish();
   if (std::string_view(aSource) == "peer") {
-    Push(news);
+    Push(news, kOnwards);
   }
 }
 
@@ -359,15 +363,14 @@
 }
 
 void
-DirectoryController::Push(const std::vector<BoxRecord>& aRecords)
+DirectoryController::Push(const std::vector<BoxRecord>& aRecords,
+                          const SpreadOptions& aSpread)
 {
   wire::Envelope message;
   *message.mutable_box_records() = EncodeRecords(aRecords);
-  for (const auto& peer : mHooks.mRandomPeers(kPushFanout)) {
-    mTransport.Send(
-      peer.mControlAddress, message, kPushTimeout, [](const PeerResult&) {
-        // What is lost is found by the digests.
-      });
+  // What is lost is found by the digests.
+  for (const auto& peer : mHooks.mSpreadPeers(aSpread)) {
+    mTransport.Tell(peer.mControlAddress, message);
   }
 }
 
@@ -444,8 +447,7 @@
         *message.mutable_box_records() =
           EncodeRecords(mDirectory.NewerThan(theirs));
       }
-      mTransport.Send(
-        aAddress, std::move(message), kPushTimeout, [](const PeerResult&) {});
+      mTransport.Tell(aAddress, std::move(message));
     });
 }
 
@@ -474,7 +476,7 @@
     mHooks.mOnServerLeaving(aMessage.mServer.mId);
   }
   Publish();
-  Push({ record });
+  Push({ record }, kOwnNews);
   if (verdict == RegistrarVerdict::kLeaving && !Keep(record)) {
     return tl::make_unexpected(RegistrationError::kNotKept);
   }
@@ -551,7 +553,7 @@
     mDirectory.Merge(mOwn);
     record = mOwn;
   }
-  Push({ record });
+  Push({ record }, kOwnNews);
 }
 
 } // namespace porttiller
--- a/packages/node/src/LocalServer.cpp
+++ b/packages/node/src/LocalServer.cpp
@@ -12,6 +12,9 @@
 
 constexpr Millis kLeavingRetryAfter{ 1000 };
 constexpr int kServerErrors = 500;
+// Four in five alarms for silence end within 0.3 s with the suspected answer,
+// half of them within 84 ms; meanwhile the home refuses what comes.
+constexpr Millis kNewsLasts{ 150 };
 // A time-out says something of the server only if it had this long.
 constexpr Millis kTellingTimeout{ 500 };
 EjectionOptions
@@ -265,8 +268,14 @@
   const std::lock_guard lock(mMutex);
   const bool demoted = mBreaker.Demotes(aNow);
   if (demoted == mToldDemoted) {
+    mNewsSince.reset();
     return std::nullopt;
   }
+  mNewsSince = mNewsSince.value_or(aNow);
+  if (aNow < *mNewsSince + kNewsLasts) {
+    return std::nullopt;
+  }
+  mNewsSince.reset();
   mToldDemoted = demoted;
   return ServerNews{ .mServer = mSpec.mName,
                      .mService = mSpec.mService,
--- a/packages/node/src/MembershipController.cpp
+++ b/packages/node/src/MembershipController.cpp
@@ -307,7 +307,7 @@
 }
 
 std::vector<BoxSpec>
-MembershipController::RandomPeers(std::size_t aCount) const
+MembershipController::LivePeers() const
 {
   std::vector<BoxSpec> peers;
   const std::lock_guard lock(mMutex);
@@ -320,6 +320,29 @@
       peers.push_back(*spec);
     }
   }
+  return peers;
+}
+
+std::vector<BoxSpec>
+MembershipController::SpreadPeers(const SpreadOptions& aOptions) const
+{
+  const auto live = LivePeers();
+  std::vector<AvailabilityZone> zones;
+  for (const auto& peer : live) {
+    zones.push_back(peer.mZone);
+  }
+  std::vector<BoxSpec> peers;
+  for (const auto index :
+       ChooseReceivers(zones, mSettings.mZone, aOptions, Random())) {
+    peers.push_back(live[index]);
+  }
+  return peers;
+}
+
+std::vector<BoxSpec>
+MembershipController::RandomPeers(std::size_t aCount) const
+{
+  auto peers = LivePeers();
   std::mt19937_64 generator(Random());
   std::shuffle(peers.begin(), peers.end(), generator);
   peers.resize(std::min(peers.size(), aCount));
--- a/packages/node/src/NewsController.cpp
+++ b/packages/node/src/NewsController.cpp
@@ -8,8 +8,6 @@
 
 // Silence is noticed at most this late; a look costs a few microseconds.
 constexpr Millis kTick{ 100 };
-// Whoever does not answer by then learns by a refusal.
-constexpr Millis kTimeout{ 500 };
 
 } // namespace
 
@@ -71,10 +69,8 @@
       OnNews(*body);
       continue;
     }
-    mTransport.Send(
-      box->mControlAddress, message, kTimeout, [](const PeerResult&) {
-        // Whoever missed it asks the home with its next request.
-      });
+    // Whoever misses it asks the home with its next request.
+    mTransport.Tell(box->mControlAddress, message);
   }
   LogLine(LogLevel::kInfo, "server_news")
     .With("server", aNews.mServer.Value())
--- a/packages/node/src/Node.cpp
+++ b/packages/node/src/Node.cpp
@@ -180,9 +180,9 @@
     *mTransport,
     mMetrics,
     ConfigPeers{ .mLiveBoxes = [this] { return mMembership->LiveBoxes(); },
-                 .mRandomPeers =
-                   [this](std::size_t aCount) {
-                     return mMembership->RandomPeers(aCount);
+                 .mSpreadPeers =
+                   [this](const SpreadOptions& aOptions) {
+                     return mMembership->SpreadPeers(aOptions);
                    } });
   mMembership = std::make_unique<MembershipController>(
     mSettings,
@@ -323,6 +323,10 @@
            .mRandomPeers =
              [this](std::size_t aCount) {
                return mMembership->RandomPeers(aCount);
+             },
+           .mSpreadPeers =
+             [this](const SpreadOptions& aOptions) {
+               return mMembership->SpreadPeers(aOptions);
              } };
 }
 
--- a/packages/peer/include/porttiller/peer/PeerTransport.h
+++ b/packages/peer/include/porttiller/peer/PeerTransport.h
@@ -53,7 +53,8 @@
 
 using PeerResult = tl::expected<wire::Envelope, PeerError>;
 using PeerCallback = std::function<void(PeerResult)>;
-// Sends the reply to one request; may be called later, from any thread.
+// Sends the reply to one request; may be called later, from any thread. Does
+// nothing for a message that needs none.
 using PeerReplier = std::function<void(wire::Envelope)>;
 using PeerHandler = std::function<void(const wire::Envelope&, PeerReplier)>;
 
@@ -77,6 +78,9 @@
             Millis aTimeout,
             PeerCallback aCallback);
 
+  // Sends what needs no reply; it may get lost.
+  void Tell(const std::string& aAddress, wire::Envelope aMessage);
+
   // As Send, but waits. Never call it on the transport's own thread.
   PeerResult Call(const std::string& aAddress,
                   wire::Envelope aRequest,
--- a/packages/peer/src/PeerLoopPriv.cpp
+++ b/packages/peer/src/PeerLoopPriv.cpp
@@ -118,6 +118,17 @@
   }
 }
 
+void
+PeerLoop::PostMessage(const std::string& aAddress, wire::Envelope aMessage)
+{
+  aMessage.set_from_box(mOptions.mBox.Value());
+  aMessage.set_from_incarnation(mOptions.mIncarnation.Value());
+  PeerCommand command{ .mAddress = aAddress,
+                       .mKind = aMessage.body_case(),
+                       .mPayload = EncodeMessage(aMessage) };
+  static_cast<void>(Post(command)); // lost when stopping, as any may be
+}
+
 void
 PeerLoop::Run()
 {
@@ -190,6 +201,8 @@
   for (auto& command : commands) {
     if (command.mCallback) {
       SendRequest(std::move(command));
+    } else if (!command.mAddress.empty()) {
+      SendOver(LinkTo(command.mAddress), command);
     } else {
       SendReply(command);
     }
@@ -224,9 +237,15 @@
   mPending[aCommand.mCorrelation] = { std::move(aCommand.mCallback),
                                       aCommand.mAddress };
   mDeadlines.emplace(aCommand.mDeadline, aCommand.mCorrelation);
-  // A full queue drops the request; its time-out tells the caller.
-  if (link.mSocket.send(zmq::buffer(aCommand.mPayload),
-                        zmq::send_flags::dontwait)) {
+  SendOver(link, aCommand);
+}
+
+// A full queue drops what is sent; time-outs tell callers that wait.
+void
+PeerLoop::SendOver(PeerLink& aLink, const PeerCommand& aCommand)
+{
+  if (aLink.mSocket.send(zmq::buffer(aCommand.mPayload),
+                         zmq::send_flags::dontwait)) {
     CountSent(aCommand);
   }
 }
@@ -271,6 +290,9 @@
     mHandler(
       *request,
       [this, to = route.to_string(), correlation](wire::Envelope aReply) {
+        if (correlation == 0) {
+          return; // nobody waits for it
+        }
         aReply.set_from_box(mOptions.mBox.Value());
         aReply.set_from_incarnation(mOptions.mIncarnation.Value());
         aReply.set_correlation(correlation);
--- a/packages/peer/src/PeerLoopPriv.h
+++ b/packages/peer/src/PeerLoopPriv.h
@@ -19,13 +19,13 @@
 // What other threads ask of the loop: a request to send, or a reply.
 struct PeerCommand
 {
-  std::string mAddress; // of a request
+  std::string mAddress; // of a request or message
   std::string mRoute;   // of a reply
   wire::Envelope::BodyCase mKind = wire::Envelope::BODY_NOT_SET;
   std::string mPayload;
-  std::uint64_t mCorrelation = 0;
+  std::uint64_t mCorrelation = 0; // zero: no reply is waited for
   TimePoint mDeadline;
-  PeerCallback mCallback; // null for a reply
+  PeerCallback mCallback; // null when no reply is waited for
 };
 
 // An outgoing connection.
@@ -60,6 +60,8 @@
                    wire::Envelope aRequest,
                    Millis aTimeout,
                    PeerCallback aCallback);
+  // Without a reply.
+  void PostMessage(const std::string& aAddress, wire::Envelope aMessage);
   PeerTraffic Traffic() const;
 
 private:
@@ -70,6 +72,7 @@
   void PollOnce();
   void TakeCommands();
   void SendRequest(PeerCommand aCommand);
+  void SendOver(PeerLink& aLink, const PeerCommand& aCommand);
   void SendReply(const PeerCommand& aCommand);
   void CountSent(const PeerCommand& aCommand);
   void ReceiveRequests();
--- a/packages/peer/src/PeerTransport.cpp
+++ b/packages/peer/src/PeerTransport.cpp
@@ -35,6 +35,12 @@
     aAddress, std::move(aRequest), aTimeout, std::move(aCallback));
 }
 
+void
+PeerTransport::Tell(const std::string& aAddress, wire::Envelope aMessage)
+{
+  mLoop->PostMessage(aAddress, std::move(aMessage));
+}
+
 PeerResult
 PeerTransport::Call(const std::string& aAddress,
                     wire::Envelope aRequest,
--- a/packages/peer/tests/PeerTransportTest.cpp
+++ b/packages/peer/tests/PeerTransportTest.cpp
@@ -75,3 +75,19 @@
   CHECK(handled == 3);
   CHECK(first->Traffic().mLateReplies == 1);
 }
+
+TEST_CASE("A message that needs no reply arrives, and none comes back")
+{
+  std::atomic<int> handledByFirst{ 0 };
+  std::atomic<int> handled{ 0 };
+  const auto first = MakePeer(kFirst, "a", handledByFirst);
+  const auto second = MakePeer(kSecond, "b", handled);
+  first->Tell(kSecond, Request());
+  // Calls go over the same link, in order.
+  REQUIRE(first->Call(kSecond, Request(), Millis(5000)).has_value());
+  CHECK(handled == 2);
+  CHECK(first->Traffic().mLateReplies == 0);
+  const auto replies = second->Traffic().mSentByKind;
+  REQUIRE(replies.contains(wire::Envelope::kAck));
+  CHECK(replies.size() == 1);
+}
--- /dev/null
+++ b/packages/policy/tests/SpreadTest.cpp
@@ -0,0 +1,65 @@
+#include "porttiller/policy/Spread.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+#include <random>
+#include <set>
+
+using namespace porttiller;
+
+namespace {
+
+constexpr int kZones = 4;
+constexpr int kBoxesInZone = 48;
+
+std::vector<AvailabilityZone>
+ZonesOfBoxes()
+{
+  std::vector<AvailabilityZone> zones;
+  for (int i = 0; i < kZones * kBoxesInZone; ++i) {
+    zones.emplace_back("zone-" + std::to_string(i % kZones));
+  }
+  return zones;
+}
+
+} // namespace
+
+TEST_CASE("Each zone gets as many copies as it may, and no box gets two")
+{
+  const auto zones = ZonesOfBoxes();
+  const auto own = zones.front();
+  const auto receivers = ChooseReceivers(
+    zones, own, { .mOwnZone = 3, .mPerOtherZone = 2 }, 7);
+  CHECK(receivers.size() == 3 + 2 * (kZones - 1));
+  CHECK(std::set(receivers.begin(), receivers.end()).size() ==
+        receivers.size());
+  CHECK(std::count_if(receivers.begin(), receivers.end(), [&](auto aIndex) {
+          return zones[aIndex] == own;
+        }) == 3);
+}
+
+TEST_CASE("News reaches nearly every box, and few copies cross a border")
+{
+  // One box tells boxes of all zones; whoever hears it first tells its zone.
+  const auto zones = ZonesOfBoxes();
+  std::mt19937_64 generator(11);
+  std::set<std::size_t> heard{ 0 };
+  std::vector<std::size_t> next = ChooseReceivers(
+    zones, zones[0], { .mOwnZone = 3, .mPerOtherZone = 2 }, generator());
+  int crossing = 0;
+  for (const auto index : next) {
+    crossing += zones[index] == zones[0] ? 0 : 1;
+  }
+  while (!next.empty()) {
+    const auto box = next.back();
+    next.pop_back();
+    if (!heard.insert(box).second) {
+      continue;
+    }
+    const auto further =
+      ChooseReceivers(zones, zones[box], { .mOwnZone = 3 }, generator());
+    next.insert(next.end(), further.begin(), further.end());
+  }
+  CHECK(crossing == 2 * (kZones - 1));
+  CHECK(heard.size() > zones.size() * 9 / 10);
+}
--- a/testing/fleet/tests/DirectoryStartTest.cpp
+++ b/testing/fleet/tests/DirectoryStartTest.cpp
@@ -87,7 +87,9 @@
           published.Set(std::move(aRecords));
         },
       .mOnServerLeaving = [](const BackendServerName&) {},
-      .mRandomPeers = [](std::size_t) { return std::vector<BoxSpec>{}; } });
+      .mRandomPeers = [](std::size_t) { return std::vector<BoxSpec>{}; },
+      .mSpreadPeers =
+        [](const SpreadOptions&) { return std::vector<BoxSpec>{}; } });
   controller.OnRecords(EncodeRecords({ other }));
   REQUIRE(WaitUntil(kWait, [&] { return published.HasServerOf("other"); }));
   CHECK_FALSE(published.HasServerOf("own"));
