Ask at most four homes that turn a request away, and known demoted ones last

Change: a request that four homes have turned away for want of room or health goes to the last resort or is refused; an entry that knows a server as demoted sends it nothing but the last resort, without asking first.

AttemptPlanTest "A request that four homes turn away asks no fifth" failed first by its use of a call that did not exist.

--- a/packages/node/include/porttiller/node/EntryView.h
+++ b/packages/node/include/porttiller/node/EntryView.h
@@ -33,6 +33,12 @@
   bool mOpenOnly = false; // nothing may speak against the server
 };
 
+struct Choice
+{
+  const BackendServerSpec* mServer = nullptr; // null when none is left
+  bool mDemotedLeft = false; // some serve as the last resort only
+};
+
 // Thread-safe: services and boxes are in shards, each under its own lock.
 class EntryView
 {
@@ -41,12 +47,12 @@
             RetrySettings aRetries,
             BalancerOptions aOptions);
 
-  // The server for the next attempt; null when none is left.
-  const BackendServerSpec* Choose(const Snapshot& aSnapshot,
-                                  const ServiceEntry& aService,
-                                  const AttemptPlan& aPlan,
-                                  const ChoiceTerms& aTerms,
-                                  TimePoint aNow);
+  // The server for the next attempt.
+  Choice Choose(const Snapshot& aSnapshot,
+                const ServiceEntry& aService,
+                const AttemptPlan& aPlan,
+                const ChoiceTerms& aTerms,
+                TimePoint aNow);
 
   void OnSent(const BackendServerSpec& aServer);
   void OnEnded(const BackendServerSpec& aServer);
--- a/packages/node/src/AttemptRunPriv.cpp
+++ b/packages/node/src/AttemptRunPriv.cpp
@@ -36,6 +36,8 @@
       return Setback::kSameAgain;
     case Refusal::kDemoted:
       return Setback::kDemoted;
+    case Refusal::kOverloaded:
+      return Setback::kFull;
     case Refusal::kServerBusy:
       return Setback::kOverloaded;
     default:
@@ -117,19 +119,19 @@
 {
   while (mPlan.MayAttempt()) {
     const bool mayFail = AffordsFailure();
-    const auto* server = mServices.mView.Choose(*mContext.mSnapshot,
-                                                *mContext.mService,
-                                                mPlan,
-                                                { .mMayFail = mayFail },
-                                                Now());
-    if (server != nullptr) {
+    const auto choice = mServices.mView.Choose(*mContext.mSnapshot,
+                                               *mContext.mService,
+                                               mPlan,
+                                               { .mMayFail = mayFail },
+                                               Now());
+    if (choice.mServer != nullptr) {
       if (mPlan.Attempts() > 0) {
         mServices.mMetrics.Retries().Increment();
       }
-      SendTo(*server, mayFail);
+      SendTo(*choice.mServer, mayFail);
       return true;
     }
-    if (!mPlan.Widen()) {
+    if (!mPlan.Widen(choice.mDemotedLeft)) {
       return false;
     }
   }
@@ -183,11 +185,13 @@
     return;
   }
   const auto* server =
-    mServices.mView.Choose(*mContext.mSnapshot,
-                           *mContext.mService,
-                           mPlan,
-                           { .mMayFail = false, .mOpenOnly = true },
-                           Now());
+    mServices.mView
+      .Choose(*mContext.mSnapshot,
+              *mContext.mService,
+              mPlan,
+              { .mMayFail = false, .mOpenOnly = true },
+              Now())
+      .mServer;
   if (server == nullptr || (!mRacePaid && !mPlan.MayRace(Retry()))) {
     return;
   }
--- a/packages/node/src/EntryView.cpp
+++ b/packages/node/src/EntryView.cpp
@@ -122,8 +122,8 @@
     candidate.mInFlight = view.mInFlight;
     candidate.mReportedLoad = Aged(view.mLoad, aNow - view.mLoadAt);
     const bool trial = aMayFail && aNow >= view.mNoTrialUntil;
-    if (!trial && aNow < view.mBrokenUntil) {
-      candidate.mStanding = std::max(candidate.mStanding, Standing::kAvoid);
+    if (!trial && !aPlan.LastResort() && aNow < view.mBrokenUntil) {
+      candidate.mStanding = std::max(candidate.mStanding, Standing::kDemoted);
     }
     if (aNow < view.mStandingUntil) {
       candidate.mStanding = std::max(candidate.mStanding, view.mStanding);
@@ -132,7 +132,7 @@
   return candidate;
 }
 
-const BackendServerSpec*
+Choice
 EntryView::Choose(const Snapshot& aSnapshot,
                   const ServiceEntry& aService,
                   const AttemptPlan& aPlan,
@@ -146,19 +146,24 @@
       MakeCandidate(aSnapshot, server, aPlan, aTerms.mMayFail, aNow));
   }
   auto chosen = ChooseServer(candidates, mOptions, Random(), Random());
-  if (aTerms.mOpenOnly) {
-    const bool open =
-      chosen && candidates[*chosen].mStanding == Standing::kOpen;
-    return open ? &aService.mServers[*chosen] : nullptr;
+  const bool open =
+    chosen && candidates[*chosen].mStanding == Standing::kOpen;
+  if (aTerms.mOpenOnly && !open) {
+    return {};
   }
-  if (!chosen && aPlan.Attempts() == 0) {
+  const bool demotedLeft =
+    std::any_of(candidates.begin(), candidates.end(), [](const auto& aEach) {
+      return aEach.mStanding == Standing::kDemoted;
+    });
+  if (!chosen && !demotedLeft && aPlan.Attempts() == 0) {
     // Every hint speaks against every server, and hints age: ask the homes.
     for (auto& candidate : candidates) {
       candidate.mStanding = std::min(candidate.mStanding, Standing::kAvoid);
     }
     chosen = ChooseServer(candidates, mOptions, Random(), Random());
   }
-  return chosen ? &aService.mServers[*chosen] : nullptr;
+  return { .mServer = chosen ? &aService.mServers[*chosen] : nullptr,
+           .mDemotedLeft = demotedLeft };
 }
 
 void
--- a/packages/node/tests/EntryViewTest.cpp
+++ b/packages/node/tests/EntryViewTest.cpp
@@ -34,8 +34,13 @@
   const auto& service = aSnapshot.mServices.begin()->second;
   int count = 0;
   for (int i = 0; i < kDraws; ++i) {
-    const auto* server =
-      aView.Choose(aSnapshot, service, AttemptPlan(true), { .mMayFail = true }, aNow);
+    const auto* server = aView
+                           .Choose(aSnapshot,
+                                   service,
+                                   AttemptPlan(true),
+                                   { .mMayFail = true },
+                                   aNow)
+                           .mServer;
     count += server == &service.mServers[0] ? 1 : 0;
   }
   return count;
@@ -89,7 +94,8 @@
   view.OnNews(news, kStart);
   const auto& service = snapshot.mServices.begin()->second;
   const auto choose = [&](TimePoint aNow) {
-    return view.Choose(snapshot, service, AttemptPlan(false), {}, aNow)->mName;
+    return view.Choose(snapshot, service, AttemptPlan(false), {}, aNow)
+      .mServer->mName;
   };
   for (int i = 0; i < kDraws; ++i) {
     CHECK(choose(kStart + Millis(3900)) == BackendServerName("b"));
--- a/packages/policy/include/porttiller/policy/AttemptPlan.h
+++ b/packages/policy/include/porttiller/policy/AttemptPlan.h
@@ -13,6 +13,10 @@
 struct AttemptPlanOptions
 {
   int mMaxAttempts = 6;
+  // Homes that turn it away for want of room or health, before it is sent to
+  // the last resort or given up. Each costs a trip with the whole body, and the
+  // fifth seldom has room when four had none.
+  int mMaxTurnedAway = 4;
   // More, once only servers that serve as the last resort are left.
   int mLastResortAttempts = 2;
   // Backend servers that may get the request; 0: as many as attempts allow.
@@ -25,6 +29,7 @@
 {
   kElsewhere, // this server cannot be used now
   kSameAgain, // it can, once what its home told is taken into account
+  kFull,      // its home has no slot for it
   kDemoted,   // it would serve as the last resort
   kOverloaded // the server itself refused; going elsewhere is a retry
 };
@@ -44,7 +49,8 @@
   // Whether demoted servers are to serve it.
   bool LastResort() const { return mLastResort; }
   // No server is left that MayUse allows; false when there is none at all.
-  bool Widen();
+  // aDemotedLeft: some are known to serve as the last resort, untried.
+  bool Widen(bool aDemotedLeft = false);
 
   // Each attempt that was sent ends with one of the three calls below.
   void OnSent(const BackendServerName& aServer);
@@ -75,6 +81,7 @@
   std::set<BackendServerName> mTried;
   std::set<BackendServerName> mDemoted;
   int mAttempts = 0;
+  int mTurnedAway = 0;
   int mServersReached = 0; // or perhaps reached
   int mInFlight = 0;       // these count as reached, too
   int mMaxAttempts;
--- a/packages/policy/include/porttiller/policy/Balancer.h
+++ b/packages/policy/include/porttiller/policy/Balancer.h
@@ -16,6 +16,7 @@
 {
   kOpen,        // nothing speaks against it
   kAvoid,       // its home asked to be used last
+  kDemoted,     // its home turns away all but the last resort
   kUnreachable, // its box does not answer: each try costs a time-out
   kClosed,      // its home refuses: ejected or leaving
   kTried        // this request has been there
--- a/packages/policy/src/AttemptPlan.cpp
+++ b/packages/policy/src/AttemptPlan.cpp
@@ -15,7 +15,8 @@
   if (mEnded) {
     return false;
   }
-  return mAttempts < mMaxAttempts || Widen();
+  const bool roams = mLastResort || mTurnedAway < mOptions.mMaxTurnedAway;
+  return (mAttempts < mMaxAttempts && roams) || Widen();
 }
 
 bool
@@ -25,9 +26,9 @@
 }
 
 bool
-AttemptPlan::Widen()
+AttemptPlan::Widen(bool aDemotedLeft)
 {
-  if (mLastResort || mDemoted.empty()) {
+  if (mLastResort || (mDemoted.empty() && !aDemotedLeft)) {
     return false;
   }
   mLastResort = true;
@@ -80,7 +81,11 @@
     case Setback::kSameAgain:
       mTried.erase(aServer);
       break;
+    case Setback::kFull:
+      ++mTurnedAway;
+      break;
     case Setback::kDemoted:
+      ++mTurnedAway;
       mDemoted.insert(aServer);
       break;
     case Setback::kOverloaded:
--- a/packages/policy/tests/AttemptPlanTest.cpp
+++ b/packages/policy/tests/AttemptPlanTest.cpp
@@ -81,7 +81,7 @@
           plan.OnUnknown(retry);
           break;
         default:
-          plan.OnNotRun(server, static_cast<Setback>(Draw(0, 4)), retry);
+          plan.OnNotRun(server, static_cast<Setback>(Draw(0, 5)), retry);
           break;
       }
     }
@@ -125,6 +125,18 @@
   CHECK(plan.OutcomeWithoutAnswer() == Outcome::kNotRun);
 }
 
+TEST_CASE("A request that four homes turn away asks no fifth")
+{
+  AttemptPlan plan(false, { .mMaxAttempts = 12 });
+  int asked = 0;
+  for (; plan.MayAttempt(); ++asked) {
+    plan.OnSent(Server(asked));
+    plan.OnNotRun(Server(asked), Setback::kFull, kAlways);
+  }
+  CHECK(asked == 4);
+  CHECK(plan.OutcomeWithoutAnswer() == Outcome::kNotRun);
+}
+
 TEST_CASE("Of two attempts that race, one that fails spends no retry")
 {
   int retries = 0;
