Turn away what waits at a server that hangs; race sooner where times are unknown

Cause: requests waited up to their whole time (1,475 ms of calls, 4 s of reads) for slots that hanging requests held, and were then refused as expired.

Change: once an alarm has lasted long enough to be told, the home refuses what waits as demoted, but for the last resort, so that it goes elsewhere. While a route's times are unknown an attempt is raced after a quarter of its time.

LocalServerTest "A server that hangs turns away what waits" uses a new call.

--- a/packages/node/include/porttiller/node/EntryView.h
+++ b/packages/node/include/porttiller/node/EntryView.h
@@ -88,8 +88,10 @@
                    const std::string& aRoute,
                    Micros aTime);
   // After this a repeatable request of the route is worth a second server.
+  // aGiven: the time that it has in all.
   Micros RaceDelay(const ServiceName& aService,
-                   const std::string& aRoute) const;
+                   const std::string& aRoute,
+                   Micros aGiven) const;
 
   std::string Dump() const;
 
--- a/packages/node/include/porttiller/node/LocalServer.h
+++ b/packages/node/include/porttiller/node/LocalServer.h
@@ -84,14 +84,16 @@
     kWaiting,
     kStarted,
     kGivenUp,
-    kTurnedAway, // the server leaves
+    kTurnedAway, // the server leaves, or hangs
     kExpired
   };
 
   struct Waiter
   {
     AttemptId mAttempt;
+    bool mLastResort = false;
     WaitState mState = WaitState::kWaiting;
+    Refusal mRefusal = Refusal::kNone; // with kTurnedAway
     Millis mRetryAfter{ 0 };
   };
 
@@ -108,7 +110,7 @@
              Micros aTime);
   void FreeSlot(std::optional<Micros> aServiceTime);
   void Mark(Ticket aTicket, WaitState aState);
-  void TurnWaitersAway();
+  void TurnWaitersAway(Refusal aRefusal, Millis aRetryAfter);
   bool EndsTooSoonFor(const HomeRequest& aRequest) const;
   double LoadLocked() const;
   HomeAnswer RefuseLocked(Refusal aRefusal, Millis aRetryAfter) const;
--- a/packages/node/src/AttemptRunPriv.cpp
+++ b/packages/node/src/AttemptRunPriv.cpp
@@ -173,7 +173,8 @@
 AttemptRun::RaceDelay() const
 {
   return mServices.mView.RaceDelay(mContext.mService->mSpec.mName,
-                                   mContext.mRoute->mName);
+                                   mContext.mRoute->mName,
+                                   mContext.mDeadline - mContext.mArrival);
 }
 
 // The attempt that runs takes unusually long; another server may be faster.
--- a/packages/node/src/EntryView.cpp
+++ b/packages/node/src/EntryView.cpp
@@ -29,8 +29,9 @@
 constexpr double kPercent = 100.0;
 // A second server costs a trip; answers that come sooner are not worth it.
 constexpr Micros kMinRaceDelay{ 50'000 };
-// While no home has told how long a route's requests take.
-constexpr Micros kRaceUnknown{ 1'500'000 };
+// Of the time that a request has, while no home has told how long those of its
+// route take: callers wait for several times the usual.
+constexpr int kRaceUnknownPart = 4;
 // Of the target's 4,900 routes, spread over the shards, with room for those
 // that are replaced.
 constexpr std::size_t kMaxRoutesInShard = 1000;
@@ -343,13 +344,16 @@
 
 Micros
 EntryView::RaceDelay(const ServiceName& aService,
-                     const std::string& aRoute) const
+                     const std::string& aRoute,
+                     Micros aGiven) const
 {
   auto& shard = ShardOf(aService);
   const std::lock_guard lock(shard.mMutex);
   const auto it = shard.mUsualTimes.find(aRoute);
-  return std::max<Micros>(
-    kMinRaceDelay, it == shard.mUsualTimes.end() ? kRaceUnknown : it->second);
+  return std::max<Micros>(kMinRaceDelay,
+                          it == shard.mUsualTimes.end()
+                            ? aGiven / kRaceUnknownPart
+                            : it->second);
 }
 
 std::string
--- a/packages/node/src/LocalServer.cpp
+++ b/packages/node/src/LocalServer.cpp
@@ -80,17 +80,23 @@
   const std::lock_guard lock(mMutex);
   mLeaving = aLeaving;
   if (mLeaving) {
-    TurnWaitersAway();
+    TurnWaitersAway(Refusal::kLeaving, kLeavingRetryAfter);
   }
 }
 
-// A waiting request would reach the server seconds after its box promised that
-// none will; another server may still take it.
+// A waiting request would reach a leaving server seconds after its box promised
+// that none will, and the slots of one that hangs get free only by time-outs.
+// Another server may still take it.
 void
-LocalServer::TurnWaitersAway()
+LocalServer::TurnWaitersAway(Refusal aRefusal, Millis aRetryAfter)
 {
-  for (const auto& [ticket, waiter] : mWaiters) {
-    if (waiter.mState == WaitState::kWaiting && mQueue.Cancel(ticket)) {
+  for (auto& [ticket, waiter] : mWaiters) {
+    const bool stays =
+      aRefusal == Refusal::kDemoted && waiter.mLastResort;
+    if (!stays && waiter.mState == WaitState::kWaiting &&
+        mQueue.Cancel(ticket)) {
+      waiter.mRefusal = aRefusal;
+      waiter.mRetryAfter = aRetryAfter;
       Mark(ticket, WaitState::kTurnedAway);
     }
   }
@@ -277,6 +283,9 @@
   }
   mNewsSince.reset();
   mToldDemoted = demoted;
+  if (demoted) {
+    TurnWaitersAway(Refusal::kDemoted, mBreaker.RetryAfter(aNow));
+  }
   return ServerNews{ .mServer = mSpec.mName,
                      .mService = mSpec.mService,
                      .mDemoted = demoted,
@@ -315,7 +324,8 @@
     mBreaker.OnStarted(aRequest, Now());
     return std::nullopt;
   }
-  mWaiters[ticket] = { .mAttempt = aRequest.mAttempt };
+  mWaiters[ticket] = { .mAttempt = aRequest.mAttempt,
+                       .mLastResort = aRequest.mLastResort };
   auto refused = WaitForSlot(lock, ticket, aRequest);
   if (!refused) {
     mBreaker.OnStarted(aRequest, Now());
@@ -381,7 +391,7 @@
     case WaitState::kGivenUp:
       return RefuseLocked(Refusal::kOverloaded, waiter.mRetryAfter);
     case WaitState::kTurnedAway:
-      return RefuseLocked(Refusal::kLeaving, kLeavingRetryAfter);
+      return RefuseLocked(waiter.mRefusal, waiter.mRetryAfter);
     case WaitState::kWaiting:
       mQueue.Cancel(aTicket);
       break;
--- a/packages/node/tests/LocalServerTest.cpp
+++ b/packages/node/tests/LocalServerTest.cpp
@@ -103,6 +103,36 @@
   CHECK(running.get().mOutcome == Outcome::kRun);
 }
 
+TEST_CASE("A server that hangs turns away what waits, but for the last resort")
+{
+  OneSlotServer server;
+  auto running = server.Begin(Request(1));
+  server.AwaitInFlight(1);
+  auto other = Request(2);
+  other.mPriority = Priority::kCritical; // as there is room for two of them
+  auto waiting = server.Begin(other);
+  server.AwaitInFlight(2);
+  auto lastResort = Request(3);
+  lastResort.mPriority = Priority::kCritical;
+  lastResort.mLastResort = true;
+  auto staying = server.Begin(lastResort);
+  server.AwaitInFlight(3);
+
+  constexpr Millis kHangsFor{ 5000 };
+  constexpr Millis kLasts{ 500 };
+  CHECK_FALSE(server.mServer.TakeNews(Now() + kHangsFor).has_value());
+  const auto news = server.mServer.TakeNews(Now() + kHangsFor + kLasts);
+  REQUIRE(news.has_value());
+  CHECK(news->mDemoted);
+  CHECK(news->mReceivers == std::vector{ BoxName("b") });
+  CHECK(waiting.get().mRefusal == Refusal::kDemoted);
+  CHECK(server.mServer.InFlight() == 2);
+
+  server.mLetGo = true;
+  CHECK(running.get().mOutcome == Outcome::kRun);
+  CHECK(staying.get().mOutcome == Outcome::kRun);
+}
+
 TEST_CASE("A box that is stopped takes what may run once as the last resort")
 {
   OneSlotServer server;
