--- a/packages/policy/include/porttiller/policy/Balancer.h
+++ b/packages/policy/include/porttiller/policy/Balancer.h
@@ -35,7 +35,7 @@
 struct BalancerOptions
 {
   // Load that a trip to another availability zone is worth.
-  double mZonePenalty = 1.0;
+  double mZonePenalty = 0.5;
 };
 
 // The index of the choice; null when no candidate is kOpen or kAvoid. Open
