--- a/packages/node/src/Dispatcher.cpp
+++ b/packages/node/src/Dispatcher.cpp
@@ -21,7 +21,9 @@
                               aAnswer.mLoad,
                               aAnswer.mUsualTime };
     case Outcome::kNotRun:
-      return AttemptNotRun{ aAnswer.mRefusal, aAnswer.mRetryAfter };
+      return AttemptNotRun{ aAnswer.mRefusal,
+                            aAnswer.mRetryAfter,
+                            aAnswer.mLoad };
     case Outcome::kUnknown:
       break;
   }
