--- a/packages/node/include/porttiller/node/Dispatcher.h
+++ b/packages/node/include/porttiller/node/Dispatcher.h
@@ -12,7 +12,6 @@
 #include <map>
 #include <memory>
 #include <mutex>
-#include <optional>
 #include <variant>
 
 namespace porttiller {
@@ -30,7 +29,6 @@
 {
   Refusal mRefusal = Refusal::kNone;
   Millis mRetryAfter{ 0 };
-  std::optional<double> mLoad; // of the server, if its home was asked
 };
 
 // It may have been run, or may be running.
--- a/packages/node/include/porttiller/node/EntryView.h
+++ b/packages/node/include/porttiller/node/EntryView.h
@@ -56,13 +56,8 @@
 
   void OnSent(const BackendServerSpec& aServer);
   void OnEnded(const BackendServerSpec& aServer);
-  // A server's load, as an answer or refusal from aZone tells it. It ages
-  // towards that of the other servers of its zone, which ages, too: what nobody
-  // tries must not stay busy for ever.
-  void OnLoad(const BackendServerSpec& aServer,
-              const AvailabilityZone& aZone,
-              double aLoad,
-              TimePoint aNow);
+  // The load ages: a server that nobody tries must not stay busy for ever.
+  void OnLoad(const BackendServerSpec& aServer, double aLoad, TimePoint aNow);
   void OnRefused(const BackendServerSpec& aServer,
                  Refusal aRefusal,
                  Millis aRetryAfter,
@@ -115,20 +110,9 @@
     TimePoint mNoTrialUntil;
   };
 
-  // Of a service's servers in one zone. A single server is met too rarely in a
-  // large fleet for its own report to be fresh.
-  struct ZoneLoad
-  {
-    double mLoad = 0.0; // moving average of the reports, at mAt
-    TimePoint mAt;
-    BackendServerName mReporter; // the latest
-    bool mSeveral = false;       // one server alone does not stand for a zone
-  };
-
   struct ServiceShard
   {
     mutable std::mutex mMutex;
-    std::map<std::pair<ServiceName, AvailabilityZone>, ZoneLoad> mZoneLoads;
     std::map<BackendServerName, ServerView> mServers;
     std::map<ServiceName, RetryBudget> mBudgets;
     std::map<std::string, Micros> mUsualTimes; // by route
--- a/packages/node/include/porttiller/node/ServerCall.h
+++ b/packages/node/include/porttiller/node/ServerCall.h
@@ -8,6 +8,7 @@
 #include "porttiller/node/Cutoff.h"
 #include "porttiller/node/HomeTypes.h"
 
+
 namespace porttiller {
 
 // Owned by LocalServer. Thread-safe.
--- a/packages/node/src/AttemptRunPriv.cpp
+++ b/packages/node/src/AttemptRunPriv.cpp
@@ -185,13 +185,14 @@
   if (!mPlan.MayRace([] { return true; })) {
     return;
   }
-  const auto* server = mServices.mView
-                         .Choose(*mContext.mSnapshot,
-                                 *mContext.mService,
-                                 mPlan,
-                                 { .mMayFail = false, .mOpenOnly = true },
-                                 Now())
-                         .mServer;
+  const auto* server =
+    mServices.mView
+      .Choose(*mContext.mSnapshot,
+              *mContext.mService,
+              mPlan,
+              { .mMayFail = false, .mOpenOnly = true },
+              Now())
+      .mServer;
   if (server == nullptr || (!mRacePaid && !mPlan.MayRace(Retry()))) {
     return;
   }
@@ -282,7 +283,7 @@
 AttemptRun::operator()(AttemptAnswered& aAnswered)
 {
   const bool failed = aAnswered.mHttp.mStatus >= kServerErrors;
-  NoteLoad(aAnswered.mLoad);
+  mServices.mView.OnLoad(*mEnded.mServer, aAnswered.mLoad, Now());
   mServices.mView.OnUsualTime(mContext.mService->mSpec.mName,
                               mContext.mRoute->mName,
                               aAnswered.mUsualTime);
@@ -301,16 +302,14 @@
                             aNotRun.mRetryAfter,
                             mEnded.mMayFail,
                             Now());
-  if (aNotRun.mLoad) {
-    NoteLoad(*aNotRun.mLoad);
-  }
   mReason = std::string(ToText(aNotRun.mRefusal));
   LogAttempt(mReason);
   if (aNotRun.mRefusal == Refusal::kOverloaded) {
     mRetryAfter =
       std::min(mRetryAfter.value_or(aNotRun.mRetryAfter), aNotRun.mRetryAfter);
   }
-  mPlan.OnNotRun(mEnded.mServer->mName, ToSetback(aNotRun.mRefusal), Retry());
+  mPlan.OnNotRun(
+    mEnded.mServer->mName, ToSetback(aNotRun.mRefusal), Retry());
   if (mRacePaid && !mRunning.empty()) {
     mRaceAt = Now(); // the rival never reached a server; another one may
   }
@@ -326,18 +325,12 @@
   mPlan.OnUnknown(Retry());
 }
 
-void
-AttemptRun::NoteLoad(double aLoad) const
-{
-  const auto* box = mContext.mSnapshot->FindBox(mEnded.mServer->mBox);
-  mServices.mView.OnLoad(*mEnded.mServer, box->mZone, aLoad, Now());
-}
-
 std::string
 AttemptRun::TokenOf(const RunningAttempt& aAttempt) const
 {
   const auto& box = aAttempt.mServer->mBox;
-  return MakeToken(box, mServices.mView.LifeOf(box).mIncarnation, aAttempt.mId);
+  return MakeToken(
+    box, mServices.mView.LifeOf(box).mIncarnation, aAttempt.mId);
 }
 
 void
--- a/packages/node/src/AttemptRunPriv.h
+++ b/packages/node/src/AttemptRunPriv.h
@@ -65,7 +65,6 @@
   void AwaitOne();
   void Take(EndedAttempt aEnded);
   void CancelRunning();
-  void NoteLoad(double aLoad) const;
   bool AffordsFailure() const;
   Micros RaceDelay() const;
   HomeRequest MakeRequest(const RunningAttempt& aAttempt) const;
--- a/packages/node/src/Dispatcher.cpp
+++ b/packages/node/src/Dispatcher.cpp
@@ -21,9 +21,7 @@
                               aAnswer.mLoad,
                               aAnswer.mUsualTime };
     case Outcome::kNotRun:
-      return AttemptNotRun{ aAnswer.mRefusal,
-                            aAnswer.mRetryAfter,
-                            aAnswer.mLoad };
+      return AttemptNotRun{ aAnswer.mRefusal, aAnswer.mRetryAfter };
     case Outcome::kUnknown:
       break;
   }
--- a/packages/node/src/EntryView.cpp
+++ b/packages/node/src/EntryView.cpp
@@ -27,12 +27,6 @@
 // last one from a request that fails by surprise.
 constexpr int kRetriesForTrial = 2;
 constexpr double kPercent = 100.0;
-// A server's own report holds for so long, a zone's average for longer: at 80
-// boxes an entry meets a server every ten seconds, a zone's several times in
-// one.
-constexpr Micros kReportLife{ 1'000'000 };
-constexpr Micros kZoneReportLife{ 10'000'000 };
-constexpr double kZoneReportWeight = 0.2; // of the newest report
 // A second server costs a trip; answers that come sooner are not worth it.
 constexpr Micros kMinRaceDelay{ 50'000 };
 // Of the time that a request has, while no home has told how long those of its
@@ -61,12 +55,12 @@
   }
 }
 
-// Of a value that is aFrom when it is new and aTo once it is aLife old.
+// Nothing is left of a report after a second.
 double
-Aged(double aFrom, double aTo, Micros aAge, Micros aLife)
+Aged(double aLoad, Micros aAge)
 {
-  const double age = std::chrono::duration<double>(aAge) / aLife;
-  return aFrom + (aTo - aFrom) * std::clamp(age, 0.0, 1.0);
+  const double age = std::chrono::duration<double>(aAge).count();
+  return aLoad * std::clamp(1.0 - age, 0.0, 1.0);
 }
 
 } // namespace
@@ -123,20 +117,11 @@
   }
   const auto& shard = ShardOf(aServer.mService);
   const std::lock_guard lock(shard.mMutex);
-  const auto zone = shard.mZoneLoads.find({ aServer.mService, box->mZone });
-  const bool zoneTells =
-    zone != shard.mZoneLoads.end() && zone->second.mSeveral;
-  const double zoneLoad =
-    !zoneTells
-      ? 0.0
-      : Aged(zone->second.mLoad, 0.0, aNow - zone->second.mAt, kZoneReportLife);
-  candidate.mReportedLoad = zoneLoad;
   const auto it = shard.mServers.find(aServer.mName);
   if (it != shard.mServers.end()) {
     const auto& view = it->second;
     candidate.mInFlight = view.mInFlight;
-    candidate.mReportedLoad =
-      Aged(view.mLoad, zoneLoad, aNow - view.mLoadAt, kReportLife);
+    candidate.mReportedLoad = Aged(view.mLoad, aNow - view.mLoadAt);
     const bool trial = aMayFail && aNow >= view.mNoTrialUntil;
     if (!trial && !aPlan.LastResort() && aNow < view.mBrokenUntil) {
       candidate.mStanding = std::max(candidate.mStanding, Standing::kDemoted);
@@ -162,7 +147,8 @@
       MakeCandidate(aSnapshot, server, aPlan, aTerms.mMayFail, aNow));
   }
   auto chosen = ChooseServer(candidates, mOptions, Random(), Random());
-  const bool open = chosen && candidates[*chosen].mStanding == Standing::kOpen;
+  const bool open =
+    chosen && candidates[*chosen].mStanding == Standing::kOpen;
   if (aTerms.mOpenOnly && !open) {
     return {};
   }
@@ -199,7 +185,6 @@
 
 void
 EntryView::OnLoad(const BackendServerSpec& aServer,
-                  const AvailabilityZone& aZone,
                   double aLoad,
                   TimePoint aNow)
 {
@@ -208,13 +193,6 @@
   auto& view = shard.mServers[aServer.mName];
   view.mLoad = aLoad;
   view.mLoadAt = aNow;
-  auto& zone = shard.mZoneLoads[{ aServer.mService, aZone }];
-  const double held = Aged(zone.mLoad, 0.0, aNow - zone.mAt, kZoneReportLife);
-  zone.mLoad = held + kZoneReportWeight * (aLoad - held);
-  zone.mAt = aNow;
-  zone.mSeveral = zone.mSeveral ||
-                  (!zone.mReporter.Empty() && zone.mReporter != aServer.mName);
-  zone.mReporter = aServer.mName;
 }
 
 void
@@ -253,11 +231,13 @@
     view.mNoTrialUntil = {};
     return;
   }
-  const auto retryAfter = std::clamp(aNews.mRetryAfter, kMinAvoid, kMaxAvoid);
+  const auto retryAfter =
+    std::clamp(aNews.mRetryAfter, kMinAvoid, kMaxAvoid);
   view.mBrokenUntil = aNow + retryAfter;
   // Its home needs few trials, and all that were told have some.
   const auto span = static_cast<std::uint64_t>(retryAfter.count());
-  view.mNoTrialUntil = aNow + Millis(static_cast<Millis::rep>(Random() % span));
+  view.mNoTrialUntil =
+    aNow + Millis(static_cast<Millis::rep>(Random() % span));
 }
 
 void
@@ -370,9 +350,10 @@
   auto& shard = ShardOf(aService);
   const std::lock_guard lock(shard.mMutex);
   const auto it = shard.mUsualTimes.find(aRoute);
-  return std::max<Micros>(
-    kMinRaceDelay,
-    it == shard.mUsualTimes.end() ? aGiven / kRaceUnknownPart : it->second);
+  return std::max<Micros>(kMinRaceDelay,
+                          it == shard.mUsualTimes.end()
+                            ? aGiven / kRaceUnknownPart
+                            : it->second);
 }
 
 std::string
--- a/packages/node/src/LocalServer.cpp
+++ b/packages/node/src/LocalServer.cpp
@@ -91,7 +91,8 @@
 LocalServer::TurnWaitersAway(Refusal aRefusal, Millis aRetryAfter)
 {
   for (auto& [ticket, waiter] : mWaiters) {
-    const bool stays = aRefusal == Refusal::kDemoted && waiter.mLastResort;
+    const bool stays =
+      aRefusal == Refusal::kDemoted && waiter.mLastResort;
     if (!stays && waiter.mState == WaitState::kWaiting &&
         mQueue.Cancel(ticket)) {
       waiter.mRefusal = aRefusal;
@@ -170,8 +171,8 @@
                    Micros aTime)
 {
   const std::lock_guard lock(mMutex);
-  const bool answered =
-    aAnswer.mOutcome == Outcome::kRun && aAnswer.mHttp.mStatus < kServerErrors;
+  const bool answered = aAnswer.mOutcome == Outcome::kRun &&
+                        aAnswer.mHttp.mStatus < kServerErrors;
   if (answered) {
     mRouteTimes.Observe(aRequest.mRoute, aTime);
   }
--- a/packages/node/src/Node.cpp
+++ b/packages/node/src/Node.cpp
@@ -239,10 +239,8 @@
     return tl::make_unexpected(admin.error());
   }
   mAdminServer = std::move(*admin);
-  auto entry =
-    EntryServer::Make(mSettings,
-                      *mConfig,
-                      { mView, *mDispatcher, mMetrics, mNamer, mAttemptPool });
+  auto entry = EntryServer::Make(
+    mSettings, *mConfig, { mView, *mDispatcher, mMetrics, mNamer, mAttemptPool });
   if (!entry) {
     return tl::make_unexpected(entry.error());
   }
