Let the homes of a service hold its retry budget

Change: a repeat says so, and the home admits it from its server's share of the budget or refuses it (no-retries). Homes see all that arrives, and are fewer than the entries. One repeatable request in four may be a trial.

Tests: LocalServerTest "A server takes its share of repeats", HopCodecTest.

--- a/packages/config/include/porttiller/config/ObjectSet.h
+++ b/packages/config/include/porttiller/config/ObjectSet.h
@@ -104,7 +104,7 @@
   ObjectSetOptions mOptions;
   std::uint64_t mRevision = 0;
   std::uint64_t mDigest = 0;
-  std::uint64_t mCompacted = 0; // deltas from before this are full
+  std::uint64_t mCompacted = 0;  // deltas from before this are full
   bool mOfDocument = false;      // of the last delta
   std::set<std::uint64_t> mHeld; // newest revisions of a document
   Objects mObjects;
--- a/packages/config/src/ObjectSet.cpp
+++ b/packages/config/src/ObjectSet.cpp
@@ -42,8 +42,8 @@
     return tl::make_unexpected(ApplyError::kStale);
   }
   // The sender may never have seen what a document held in between.
-  const bool joins = aDelta.mOfDocument ? aDelta.mFrom == mRevision
-                                        : aDelta.mFrom <= mRevision;
+  const bool joins =
+    aDelta.mOfDocument ? aDelta.mFrom == mRevision : aDelta.mFrom <= mRevision;
   if (!aDelta.mFull && !joins) {
     return tl::make_unexpected(ApplyError::kGap);
   }
--- a/packages/node/include/porttiller/node/EntryView.h
+++ b/packages/node/include/porttiller/node/EntryView.h
@@ -3,13 +3,11 @@
 // the home decides.
 #pragma once
 
-#include "porttiller/config/Settings.h"
 #include "porttiller/config/Snapshot.h"
 #include "porttiller/node/HomeTypes.h"
 #include "porttiller/node/ServerNews.h"
 #include "porttiller/policy/AttemptPlan.h"
 #include "porttiller/policy/Balancer.h"
-#include "porttiller/policy/RetryBudget.h"
 
 #include <array>
 #include <map>
@@ -43,9 +41,7 @@
 class EntryView
 {
 public:
-  EntryView(AvailabilityZone aZone,
-            RetrySettings aRetries,
-            BalancerOptions aOptions);
+  EntryView(AvailabilityZone aZone, BalancerOptions aOptions);
 
   // The server for the next attempt.
   Choice Choose(const Snapshot& aSnapshot,
@@ -75,14 +71,6 @@
   // What membership knows of a box: dead and leaving ones are used last.
   void SetBoxUsable(const BoxName& aBox, bool aUsable);
 
-  // aBoxes share the fleet's burst of retries.
-  void OnFirstAttempt(const ServiceSpec& aService,
-                      std::size_t aBoxes,
-                      TimePoint aNow);
-  // Whether the budget bears a trial, which is likely to need a retry.
-  bool AffordsTrial(const ServiceName& aService) const;
-  bool TryRetry(const ServiceName& aService);
-
   // What homes tell of a route: nine in ten of its requests take no longer.
   void OnUsualTime(const ServiceName& aService,
                    const std::string& aRoute,
@@ -114,7 +102,6 @@
   {
     mutable std::mutex mMutex;
     std::map<BackendServerName, ServerView> mServers;
-    std::map<ServiceName, RetryBudget> mBudgets;
     std::map<std::string, Micros> mUsualTimes; // by route
   };
 
@@ -142,7 +129,6 @@
                           TimePoint aNow) const;
 
   const AvailabilityZone mZone;
-  const RetrySettings mRetries;
   const BalancerOptions mOptions;
   mutable std::array<ServiceShard, kShards> mServices;
   mutable std::array<BoxShard, kShards> mBoxes;
--- a/packages/node/include/porttiller/node/Home.h
+++ b/packages/node/include/porttiller/node/Home.h
@@ -22,6 +22,7 @@
   Home(BoxName aBox,
        Incarnation aIncarnation,
        LocalServerOptions aServerOptions,
+       RetrySettings aRetries,
        const Cutoff& aCutoff);
 
   Incarnation OwnIncarnation() const { return mIncarnation; }
@@ -58,10 +59,12 @@
 
   Shard& ShardOf(const AttemptId& aAttempt) const;
   HomeAnswer RunAdmitted(const HomeRequest& aRequest, Shard& aShard);
+  RetryBudgetOptions BudgetOf(const ServiceEntry& aService) const;
 
   const BoxName mBox;
   const Incarnation mIncarnation;
   const LocalServerOptions mServerOptions; // but for the detection
+  const RetrySettings mRetries;
   const Cutoff& mCutoff;
   mutable std::array<Shard, kShards> mShards;
   mutable std::mutex mServersMutex;
--- a/packages/node/include/porttiller/node/HomeTypes.h
+++ b/packages/node/include/porttiller/node/HomeTypes.h
@@ -27,6 +27,7 @@
   kDemoted,     // set aside, but would serve as the last resort
   kOverloaded,  // no slot before the deadline, or given up for another
   kServerBusy,  // the server itself refused it
+  kNoRetries,   // a repeat, and the server's share of them is spent
   kExpired,     // the deadline had passed
   kRevoked,     // revoked before it arrived
   kDuplicate,   // this attempt was here before
@@ -49,7 +50,8 @@
   bool mRepeatable = false;
   bool mMayFail = false; // another server may still get it after this one
   bool mLastResort = false;
-  TimePoint mDeadline; // on the clock of the process that holds the value
+  bool mRepeat = false; // another server has got the request already
+  TimePoint mDeadline;  // on the clock of the process that holds the value
   std::string mRequestKey;
   std::string mRoute;     // the class of call, for detection
   std::string mRequestId; // the caller's, for logs; may be empty
--- a/packages/node/include/porttiller/node/LocalServer.h
+++ b/packages/node/include/porttiller/node/LocalServer.h
@@ -12,6 +12,7 @@
 #include "porttiller/node/ServerCall.h"
 #include "porttiller/node/ServerNews.h"
 #include "porttiller/policy/EjectionMachine.h"
+#include "porttiller/policy/RetryBudget.h"
 #include "porttiller/policy/RouteTimes.h"
 #include "porttiller/policy/SlotQueue.h"
 
@@ -52,6 +53,9 @@
   // it was waiting, and so will not run.
   bool CancelWaiting(const AttemptId& aAttempt);
 
+  // What this server may be sent of requests that another one has got already.
+  void SetRetryBudget(const RetryBudgetOptions& aOptions);
+
   // From now on every new request is refused, and so are those that wait for a
   // slot; running ones go on.
   void SetLeaving(bool aLeaving);
@@ -111,6 +115,8 @@
   void FreeSlot(std::optional<Micros> aServiceTime);
   void Mark(Ticket aTicket, WaitState aState);
   void TurnWaitersAway(Refusal aRefusal, Millis aRetryAfter);
+  std::optional<HomeAnswer> RefuseRepeat(const HomeRequest& aRequest) const;
+  void NoteStarted(const HomeRequest& aRequest);
   bool EndsTooSoonFor(const HomeRequest& aRequest) const;
   double LoadLocked() const;
   HomeAnswer RefuseLocked(Refusal aRefusal, Millis aRetryAfter) const;
@@ -126,6 +132,7 @@
   std::map<Ticket, Waiter> mWaiters;
   RouteTimes mRouteTimes;
   RecentSenders mSenders;
+  RetryBudget mRetries;
   bool mToldDemoted = false;
   std::optional<TimePoint> mNewsSince; // not yet told
   ServerBreaker mBreaker; // fed only where failing servers are broken off
--- a/packages/node/include/porttiller/node/Metrics.h
+++ b/packages/node/include/porttiller/node/Metrics.h
@@ -35,6 +35,8 @@
   // spent on it.
   prometheus::Histogram& AddedLatency() { return *mAddedLatency; }
   prometheus::Gauge& ConfigRevision() { return *mConfigRevision; }
+  // Of one kind of control message; see ToText of PeerTransport.h.
+  prometheus::Gauge& ControlBytesSentOf(const std::string& aKind);
   prometheus::Gauge& ControlBytesSent() { return *mControlSent; }
   prometheus::Gauge& ControlBytesReceived() { return *mControlReceived; }
   prometheus::Gauge& LateReplies() { return *mLateReplies; }
@@ -43,7 +45,7 @@
   std::string Text() const;
 
 private:
-  static constexpr std::size_t kRefusalCount = 13;
+  static constexpr std::size_t kRefusalCount = 14;
 
   std::shared_ptr<prometheus::Registry> mRegistry;
   std::array<prometheus::Counter*, 3> mRequests{};
@@ -59,6 +61,7 @@
   prometheus::Histogram* mAddedLatency;
   prometheus::Gauge* mConfigRevision;
   prometheus::Gauge* mControlSent;
+  prometheus::Family<prometheus::Gauge>* mControlSentByKind;
   prometheus::Gauge* mControlReceived;
   prometheus::Gauge* mLateReplies;
 };
--- a/packages/node/include/porttiller/node/ServerBreaker.h
+++ b/packages/node/include/porttiller/node/ServerBreaker.h
@@ -18,8 +18,9 @@
   // aTimes: of the server's answers; kept by its owner.
   ServerBreaker(BackendServerName aServer, const RouteTimes& aTimes);
 
-  // Whether the request may be sent to the server now.
-  bool Admit(const HomeRequest& aRequest, TimePoint aNow);
+  // Whether the request may be sent to the server now. aTrialPaid: the service
+  // bears the retry that a trial may need.
+  bool Admit(const HomeRequest& aRequest, bool aTrialPaid, TimePoint aNow);
   // Whether it turns away what must not fail.
   bool Demotes(TimePoint aNow);
   // When a request that was not admitted may come back.
--- a/packages/node/include/porttiller/node/ServerCall.h
+++ b/packages/node/include/porttiller/node/ServerCall.h
@@ -8,7 +8,6 @@
 #include "porttiller/node/Cutoff.h"
 #include "porttiller/node/HomeTypes.h"
 
-
 namespace porttiller {
 
 // Owned by LocalServer. Thread-safe.
--- a/packages/node/src/AttemptRunPriv.cpp
+++ b/packages/node/src/AttemptRunPriv.cpp
@@ -3,6 +3,7 @@
 #include "porttiller/node/AttemptPool.h"
 #include "porttiller/node/HopHeaders.h"
 #include "porttiller/node/Log.h"
+#include "porttiller/node/Random.h"
 
 #include <algorithm>
 #include <cassert>
@@ -18,6 +19,11 @@
 constexpr int kMaxAttempts = 12;
 constexpr Millis kDefaultRetryAfter{ 500 };
 constexpr Millis kUnknownRetryAfter{ 1000 };
+// Of the requests that may be repeated, one in so many may be a trial of a
+// server that fails: most trials fail and cost a retry.
+constexpr std::uint64_t kScoutOneIn = 4;
+// The homes of a service hold its budget and refuse repeats beyond it.
+const RetrySource kHomesDecide = [] { return true; };
 
 // "<home box>/<home incarnation>/<attempt id>"
 std::string
@@ -37,6 +43,7 @@
     case Refusal::kDemoted:
       return Setback::kDemoted;
     case Refusal::kOverloaded:
+    case Refusal::kNoRetries:
       return Setback::kFull;
     case Refusal::kServerBusy:
       return Setback::kOverloaded;
@@ -81,8 +88,6 @@
 CallerAnswer
 AttemptRun::Run()
 {
-  mServices.mView.OnFirstAttempt(
-    mContext.mService->mSpec, mContext.mSnapshot->mBoxes.size(), Now());
   while (!mDone && MayGoOn()) {
     if (mRunning.empty() && !SendNext()) {
       break;
@@ -99,26 +104,12 @@
   return Now() < mContext.mDeadline && !*mContext.mCancelled;
 }
 
-RetrySource
-AttemptRun::Retry() const
-{
-  return
-    [this] { return mServices.mView.TryRetry(mContext.mService->mSpec.mName); };
-}
-
-bool
-AttemptRun::AffordsFailure() const
-{
-  return mPlan.MayFailNext() &&
-         mServices.mView.AffordsTrial(mContext.mService->mSpec.mName);
-}
-
 // False when no server is left to be tried.
 bool
 AttemptRun::SendNext()
 {
   while (mPlan.MayAttempt()) {
-    const bool mayFail = AffordsFailure();
+    const bool mayFail = mPlan.MayFailNext() && Random() % kScoutOneIn == 0;
     const auto choice = mServices.mView.Choose(*mContext.mSnapshot,
                                                *mContext.mService,
                                                mPlan,
@@ -149,6 +140,7 @@
   attempt.mCancelled = mContext.mRepeatable
                          ? std::make_shared<std::atomic<bool>>(false)
                          : mContext.mCancelled;
+  auto request = MakeRequest(attempt);
   mPlan.OnSent(aServer.mName);
   mRunning.push_back(attempt);
   auto send = [view = &mServices.mView,
@@ -156,7 +148,7 @@
                snapshot = mContext.mSnapshot,
                box = mContext.mSnapshot->FindBox(aServer.mBox),
                server = &aServer,
-               request = MakeRequest(attempt),
+               request = std::move(request),
                results = mResults] {
     view->OnSent(*server);
     auto result = dispatcher->Send(*box, request);
@@ -182,21 +174,19 @@
 AttemptRun::Race()
 {
   mRaceAt = Now() + RaceDelay();
-  if (!mPlan.MayRace([] { return true; })) {
+  if (!mPlan.MayRace(kHomesDecide)) {
     return;
   }
-  const auto* server =
-    mServices.mView
-      .Choose(*mContext.mSnapshot,
-              *mContext.mService,
-              mPlan,
-              { .mMayFail = false, .mOpenOnly = true },
-              Now())
-      .mServer;
-  if (server == nullptr || (!mRacePaid && !mPlan.MayRace(Retry()))) {
+  const auto* server = mServices.mView
+                         .Choose(*mContext.mSnapshot,
+                                 *mContext.mService,
+                                 mPlan,
+                                 { .mMayFail = false, .mOpenOnly = true },
+                                 Now())
+                         .mServer;
+  if (server == nullptr) {
     return;
   }
-  mRacePaid = true;
   mServices.mMetrics.Races().Increment();
   LogRace(*server);
   SendTo(*server, false);
@@ -250,6 +240,7 @@
                        .mRepeatable = mContext.mRepeatable,
                        .mMayFail = aAttempt.mMayFail,
                        .mLastResort = mPlan.LastResort(),
+                       .mRepeat = mPlan.ReachedBefore(),
                        .mDeadline = mContext.mDeadline,
                        .mRequestKey = mContext.mRequestKey,
                        .mRoute = mContext.mRoute->mName,
@@ -288,8 +279,7 @@
                               mContext.mRoute->mName,
                               aAnswered.mUsualTime);
   mAnswer = PassOn(std::move(aAnswered.mHttp));
-  mRacePaid = false;
-  mPlan.OnAnswered(failed, Retry());
+  mPlan.OnAnswered(failed, kHomesDecide);
   mDone = !failed;
 }
 
@@ -309,8 +299,8 @@
       std::min(mRetryAfter.value_or(aNotRun.mRetryAfter), aNotRun.mRetryAfter);
   }
   mPlan.OnNotRun(
-    mEnded.mServer->mName, ToSetback(aNotRun.mRefusal), Retry());
-  if (mRacePaid && !mRunning.empty()) {
+    mEnded.mServer->mName, ToSetback(aNotRun.mRefusal), kHomesDecide);
+  if (!mRunning.empty() && aNotRun.mRefusal != Refusal::kNoRetries) {
     mRaceAt = Now(); // the rival never reached a server; another one may
   }
 }
@@ -321,16 +311,14 @@
   mReason = aUnknown.mReason;
   LogAttempt(mReason);
   mToken = TokenOf(mEnded);
-  mRacePaid = false;
-  mPlan.OnUnknown(Retry());
+  mPlan.OnUnknown(kHomesDecide);
 }
 
 std::string
 AttemptRun::TokenOf(const RunningAttempt& aAttempt) const
 {
   const auto& box = aAttempt.mServer->mBox;
-  return MakeToken(
-    box, mServices.mView.LifeOf(box).mIncarnation, aAttempt.mId);
+  return MakeToken(box, mServices.mView.LifeOf(box).mIncarnation, aAttempt.mId);
 }
 
 void
--- a/packages/node/src/AttemptRunPriv.h
+++ b/packages/node/src/AttemptRunPriv.h
@@ -17,7 +17,7 @@
 {
   AttemptId mId;
   const BackendServerSpec* mServer = nullptr; // in the request's snapshot
-  bool mMayFail = false;                      // a retry of it can be paid
+  bool mMayFail = false;                      // another server may follow
   CancelFlag mCancelled;                      // of this attempt alone
 };
 
@@ -65,13 +65,11 @@
   void AwaitOne();
   void Take(EndedAttempt aEnded);
   void CancelRunning();
-  bool AffordsFailure() const;
   Micros RaceDelay() const;
   HomeRequest MakeRequest(const RunningAttempt& aAttempt) const;
   HttpHeaders ServerHeaders() const;
   void LogAttempt(const std::string& aResult) const;
   void LogRace(const BackendServerSpec& aServer) const;
-  RetrySource Retry() const;
   std::string TokenOf(const RunningAttempt& aAttempt) const;
   CallerAnswer GiveUp() const;
 
@@ -82,7 +80,6 @@
   std::shared_ptr<AttemptResults> mResults;
   RunningAttempt mEnded; // the one whose result is being taken
   TimePoint mRaceAt = TimePoint::max();
-  bool mRacePaid = false; // its retry is taken and no server reached yet
   bool mDone = false;
   std::string mReason = "no-server";
   std::string mToken;
--- a/packages/node/src/DirectoryController.cpp
+++ b/packages/node/src/DirectoryController.cpp
@@ -428,27 +428,27 @@
     EncodeVersions(mDirectory.Versions(),
                    *request.mutable_directory_request()->mutable_held());
   }
-  mTransport.Send(
-    aAddress,
-    std::move(request),
-    kPushTimeout,
-    [this, aAddress](const PeerResult& aResult) {
-      if (!aResult || !aResult->has_box_records()) {
-        return;
-      }
-      OnRecords(aResult->box_records());
-      const auto theirs = DecodeVersions(aResult->box_records().held());
-      if (theirs.empty()) {
-        return;
-      }
-      wire::Envelope message;
-      {
-        const std::lock_guard lock(mMutex);
-        *message.mutable_box_records() =
-          EncodeRecords(mDirectory.NewerThan(theirs));
-      }
-      mTransport.Tell(aAddress, std::move(message));
-    });
+  mTransport.Send(aAddress,
+                  std::move(request),
+                  kPushTimeout,
+                  [this, aAddress](const PeerResult& aResult) {
+                    if (!aResult || !aResult->has_box_records()) {
+                      return;
+                    }
+                    OnRecords(aResult->box_records());
+                    const auto theirs =
+                      DecodeVersions(aResult->box_records().held());
+                    if (theirs.empty()) {
+                      return;
+                    }
+                    wire::Envelope message;
+                    {
+                      const std::lock_guard lock(mMutex);
+                      *message.mutable_box_records() =
+                        EncodeRecords(mDirectory.NewerThan(theirs));
+                    }
+                    mTransport.Tell(aAddress, std::move(message));
+                  });
 }
 
 tl::expected<void, RegistrationError>
--- a/packages/node/src/EntryView.cpp
+++ b/packages/node/src/EntryView.cpp
@@ -14,19 +14,6 @@
 constexpr Millis kPathAvoid{ 800 };
 constexpr Millis kMaxAvoid{ 5000 };
 constexpr int kMaxAvoidDoublings = 5;
-// Of what the fleet may repeat at a service. The rest is for the calls that
-// repeated requests make there once more, which no entry can tell from first
-// ones, and for boxes that start anew with a full burst. Found by a hunt: 255
-// repeats in 10 s where 196 were allowed.
-constexpr double kOwnShare = 0.7;
-constexpr double kOwnBurst = 0.8;
-// Of the own share, kept for spells of failures rather than spent as it comes.
-// Both together stay within the own share of any window.
-constexpr double kSavedPart = 0.35;
-// A trial of a failing server most likely needs a retry, and must not take the
-// last one from a request that fails by surprise.
-constexpr int kRetriesForTrial = 2;
-constexpr double kPercent = 100.0;
 // A second server costs a trip; answers that come sooner are not worth it.
 constexpr Micros kMinRaceDelay{ 50'000 };
 // Of the time that a request has, while no home has told how long those of its
@@ -65,11 +52,8 @@
 
 } // namespace
 
-EntryView::EntryView(AvailabilityZone aZone,
-                     RetrySettings aRetries,
-                     BalancerOptions aOptions)
+EntryView::EntryView(AvailabilityZone aZone, BalancerOptions aOptions)
   : mZone(std::move(aZone))
-  , mRetries(aRetries)
   , mOptions(aOptions)
 {
 }
@@ -147,8 +131,7 @@
       MakeCandidate(aSnapshot, server, aPlan, aTerms.mMayFail, aNow));
   }
   auto chosen = ChooseServer(candidates, mOptions, Random(), Random());
-  const bool open =
-    chosen && candidates[*chosen].mStanding == Standing::kOpen;
+  const bool open = chosen && candidates[*chosen].mStanding == Standing::kOpen;
   if (aTerms.mOpenOnly && !open) {
     return {};
   }
@@ -231,13 +214,11 @@
     view.mNoTrialUntil = {};
     return;
   }
-  const auto retryAfter =
-    std::clamp(aNews.mRetryAfter, kMinAvoid, kMaxAvoid);
+  const auto retryAfter = std::clamp(aNews.mRetryAfter, kMinAvoid, kMaxAvoid);
   view.mBrokenUntil = aNow + retryAfter;
   // Its home needs few trials, and all that were told have some.
   const auto span = static_cast<std::uint64_t>(retryAfter.count());
-  view.mNoTrialUntil =
-    aNow + Millis(static_cast<Millis::rep>(Random() % span));
+  view.mNoTrialUntil = aNow + Millis(static_cast<Millis::rep>(Random() % span));
 }
 
 void
@@ -291,43 +272,6 @@
   shard.mBoxes[aBox].mUsable = aUsable;
 }
 
-void
-EntryView::OnFirstAttempt(const ServiceSpec& aService,
-                          std::size_t aBoxes,
-                          TimePoint aNow)
-{
-  auto& shard = ShardOf(aService.mName);
-  const std::lock_guard lock(shard.mMutex);
-  auto& budget = shard.mBudgets[aService.mName];
-  const auto boxes = static_cast<double>(std::max<std::size_t>(1, aBoxes));
-  const double share =
-    std::min(aService.mRetryPercent / kPercent, kOwnShare * mRetries.mShare);
-  const double burst =
-    std::min<double>(aService.mRetryBurst, kOwnBurst * mRetries.mBurst);
-  budget.SetOptions({ .mShare = (1.0 - kSavedPart) * share,
-                      .mBurst = burst / boxes,
-                      .mSavedShare = kSavedPart * share,
-                      .mWindow = mRetries.mWindow });
-  budget.OnFirstAttempt(aNow);
-}
-
-bool
-EntryView::AffordsTrial(const ServiceName& aService) const
-{
-  auto& shard = ShardOf(aService);
-  const std::lock_guard lock(shard.mMutex);
-  const auto it = shard.mBudgets.find(aService);
-  return it != shard.mBudgets.end() && it->second.Affords(kRetriesForTrial);
-}
-
-bool
-EntryView::TryRetry(const ServiceName& aService)
-{
-  auto& shard = ShardOf(aService);
-  const std::lock_guard lock(shard.mMutex);
-  return shard.mBudgets[aService].TryRetry();
-}
-
 void
 EntryView::OnUsualTime(const ServiceName& aService,
                        const std::string& aRoute,
@@ -350,10 +294,9 @@
   auto& shard = ShardOf(aService);
   const std::lock_guard lock(shard.mMutex);
   const auto it = shard.mUsualTimes.find(aRoute);
-  return std::max<Micros>(kMinRaceDelay,
-                          it == shard.mUsualTimes.end()
-                            ? aGiven / kRaceUnknownPart
-                            : it->second);
+  return std::max<Micros>(
+    kMinRaceDelay,
+    it == shard.mUsualTimes.end() ? aGiven / kRaceUnknownPart : it->second);
 }
 
 std::string
--- a/packages/node/src/HopCodec.cpp
+++ b/packages/node/src/HopCodec.cpp
@@ -10,10 +10,10 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 13> kRefusals = {
-  "none",      "incarnation", "no-server",   "leaving", "ejected",
-  "demoted",   "overloaded",  "server-busy", "expired", "revoked",
-  "duplicate", "stale",       "unreachable"
+constexpr std::array<std::string_view, 14> kRefusals = {
+  "none",    "incarnation", "no-server",   "leaving",    "ejected",
+  "demoted", "overloaded",  "server-busy", "no-retries", "expired",
+  "revoked", "duplicate",   "stale",       "unreachable"
 };
 constexpr double kLoadScale = 1000.0;
 constexpr char kSeparator = ';';
@@ -21,6 +21,7 @@
 constexpr char kRepeatableFlag = 'r';
 constexpr char kMayFailFlag = 'f';
 constexpr char kLastResortFlag = 'l';
+constexpr char kRepeatFlag = 'p';
 
 // The one header between entry and home: its fields in a fixed order. Bytes
 // between availability zones cost, so they are few.
@@ -111,6 +112,7 @@
   flags += aRequest.mRepeatable ? std::string(1, kRepeatableFlag) : "";
   flags += aRequest.mMayFail ? std::string(1, kMayFailFlag) : "";
   flags += aRequest.mLastResort ? std::string(1, kLastResortFlag) : "";
+  flags += aRequest.mRepeat ? std::string(1, kRepeatFlag) : "";
   return flags;
 }
 
@@ -194,6 +196,7 @@
   request.mRepeatable = Has(flags, kRepeatableFlag);
   request.mMayFail = Has(flags, kMayFailFlag);
   request.mLastResort = Has(flags, kLastResortFlag);
+  request.mRepeat = Has(flags, kRepeatFlag);
   request.mServer = BackendServerName(fields.Text(kServer));
   request.mRoute = fields.Text(kRoute);
   request.mRequestKey = HeaderValue(aHttp.mHeaders, hop::kRequestKey);
--- a/packages/node/src/LocalServer.cpp
+++ b/packages/node/src/LocalServer.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr Millis kLeavingRetryAfter{ 1000 };
+constexpr Millis kNoRetriesAfter{ 500 };
 constexpr int kServerErrors = 500;
 // Four in five alarms for silence end within 0.3 s with the suspected answer,
 // half of them within 84 ms; meanwhile the home refuses what comes.
@@ -91,8 +92,7 @@
 LocalServer::TurnWaitersAway(Refusal aRefusal, Millis aRetryAfter)
 {
   for (auto& [ticket, waiter] : mWaiters) {
-    const bool stays =
-      aRefusal == Refusal::kDemoted && waiter.mLastResort;
+    const bool stays = aRefusal == Refusal::kDemoted && waiter.mLastResort;
     if (!stays && waiter.mState == WaitState::kWaiting &&
         mQueue.Cancel(ticket)) {
       waiter.mRefusal = aRefusal;
@@ -171,8 +171,8 @@
                    Micros aTime)
 {
   const std::lock_guard lock(mMutex);
-  const bool answered = aAnswer.mOutcome == Outcome::kRun &&
-                        aAnswer.mHttp.mStatus < kServerErrors;
+  const bool answered =
+    aAnswer.mOutcome == Outcome::kRun && aAnswer.mHttp.mStatus < kServerErrors;
   if (answered) {
     mRouteTimes.Observe(aRequest.mRoute, aTime);
   }
@@ -307,6 +307,9 @@
   auto aside = mOptions.mFailingServers == FailingServers::kBreak
                  ? RefuseBroken(aRequest)
                  : RefuseAside(aRequest);
+  if (!aside) {
+    aside = RefuseRepeat(aRequest);
+  }
   if (aside) {
     return aside;
   }
@@ -321,18 +324,45 @@
     return RefuseLocked(Refusal::kOverloaded, offer.mRetryAfter);
   }
   if (offer.mVerdict == OfferVerdict::kStart) {
-    mBreaker.OnStarted(aRequest, Now());
+    NoteStarted(aRequest);
     return std::nullopt;
   }
   mWaiters[ticket] = { .mAttempt = aRequest.mAttempt,
                        .mLastResort = aRequest.mLastResort };
   auto refused = WaitForSlot(lock, ticket, aRequest);
   if (!refused) {
-    mBreaker.OnStarted(aRequest, Now());
+    NoteStarted(aRequest);
   }
   return refused;
 }
 
+void
+LocalServer::NoteStarted(const HomeRequest& aRequest)
+{
+  mBreaker.OnStarted(aRequest, Now());
+  if (aRequest.mRepeat) {
+    mRetries.Spend();
+  } else {
+    mRetries.OnFirstAttempt(Now());
+  }
+}
+
+std::optional<HomeAnswer>
+LocalServer::RefuseRepeat(const HomeRequest& aRequest) const
+{
+  if (!aRequest.mRepeat || mRetries.Affords(1)) {
+    return std::nullopt;
+  }
+  return RefuseLocked(Refusal::kNoRetries, kNoRetriesAfter);
+}
+
+void
+LocalServer::SetRetryBudget(const RetryBudgetOptions& aOptions)
+{
+  const std::lock_guard lock(mMutex);
+  mRetries.SetOptions(aOptions);
+}
+
 std::optional<HomeAnswer>
 LocalServer::RefuseBroken(const HomeRequest& aRequest)
 {
@@ -340,7 +370,9 @@
   if (EndsTooSoonFor(aRequest)) {
     return RefuseLocked(Refusal::kDemoted, kLeavingRetryAfter);
   }
-  if (mBreaker.Admit(aRequest, now)) {
+  // A trial most likely needs a retry elsewhere.
+  const bool trialPaid = mRetries.Affords(1);
+  if (mBreaker.Admit(aRequest, trialPaid, now)) {
     return std::nullopt;
   }
   return RefuseLocked(Refusal::kDemoted, mBreaker.RetryAfter(now));
--- a/packages/node/src/MembershipController.cpp
+++ b/packages/node/src/MembershipController.cpp
@@ -328,6 +328,7 @@
 {
   const auto live = LivePeers();
   std::vector<AvailabilityZone> zones;
+  zones.reserve(live.size());
   for (const auto& peer : live) {
     zones.push_back(peer.mZone);
   }
--- a/packages/node/src/Metrics.cpp
+++ b/packages/node/src/Metrics.cpp
@@ -77,6 +77,11 @@
   , mControlSent(MakeGauge(*mRegistry,
                            "porttiller_control_sent_bytes",
                            "Control bytes sent to other boxes"))
+  , mControlSentByKind(
+      &prometheus::BuildGauge()
+         .Name("porttiller_control_sent_bytes_by_kind")
+         .Help("Control bytes sent to other boxes, by kind of message")
+         .Register(*mRegistry))
   , mControlReceived(MakeGauge(*mRegistry,
                                "porttiller_control_received_bytes",
                                "Control bytes received from other boxes"))
@@ -112,6 +117,12 @@
   mRefusals.at(static_cast<std::size_t>(aRefusal))->Increment();
 }
 
+prometheus::Gauge&
+Metrics::ControlBytesSentOf(const std::string& aKind)
+{
+  return mControlSentByKind->Add({ { "kind", aKind } });
+}
+
 std::string
 Metrics::Text() const
 {
--- a/packages/node/src/Node.cpp
+++ b/packages/node/src/Node.cpp
@@ -26,6 +26,7 @@
 #include <Poco/Timestamp.h>
 #include <atomic>
 #include <future>
+#include <map>
 #include <optional>
 #include <thread>
 
@@ -120,8 +121,9 @@
           mIncarnation,
           { .mFailingServers = mSettings.mFailingServers,
             .mHeaders = EdgeHeadersOf(mSettings) },
+          mSettings.mRetries,
           mCutoff)
-  , mView(mSettings.mZone, mSettings.mRetries, {})
+  , mView(mSettings.mZone, {})
   , mNamer(mSettings.mBox, mIncarnation)
 {
 }
@@ -239,8 +241,10 @@
     return tl::make_unexpected(admin.error());
   }
   mAdminServer = std::move(*admin);
-  auto entry = EntryServer::Make(
-    mSettings, *mConfig, { mView, *mDispatcher, mMetrics, mNamer, mAttemptPool });
+  auto entry =
+    EntryServer::Make(mSettings,
+                      *mConfig,
+                      { mView, *mDispatcher, mMetrics, mNamer, mAttemptPool });
   if (!entry) {
     return tl::make_unexpected(entry.error());
   }
@@ -381,6 +385,13 @@
   mMetrics.ControlBytesSent().Set(static_cast<double>(traffic.mBytesSent));
   mMetrics.ControlBytesReceived().Set(
     static_cast<double>(traffic.mBytesReceived));
+  std::map<std::string, std::uint64_t> byKind;
+  for (const auto& [kind, bytes] : traffic.mSentByKind) {
+    byKind[ToText(kind)] += bytes;
+  }
+  for (const auto& [kind, bytes] : byKind) {
+    mMetrics.ControlBytesSentOf(kind).Set(static_cast<double>(bytes));
+  }
   mMetrics.LateReplies().Set(static_cast<double>(traffic.mLateReplies));
 }
 
--- a/packages/node/src/ServerBreaker.cpp
+++ b/packages/node/src/ServerBreaker.cpp
@@ -42,10 +42,13 @@
 }
 
 bool
-ServerBreaker::Admit(const HomeRequest& aRequest, TimePoint aNow)
+ServerBreaker::Admit(const HomeRequest& aRequest,
+                     bool aTrialPaid,
+                     TimePoint aNow)
 {
   JudgeSilence(aNow);
-  return mBreaker.Admit(aRequest.mMayFail, aRequest.mLastResort, aNow);
+  return mBreaker.Admit(
+    aRequest.mMayFail && aTrialPaid, aRequest.mLastResort, aNow);
 }
 
 bool
--- a/packages/node/tests/EntryViewTest.cpp
+++ b/packages/node/tests/EntryViewTest.cpp
@@ -34,13 +34,11 @@
   const auto& service = aSnapshot.mServices.begin()->second;
   int count = 0;
   for (int i = 0; i < kDraws; ++i) {
-    const auto* server = aView
-                           .Choose(aSnapshot,
-                                   service,
-                                   AttemptPlan(true),
-                                   { .mMayFail = true },
-                                   aNow)
-                           .mServer;
+    const auto* server =
+      aView
+        .Choose(
+          aSnapshot, service, AttemptPlan(true), { .mMayFail = true }, aNow)
+        .mServer;
     count += server == &service.mServers[0] ? 1 : 0;
   }
   return count;
@@ -53,7 +51,7 @@
   // Found by the fault matrix: a load reported just before its home died kept
   // all requests away from its next life, and so was never corrected.
   const auto snapshot = MakeSnapshot();
-  EntryView view(AvailabilityZone("entry"), {}, {});
+  EntryView view(AvailabilityZone("entry"), {});
   const auto& first = snapshot.mServices.begin()->second.mServers[0];
   view.OnLoad(first, 2.0, kStart);
   CHECK(CountFirst(view, snapshot, kStart) < kDraws * 2 / 5);
@@ -63,7 +61,7 @@
 TEST_CASE("A path that fails is avoided for a while and then tried again")
 {
   const auto snapshot = MakeSnapshot();
-  EntryView view(AvailabilityZone("entry"), {}, {});
+  EntryView view(AvailabilityZone("entry"), {});
   view.OnPathFailure(BoxName("a"), kStart);
   CHECK(CountFirst(view, snapshot, kStart) == 0);
   CHECK(CountFirst(view, snapshot, kStart + Millis(6000)) > 0);
@@ -72,7 +70,7 @@
 TEST_CASE("A box that started anew is used at once")
 {
   const auto snapshot = MakeSnapshot();
-  EntryView view(AvailabilityZone("entry"), {}, {});
+  EntryView view(AvailabilityZone("entry"), {});
   const BoxName box("a");
   view.SetLife(box, { .mIncarnation = Incarnation(1) });
   view.OnPathFailure(box, kStart);
@@ -86,7 +84,7 @@
 TEST_CASE("A home's news keeps requests away until it tells the opposite")
 {
   const auto snapshot = MakeSnapshot();
-  EntryView view(AvailabilityZone("entry"), {}, {});
+  EntryView view(AvailabilityZone("entry"), {});
   ServerNews news{ .mServer = BackendServerName("a"),
                    .mService = ServiceName("ledger"),
                    .mDemoted = true,
@@ -108,7 +106,7 @@
 TEST_CASE("An entry that missed the news of an open server asks in the end")
 {
   const auto snapshot = MakeSnapshot();
-  EntryView view(AvailabilityZone("entry"), {}, {});
+  EntryView view(AvailabilityZone("entry"), {});
   view.OnNews({ .mServer = BackendServerName("a"),
                 .mService = ServiceName("ledger"),
                 .mDemoted = true,
--- a/packages/node/tests/HopCodecTest.cpp
+++ b/packages/node/tests/HopCodecTest.cpp
@@ -19,6 +19,7 @@
                        .mPriority = Priority::kSheddable,
                        .mRepeatable = true,
                        .mMayFail = true,
+                       .mRepeat = true,
                        .mDeadline = kNow + Millis(900),
                        .mRequestKey = "key",
                        .mRoute = "r" };
@@ -44,6 +45,7 @@
   CHECK(read->mRepeatable);
   CHECK(read->mMayFail);
   CHECK_FALSE(read->mLastResort);
+  CHECK(read->mRepeat);
   CHECK(read->mDeadline == request.mDeadline);
   CHECK(read->mRequestKey == "key");
   CHECK(read->mRoute == "r");
--- a/packages/node/tests/LocalServerTest.cpp
+++ b/packages/node/tests/LocalServerTest.cpp
@@ -133,6 +133,26 @@
   CHECK(staying.get().mOutcome == Outcome::kRun);
 }
 
+TEST_CASE("A server takes its share of repeats and every first attempt")
+{
+  OneSlotServer server;
+  server.mLetGo = true;
+  server.mServer.SetRetryBudget({ .mShare = 0.5, .mBurst = 1.0 });
+  const auto send = [&](std::uint64_t aNumber, bool aRepeat) {
+    auto request = Request(aNumber, true);
+    request.mRepeat = aRepeat;
+    return server.Begin(request).get();
+  };
+  CHECK(send(1, true).mOutcome == Outcome::kRun);
+  const auto refused = send(2, true);
+  CHECK(refused.mOutcome == Outcome::kNotRun);
+  CHECK(refused.mRefusal == Refusal::kNoRetries);
+  CHECK(send(3, false).mOutcome == Outcome::kRun);
+  CHECK(send(4, true).mOutcome == Outcome::kNotRun);
+  CHECK(send(5, false).mOutcome == Outcome::kRun);
+  CHECK(send(6, true).mOutcome == Outcome::kRun);
+}
+
 TEST_CASE("A box that is stopped takes what may run once as the last resort")
 {
   OneSlotServer server;
--- a/packages/node/tests/ServerBreakerTest.cpp
+++ b/packages/node/tests/ServerBreakerTest.cpp
@@ -59,9 +59,9 @@
   for (std::uint64_t i = 2; i < 6; ++i) {
     Play(breaker, i, kServed, kUsual, kStart + kUsual * i);
   }
-  CHECK(breaker.Admit(Request(6), kStart + kLong));
+  CHECK(breaker.Admit(Request(6), true, kStart + kLong));
   breaker.OnEnded(Request(1), kTimedOut, kLong, kStart + kLong);
-  CHECK(breaker.Admit(Request(7), kStart + kLong));
+  CHECK(breaker.Admit(Request(7), true, kStart + kLong));
 }
 
 TEST_CASE("A late request alone closes the server until it is answered")
@@ -69,10 +69,10 @@
   const RouteTimes times = UsualTimes();
   ServerBreaker breaker(BackendServerName("s"), times);
   breaker.OnStarted(Request(1), kStart);
-  CHECK(breaker.Admit(Request(2), kStart + kUsual * 2));
-  CHECK_FALSE(breaker.Admit(Request(3), kStart + kLong));
+  CHECK(breaker.Admit(Request(2), true, kStart + kUsual * 2));
+  CHECK_FALSE(breaker.Admit(Request(3), true, kStart + kLong));
   breaker.OnEnded(Request(1), kServed, kLong, kStart + kLong);
-  CHECK(breaker.Admit(Request(4), kStart + kLong));
+  CHECK(breaker.Admit(Request(4), true, kStart + kLong));
 }
 
 TEST_CASE("Silence of two requests at once tells before their deadlines do")
@@ -80,9 +80,9 @@
   const RouteTimes times = UsualTimes();
   ServerBreaker breaker(BackendServerName("s"), times);
   breaker.OnStarted(Request(1), kStart);
-  CHECK(breaker.Admit(Request(2), kStart + kUsual * 2));
+  CHECK(breaker.Admit(Request(2), true, kStart + kUsual * 2));
   breaker.OnStarted(Request(3), kStart);
-  CHECK_FALSE(breaker.Admit(Request(4), kStart + kUsual * 2));
+  CHECK_FALSE(breaker.Admit(Request(4), true, kStart + kUsual * 2));
 }
 
 TEST_CASE("Requests whose entries gave them up tell of their server, too")
@@ -93,7 +93,7 @@
   request.mCancelled = std::make_shared<std::atomic<bool>>(true);
   breaker.OnStarted(request, kStart);
   breaker.OnEnded(request, kCut, kLong, kStart + kLong);
-  CHECK_FALSE(breaker.Admit(Request(2), kStart + kLong));
+  CHECK_FALSE(breaker.Admit(Request(2), true, kStart + kLong));
 }
 
 TEST_CASE("What a full server refuses says nothing of its health")
@@ -105,5 +105,5 @@
   for (std::uint64_t i = 1; i < 10; ++i) {
     Play(breaker, i, full, Millis(1));
   }
-  CHECK(breaker.Admit(Request(10), kStart + kLong));
+  CHECK(breaker.Admit(Request(10), true, kStart + kLong));
 }
--- a/packages/peer/include/porttiller/peer/PeerTransport.h
+++ b/packages/peer/include/porttiller/peer/PeerTransport.h
@@ -41,6 +41,10 @@
   std::size_t mMaxPending = 4096; // requests without a reply yet
 };
 
+// Of a kind of message, as metrics name it.
+const char*
+ToText(wire::Envelope::BodyCase aKind);
+
 struct PeerTraffic
 {
   std::uint64_t mBytesSent = 0;
--- a/packages/peer/src/MessageCodecPriv.cpp
+++ b/packages/peer/src/MessageCodecPriv.cpp
@@ -34,8 +34,8 @@
     return std::nullopt;
   }
   std::string bytes(size, '\0');
-  const auto written = ZSTD_decompress(
-    bytes.data(), bytes.size(), aPacked.data(), aPacked.size());
+  const auto written =
+    ZSTD_decompress(bytes.data(), bytes.size(), aPacked.data(), aPacked.size());
   if (ZSTD_isError(written) != 0 || written != size) {
     return std::nullopt;
   }
--- a/packages/peer/src/PeerTransport.cpp
+++ b/packages/peer/src/PeerTransport.cpp
@@ -6,6 +6,37 @@
 
 namespace porttiller {
 
+const char*
+ToText(wire::Envelope::BodyCase aKind)
+{
+  using Body = wire::Envelope;
+  switch (aKind) {
+    case Body::kProbe:
+    case Body::kProbeReply:
+    case Body::kIndirectProbe:
+      return "membership";
+    case Body::kAttempt:
+    case Body::kAttemptReply:
+      return "attempt";
+    case Body::kDeltaRequest:
+    case Body::kDelta:
+    case Body::kAnnounce:
+      return "configuration";
+    case Body::kHealth:
+    case Body::kHealthReply:
+      return "health";
+    case Body::kBoxRecords:
+    case Body::kDirectoryRequest:
+      return "directory";
+    case Body::kServerNews:
+      return "server-news";
+    case Body::kAck:
+    case Body::BODY_NOT_SET:
+      break;
+  }
+  return "other";
+}
+
 tl::expected<std::unique_ptr<PeerTransport>, PeerError>
 PeerTransport::Make(PeerTransportOptions aOptions, PeerHandler aHandler)
 {
--- a/packages/policy/include/porttiller/policy/AttemptPlan.h
+++ b/packages/policy/include/porttiller/policy/AttemptPlan.h
@@ -64,6 +64,8 @@
   // Whether another attempt may be sent while one runs. Takes a retry.
   bool MayRace(const RetrySource& aRetry);
   bool Repeatable() const { return mRepeatable; }
+  // A server has got the request, or may have.
+  bool ReachedBefore() const { return mServersReached + mInFlight > 0; }
   // The next attempt may fail without the request being lost.
   bool MayFailNext() const;
 
--- a/packages/policy/include/porttiller/policy/RetryBudget.h
+++ b/packages/policy/include/porttiller/policy/RetryBudget.h
@@ -28,6 +28,8 @@
   void OnFirstAttempt(TimePoint aNow);
   // Takes one retry; false when the budget is spent.
   bool TryRetry();
+  // Takes one that was granted before, when the budget still had it.
+  void Spend() { mTokens -= 1.0; }
   // Whether so many retries are in hand.
   bool Affords(int aRetries) const;
 
--- a/packages/policy/include/porttiller/policy/SilenceDetector.h
+++ b/packages/policy/include/porttiller/policy/SilenceDetector.h
@@ -1,9 +1,9 @@
 // Tells a server that leaves requests without an answer from one that is merely
-// busy with long ones, by the ages of all requests that run there. Each adds the
-// logarithm of how much likelier its age is at a server that hangs; each answer
-// speaks for the server. The sum over the requests since the likeliest moment
-// at which hanging began is the score. Source: Page, "Continuous inspection
-// schemes", 1954 (CUSUM).
+// busy with long ones, by the ages of all requests that run there. Each adds
+// the logarithm of how much likelier its age is at a server that hangs; each
+// answer speaks for the server. The sum over the requests since the likeliest
+// moment at which hanging began is the score. Source: Page, "Continuous
+// inspection schemes", 1954 (CUSUM).
 #pragma once
 
 #include "porttiller/core/Ids.h"
--- a/packages/policy/src/AttemptPlan.cpp
+++ b/packages/policy/src/AttemptPlan.cpp
@@ -119,7 +119,7 @@
 AttemptPlan::MayRace(const RetrySource& aRetry)
 {
   return mRepeatable && !mEnded && mAttempts < mMaxAttempts &&
-         MayReachAnother() && aRetry();
+         mTurnedAway < mOptions.mMaxTurnedAway && MayReachAnother() && aRetry();
 }
 
 Outcome
--- a/packages/policy/src/LatencyModel.cpp
+++ b/packages/policy/src/LatencyModel.cpp
@@ -14,8 +14,7 @@
 double
 LogOf(Micros aTime)
 {
-  return std::log(
-    static_cast<double>(std::max<Micros::rep>(1, aTime.count())));
+  return std::log(static_cast<double>(std::max<Micros::rep>(1, aTime.count())));
 }
 
 } // namespace
@@ -54,8 +53,7 @@
 Micros
 LatencyModel::TimeAt(double aSigmas) const
 {
-  return Micros(
-    static_cast<Micros::rep>(std::exp(mMean + aSigmas * Sigma())));
+  return Micros(static_cast<Micros::rep>(std::exp(mMean + aSigmas * Sigma())));
 }
 
 } // namespace porttiller
--- a/packages/policy/src/RouteTimes.cpp
+++ b/packages/policy/src/RouteTimes.cpp
@@ -25,8 +25,7 @@
 RouteTimes::ModelOf(const std::string& aRoute) const
 {
   const auto it = mRoutes.find(aRoute);
-  const bool known =
-    it != mRoutes.end() && it->second.Samples() >= kMinSamples;
+  const bool known = it != mRoutes.end() && it->second.Samples() >= kMinSamples;
   return known ? it->second : mOthers;
 }
 
@@ -40,8 +39,7 @@
 RouteTimes::UsualTime(const std::string& aRoute) const
 {
   const auto& model = ModelOf(aRoute);
-  return model.Samples() < kMinSamples ? Micros(0)
-                                       : model.TimeAt(kNinthDecile);
+  return model.Samples() < kMinSamples ? Micros(0) : model.TimeAt(kNinthDecile);
 }
 
 } // namespace porttiller
--- a/packages/policy/src/SilenceDetector.cpp
+++ b/packages/policy/src/SilenceDetector.cpp
@@ -66,8 +66,7 @@
   if (aRequest.mFate == Fate::kAnswered) {
     return std::log(answered);
   }
-  const auto until =
-    aRequest.mFate == Fate::kRunning ? aNow : aRequest.mEnded;
+  const auto until = aRequest.mFate == Fate::kRunning ? aNow : aRequest.mEnded;
   const auto survival = aSurvival(aRequest.mRoute, until - aRequest.mStarted);
   return std::log(answered + mOptions.mHangingShare / survival);
 }
--- a/packages/policy/tests/SilenceDetectorTest.cpp
+++ b/packages/policy/tests/SilenceDetectorTest.cpp
@@ -33,10 +33,9 @@
 
   bool Alarms(Millis aAfter) const
   {
-    return mDetector.Alarms([this](const std::string&, Micros aAge) {
-      return mModel.Survival(aAge);
-    },
-                            kStart + aAfter);
+    return mDetector.Alarms(
+      [this](const std::string&, Micros aAge) { return mModel.Survival(aAge); },
+      kStart + aAfter);
   }
 
   void Begin(std::uint64_t aNumber, Millis aAfter = Millis(0))
@@ -52,7 +51,8 @@
 
 } // namespace
 
-TEST_CASE_FIXTURE(SilenceDetectorFixture, "Requests of a usual age are no alarm")
+TEST_CASE_FIXTURE(SilenceDetectorFixture,
+                  "Requests of a usual age are no alarm")
 {
   Begin(1);
   Begin(2);
--- a/packages/policy/tests/SpreadTest.cpp
+++ b/packages/policy/tests/SpreadTest.cpp
@@ -28,8 +28,8 @@
 {
   const auto zones = ZonesOfBoxes();
   const auto own = zones.front();
-  const auto receivers = ChooseReceivers(
-    zones, own, { .mOwnZone = 3, .mPerOtherZone = 2 }, 7);
+  const auto receivers =
+    ChooseReceivers(zones, own, { .mOwnZone = 3, .mPerOtherZone = 2 }, 7);
   CHECK(receivers.size() == 3 + 2 * (kZones - 1));
   CHECK(std::set(receivers.begin(), receivers.end()).size() ==
         receivers.size());
