Hold errors against a server only beyond what its service answers anyway

Cause: three errors among six answers demoted a server.

Change: an entry keeps the share of errors among a service's answers and tells it with each attempt; errors demote a server if so many among six are likelier than one in 500 no chance at that share, and a trial's error counts only where errors are rare.

--- a/packages/node/include/porttiller/node/EntryView.h
+++ b/packages/node/include/porttiller/node/EntryView.h
@@ -71,6 +71,11 @@
   // What membership knows of a box: dead and leaving ones are used last.
   void SetBoxUsable(const BoxName& aBox, bool aUsable);
 
+  // Whether an answer of the service was an error of its server's own.
+  void OnAnswered(const ServiceName& aService, bool aError);
+  // The share of its answers that are; a moving average.
+  double UsualErrors(const ServiceName& aService) const;
+
   // What homes tell of a route: nine in ten of its requests take no longer.
   void OnUsualTime(const ServiceName& aService,
                    const std::string& aRoute,
@@ -103,6 +108,7 @@
     mutable std::mutex mMutex;
     std::map<BackendServerName, ServerView> mServers;
     std::map<std::string, Micros> mUsualTimes; // by route
+    std::map<ServiceName, double> mErrors;     // share of the answers
   };
 
   struct BoxView
--- a/packages/node/include/porttiller/node/HomeTypes.h
+++ b/packages/node/include/porttiller/node/HomeTypes.h
@@ -51,7 +51,9 @@
   bool mMayFail = false; // another server may still get it after this one
   bool mLastResort = false;
   bool mRepeat = false; // another server has got the request already
-  TimePoint mDeadline;  // on the clock of the process that holds the value
+  // Of the service's answers that the entry has seen, those that were errors.
+  double mUsualErrors = 0.0;
+  TimePoint mDeadline; // on the clock of the process that holds the value
   std::string mRequestKey;
   std::string mRoute;     // the class of call, for detection
   std::string mRequestId; // the caller's, for logs; may be empty
--- a/packages/node/include/porttiller/node/ServerBreaker.h
+++ b/packages/node/include/porttiller/node/ServerBreaker.h
@@ -53,7 +53,8 @@
   const RouteTimes& mTimes;
   CircuitBreaker mBreaker;
   SilenceDetector mSilence;
-  bool mBySilence = false; // why the breaker is half open
+  double mUsualErrors = 0.0; // of the service, as entries tell
+  bool mBySilence = false;   // why the breaker is half open
 };
 
 } // namespace porttiller
--- a/packages/node/src/AttemptRunPriv.cpp
+++ b/packages/node/src/AttemptRunPriv.cpp
@@ -241,6 +241,8 @@
                        .mMayFail = aAttempt.mMayFail,
                        .mLastResort = mPlan.LastResort(),
                        .mRepeat = mPlan.ReachedBefore(),
+                       .mUsualErrors = mServices.mView.UsualErrors(
+                         mContext.mService->mSpec.mName),
                        .mDeadline = mContext.mDeadline,
                        .mRequestKey = mContext.mRequestKey,
                        .mRoute = mContext.mRoute->mName,
@@ -274,6 +276,7 @@
 AttemptRun::operator()(AttemptAnswered& aAnswered)
 {
   const bool failed = aAnswered.mHttp.mStatus >= kServerErrors;
+  mServices.mView.OnAnswered(mContext.mService->mSpec.mName, failed);
   mServices.mView.OnLoad(*mEnded.mServer, aAnswered.mLoad, Now());
   mServices.mView.OnUsualTime(mContext.mService->mSpec.mName,
                               mContext.mRoute->mName,
--- a/packages/node/src/EntryView.cpp
+++ b/packages/node/src/EntryView.cpp
@@ -14,6 +14,8 @@
 constexpr Millis kPathAvoid{ 800 };
 constexpr Millis kMaxAvoid{ 5000 };
 constexpr int kMaxAvoidDoublings = 5;
+// Of the newest answer in the share of a service's errors.
+constexpr double kAnswerWeight = 0.1;
 // A second server costs a trip; answers that come sooner are not worth it.
 constexpr Micros kMinRaceDelay{ 50'000 };
 // Of the time that a request has, while no home has told how long those of its
@@ -272,6 +274,24 @@
   shard.mBoxes[aBox].mUsable = aUsable;
 }
 
+void
+EntryView::OnAnswered(const ServiceName& aService, bool aError)
+{
+  auto& shard = ShardOf(aService);
+  const std::lock_guard lock(shard.mMutex);
+  auto& errors = shard.mErrors[aService];
+  errors += kAnswerWeight * ((aError ? 1.0 : 0.0) - errors);
+}
+
+double
+EntryView::UsualErrors(const ServiceName& aService) const
+{
+  auto& shard = ShardOf(aService);
+  const std::lock_guard lock(shard.mMutex);
+  const auto it = shard.mErrors.find(aService);
+  return it == shard.mErrors.end() ? 0.0 : it->second;
+}
+
 void
 EntryView::OnUsualTime(const ServiceName& aService,
                        const std::string& aRoute,
--- a/packages/node/src/HopCodec.cpp
+++ b/packages/node/src/HopCodec.cpp
@@ -16,6 +16,7 @@
   "revoked", "duplicate",   "stale",       "unreachable"
 };
 constexpr double kLoadScale = 1000.0;
+constexpr double kErrorScale = 100.0;
 constexpr char kSeparator = ';';
 constexpr const char* kNone = "-";
 constexpr char kRepeatableFlag = 'r';
@@ -86,7 +87,8 @@
   kBudget,
   kHomeDeadline,
   kFlags,
-  kRoute
+  kRoute,
+  kUsualErrors
 };
 } // namespace request_field
 
@@ -164,6 +166,7 @@
     fields.Add("");
   }
   fields.Add(FlagsOf(aRequest)).Add(aRequest.mRoute);
+  fields.Add(static_cast<std::int64_t>(aRequest.mUsualErrors * kErrorScale));
   http.mHeaders.push_back({ hop::kRequestHop, fields.Take() });
   if (!aRequest.mRequestKey.empty()) {
     http.mHeaders.push_back({ hop::kRequestKey, aRequest.mRequestKey });
@@ -199,6 +202,8 @@
   request.mRepeat = Has(flags, kRepeatFlag);
   request.mServer = BackendServerName(fields.Text(kServer));
   request.mRoute = fields.Text(kRoute);
+  request.mUsualErrors =
+    static_cast<double>(fields.Number(kUsualErrors).value_or(0)) / kErrorScale;
   request.mRequestKey = HeaderValue(aHttp.mHeaders, hop::kRequestKey);
   aHttp.mHeaders = WithoutHopHeaders(aHttp.mHeaders);
   request.mHttp = std::move(aHttp);
--- a/packages/node/src/ServerBreaker.cpp
+++ b/packages/node/src/ServerBreaker.cpp
@@ -12,6 +12,8 @@
 // A trial that was given up tells that the server still hangs only if so few
 // requests would have taken longer.
 constexpr double kTellingSurvival = 0.3;
+// Of the newest request's entry in the service's usual share of errors.
+constexpr double kEntryWeight = 0.1;
 // Entries keep away from an open breaker for so long before they ask again.
 // They are told when it closes; this is for those that miss the news.
 constexpr Millis kRetryAfter{ 4000 };
@@ -68,6 +70,7 @@
 ServerBreaker::OnStarted(const HomeRequest& aRequest, TimePoint aNow)
 {
   mSilence.OnStarted(aRequest.mAttempt, aRequest.mRoute, aNow);
+  mUsualErrors += kEntryWeight * (aRequest.mUsualErrors - mUsualErrors);
 }
 
 void
@@ -127,7 +130,7 @@
     return mBreaker.OnFailure(aNow);
   }
   if (aAnswer.mHttp.mStatus >= kServerErrors) {
-    return mBreaker.OnError(aNow);
+    return mBreaker.OnError(mUsualErrors, aNow);
   }
   const bool closed = mBreaker.OnSuccess(aNow - aTime);
   if (closed) {
--- a/packages/policy/include/porttiller/policy/CircuitBreaker.h
+++ b/packages/policy/include/porttiller/policy/CircuitBreaker.h
@@ -24,10 +24,10 @@
   // others may never come. Longer than the spells of some nine seconds that
   // servers have on the users' days, as it is lost when it fails.
   Millis mTrialOfAny{ 10'000 };
-  // Errors that the server itself answers count as a failure when there are so
-  // many among the last kErrorWindow answers. Fewer are the requests' own, or
-  // come from what the server itself has to call.
-  int mErrorsToFail = 3;
+  // Errors that the server itself answers count as a failure when so many among
+  // the last kErrorWindow answers are this unlikely for its service: what all
+  // its servers answer comes from what they call, or from the requests.
+  double mErrorsUnlikely = 0.002;
 };
 
 enum class BreakerState
@@ -54,8 +54,9 @@
   // The server answered a request in order that was sent to it at aSent. One
   // from before the last failure tells nothing. True when the state changed.
   bool OnSuccess(TimePoint aSent);
-  // The server answered with an error of its own. True as with OnFailure.
-  bool OnError(TimePoint aNow);
+  // The server answered with an error of its own; aUsualErrors is the share of
+  // such answers over all servers of its service. True as with OnFailure.
+  bool OnError(double aUsualErrors, TimePoint aNow);
   // What had opened it was no failure.
   void Close();
 
@@ -70,6 +71,8 @@
   using Window = std::bitset<kErrorWindow>; // of the last answers, newest first
 
   void Note(bool aError);
+  // Of so many errors in the window, or more, were each as likely as aShare.
+  static double Likelihood(int aErrors, double aShare);
 
   CircuitBreakerOptions mOptions;
   BreakerState mState = BreakerState::kClosed;
--- a/packages/policy/src/CircuitBreaker.cpp
+++ b/packages/policy/src/CircuitBreaker.cpp
@@ -1,9 +1,19 @@
 #include "porttiller/policy/CircuitBreaker.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace porttiller {
 
+namespace {
+
+// Servers answer about one request in a hundred with an error of their own.
+constexpr double kLeastErrors = 0.012;
+constexpr double kMostErrors = 0.9;
+constexpr double kTellingErrors = 0.2;
+
+} // namespace
+
 const char*
 ToText(BreakerState aState)
 {
@@ -55,15 +65,30 @@
   mErrors[0] = aError;
 }
 
+double
+CircuitBreaker::Likelihood(int aErrors, double aShare)
+{
+  double exactly = std::pow(1.0 - aShare, kErrorWindow); // i errors
+  double sum = 0.0;
+  for (int i = 0; i <= kErrorWindow; ++i) {
+    sum += i >= aErrors ? exactly : 0.0;
+    exactly *= aShare / (1.0 - aShare) * (kErrorWindow - i) / (i + 1);
+  }
+  return sum;
+}
+
 bool
-CircuitBreaker::OnError(TimePoint aNow)
+CircuitBreaker::OnError(double aUsualErrors, TimePoint aNow)
 {
   Note(true);
-  const bool many = static_cast<int>(mErrors.count()) >= mOptions.mErrorsToFail;
-  if (mState == BreakerState::kHalfOpen || many) {
-    return OnFailure(aNow);
+  const double share = std::clamp(aUsualErrors, kLeastErrors, kMostErrors);
+  if (mState == BreakerState::kHalfOpen) {
+    // A trial says something unless the error is what any server answers.
+    return share < kTellingErrors && OnFailure(aNow);
   }
-  return false;
+  const auto errors = static_cast<int>(mErrors.count());
+  const bool unusual = Likelihood(errors, share) < mOptions.mErrorsUnlikely;
+  return unusual && OnFailure(aNow);
 }
 
 void
