--- a/packages/policy/tests/SpreadTest.cpp
+++ b/packages/policy/tests/SpreadTest.cpp
@@ -16,6 +16,7 @@
 ZonesOfBoxes()
 {
   std::vector<AvailabilityZone> zones;
+  zones.reserve(kZones * kBoxesInZone);
   for (int i = 0; i < kZones * kBoxesInZone; ++i) {
     zones.emplace_back("zone-" + std::to_string(i % kZones));
   }
