--- a/packages/policy/tests/SpreadTest.cpp
+++ b/packages/policy/tests/SpreadTest.cpp
@@ -9,15 +9,15 @@
 
 namespace {
 
-constexpr int kZones = 4;
-constexpr int kBoxesInZone = 48;
+constexpr std::size_t kZones = 4;
+constexpr std::size_t kBoxesInZone = 48;
 
 std::vector<AvailabilityZone>
 ZonesOfBoxes()
 {
   std::vector<AvailabilityZone> zones;
   zones.reserve(kZones * kBoxesInZone);
-  for (int i = 0; i < kZones * kBoxesInZone; ++i) {
+  for (std::size_t i = 0; i < kZones * kBoxesInZone; ++i) {
     zones.emplace_back("zone-" + std::to_string(i % kZones));
   }
   return zones;
@@ -47,7 +47,7 @@
   std::set<std::size_t> heard{ 0 };
   std::vector<std::size_t> next = ChooseReceivers(
     zones, zones[0], { .mOwnZone = 3, .mPerOtherZone = 2 }, generator());
-  int crossing = 0;
+  std::size_t crossing = 0;
   for (const auto index : next) {
     crossing += zones[index] == zones[0] ? 0 : 1;
   }
