--- a/packages/peer/src/PeerLoopPriv.cpp
+++ b/packages/peer/src/PeerLoopPriv.cpp
@@ -88,6 +88,18 @@
   return true;
 }
 
+PeerCommand
+PeerLoop::MakeCommand(wire::Envelope aEnvelope,
+                      std::uint64_t aCorrelation) const
+{
+  aEnvelope.set_from_box(mOptions.mBox.Value());
+  aEnvelope.set_from_incarnation(mOptions.mIncarnation.Value());
+  aEnvelope.set_correlation(aCorrelation);
+  return { .mKind = aEnvelope.body_case(),
+           .mPayload = EncodeMessage(aEnvelope),
+           .mCorrelation = aCorrelation };
+}
+
 void
 PeerLoop::PostRequest(const std::string& aAddress,
                       wire::Envelope aRequest,
@@ -100,18 +112,15 @@
     return;
   }
   ++mPendingCount;
-  PeerCommand command{ .mAddress = aAddress,
-                       .mDeadline = Now() + aTimeout,
-                       .mCallback = std::move(aCallback) };
+  std::uint64_t correlation = 0;
   {
     const std::lock_guard lock(mMutex);
-    command.mCorrelation = mNextCorrelation++;
+    correlation = mNextCorrelation++;
   }
-  aRequest.set_from_box(mOptions.mBox.Value());
-  aRequest.set_from_incarnation(mOptions.mIncarnation.Value());
-  aRequest.set_correlation(command.mCorrelation);
-  command.mKind = aRequest.body_case();
-  command.mPayload = EncodeMessage(aRequest);
+  auto command = MakeCommand(std::move(aRequest), correlation);
+  command.mAddress = aAddress;
+  command.mDeadline = Now() + aTimeout;
+  command.mCallback = std::move(aCallback);
   if (!Post(command)) {
     command.mCallback(
       tl::make_unexpected(MakeError(PeerErrorKind::kClosed, "stopping")));
@@ -121,11 +130,8 @@
 void
 PeerLoop::PostMessage(const std::string& aAddress, wire::Envelope aMessage)
 {
-  aMessage.set_from_box(mOptions.mBox.Value());
-  aMessage.set_from_incarnation(mOptions.mIncarnation.Value());
-  PeerCommand command{ .mAddress = aAddress,
-                       .mKind = aMessage.body_case(),
-                       .mPayload = EncodeMessage(aMessage) };
+  auto command = MakeCommand(std::move(aMessage), 0);
+  command.mAddress = aAddress;
   static_cast<void>(Post(command)); // lost when stopping, as any may be
 }
 
@@ -293,12 +299,8 @@
         if (correlation == 0) {
           return; // nobody waits for it
         }
-        aReply.set_from_box(mOptions.mBox.Value());
-        aReply.set_from_incarnation(mOptions.mIncarnation.Value());
-        aReply.set_correlation(correlation);
-        PeerCommand reply{ .mRoute = to,
-                           .mKind = aReply.body_case(),
-                           .mPayload = EncodeMessage(aReply) };
+        auto reply = MakeCommand(std::move(aReply), correlation);
+        reply.mRoute = to;
         Post(reply);
       });
   }
--- a/packages/peer/src/PeerLoopPriv.h
+++ b/packages/peer/src/PeerLoopPriv.h
@@ -67,6 +67,9 @@
 private:
   static constexpr std::size_t kKinds = 32; // field numbers of the bodies
 
+  // Signed with this box's name and life; its receiver is not filled in.
+  PeerCommand MakeCommand(wire::Envelope aEnvelope,
+                          std::uint64_t aCorrelation) const;
   void Run();
   Millis PollWait() const;
   void PollOnce();
