ObjectSet: copy no object to give it a version, hash no unchanged one twice

Apply copied each object of a delta, specs and all, to set its version, and Put took the digest of an unchanged object out and in again. The version is now an argument and the unchanged case returns first.

--- a/packages/config/include/porttiller/config/ObjectSet.h
+++ b/packages/config/include/porttiller/config/ObjectSet.h
@@ -92,6 +92,7 @@
   using Objects = std::map<ObjectKey, Object>;
 
   void Put(const Object& aObject,
+           std::uint64_t aVersion,
            bool aOfDocument,
            std::vector<ObjectKey>& aChanged);
   void DropAbsent(const ObjectDelta& aFull, std::vector<ObjectKey>& aChanged);
--- a/packages/config/src/ObjectSet.cpp
+++ b/packages/config/src/ObjectSet.cpp
@@ -48,12 +48,12 @@
     return tl::make_unexpected(ApplyError::kGap);
   }
   std::vector<ObjectKey> changed;
-  for (auto object : aDelta.mObjects) {
-    if (aDelta.mFull && aDelta.mOfDocument) {
-      // What differs is new here, since whenever the sender may know it.
-      object.mVersion = aDelta.mTo;
-    }
-    Put(object, aDelta.mOfDocument, changed);
+  for (const auto& object : aDelta.mObjects) {
+    // What differs in a whole document is new here, since whenever the sender
+    // may know it.
+    const bool isNew = aDelta.mFull && aDelta.mOfDocument;
+    const auto version = isNew ? aDelta.mTo : object.mVersion;
+    Put(object, version, aDelta.mOfDocument, changed);
   }
   if (aDelta.mFull) {
     DropAbsent(aDelta, changed);
@@ -85,24 +85,26 @@
 
 void
 ObjectSet::Put(const Object& aObject,
+               std::uint64_t aVersion,
                bool aOfDocument,
                std::vector<ObjectKey>& aChanged)
 {
   auto& held = mObjects[aObject.mKey];
-  if (held.mVersion >= aObject.mVersion) {
+  if (held.mVersion >= aVersion) {
     return;
   }
-  if (held.mVersion != 0 && !held.mDeleted) {
-    mDigest ^= DigestOf(held);
-  }
-  mTombstones.erase({ held.mVersion, held.mKey });
-  const bool same = held.mVersion != 0 && !held.mDeleted && !aObject.mDeleted &&
-                    held.mSpecJson == aObject.mSpecJson;
+  const bool live = held.mVersion != 0 && !held.mDeleted;
+  const bool same =
+    live && !aObject.mDeleted && held.mSpecJson == aObject.mSpecJson;
   if (same && aOfDocument) {
-    mDigest ^= DigestOf(held);
     return; // known since its earlier version: whoever held that has it
   }
+  if (live) {
+    mDigest ^= DigestOf(held);
+  }
+  mTombstones.erase({ held.mVersion, held.mKey });
   held = aObject;
+  held.mVersion = aVersion;
   if (held.mDeleted) {
     mTombstones.emplace(held.mVersion, held.mKey);
   } else {
