--- a/packages/policy/src/Balancer.cpp
+++ b/packages/policy/src/Balancer.cpp
@@ -32,24 +32,25 @@
   return indices;
 }
 
+std::vector<std::size_t>
+TrialsDue(std::span<const Candidate> aCandidates, bool aSameZoneOnly)
+{
+  auto indices = WithStanding(aCandidates, Standing::kOpen, aSameZoneOnly);
+  std::erase_if(indices, [&](std::size_t aIndex) {
+    return !aCandidates[aIndex].mTrialDue;
+  });
+  return indices;
+}
+
 } // namespace
 
 std::optional<std::size_t>
 ChooseTrial(std::span<const Candidate> aCandidates, std::uint64_t aRandom)
 {
-  std::vector<std::size_t> near;
-  std::vector<std::size_t> all;
-  for (std::size_t i = 0; i < aCandidates.size(); ++i) {
-    const auto& candidate = aCandidates[i];
-    if (!candidate.mTrialDue || candidate.mStanding != Standing::kOpen) {
-      continue;
-    }
-    all.push_back(i);
-    if (candidate.mSameZone) {
-      near.push_back(i);
-    }
+  auto from = TrialsDue(aCandidates, true);
+  if (from.empty()) {
+    from = TrialsDue(aCandidates, false);
   }
-  const auto& from = near.empty() ? all : near;
   return from.empty() ? std::nullopt
                       : std::optional(from[aRandom % from.size()]);
 }
--- a/packages/policy/src/RetryBudget.cpp
+++ b/packages/policy/src/RetryBudget.cpp
@@ -40,7 +40,7 @@
   if (!Affords(1)) {
     return false;
   }
-  mTokens -= 1.0;
+  Spend();
   return true;
 }
 
