LocalServer: one state for requests that are turned away while they wait

A displaced request had a state of its own beside the new one, which carries its refusal; it is now the same with the refusal overloaded. Behaviour as before: node_tests 23 of 23.

--- a/packages/node/include/porttiller/node/LocalServer.h
+++ b/packages/node/include/porttiller/node/LocalServer.h
@@ -87,8 +87,7 @@
   {
     kWaiting,
     kStarted,
-    kGivenUp,
-    kTurnedAway, // the server leaves, or hangs
+    kTurnedAway, // displaced, or the server leaves or hangs
     kExpired
   };
 
@@ -114,6 +113,7 @@
              Micros aTime);
   void FreeSlot(std::optional<Micros> aServiceTime);
   void Mark(Ticket aTicket, WaitState aState);
+  void TurnAway(Ticket aTicket, Refusal aRefusal, Millis aRetryAfter);
   void TurnWaitersAway(Refusal aRefusal, Millis aRetryAfter);
   std::optional<HomeAnswer> RefuseRepeat(const HomeRequest& aRequest) const;
   void NoteStarted(const HomeRequest& aRequest);
--- a/packages/node/src/LocalServer.cpp
+++ b/packages/node/src/LocalServer.cpp
@@ -91,17 +91,25 @@
 void
 LocalServer::TurnWaitersAway(Refusal aRefusal, Millis aRetryAfter)
 {
-  for (auto& [ticket, waiter] : mWaiters) {
+  for (const auto& [ticket, waiter] : mWaiters) {
     const bool stays = aRefusal == Refusal::kDemoted && waiter.mLastResort;
     if (!stays && waiter.mState == WaitState::kWaiting &&
         mQueue.Cancel(ticket)) {
-      waiter.mRefusal = aRefusal;
-      waiter.mRetryAfter = aRetryAfter;
-      Mark(ticket, WaitState::kTurnedAway);
+      TurnAway(ticket, aRefusal, aRetryAfter);
     }
   }
 }
 
+// One that the queue holds no more.
+void
+LocalServer::TurnAway(Ticket aTicket, Refusal aRefusal, Millis aRetryAfter)
+{
+  auto& waiter = mWaiters[aTicket];
+  waiter.mRefusal = aRefusal;
+  waiter.mRetryAfter = aRetryAfter;
+  Mark(aTicket, WaitState::kTurnedAway);
+}
+
 std::string
 LocalServer::Dump() const
 {
@@ -317,8 +325,7 @@
   const auto offer =
     mQueue.Offer(ticket, aRequest.mPriority, aRequest.mDeadline, Now());
   if (offer.mDisplaced) {
-    mWaiters[*offer.mDisplaced].mRetryAfter = offer.mRetryAfter;
-    Mark(*offer.mDisplaced, WaitState::kGivenUp);
+    TurnAway(*offer.mDisplaced, Refusal::kOverloaded, offer.mRetryAfter);
   }
   if (offer.mVerdict == OfferVerdict::kShed) {
     return RefuseLocked(Refusal::kOverloaded, offer.mRetryAfter);
@@ -420,8 +427,6 @@
   switch (waiter.mState) {
     case WaitState::kStarted:
       return std::nullopt;
-    case WaitState::kGivenUp:
-      return RefuseLocked(Refusal::kOverloaded, waiter.mRetryAfter);
     case WaitState::kTurnedAway:
       return RefuseLocked(waiter.mRefusal, waiter.mRetryAfter);
     case WaitState::kWaiting:
