Split packages/node into telemetry, hop, home, entry, control and node

Cause: 66 files stood in one room, so nothing showed what may use what. Ruled out: a library a class, which CMake and newcomers pay for.

--- a/apps/porttiller/SettingsFile.cpp
+++ b/apps/porttiller/SettingsFile.cpp
@@ -1,6 +1,6 @@
 #include "SettingsFile.h"
 
-#include "porttiller/node/Log.h"
+#include "porttiller/telemetry/Log.h"
 
 #include <fstream>
 #include <sstream>
--- a/apps/porttiller/main.cpp
+++ b/apps/porttiller/main.cpp
@@ -1,7 +1,7 @@
 // The daemon: porttiller --config FILE
 #include "SettingsFile.h"
-#include "porttiller/node/Log.h"
 #include "porttiller/node/Node.h"
+#include "porttiller/telemetry/Log.h"
 
 #include <csignal>
 #include <cstdlib>
--- a/apps/porttillerctl/StatusCommand.cpp
+++ b/apps/porttillerctl/StatusCommand.cpp
@@ -2,8 +2,8 @@
 
 #include "porttiller/config/JsonText.h"
 #include "porttiller/config/Snapshot.h"
-#include "porttiller/node/LedgerStore.h"
-#include "porttiller/node/StatusController.h"
+#include "porttiller/control/LedgerStore.h"
+#include "porttiller/control/StatusController.h"
 
 #include <Poco/JSON/Array.h>
 #include <algorithm>
--- a/bench/CapacityBench.cpp
+++ b/bench/CapacityBench.cpp
@@ -4,7 +4,7 @@
 #include "Figure.h"
 #include "fleet/Fleet.h"
 #include "porttiller/config/Snapshot.h"
-#include "porttiller/node/ControlCodec.h"
+#include "porttiller/control/ControlCodec.h"
 #include "porttiller/peer/PeerTransport.h"
 #include "porttiller/policy/AttemptRegistry.h"
 
--- a/packages/node/include/porttiller/node/ConfigController.h
+++ b/packages/control/include/porttiller/control/ConfigController.h
@@ -6,11 +6,11 @@
 #include "porttiller/config/ObjectSet.h"
 #include "porttiller/config/Settings.h"
 #include "porttiller/config/Snapshot.h"
-#include "porttiller/node/MembershipController.h"
-#include "porttiller/node/Metrics.h"
-#include "porttiller/node/Worker.h"
+#include "porttiller/control/MembershipController.h"
+#include "porttiller/control/Worker.h"
 #include "porttiller/peer/PeerTransport.h"
 #include "porttiller/store/ObjectClient.h"
+#include "porttiller/telemetry/Metrics.h"
 
 #include <atomic>
 #include <condition_variable>
--- a/packages/node/include/porttiller/node/DirectoryController.h
+++ b/packages/control/include/porttiller/control/DirectoryController.h
@@ -7,8 +7,8 @@
 #include "porttiller/config/Directory.h"
 #include "porttiller/config/Registrar.h"
 #include "porttiller/config/Settings.h"
-#include "porttiller/node/MembershipController.h"
-#include "porttiller/node/Worker.h"
+#include "porttiller/control/MembershipController.h"
+#include "porttiller/control/Worker.h"
 #include "porttiller/peer/PeerTransport.h"
 #include "porttiller/store/ObjectClient.h"
 
--- a/packages/node/include/porttiller/node/EjectionController.h
+++ b/packages/control/include/porttiller/control/EjectionController.h
@@ -3,12 +3,12 @@
 #pragma once
 
 #include "porttiller/config/Settings.h"
-#include "porttiller/node/ConfigController.h"
-#include "porttiller/node/Home.h"
-#include "porttiller/node/LedgerStore.h"
-#include "porttiller/node/MembershipController.h"
-#include "porttiller/node/Metrics.h"
-#include "porttiller/node/Worker.h"
+#include "porttiller/control/ConfigController.h"
+#include "porttiller/control/LedgerStore.h"
+#include "porttiller/control/MembershipController.h"
+#include "porttiller/control/Worker.h"
+#include "porttiller/home/Home.h"
+#include "porttiller/telemetry/Metrics.h"
 
 #include <map>
 #include <memory>
--- a/packages/node/include/porttiller/node/MembershipController.h
+++ b/packages/control/include/porttiller/control/MembershipController.h
@@ -3,8 +3,8 @@
 
 #include "porttiller/config/Settings.h"
 #include "porttiller/config/Snapshot.h"
-#include "porttiller/node/EntryView.h"
-#include "porttiller/node/Worker.h"
+#include "porttiller/control/Worker.h"
+#include "porttiller/entry/EntryView.h"
 #include "porttiller/peer/PeerTransport.h"
 #include "porttiller/policy/Membership.h"
 #include "porttiller/policy/Spread.h"
--- a/packages/node/include/porttiller/node/NewsController.h
+++ b/packages/control/include/porttiller/control/NewsController.h
@@ -3,9 +3,9 @@
 #pragma once
 
 #include "porttiller/config/Snapshot.h"
-#include "porttiller/node/EntryView.h"
-#include "porttiller/node/Home.h"
-#include "porttiller/node/Worker.h"
+#include "porttiller/control/Worker.h"
+#include "porttiller/entry/EntryView.h"
+#include "porttiller/home/Home.h"
 #include "porttiller/peer/PeerTransport.h"
 
 #include <functional>
--- a/packages/node/include/porttiller/node/StatusController.h
+++ b/packages/control/include/porttiller/control/StatusController.h
@@ -5,9 +5,9 @@
 #pragma once
 
 #include "porttiller/config/Settings.h"
-#include "porttiller/node/ConfigController.h"
-#include "porttiller/node/MembershipController.h"
-#include "porttiller/node/Worker.h"
+#include "porttiller/control/ConfigController.h"
+#include "porttiller/control/MembershipController.h"
+#include "porttiller/control/Worker.h"
 #include "porttiller/store/ObjectClient.h"
 
 #include <map>
--- a/packages/node/src/ConfigController.cpp
+++ b/packages/control/src/ConfigController.cpp
@@ -1,10 +1,10 @@
-#include "porttiller/node/ConfigController.h"
+#include "porttiller/control/ConfigController.h"
 
+#include "porttiller/control/ControlCodec.h"
 #include "porttiller/core/Rendezvous.h"
-#include "porttiller/node/ControlCodec.h"
-#include "porttiller/node/Dialects.h"
-#include "porttiller/node/Log.h"
-#include "porttiller/node/Random.h"
+#include "porttiller/hop/Dialects.h"
+#include "porttiller/hop/Random.h"
+#include "porttiller/telemetry/Log.h"
 
 #include <algorithm>
 
--- a/packages/node/src/ControlCodec.cpp
+++ b/packages/control/src/ControlCodec.cpp
@@ -1,4 +1,4 @@
-#include "porttiller/node/ControlCodec.h"
+#include "porttiller/control/ControlCodec.h"
 
 namespace porttiller {
 
--- a/packages/node/src/DirectoryController.cpp
+++ b/packages/control/src/DirectoryController.cpp
@@ -1,8 +1,8 @@
-#include "porttiller/node/DirectoryController.h"
+#include "porttiller/control/DirectoryController.h"
 
-#include "porttiller/node/ControlCodec.h"
-#include "porttiller/node/Dialects.h"
-#include "porttiller/node/Log.h"
+#include "porttiller/control/ControlCodec.h"
+#include "porttiller/hop/Dialects.h"
+#include "porttiller/telemetry/Log.h"
 
 #include <Poco/Timestamp.h>
 #include <algorithm>
--- a/packages/node/src/EjectionController.cpp
+++ b/packages/control/src/EjectionController.cpp
@@ -1,7 +1,7 @@
-#include "porttiller/node/EjectionController.h"
+#include "porttiller/control/EjectionController.h"
 
-#include "porttiller/node/Log.h"
-#include "porttiller/node/Random.h"
+#include "porttiller/hop/Random.h"
+#include "porttiller/telemetry/Log.h"
 
 #include <algorithm>
 #include <random>
--- a/packages/node/src/LedgerStore.cpp
+++ b/packages/control/src/LedgerStore.cpp
@@ -1,4 +1,4 @@
-#include "porttiller/node/LedgerStore.h"
+#include "porttiller/control/LedgerStore.h"
 
 #include "porttiller/config/JsonText.h"
 #include "porttiller/store/SettledWrite.h"
--- a/packages/node/src/MembershipController.cpp
+++ b/packages/control/src/MembershipController.cpp
@@ -1,8 +1,8 @@
-#include "porttiller/node/MembershipController.h"
+#include "porttiller/control/MembershipController.h"
 
-#include "porttiller/node/ControlCodec.h"
-#include "porttiller/node/Log.h"
-#include "porttiller/node/Random.h"
+#include "porttiller/control/ControlCodec.h"
+#include "porttiller/hop/Random.h"
+#include "porttiller/telemetry/Log.h"
 
 #include <algorithm>
 #include <atomic>
--- a/packages/node/src/NewsController.cpp
+++ b/packages/control/src/NewsController.cpp
@@ -1,6 +1,6 @@
-#include "porttiller/node/NewsController.h"
+#include "porttiller/control/NewsController.h"
 
-#include "porttiller/node/Log.h"
+#include "porttiller/telemetry/Log.h"
 
 namespace porttiller {
 
--- a/packages/node/src/StatusController.cpp
+++ b/packages/control/src/StatusController.cpp
@@ -1,9 +1,9 @@
-#include "porttiller/node/StatusController.h"
+#include "porttiller/control/StatusController.h"
 
 #include "porttiller/config/JsonText.h"
 #include "porttiller/core/Rendezvous.h"
-#include "porttiller/node/Log.h"
 #include "porttiller/store/SettledWrite.h"
+#include "porttiller/telemetry/Log.h"
 
 #include <Poco/JSON/Array.h>
 
--- a/packages/node/src/Worker.cpp
+++ b/packages/control/src/Worker.cpp
@@ -1,4 +1,4 @@
-#include "porttiller/node/Worker.h"
+#include "porttiller/control/Worker.h"
 
 namespace porttiller {
 
--- a/packages/node/tests/ConfigControllerTest.cpp
+++ b/packages/control/tests/ConfigControllerTest.cpp
@@ -1,7 +1,7 @@
 // How a node learns its configuration from peers.
-#include "porttiller/node/ConfigController.h"
+#include "porttiller/control/ConfigController.h"
 
-#include "porttiller/node/ControlCodec.h"
+#include "porttiller/control/ControlCodec.h"
 
 #include <atomic>
 #include <doctest/doctest.h>
--- a/packages/node/include/porttiller/node/AttemptFilter.h
+++ b/packages/entry/include/porttiller/entry/AttemptFilter.h
@@ -2,9 +2,9 @@
 // final answer.
 #pragma once
 
-#include "porttiller/node/AttemptPool.h"
-#include "porttiller/node/Dispatcher.h"
-#include "porttiller/node/RequestContext.h"
+#include "porttiller/entry/AttemptPool.h"
+#include "porttiller/entry/Dispatcher.h"
+#include "porttiller/entry/RequestContext.h"
 
 #include <atomic>
 #include <optional>
--- a/packages/node/include/porttiller/node/Dispatcher.h
+++ b/packages/entry/include/porttiller/entry/Dispatcher.h
@@ -3,11 +3,11 @@
 
 #include "porttiller/config/Settings.h"
 #include "porttiller/config/Snapshot.h"
-#include "porttiller/node/Cutoff.h"
-#include "porttiller/node/EntryView.h"
-#include "porttiller/node/Home.h"
-#include "porttiller/node/Metrics.h"
+#include "porttiller/entry/EntryView.h"
+#include "porttiller/home/Home.h"
+#include "porttiller/hop/Cutoff.h"
 #include "porttiller/peer/PeerTransport.h"
+#include "porttiller/telemetry/Metrics.h"
 
 #include <map>
 #include <memory>
--- a/packages/node/include/porttiller/node/EntryServer.h
+++ b/packages/entry/include/porttiller/entry/EntryServer.h
@@ -1,21 +1,24 @@
 // The entry role's HTTP server: callers' requests through the filter chain.
 #pragma once
 
+#include "porttiller/entry/Filters.h"
 #include "porttiller/http/HttpListener.h"
-#include "porttiller/node/ConfigController.h"
-#include "porttiller/node/Filters.h"
 
+#include <functional>
 #include <memory>
 
 namespace porttiller {
 
+// The configuration in force; null before any is known.
+using SnapshotSource = std::function<SnapshotPtr()>;
+
 // Owned by the node.
 class EntryServer
 {
 public:
   static tl::expected<std::unique_ptr<EntryServer>, std::string> Make(
     const Settings& aSettings,
-    const ConfigController& aConfig,
+    SnapshotSource aSnapshot,
     AttemptServices aServices);
 
   // Answers from now on end their connections; nothing is refused yet.
@@ -27,7 +30,7 @@
 
 private:
   EntryServer(const Settings& aSettings,
-              const ConfigController& aConfig,
+              SnapshotSource aSnapshot,
               AttemptServices aServices);
 
   HttpListenerOptions ListenerOptions() const;
@@ -38,7 +41,7 @@
                  const CallerAnswer& aAnswer) const;
 
   const Settings& mSettings;
-  const ConfigController& mConfig;
+  const SnapshotSource mSnapshot;
   const EdgeHeaders mNames;
   AttemptServices mServices;
   const std::vector<Filter> mFilters;
--- a/packages/node/include/porttiller/node/EntryView.h
+++ b/packages/entry/include/porttiller/entry/EntryView.h
@@ -4,8 +4,8 @@
 #pragma once
 
 #include "porttiller/config/Snapshot.h"
-#include "porttiller/node/HomeTypes.h"
-#include "porttiller/node/ServerNews.h"
+#include "porttiller/home/ServerNews.h"
+#include "porttiller/hop/HomeTypes.h"
 #include "porttiller/policy/AttemptPlan.h"
 #include "porttiller/policy/Balancer.h"
 
--- a/packages/node/include/porttiller/node/Filters.h
+++ b/packages/entry/include/porttiller/entry/Filters.h
@@ -2,8 +2,8 @@
 // or ends the request with an answer.
 #pragma once
 
-#include "porttiller/node/AttemptFilter.h"
-#include "porttiller/node/RequestContext.h"
+#include "porttiller/entry/AttemptFilter.h"
+#include "porttiller/entry/RequestContext.h"
 
 #include <variant>
 #include <vector>
--- a/packages/node/src/AttemptFilter.cpp
+++ b/packages/entry/src/AttemptFilter.cpp
@@ -1,4 +1,4 @@
-#include "porttiller/node/AttemptFilter.h"
+#include "porttiller/entry/AttemptFilter.h"
 
 #include "AttemptRunPriv.h"
 
--- a/packages/node/src/AttemptPool.cpp
+++ b/packages/entry/src/AttemptPool.cpp
@@ -1,4 +1,4 @@
-#include "porttiller/node/AttemptPool.h"
+#include "porttiller/entry/AttemptPool.h"
 
 #include <Poco/Exception.h>
 #include <Poco/Runnable.h>
--- a/packages/node/src/AttemptRunPriv.cpp
+++ b/packages/entry/src/AttemptRunPriv.cpp
@@ -1,9 +1,9 @@
 #include "AttemptRunPriv.h"
 
-#include "porttiller/node/AttemptPool.h"
-#include "porttiller/node/HopHeaders.h"
-#include "porttiller/node/Log.h"
-#include "porttiller/node/Random.h"
+#include "porttiller/entry/AttemptPool.h"
+#include "porttiller/hop/HopHeaders.h"
+#include "porttiller/hop/Random.h"
+#include "porttiller/telemetry/Log.h"
 
 #include <algorithm>
 #include <cassert>
--- a/packages/node/src/AttemptRunPriv.h
+++ b/packages/entry/src/AttemptRunPriv.h
@@ -1,7 +1,7 @@
 // The attempts of one request, until it has its final answer.
 #pragma once
 
-#include "porttiller/node/AttemptFilter.h"
+#include "porttiller/entry/AttemptFilter.h"
 #include "porttiller/policy/AttemptPlan.h"
 
 #include <condition_variable>
--- a/packages/node/src/Dispatcher.cpp
+++ b/packages/entry/src/Dispatcher.cpp
@@ -1,8 +1,8 @@
-#include "porttiller/node/Dispatcher.h"
+#include "porttiller/entry/Dispatcher.h"
 
-#include "porttiller/node/HopCodec.h"
-#include "porttiller/node/HopHeaders.h"
-#include "porttiller/node/Log.h"
+#include "porttiller/hop/HopCodec.h"
+#include "porttiller/hop/HopHeaders.h"
+#include "porttiller/telemetry/Log.h"
 
 #include <algorithm>
 
--- a/packages/node/src/EntryServer.cpp
+++ b/packages/entry/src/EntryServer.cpp
@@ -1,8 +1,8 @@
-#include "porttiller/node/EntryServer.h"
+#include "porttiller/entry/EntryServer.h"
 
-#include "porttiller/node/Dialects.h"
-#include "porttiller/node/HopHeaders.h"
-#include "porttiller/node/Log.h"
+#include "porttiller/hop/Dialects.h"
+#include "porttiller/hop/HopHeaders.h"
+#include "porttiller/telemetry/Log.h"
 
 #include <Poco/NumberFormatter.h>
 
@@ -29,10 +29,10 @@
 } // namespace
 
 EntryServer::EntryServer(const Settings& aSettings,
-                         const ConfigController& aConfig,
+                         SnapshotSource aSnapshot,
                          AttemptServices aServices)
   : mSettings(aSettings)
-  , mConfig(aConfig)
+  , mSnapshot(std::move(aSnapshot))
   , mNames(EdgeHeadersOf(aSettings))
   , mServices(aServices)
   , mFilters({ VersionFilter(),
@@ -45,11 +45,11 @@
 
 tl::expected<std::unique_ptr<EntryServer>, std::string>
 EntryServer::Make(const Settings& aSettings,
-                  const ConfigController& aConfig,
+                  SnapshotSource aSnapshot,
                   AttemptServices aServices)
 {
   std::unique_ptr<EntryServer> server(
-    new EntryServer(aSettings, aConfig, aServices));
+    new EntryServer(aSettings, std::move(aSnapshot), aServices));
   auto listener = HttpListener::Make(
     server->ListenerOptions(),
     [raw = server.get()](HttpCall& aCall) { return raw->Serve(aCall); });
@@ -101,7 +101,7 @@
 {
   RequestContext context{ .mSettings = mSettings,
                           .mNames = mNames,
-                          .mSnapshot = mConfig.Current(),
+                          .mSnapshot = mSnapshot(),
                           .mArrival = aCall.mArrival,
                           .mHttp = std::move(aCall.mHttp),
                           .mCancelled = aCall.mCancelled };
--- a/packages/node/src/EntryView.cpp
+++ b/packages/entry/src/EntryView.cpp
@@ -1,6 +1,6 @@
-#include "porttiller/node/EntryView.h"
+#include "porttiller/entry/EntryView.h"
 
-#include "porttiller/node/Random.h"
+#include "porttiller/hop/Random.h"
 
 #include <algorithm>
 #include <functional>
--- a/packages/node/src/Filters.cpp
+++ b/packages/entry/src/Filters.cpp
@@ -1,7 +1,7 @@
-#include "porttiller/node/Filters.h"
+#include "porttiller/entry/Filters.h"
 
-#include "porttiller/node/HopHeaders.h"
-#include "porttiller/node/Random.h"
+#include "porttiller/hop/HopHeaders.h"
+#include "porttiller/hop/Random.h"
 
 #include <Poco/Exception.h>
 #include <Poco/String.h>
--- a/packages/node/tests/EntryViewTest.cpp
+++ b/packages/entry/tests/EntryViewTest.cpp
@@ -1,4 +1,4 @@
-#include "porttiller/node/EntryView.h"
+#include "porttiller/entry/EntryView.h"
 
 #include <doctest/doctest.h>
 
--- a/packages/node/include/porttiller/node/Home.h
+++ b/packages/home/include/porttiller/home/Home.h
@@ -2,8 +2,8 @@
 #pragma once
 
 #include "porttiller/config/Snapshot.h"
-#include "porttiller/node/HomeTypes.h"
-#include "porttiller/node/LocalServer.h"
+#include "porttiller/home/LocalServer.h"
+#include "porttiller/hop/HomeTypes.h"
 #include "porttiller/policy/AttemptRegistry.h"
 
 #include <array>
--- a/packages/node/include/porttiller/node/HomeServer.h
+++ b/packages/home/include/porttiller/home/HomeServer.h
@@ -2,8 +2,8 @@
 #pragma once
 
 #include "porttiller/config/Settings.h"
+#include "porttiller/home/Home.h"
 #include "porttiller/http/HttpListener.h"
-#include "porttiller/node/Home.h"
 
 #include <memory>
 
--- a/packages/node/include/porttiller/node/ServerBreaker.h
+++ b/packages/home/include/porttiller/home/ServerBreaker.h
@@ -2,7 +2,7 @@
 // answers and its silence say.
 #pragma once
 
-#include "porttiller/node/HomeTypes.h"
+#include "porttiller/hop/HomeTypes.h"
 #include "porttiller/policy/CircuitBreaker.h"
 #include "porttiller/policy/RouteTimes.h"
 #include "porttiller/policy/SilenceDetector.h"
--- a/packages/node/include/porttiller/node/ServerCall.h
+++ b/packages/home/include/porttiller/home/ServerCall.h
@@ -4,9 +4,9 @@
 
 #include "porttiller/config/EdgeHeaders.h"
 #include "porttiller/config/Resources.h"
+#include "porttiller/hop/Cutoff.h"
+#include "porttiller/hop/HomeTypes.h"
 #include "porttiller/http/HttpPool.h"
-#include "porttiller/node/Cutoff.h"
-#include "porttiller/node/HomeTypes.h"
 
 namespace porttiller {
 
--- a/packages/node/src/Home.cpp
+++ b/packages/home/src/Home.cpp
@@ -1,4 +1,4 @@
-#include "porttiller/node/Home.h"
+#include "porttiller/home/Home.h"
 
 #include <algorithm>
 #include <functional>
--- a/packages/node/src/HomeServer.cpp
+++ b/packages/home/src/HomeServer.cpp
@@ -1,8 +1,8 @@
-#include "porttiller/node/HomeServer.h"
+#include "porttiller/home/HomeServer.h"
 
-#include "porttiller/node/Dialects.h"
-#include "porttiller/node/HopCodec.h"
-#include "porttiller/node/Log.h"
+#include "porttiller/hop/Dialects.h"
+#include "porttiller/hop/HopCodec.h"
+#include "porttiller/telemetry/Log.h"
 
 namespace porttiller {
 
--- a/packages/node/src/LocalServer.cpp
+++ b/packages/home/src/LocalServer.cpp
@@ -1,6 +1,6 @@
-#include "porttiller/node/LocalServer.h"
+#include "porttiller/home/LocalServer.h"
 
-#include "porttiller/node/Log.h"
+#include "porttiller/telemetry/Log.h"
 
 #include <algorithm>
 #include <cmath>
--- a/packages/node/src/RecentSenders.cpp
+++ b/packages/home/src/RecentSenders.cpp
@@ -1,4 +1,4 @@
-#include "porttiller/node/RecentSenders.h"
+#include "porttiller/home/RecentSenders.h"
 
 #include <algorithm>
 
--- a/packages/node/src/ServerBreaker.cpp
+++ b/packages/home/src/ServerBreaker.cpp
@@ -1,6 +1,6 @@
-#include "porttiller/node/ServerBreaker.h"
+#include "porttiller/home/ServerBreaker.h"
 
-#include "porttiller/node/Log.h"
+#include "porttiller/telemetry/Log.h"
 
 #include <algorithm>
 
--- a/packages/node/src/ServerCall.cpp
+++ b/packages/home/src/ServerCall.cpp
@@ -1,6 +1,6 @@
-#include "porttiller/node/ServerCall.h"
+#include "porttiller/home/ServerCall.h"
 
-#include "porttiller/node/HopHeaders.h"
+#include "porttiller/hop/HopHeaders.h"
 
 #include <algorithm>
 
--- a/packages/node/tests/LocalServerTest.cpp
+++ b/packages/home/tests/LocalServerTest.cpp
@@ -1,4 +1,4 @@
-#include "porttiller/node/LocalServer.h"
+#include "porttiller/home/LocalServer.h"
 
 #include "porttiller/http/HttpListener.h"
 
--- a/packages/node/tests/ServerBreakerTest.cpp
+++ b/packages/home/tests/ServerBreakerTest.cpp
@@ -1,4 +1,4 @@
-#include "porttiller/node/ServerBreaker.h"
+#include "porttiller/home/ServerBreaker.h"
 
 #include <doctest/doctest.h>
 
--- a/packages/node/include/porttiller/node/HomeTypes.h
+++ b/packages/hop/include/porttiller/hop/HomeTypes.h
@@ -3,44 +3,18 @@
 
 #include "porttiller/core/Ids.h"
 #include "porttiller/core/Outcome.h"
+#include "porttiller/core/Refusal.h"
 #include "porttiller/core/Time.h"
 #include "porttiller/http/HttpListener.h"
 #include "porttiller/http/HttpTypes.h"
 
-#include <optional>
 #include <string>
-#include <string_view>
 
 namespace porttiller {
 
 // The reason of an unknown outcome that says something of a server's silence.
 inline constexpr const char* kTimeoutReason = "server-timeout";
 
-// Why a home did not run an attempt.
-enum class Refusal
-{
-  kNone,
-  kIncarnation, // the attempt names another life of the home
-  kNoServer,    // the server is not on this box
-  kLeaving,     // the server or its box is leaving
-  kEjected,     // set aside; no work at all
-  kDemoted,     // set aside, but would serve as the last resort
-  kOverloaded,  // no slot before the deadline, or given up for another
-  kServerBusy,  // the server itself refused it
-  kNoRetries,   // a repeat, and the server's share of them is spent
-  kExpired,     // the deadline had passed
-  kRevoked,     // revoked before it arrived
-  kDuplicate,   // this attempt was here before
-  kStale,       // too old to know whether it was here before
-  kUnreachable  // said by the entry: the home could not be reached
-};
-
-std::string_view
-ToText(Refusal aRefusal);
-
-std::optional<Refusal>
-ParseRefusal(std::string_view aText);
-
 struct HomeRequest
 {
   AttemptId mAttempt;
--- a/packages/node/include/porttiller/node/HopCodec.h
+++ b/packages/hop/include/porttiller/hop/HopCodec.h
@@ -1,7 +1,7 @@
 // Home requests and answers as HTTP, and back.
 #pragma once
 
-#include "porttiller/node/HomeTypes.h"
+#include "porttiller/hop/HomeTypes.h"
 
 namespace porttiller {
 
--- a/packages/node/src/Dialects.cpp
+++ b/packages/hop/src/Dialects.cpp
@@ -1,6 +1,6 @@
-#include "porttiller/node/Dialects.h"
+#include "porttiller/hop/Dialects.h"
 
-#include "porttiller/node/HopHeaders.h"
+#include "porttiller/hop/HopHeaders.h"
 #include "porttiller/platform/MeshHeaders.h"
 
 namespace porttiller {
--- a/packages/node/src/HopCodec.cpp
+++ b/packages/hop/src/HopCodec.cpp
@@ -1,6 +1,6 @@
-#include "porttiller/node/HopCodec.h"
+#include "porttiller/hop/HopCodec.h"
 
-#include "porttiller/node/HopHeaders.h"
+#include "porttiller/hop/HopHeaders.h"
 
 #include <Poco/StringTokenizer.h>
 #include <algorithm>
@@ -10,11 +10,6 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 14> kRefusals = {
-  "none",    "incarnation", "no-server",   "leaving",    "ejected",
-  "demoted", "overloaded",  "server-busy", "no-retries", "expired",
-  "revoked", "duplicate",   "stale",       "unreachable"
-};
 constexpr double kLoadScale = 1000.0;
 constexpr double kErrorScale = 100.0;
 constexpr char kSeparator = ';';
@@ -132,22 +127,6 @@
 
 } // namespace
 
-std::string_view
-ToText(Refusal aRefusal)
-{
-  return kRefusals.at(static_cast<std::size_t>(aRefusal));
-}
-
-std::optional<Refusal>
-ParseRefusal(std::string_view aText)
-{
-  const auto it = std::find(kRefusals.begin(), kRefusals.end(), aText);
-  if (it == kRefusals.end()) {
-    return std::nullopt;
-  }
-  return static_cast<Refusal>(it - kRefusals.begin());
-}
-
 HttpRequestData
 EncodeHomeRequest(const HomeRequest& aRequest,
                   std::optional<Millis> aHomeClockOffset,
--- a/packages/node/tests/HopCodecTest.cpp
+++ b/packages/hop/tests/HopCodecTest.cpp
@@ -1,6 +1,6 @@
-#include "porttiller/node/HopCodec.h"
+#include "porttiller/hop/HopCodec.h"
 
-#include "porttiller/node/HopHeaders.h"
+#include "porttiller/hop/HopHeaders.h"
 
 #include <doctest/doctest.h>
 
--- a/packages/node/include/porttiller/node/AdminServer.h
+++ b/packages/node/include/porttiller/node/AdminServer.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "porttiller/http/HttpListener.h"
-#include "porttiller/node/Metrics.h"
+#include "porttiller/telemetry/Metrics.h"
 
 #include <functional>
 #include <memory>
--- a/packages/node/include/porttiller/node/RegistrationServer.h
+++ b/packages/node/include/porttiller/node/RegistrationServer.h
@@ -2,8 +2,8 @@
 #pragma once
 
 #include "porttiller/config/Settings.h"
+#include "porttiller/control/DirectoryController.h"
 #include "porttiller/http/HttpListener.h"
-#include "porttiller/node/DirectoryController.h"
 
 #include <memory>
 #include <string>
--- a/packages/node/src/AdminServer.cpp
+++ b/packages/node/src/AdminServer.cpp
@@ -1,6 +1,6 @@
 #include "porttiller/node/AdminServer.h"
 
-#include "porttiller/node/Log.h"
+#include "porttiller/telemetry/Log.h"
 
 namespace porttiller {
 
--- a/packages/node/src/Node.cpp
+++ b/packages/node/src/Node.cpp
@@ -1,26 +1,26 @@
 #include "porttiller/node/Node.h"
 
 #include "porttiller/config/JsonText.h"
+#include "porttiller/control/ConfigController.h"
+#include "porttiller/control/DirectoryController.h"
+#include "porttiller/control/EjectionController.h"
+#include "porttiller/control/MembershipController.h"
+#include "porttiller/control/NewsController.h"
+#include "porttiller/control/StatusController.h"
+#include "porttiller/entry/Dispatcher.h"
+#include "porttiller/entry/EntryServer.h"
+#include "porttiller/entry/EntryView.h"
+#include "porttiller/home/Home.h"
+#include "porttiller/home/HomeServer.h"
+#include "porttiller/hop/Cutoff.h"
+#include "porttiller/hop/Dialects.h"
+#include "porttiller/hop/Random.h"
 #include "porttiller/node/AdminServer.h"
-#include "porttiller/node/ConfigController.h"
-#include "porttiller/node/Cutoff.h"
-#include "porttiller/node/Dialects.h"
-#include "porttiller/node/DirectoryController.h"
-#include "porttiller/node/Dispatcher.h"
-#include "porttiller/node/EjectionController.h"
-#include "porttiller/node/EntryServer.h"
-#include "porttiller/node/EntryView.h"
-#include "porttiller/node/Home.h"
-#include "porttiller/node/HomeServer.h"
-#include "porttiller/node/Log.h"
-#include "porttiller/node/MembershipController.h"
-#include "porttiller/node/Metrics.h"
-#include "porttiller/node/NewsController.h"
-#include "porttiller/node/Random.h"
 #include "porttiller/node/ReadinessServer.h"
 #include "porttiller/node/RegistrationServer.h"
-#include "porttiller/node/StatusController.h"
 #include "porttiller/peer/PeerTransport.h"
+#include "porttiller/telemetry/Log.h"
+#include "porttiller/telemetry/Metrics.h"
 
 #include <Poco/JSON/Array.h>
 #include <Poco/Timestamp.h>
@@ -243,7 +243,7 @@
   mAdminServer = std::move(*admin);
   auto entry =
     EntryServer::Make(mSettings,
-                      *mConfig,
+                      [this] { return mConfig->Current(); },
                       { mView, *mDispatcher, mMetrics, mNamer, mAttemptPool });
   if (!entry) {
     return tl::make_unexpected(entry.error());
--- a/packages/node/src/RegistrationServer.cpp
+++ b/packages/node/src/RegistrationServer.cpp
@@ -1,7 +1,7 @@
 #include "porttiller/node/RegistrationServer.h"
 
-#include "porttiller/node/Log.h"
 #include "porttiller/platform/RegistrationMessages.h"
+#include "porttiller/telemetry/Log.h"
 
 namespace porttiller {
 
--- a/packages/node/include/porttiller/node/Metrics.h
+++ b/packages/telemetry/include/porttiller/telemetry/Metrics.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "porttiller/core/Outcome.h"
-#include "porttiller/node/HomeTypes.h"
+#include "porttiller/core/Refusal.h"
 
 #include <array>
 #include <memory>
@@ -46,8 +46,6 @@
   std::string Text() const;
 
 private:
-  static constexpr std::size_t kRefusalCount = 14;
-
   std::shared_ptr<prometheus::Registry> mRegistry;
   std::array<prometheus::Counter*, 3> mRequests{};
   std::array<prometheus::Counter*, kRefusalCount> mRefusals{};
--- a/packages/node/src/Log.cpp
+++ b/packages/telemetry/src/Log.cpp
@@ -1,4 +1,4 @@
-#include "porttiller/node/Log.h"
+#include "porttiller/telemetry/Log.h"
 
 #include "porttiller/config/JsonText.h"
 
--- a/packages/node/src/Metrics.cpp
+++ b/packages/telemetry/src/Metrics.cpp
@@ -1,4 +1,4 @@
-#include "porttiller/node/Metrics.h"
+#include "porttiller/telemetry/Metrics.h"
 
 #include <prometheus/text_serializer.h>
 
--- a/testing/fleet/Fleet.cpp
+++ b/testing/fleet/Fleet.cpp
@@ -1,7 +1,7 @@
 #include "fleet/Fleet.h"
 
 #include "porttiller/config/JsonText.h"
-#include "porttiller/node/HopHeaders.h"
+#include "porttiller/hop/HopHeaders.h"
 #include "porttiller/store/ObjectClient.h"
 
 #include <Poco/JSON/Array.h>
--- a/testing/fleet/Traffic.cpp
+++ b/testing/fleet/Traffic.cpp
@@ -1,6 +1,6 @@
 #include "fleet/Traffic.h"
 
-#include "porttiller/node/HopHeaders.h"
+#include "porttiller/hop/HopHeaders.h"
 
 #include <atomic>
 #include <thread>
--- a/testing/fleet/tests/CallerEdgeTest.cpp
+++ b/testing/fleet/tests/CallerEdgeTest.cpp
@@ -1,7 +1,7 @@
 // What a daemon does with requests that are malformed, oversized, or meant to
 // be read in two ways, and with headers that only the proxy may set.
 #include "fleet/Fleet.h"
-#include "porttiller/node/HopHeaders.h"
+#include "porttiller/hop/HopHeaders.h"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/StreamSocket.h>
--- a/testing/fleet/tests/DirectoryStartTest.cpp
+++ b/testing/fleet/tests/DirectoryStartTest.cpp
@@ -1,7 +1,7 @@
 // How a box that starts again learns of its own server and of the others.
 #include "fleet/Fleet.h"
-#include "porttiller/node/ControlCodec.h"
-#include "porttiller/node/DirectoryController.h"
+#include "porttiller/control/ControlCodec.h"
+#include "porttiller/control/DirectoryController.h"
 #include "standin/ObjectStoreStandIn.h"
 
 #include <algorithm>
--- a/testing/fleet/tests/EntryFaultsTest.cpp
+++ b/testing/fleet/tests/EntryFaultsTest.cpp
@@ -1,7 +1,7 @@
 // Faults of the entry role and of both roles together: planned stops, kills
 // and what a caller can do after an unknown outcome.
 #include "fleet/Traffic.h"
-#include "porttiller/node/HopHeaders.h"
+#include "porttiller/hop/HopHeaders.h"
 #include "standin/LinkStandIn.h"
 
 #include <atomic>
