--- a/packages/config/include/porttiller/config/FieldReader.h
+++ b/packages/config/include/porttiller/config/FieldReader.h
@@ -64,6 +64,7 @@
   std::vector<FieldReader> Children(const std::string& aName);
   // An object within this one; an empty one when absent.
   FieldReader Child(const std::string& aName);
+  // False also for null: a template has it where a value is missing.
   bool Has(const std::string& aName) const;
 
   // Call last: every key that no call above named is an error.
--- a/packages/config/include/porttiller/config/Settings.h
+++ b/packages/config/include/porttiller/config/Settings.h
@@ -11,10 +11,18 @@
 
 namespace porttiller {
 
+// What the machine gives this process; zero: not told.
+struct ResourceSettings
+{
+  double mMemoryMb = 0.0;
+  double mDescriptors = 0.0;
+};
+
 struct CallerSettings
 {
   std::string mAddress = "127.0.0.1:8080";
   int mThreads = 128; // also the most connections served at once
+  int mConnections = 2048; // open at once
   int mMaxBodyBytes = 1 << 20;
   int mMaxHeaders = 100;
   int mMaxHeaderBytes = 16 << 10;
@@ -24,7 +32,8 @@
 {
   std::string mHomeAddress = "127.0.0.1:8081";
   std::string mControlAddress = "127.0.0.1:8082";
-  int mThreads = 256; // also the most connections from other boxes
+  int mThreads = 256;
+  int mConnections = 2048; // from other boxes, open at once
   int mConnectionsPerBox = 16;
   // Control addresses asked for the configuration while the platform is away.
   std::vector<std::string> mSeeds;
@@ -69,7 +78,7 @@
 struct RetrySettings
 {
   double mShare = 1.0; // of the first attempts
-  int mBurst = 1'000'000;
+  double mBurst = 1'000'000;
   Millis mWindow{ 10'000 }; // that share and burst hold for
 };
 
@@ -98,6 +107,7 @@
   RegistrationSettings mRegistration;
   ReadinessSettings mReadiness;
   RetrySettings mRetries;
+  ResourceSettings mResources;
   std::string mLogLevel = "info";
   TimingSettings mTiming;
 };
--- a/packages/config/src/FieldReader.cpp
+++ b/packages/config/src/FieldReader.cpp
@@ -57,7 +57,7 @@
 bool
 FieldReader::Has(const std::string& aName) const
 {
-  return mObject->has(aName);
+  return mObject->has(aName) && !mObject->isNull(aName);
 }
 
 std::optional<std::string>
--- a/packages/config/src/Settings.cpp
+++ b/packages/config/src/Settings.cpp
@@ -3,6 +3,7 @@
 #include "porttiller/config/JsonText.h"
 
 #include <Poco/JSON/Array.h>
+#include <algorithm>
 #include <sstream>
 
 namespace porttiller {
@@ -13,13 +14,28 @@
 constexpr IntegerRange kBodyBytes{ .mMin = 1024, .mMax = 64 << 20 };
 constexpr IntegerRange kHeaders{ .mMin = 8, .mMax = 1000 };
 constexpr IntegerRange kHeaderBytes{ .mMin = 1024, .mMax = 1 << 20 };
+constexpr IntegerRange kOpenConnections{ .mMin = 1, .mMax = 65'536 };
 constexpr IntegerRange kConnections{ .mMin = 1, .mMax = 1024 };
 constexpr IntegerRange kDrainMs{ .mMin = 100, .mMax = 600'000 };
 constexpr IntegerRange kIntervalMs{ .mMin = 10, .mMax = 60'000 };
 constexpr IntegerRange kPort{ .mMin = 0, .mMax = 65535 };
-constexpr IntegerRange kBurst{ .mMin = 0, .mMax = 1'000'000 };
-constexpr double kMinBudgetWindowS = 1.0;
-constexpr double kMaxBudgetWindowS = 600.0;
+// Whatever a platform may say of its machines; only the sign is checked.
+constexpr double kHuge = 1e9;
+constexpr double kMinBudgetWindowS = 0.1;
+constexpr double kMaxBudgetWindowS = 86'400.0;
+// Of the time until a stop is forced: callers are owed an end of what runs in
+// the last sixth, and the process needs some time to end.
+constexpr double kDrainPart = 0.88;
+constexpr double kMillisPerSecond = 1000.0;
+// A waiting request takes up to 128 KB (a thread's touched stack and buffers),
+// and may have a quarter of the box's memory in each role.
+constexpr double kThreadsPerMb = 2.0;
+constexpr IntegerRange kDerivedThreads{ .mMin = 64, .mMax = 512 };
+// Callers, other boxes and what this box opens share the descriptors, less
+// those for files.
+constexpr double kFileDescriptors = 200.0;
+constexpr double kDescriptorUses = 3.0;
+constexpr IntegerRange kDerivedConnections{ .mMin = 64, .mMax = 2048 };
 constexpr unsigned kIndent = 2;
 
 int
@@ -40,12 +56,51 @@
   return Millis(aReader.IntegerOr(aName, aRange, aDefault.count()));
 }
 
+int
+Within(double aValue, IntegerRange aRange)
+{
+  return static_cast<int>(std::clamp(aValue,
+                                     static_cast<double>(aRange.mMin),
+                                     static_cast<double>(aRange.mMax)));
+}
+
+int
+ThreadsFor(const ResourceSettings& aResources, int aDefault)
+{
+  return aResources.mMemoryMb > 0.0
+           ? Within(aResources.mMemoryMb * kThreadsPerMb, kDerivedThreads)
+           : aDefault;
+}
+
+int
+ConnectionsFor(const ResourceSettings& aResources, int aDefault)
+{
+  const double free = aResources.mDescriptors - kFileDescriptors;
+  return aResources.mDescriptors > 0.0
+           ? Within(free / kDescriptorUses, kDerivedConnections)
+           : aDefault;
+}
+
+ResourceSettings
+ReadResources(FieldReader aReader)
+{
+  ResourceSettings settings;
+  settings.mMemoryMb = aReader.NumberOr("memory_mb", 0.0, kHuge, 0.0);
+  settings.mDescriptors = aReader.NumberOr("descriptors", 0.0, kHuge, 0.0);
+  aReader.RefuseUnknown();
+  return settings;
+}
+
 CallerSettings
-ReadCallers(FieldReader aReader)
+ReadCallers(FieldReader aReader, const ResourceSettings& aResources)
 {
   CallerSettings settings;
+  settings.mThreads = ThreadsFor(aResources, settings.mThreads);
+  settings.mConnections = ConnectionsFor(aResources, settings.mConnections);
   settings.mAddress = aReader.AddressOr("address", settings.mAddress);
   settings.mThreads = ReadInt(aReader, "threads", kThreads, settings.mThreads);
+  settings.mConnections =
+    ReadInt(aReader, "connections", kOpenConnections, settings.mConnections);
   settings.mMaxBodyBytes =
     ReadInt(aReader, "max_body_bytes", kBodyBytes, settings.mMaxBodyBytes);
   settings.mMaxHeaders =
@@ -57,14 +112,18 @@
 }
 
 PeerSettings
-ReadPeers(FieldReader aReader)
+ReadPeers(FieldReader aReader, const ResourceSettings& aResources)
 {
   PeerSettings settings;
+  settings.mThreads = ThreadsFor(aResources, settings.mThreads);
+  settings.mConnections = ConnectionsFor(aResources, settings.mConnections);
   settings.mHomeAddress =
     aReader.AddressOr("home_address", settings.mHomeAddress);
   settings.mControlAddress =
     aReader.AddressOr("control_address", settings.mControlAddress);
   settings.mThreads = ReadInt(aReader, "threads", kThreads, settings.mThreads);
+  settings.mConnections =
+    ReadInt(aReader, "connections", kOpenConnections, settings.mConnections);
   settings.mConnectionsPerBox = ReadInt(
     aReader, "connections_per_box", kConnections, settings.mConnectionsPerBox);
   settings.mSeeds = aReader.Addresses("seeds");
@@ -81,9 +140,15 @@
 ReadTiming(FieldReader aReader)
 {
   TimingSettings settings;
+  const double grace = aReader.NumberOr("grace_s", 0.0, kHuge, 0.0);
+  if (grace > 0.0) {
+    settings.mDrain =
+      Millis(Within(grace * kMillisPerSecond * kDrainPart, kDrainMs));
+  }
   settings.mDrain = ReadMillis(aReader, "drain_ms", kDrainMs, settings.mDrain);
   settings.mDrainNotice =
     ReadMillis(aReader, "drain_notice_ms", kIntervalMs, settings.mDrainNotice);
+  settings.mDrainNotice = std::min(settings.mDrainNotice, settings.mDrain / 2);
   settings.mProbeInterval = ReadMillis(
     aReader, "probe_interval_ms", kIntervalMs, settings.mProbeInterval);
   settings.mProbeTimeout = ReadMillis(
@@ -120,8 +185,8 @@
 ReadRetries(FieldReader aReader)
 {
   RetrySettings settings;
-  settings.mShare = aReader.NumberOr("share", 0.0, 1.0, settings.mShare);
-  settings.mBurst = ReadInt(aReader, "burst", kBurst, settings.mBurst);
+  settings.mShare = aReader.NumberOr("share", 0.0, kHuge, settings.mShare);
+  settings.mBurst = aReader.NumberOr("burst", 0.0, kHuge, settings.mBurst);
   const auto window = std::chrono::duration<double>(settings.mWindow).count();
   settings.mWindow = std::chrono::duration_cast<Millis>(
     std::chrono::duration<double>(aReader.NumberOr(
@@ -193,8 +258,9 @@
     reader.Fail("box", "must not contain \"/\"");
   }
   settings.mZone = AvailabilityZone(reader.String("zone"));
-  settings.mCallers = ReadCallers(reader.Child("callers"));
-  settings.mPeers = ReadPeers(reader.Child("peers"));
+  settings.mResources = ReadResources(reader.Child("resources"));
+  settings.mCallers = ReadCallers(reader.Child("callers"), settings.mResources);
+  settings.mPeers = ReadPeers(reader.Child("peers"), settings.mResources);
   settings.mTiming = ReadTiming(reader.Child("timing"));
   settings.mAdminAddress =
     reader.AddressOr("admin_address", settings.mAdminAddress);
@@ -219,6 +285,7 @@
   Poco::JSON::Object callers;
   callers.set("address", aSettings.mCallers.mAddress);
   callers.set("threads", aSettings.mCallers.mThreads);
+  callers.set("connections", aSettings.mCallers.mConnections);
   callers.set("max_body_bytes", aSettings.mCallers.mMaxBodyBytes);
   callers.set("max_headers", aSettings.mCallers.mMaxHeaders);
   callers.set("max_header_bytes", aSettings.mCallers.mMaxHeaderBytes);
@@ -226,6 +293,7 @@
   peers.set("home_address", aSettings.mPeers.mHomeAddress);
   peers.set("control_address", aSettings.mPeers.mControlAddress);
   peers.set("threads", aSettings.mPeers.mThreads);
+  peers.set("connections", aSettings.mPeers.mConnections);
   peers.set("connections_per_box", aSettings.mPeers.mConnectionsPerBox);
   Poco::JSON::Array seeds;
   for (const auto& seed : aSettings.mPeers.mSeeds) {
@@ -279,6 +347,10 @@
     "window_s",
     std::chrono::duration<double>(aSettings.mRetries.mWindow).count());
   document.set("retries", retries);
+  Poco::JSON::Object resources;
+  resources.set("memory_mb", aSettings.mResources.mMemoryMb);
+  resources.set("descriptors", aSettings.mResources.mDescriptors);
+  document.set("resources", resources);
   std::ostringstream text;
   document.stringify(text, kIndent);
   return text.str();
--- a/packages/config/tests/SettingsTest.cpp
+++ b/packages/config/tests/SettingsTest.cpp
@@ -51,3 +51,46 @@
     CHECK_FALSE(ParseSettings(text).has_value());
   }
 }
+
+TEST_CASE("Numbers of a platform may be fractional, zero, huge or missing")
+{
+  struct Case
+  {
+    const char* mNumber;
+    double mBurst;
+  };
+  for (const auto& [number, burst] : { Case{ "25.2", 25.2 },
+                                       Case{ "0", 0.0 },
+                                       Case{ "1e9", 1e9 },
+                                       Case{ "null", 1e6 } }) {
+    const std::string text =
+      std::string(
+        R"({ "box": "a", "zone": "z", "platform_address": "127.0.0.1:1",
+      "retries": { "burst": )") +
+      number + R"(, "share": )" + number + R"( }, "timing": { "grace_s": )" +
+      number + R"( }, "resources": { "memory_mb": )" + number +
+      R"(, "descriptors": )" + number + " } }";
+    CAPTURE(text);
+    const auto settings = ParseSettings(text);
+    REQUIRE(settings.has_value());
+    CHECK(settings->mRetries.mBurst == burst);
+    CHECK(settings->mTiming.mDrain > Millis(0));
+    CHECK(settings->mTiming.mDrainNotice <= settings->mTiming.mDrain / 2);
+    CHECK(settings->mCallers.mThreads >= 64);
+    CHECK(settings->mCallers.mThreads <= 512);
+    CHECK(settings->mPeers.mConnections >= 64);
+  }
+}
+
+TEST_CASE("Threads, connections and the bound of a stop follow the machine")
+{
+  const auto settings = ParseSettings(R"({
+    "box": "a", "zone": "z", "platform_address": "127.0.0.1:1",
+    "resources": { "memory_mb": 160, "descriptors": 4100 },
+    "timing": { "grace_s": 10 } })");
+  REQUIRE(settings.has_value());
+  CHECK(settings->mCallers.mThreads == 320);
+  CHECK(settings->mPeers.mThreads == 320);
+  CHECK(settings->mPeers.mConnections == 1300);
+  CHECK(settings->mTiming.mDrain == Millis(8800));
+}
--- a/packages/entry/src/EntryServer.cpp
+++ b/packages/entry/src/EntryServer.cpp
@@ -66,6 +66,7 @@
   const auto& callers = mSettings.mCallers;
   return { .mAddress = callers.mAddress,
            .mWorkers = callers.mThreads,
+           .mConnections = callers.mConnections,
            .mLimits = { .mMaxHeaders =
                           static_cast<std::size_t>(callers.mMaxHeaders),
                         .mMaxHeaderBytes =
--- a/packages/home/src/HomeServer.cpp
+++ b/packages/home/src/HomeServer.cpp
@@ -48,6 +48,7 @@
   auto listener = HttpListener::Make(
     { .mAddress = aSettings.mPeers.mHomeAddress,
       .mWorkers = aSettings.mPeers.mThreads,
+      .mConnections = aSettings.mPeers.mConnections,
       .mLimits = { .mMaxHeaders = kMaxHeaders,
                    .mMaxHeaderBytes = kMaxHeaderBytes,
                    .mMaxBodyBytes = kMaxBodyBytes },
