Take a directory's changes in together; probe neighbours, not everybody

Each also probed the others in turn, which needs a new link a second, and told its view of all N every second. Change: Batcher (at once after a rest, else every 200 ms); in fleets over 40 boxes a box probes those 1, 2, 4, ... places on in a ring, one probe in 8 anybody; the view is told of differences; peers are not copied to be chosen.

--- a/packages/control/include/porttiller/control/DirectoryController.h
+++ b/packages/control/include/porttiller/control/DirectoryController.h
@@ -10,11 +10,13 @@
 #include "porttiller/control/MembershipController.h"
 #include "porttiller/control/Worker.h"
 #include "porttiller/peer/PeerTransport.h"
+#include "porttiller/policy/Batcher.h"
 #include "porttiller/store/ObjectClient.h"
 
 #include <atomic>
 #include <condition_variable>
 #include <functional>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <thread>
@@ -82,6 +84,9 @@
   void RaiseOwn();
   void Merge(const std::vector<BoxRecord>& aRecords, const char* aSource);
   void Publish();
+  // Publishes and passes on soon, together with what else comes until then.
+  void PlanBatch();
+  void PublishBatch();
   void Push(const std::vector<BoxRecord>& aRecords,
             const SpreadOptions& aSpread);
   void Request(const std::string& aAddress);
@@ -106,8 +111,11 @@
   TimePoint mPeerDigestSince;
   TimePoint mNextRequest;
   bool mServerKnown = false; // under mMutex
-  std::mutex mPublishMutex;  // one call of mOnChange at a time
-  std::mutex mStoreMutex;    // one write of the own record at a time
+  Batcher mBatcher;          // under mMutex
+  // News that peers told, to be passed on with the next batch; under mMutex.
+  std::map<BoxName, BoxRecord> mOnwards;
+  std::mutex mPublishMutex; // one call of mOnChange at a time
+  std::mutex mStoreMutex;   // one write of the own record at a time
   const TimePoint mStarted;
   std::atomic<bool> mLoaded{ false };
   std::atomic<bool> mStop{ false };
--- a/packages/control/include/porttiller/control/MembershipController.h
+++ b/packages/control/include/porttiller/control/MembershipController.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <vector>
 
 namespace porttiller {
@@ -74,16 +75,18 @@
   wire::Envelope MakeProbe(const BoxName& aTo);
   void NoteRevision(const std::string& aFromBox, const PeerRevision& aRevision);
   std::optional<BoxSpec> SpecOf(const BoxName& aBox) const;
-  void RefreshUsable(const BoxName& aBox);
-  std::vector<BoxSpec> LivePeers() const;
+  void RefreshUsable();
+  std::vector<const BoxSpec*> LivePeers(const Snapshot& aSnapshot) const;
+  SnapshotPtr CurrentSnapshot() const;
 
   const Settings& mSettings;
   PeerTransport& mTransport;
   EntryView& mView;
   const MembershipHooks mHooks;
   mutable std::mutex mMutex;
-  Membership mMembership; // under mMutex
-  SnapshotPtr mSnapshot;  // under mMutex
+  Membership mMembership;     // under mMutex
+  SnapshotPtr mSnapshot;      // under mMutex
+  std::set<BoxName> mAvoided; // of the ticker: what the view was told
   std::unique_ptr<Ticker> mTicker;
 };
 
--- a/packages/control/include/porttiller/control/Worker.h
+++ b/packages/control/include/porttiller/control/Worker.h
@@ -1,9 +1,11 @@
-// One thread that runs jobs in order.
+// One thread that runs jobs in order, and some of them later.
 #pragma once
 
+#include <chrono>
 #include <condition_variable>
 #include <deque>
 #include <functional>
+#include <map>
 #include <mutex>
 #include <thread>
 
@@ -20,15 +22,21 @@
 
   // False, and the job is dropped, when too many wait or it is stopping.
   bool Post(std::function<void()> aJob);
+  // As Post, but not before so much time has passed.
+  bool PostAfter(std::chrono::milliseconds aDelay, std::function<void()> aJob);
   void Stop();
 
 private:
   void Run();
+  bool HasRoom() const;
+  void TakeDelayed();
 
   const std::size_t mMaxWaiting;
   std::mutex mMutex;
   std::condition_variable mWake;
   std::deque<std::function<void()>> mJobs;
+  std::multimap<std::chrono::steady_clock::time_point, std::function<void()>>
+    mDelayed;
   bool mStopping = false;
   std::thread mThread;
 };
--- a/packages/control/src/DirectoryController.cpp
+++ b/packages/control/src/DirectoryController.cpp
@@ -344,9 +344,47 @@
       .With("server", record.mServer ? record.mServer->mId.Value() : "")
       .With("state", record.mServer ? ToText(record.mServer->mState) : "");
   }
+  const bool onwards = std::string_view(aSource) == "peer";
+  {
+    const std::lock_guard lock(mMutex);
+    for (const auto& record : news) {
+      if (onwards) {
+        mOnwards.insert_or_assign(record.mBox.mName, record);
+      }
+    }
+  }
+  PlanBatch();
+}
+
+void
+DirectoryController::PlanBatch()
+{
+  std::optional<Millis> delay;
+  {
+    const std::lock_guard lock(mMutex);
+    delay = mBatcher.OnChange(Now());
+  }
+  if (delay && !mWorker.PostAfter(*delay, [this] { PublishBatch(); })) {
+    PublishBatch(); // the worker is full or stopping
+  }
+}
+
+void
+DirectoryController::PublishBatch()
+{
+  std::vector<BoxRecord> onwards;
+  {
+    const std::lock_guard lock(mMutex);
+    mBatcher.OnBatch(Now());
+    onwards.reserve(mOnwards.size());
+    for (auto& [box, record] : mOnwards) {
+      onwards.push_back(std::move(record));
+    }
+    mOnwards.clear();
+  }
   Publish();
-  if (std::string_view(aSource) == "peer") {
-    Push(news, kOnwards);
+  if (!onwards.empty()) {
+    Push(onwards, kOnwards);
   }
 }
 
@@ -475,7 +513,7 @@
   if (verdict == RegistrarVerdict::kLeaving) {
     mHooks.mOnServerLeaving(aMessage.mServer.mId);
   }
-  Publish();
+  PlanBatch();
   Push({ record }, kOwnNews);
   if (verdict == RegistrarVerdict::kLeaving && !Keep(record)) {
     return tl::make_unexpected(RegistrationError::kNotKept);
--- a/packages/control/src/MembershipController.cpp
+++ b/packages/control/src/MembershipController.cpp
@@ -86,32 +86,38 @@
 void
 MembershipController::Tick()
 {
-  std::vector<BoxName> boxes;
   {
     const std::lock_guard lock(mMutex);
     mMembership.OnTick(Now());
-    if (mSnapshot) {
-      for (const auto& [name, spec] : mSnapshot->mBoxes) {
-        boxes.push_back(name);
-      }
-    }
-  }
-  for (const auto& box : boxes) {
-    RefreshUsable(box);
   }
+  RefreshUsable();
   ProbeNext();
 }
 
 // The entry avoids boxes that are gone or suspected, and paths that are cut.
+// It is told of changes alone: of 353 boxes few change in a second.
 void
-MembershipController::RefreshUsable(const BoxName& aBox)
+MembershipController::RefreshUsable()
 {
-  bool usable = true;
+  std::set<BoxName> avoided;
   {
     const std::lock_guard lock(mMutex);
-    usable = mMembership.WorthSending(aBox);
+    for (auto& box : mMembership.NotWorthSending()) {
+      avoided.insert(std::move(box));
+    }
+  }
+  avoided.erase(mSettings.mBox);
+  for (const auto& box : avoided) {
+    if (!mAvoided.contains(box)) {
+      mView.SetBoxUsable(box, false);
+    }
   }
-  mView.SetBoxUsable(aBox, usable || aBox == mSettings.mBox);
+  for (const auto& box : mAvoided) {
+    if (!avoided.contains(box)) {
+      mView.SetBoxUsable(box, true);
+    }
+  }
+  mAvoided = std::move(avoided);
 }
 
 void
@@ -306,36 +312,44 @@
   return mMembership.LiveBoxes();
 }
 
-std::vector<BoxSpec>
-MembershipController::LivePeers() const
+std::vector<const BoxSpec*>
+MembershipController::LivePeers(const Snapshot& aSnapshot) const
 {
-  std::vector<BoxSpec> peers;
+  std::vector<const BoxSpec*> peers;
   const std::lock_guard lock(mMutex);
-  if (!mSnapshot) {
-    return peers;
-  }
   for (const auto& box : mMembership.LiveBoxes()) {
-    const auto* spec = mSnapshot->FindBox(box);
+    const auto* spec = aSnapshot.FindBox(box);
     if (spec != nullptr && box != mSettings.mBox) {
-      peers.push_back(*spec);
+      peers.push_back(spec);
     }
   }
   return peers;
 }
 
+SnapshotPtr
+MembershipController::CurrentSnapshot() const
+{
+  const std::lock_guard lock(mMutex);
+  return mSnapshot;
+}
+
 std::vector<BoxSpec>
 MembershipController::SpreadPeers(const SpreadOptions& aOptions) const
 {
-  const auto live = LivePeers();
+  std::vector<BoxSpec> peers;
+  const auto snapshot = CurrentSnapshot();
+  if (!snapshot) {
+    return peers;
+  }
+  const auto live = LivePeers(*snapshot);
   std::vector<AvailabilityZone> zones;
   zones.reserve(live.size());
-  for (const auto& peer : live) {
-    zones.push_back(peer.mZone);
+  for (const auto* peer : live) {
+    zones.push_back(peer->mZone);
   }
-  std::vector<BoxSpec> peers;
   for (const auto index :
        ChooseReceivers(zones, mSettings.mZone, aOptions, Random())) {
-    peers.push_back(live[index]);
+    peers.push_back(*live[index]);
   }
   return peers;
 }
@@ -343,10 +357,18 @@
 std::vector<BoxSpec>
 MembershipController::RandomPeers(std::size_t aCount) const
 {
-  auto peers = LivePeers();
+  std::vector<BoxSpec> peers;
+  const auto snapshot = CurrentSnapshot();
+  if (!snapshot) {
+    return peers;
+  }
+  auto live = LivePeers(*snapshot);
   std::mt19937_64 generator(Random());
-  std::shuffle(peers.begin(), peers.end(), generator);
-  peers.resize(std::min(peers.size(), aCount));
+  std::shuffle(live.begin(), live.end(), generator);
+  live.resize(std::min(live.size(), aCount));
+  for (const auto* peer : live) {
+    peers.push_back(*peer);
+  }
   return peers;
 }
 
--- a/packages/control/src/Worker.cpp
+++ b/packages/control/src/Worker.cpp
@@ -20,6 +20,7 @@
     const std::lock_guard lock(mMutex);
     mStopping = true;
     mJobs.clear();
+    mDelayed.clear();
     mWake.notify_all();
   }
   if (mThread.joinable()) {
@@ -27,11 +28,17 @@
   }
 }
 
+bool
+Worker::HasRoom() const
+{
+  return !mStopping && mJobs.size() + mDelayed.size() < mMaxWaiting;
+}
+
 bool
 Worker::Post(std::function<void()> aJob)
 {
   const std::lock_guard lock(mMutex);
-  if (mStopping || mJobs.size() >= mMaxWaiting) {
+  if (!HasRoom()) {
     return false;
   }
   mJobs.push_back(std::move(aJob));
@@ -39,15 +46,46 @@
   return true;
 }
 
+bool
+Worker::PostAfter(std::chrono::milliseconds aDelay, std::function<void()> aJob)
+{
+  const std::lock_guard lock(mMutex);
+  if (!HasRoom()) {
+    return false;
+  }
+  mDelayed.emplace(std::chrono::steady_clock::now() + aDelay, std::move(aJob));
+  mWake.notify_all();
+  return true;
+}
+
+// Under mMutex.
+void
+Worker::TakeDelayed()
+{
+  const auto now = std::chrono::steady_clock::now();
+  while (!mDelayed.empty() && mDelayed.begin()->first <= now) {
+    mJobs.push_back(std::move(mDelayed.begin()->second));
+    mDelayed.erase(mDelayed.begin());
+  }
+}
+
 void
 Worker::Run()
 {
   std::unique_lock lock(mMutex);
   for (;;) {
-    mWake.wait(lock, [this] { return mStopping || !mJobs.empty(); });
+    TakeDelayed();
     if (mStopping) {
       return;
     }
+    if (mJobs.empty()) {
+      if (mDelayed.empty()) {
+        mWake.wait(lock);
+      } else {
+        mWake.wait_until(lock, mDelayed.begin()->first);
+      }
+      continue;
+    }
     const auto job = std::move(mJobs.front());
     mJobs.pop_front();
     lock.unlock();
--- a/packages/policy/include/porttiller/policy/Membership.h
+++ b/packages/policy/include/porttiller/policy/Membership.h
@@ -45,6 +45,9 @@
   std::size_t mHelpers = 3;    // boxes asked for an indirect probe
   std::size_t mUpdatesPerMessage = 6;
   int mSpreadFactor = 3; // times log2 of the number of boxes
+  // Of the largest fleet whose boxes all probe each other.
+  std::size_t mAllProbeUpTo = 40;
+  std::uint64_t mOthersOneIn = 8;
 };
 
 // Owned by the membership controller, under its lock.
@@ -58,9 +61,14 @@
   // The platform's list, self included; it lags and only names candidates.
   void SetBoxes(const std::vector<BoxName>& aBoxes);
 
-  // The next box to probe: each in turn, in an order shuffled by aRandom. Every
-  // second probe goes to a box that this one could not reach, if there is one:
-  // its turn comes only once for each box of the fleet.
+  // The next box to probe: each neighbour in turn, in an order shuffled by
+  // aRandom. In a small fleet all others are neighbours. In a large one they
+  // are those 1, 2, 4, ... places on in the ring of all boxes by hash, so that
+  // each box has as many probers as neighbours, links stay in use, and news
+  // still crosses the fleet in log2 of its size rounds; one probe in
+  // mOthersOneIn goes to any other box, gone ones too, so that parts that were
+  // cut off find each other again. Every second probe goes to a box that this
+  // one could not reach, if there is one.
   std::optional<BoxName> NextProbe(std::uint64_t aRandom);
   // Others, thought alive, that may probe aTarget for this node.
   std::vector<BoxName> Helpers(const BoxName& aTarget,
@@ -93,6 +101,7 @@
   // Whether requests should go there while other boxes would take them: a
   // suspect may still refute, but what is lost on the way to it stays lost.
   bool WorthSending(const BoxName& aBox) const;
+  std::vector<BoxName> NotWorthSending() const;
   // Neither dead nor leaving, self included.
   std::vector<BoxName> LiveBoxes() const;
   std::size_t Size() const { return mMembers.size(); }
@@ -114,6 +123,8 @@
   void Refute(const MemberUpdate& aUpdate);
   void MarkAlive(const BoxName& aBox, Incarnation aIncarnation, bool aPath);
   void MarkNews(Member& aMember) const;
+  std::vector<BoxName> Neighbours() const;
+  std::vector<BoxName> OthersOf(bool aPresentOnly) const;
   std::optional<BoxName> UnreachedBox(std::uint64_t aRandom) const;
   MemberUpdate ToUpdate(const BoxName& aBox, const Member& aMember) const;
 
--- a/packages/policy/src/Membership.cpp
+++ b/packages/policy/src/Membership.cpp
@@ -5,9 +5,18 @@
 #include <random>
 #include <set>
 #include <tuple>
+#include <utility>
+#include <xxhash.h>
 
 namespace porttiller {
 
+namespace {
+
+// Places on the ring are unlike those of other uses of the hash.
+constexpr std::uint64_t kRingSeed = 0x72696e67;
+
+} // namespace
+
 const char*
 ToText(MemberState aState)
 {
@@ -66,6 +75,45 @@
   return unreached[aRandom % unreached.size()];
 }
 
+std::vector<BoxName>
+Membership::OthersOf(bool aPresentOnly) const
+{
+  std::vector<BoxName> others;
+  for (const auto& [box, member] : mMembers) {
+    const bool gone = member.mState == MemberState::kDead ||
+                      member.mState == MemberState::kLeaving;
+    if (box != mSelf && !(aPresentOnly && gone)) {
+      others.push_back(box);
+    }
+  }
+  return others;
+}
+
+std::vector<BoxName>
+Membership::Neighbours() const
+{
+  const auto place = [](const BoxName& aBox) {
+    const auto& name = aBox.Value();
+    return std::pair(XXH64(name.data(), name.size(), kRingSeed), name);
+  };
+  auto ring = OthersOf(true);
+  std::sort(
+    ring.begin(), ring.end(), [&](const auto& aLeft, const auto& aRight) {
+      return place(aLeft) < place(aRight);
+    });
+  const auto own = place(mSelf);
+  const auto next =
+    std::find_if(ring.begin(), ring.end(), [&](const auto& aBox) {
+      return place(aBox) > own;
+    });
+  const auto first = static_cast<std::size_t>(next - ring.begin());
+  std::vector<BoxName> neighbours;
+  for (std::size_t step = 1; step <= ring.size(); step *= 2) {
+    neighbours.push_back(ring[(first + step - 1) % ring.size()]);
+  }
+  return neighbours;
+}
+
 std::optional<BoxName>
 Membership::NextProbe(std::uint64_t aRandom)
 {
@@ -75,12 +123,14 @@
       return box;
     }
   }
+  const bool large = mMembers.size() > mOptions.mAllProbeUpTo;
+  if (large && aRandom % mOptions.mOthersOneIn == 0) {
+    const auto others = OthersOf(false);
+    return others[(aRandom / mOptions.mOthersOneIn) % others.size()];
+  }
   if (mProbeOrder.empty()) {
-    for (const auto& [box, member] : mMembers) {
-      if (box != mSelf) {
-        mProbeOrder.push_back(box);
-      }
-    }
+    const auto neighbours = large ? Neighbours() : OthersOf(false);
+    mProbeOrder.assign(neighbours.begin(), neighbours.end());
     std::mt19937_64 generator(aRandom);
     std::shuffle(mProbeOrder.begin(), mProbeOrder.end(), generator);
   }
@@ -312,6 +362,18 @@
   return StateOf(aBox) == MemberState::kAlive && PathWorks(aBox);
 }
 
+std::vector<BoxName>
+Membership::NotWorthSending() const
+{
+  std::vector<BoxName> boxes;
+  for (const auto& [box, member] : mMembers) {
+    if (member.mState != MemberState::kAlive || !member.mPathWorks) {
+      boxes.push_back(box);
+    }
+  }
+  return boxes;
+}
+
 std::vector<BoxName>
 Membership::LiveBoxes() const
 {
--- a/packages/policy/tests/MembershipTest.cpp
+++ b/packages/policy/tests/MembershipTest.cpp
@@ -2,7 +2,11 @@
 
 #include "FuzzDraw.h"
 
+#include <algorithm>
 #include <doctest/doctest.h>
+#include <map>
+#include <random>
+#include <set>
 
 using namespace porttiller;
 
@@ -225,3 +229,97 @@
     kStart);
   CHECK(a.WorthSending(kBoxes[1]));
 }
+
+namespace {
+
+std::vector<BoxName>
+MakeBoxes(int aCount)
+{
+  std::vector<BoxName> boxes;
+  boxes.reserve(static_cast<std::size_t>(aCount));
+  for (int i = 0; i < aCount; ++i) {
+    boxes.emplace_back("box-" + std::to_string(i));
+  }
+  std::sort(boxes.begin(), boxes.end());
+  return boxes;
+}
+
+} // namespace
+
+TEST_CASE("In a large fleet a box probes few neighbours, and is probed by few")
+{
+  // With every other box probed in turn each probe needs a new link: 353 boxes
+  // spent a quarter of a loaded day's processor time on links between them.
+  constexpr int kRounds = 60;
+  const auto boxes = MakeBoxes(1300);
+  std::map<BoxName, std::map<BoxName, int>> probers;
+  for (const auto& box : boxes) {
+    Membership member(box, Incarnation(1));
+    member.SetBoxes(boxes);
+    std::map<BoxName, int> probes;
+    for (std::uint64_t i = 0; i < kRounds; ++i) {
+      ++probes[*member.NextProbe(2 * i + 1)]; // never one of the others
+    }
+    CHECK(probes.size() == 11); // 1, 2, 4, ... 1024 places on
+    for (const auto& [probed, count] : probes) {
+      probers[probed][box] += count;
+    }
+  }
+  CHECK(probers.size() == boxes.size());
+  for (const auto& [box, by] : probers) {
+    CHECK(by.size() == 11);
+  }
+}
+
+TEST_CASE("In a large fleet gone boxes are still probed now and then")
+{
+  const auto boxes = MakeBoxes(100);
+  Membership member(boxes[0], Incarnation(1));
+  member.SetBoxes(boxes);
+  for (const auto& box : boxes) {
+    member.OnNotReached(box, kStart);
+  }
+  member.OnTick(kStart + Millis(10'000));
+  std::set<BoxName> probed;
+  std::mt19937_64 random(3);
+  for (int i = 0; i < 8000; ++i) {
+    if (const auto box = member.NextProbe(random())) {
+      probed.insert(*box);
+    }
+  }
+  CHECK(probed.size() == boxes.size() - 1);
+}
+
+TEST_CASE("News crosses a large fleet in a few rounds of probes")
+{
+  const auto boxes = MakeBoxes(353);
+  std::vector<Membership> nodes;
+  std::map<BoxName, std::size_t> places;
+  nodes.reserve(boxes.size());
+  for (const auto& box : boxes) {
+    places[box] = nodes.size();
+    nodes.emplace_back(box, Incarnation(1));
+    nodes.back().SetBoxes(boxes);
+    for (const auto& other : boxes) {
+      nodes.back().OnNewLife(other, Incarnation(1)); // as their records tell
+    }
+  }
+  nodes[0].Leave();
+  std::mt19937_64 random(5);
+  int rounds = 0;
+  const auto told = [&] {
+    return std::count_if(nodes.begin(), nodes.end(), [&](const auto& aNode) {
+      return aNode.StateOf(boxes[0]) == MemberState::kLeaving;
+    });
+  };
+  while (told() < 350 && rounds < 40) {
+    ++rounds;
+    for (std::size_t from = 0; from < nodes.size(); ++from) {
+      const auto to = nodes[from].NextProbe(random());
+      auto& other = nodes[places.at(*to)];
+      other.OnUpdates(nodes[from].Spread(*to), kStart);
+      nodes[from].OnUpdates(other.Spread(boxes[from]), kStart);
+    }
+  }
+  CHECK(rounds <= 12);
+}
