An entry works with a subset of a service's servers

Ruled out: random subsets, which leave some servers to few entries; rendezvous, whose load varies as its root; one arc for all zones, which covered servers of other zones unevenly (23 to 34 uses where 28 were due).

--- a/packages/config/include/porttiller/config/Snapshot.h
+++ b/packages/config/include/porttiller/config/Snapshot.h
@@ -33,6 +33,8 @@
 {
   std::uint64_t mRevision = 0;
   std::uint64_t mDigest = 0;
+  // Tells snapshots of a builder apart, also of one revision; 0: none.
+  std::uint64_t mSerial = 0;
   std::map<ServiceName, ServiceEntry> mServices;
   std::map<BoxName, BoxSpec> mBoxes;
   RouteTable mRoutes;
@@ -63,6 +65,7 @@
 
   std::map<ObjectKey, Resource> mGood;
   std::map<ObjectKey, Rejection> mRejected;
+  std::uint64_t mSerials = 0; // given out
 };
 
 } // namespace porttiller
--- a/packages/config/src/Snapshot.cpp
+++ b/packages/config/src/Snapshot.cpp
@@ -123,6 +123,7 @@
   auto snapshot = std::make_shared<Snapshot>();
   snapshot->mRevision = aObjects.Revision();
   snapshot->mDigest = aObjects.Digest();
+  snapshot->mSerial = ++mSerials;
   for (const auto& [key, resource] : mGood) {
     if (std::holds_alternative<ServiceSpec>(resource)) {
       std::visit(Adder(*snapshot, key), resource);
--- a/packages/entry/include/porttiller/entry/EntryView.h
+++ b/packages/entry/include/porttiller/entry/EntryView.h
@@ -8,9 +8,11 @@
 #include "porttiller/hop/HomeTypes.h"
 #include "porttiller/policy/AttemptPlan.h"
 #include "porttiller/policy/Balancer.h"
+#include "porttiller/policy/Subset.h"
 
 #include <array>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <optional>
 #include <vector>
@@ -41,7 +43,7 @@
 class EntryView
 {
 public:
-  EntryView(AvailabilityZone aZone, BalancerOptions aOptions);
+  EntryView(BoxName aBox, AvailabilityZone aZone, BalancerOptions aOptions);
 
   // The server for the next attempt.
   Choice Choose(const Snapshot& aSnapshot,
@@ -103,14 +105,6 @@
     TimePoint mNoTrialUntil;
   };
 
-  struct ServiceShard
-  {
-    mutable std::mutex mMutex;
-    std::map<BackendServerName, ServerView> mServers;
-    std::map<std::string, Micros> mUsualTimes; // by route
-    std::map<ServiceName, double> mErrors;     // share of the answers
-  };
-
   struct BoxView
   {
     HomeLife mLife;
@@ -119,6 +113,35 @@
     bool mUsable = true;
   };
 
+  // A server where the choice finds it without look-ups.
+  struct Place
+  {
+    const BackendServerSpec* mServer = nullptr;
+    const BoxSpec* mBox = nullptr; // null: not known
+    bool mSameZone = false;
+    ServerView* mView = nullptr; // under its service's shard
+    BoxView* mBoxView = nullptr; // under its box's shard
+  };
+
+  // All servers of a service in one snapshot, the entry's subset in front.
+  struct ServerOrder
+  {
+    std::uint64_t mSerial = 0; // of the snapshot that it points into
+    std::vector<Place> mPlaces;
+    std::size_t mSubset = 0;
+  };
+
+  using ServerOrderPtr = std::shared_ptr<const ServerOrder>;
+
+  struct ServiceShard
+  {
+    mutable std::mutex mMutex;
+    std::map<BackendServerName, ServerView> mServers;
+    std::map<std::string, Micros> mUsualTimes; // by route
+    std::map<ServiceName, double> mErrors;     // share of the answers
+    std::map<ServiceName, ServerOrderPtr> mOrders;
+  };
+
   struct BoxShard
   {
     mutable std::mutex mMutex;
@@ -127,13 +150,25 @@
 
   ServiceShard& ShardOf(const ServiceName& aService) const;
   BoxShard& ShardOf(const BoxName& aBox) const;
-  bool PathAvoided(const BoxName& aBox, TimePoint aNow) const;
-  Candidate MakeCandidate(const Snapshot& aSnapshot,
-                          const BackendServerSpec& aServer,
+  SubsetEntry OwnPlace(const Snapshot& aSnapshot) const;
+  ServerOrderPtr OrderOf(const Snapshot& aSnapshot,
+                         const ServiceEntry& aService);
+  ServerOrderPtr MakeOrder(const Snapshot& aSnapshot,
+                           const ServiceEntry& aService);
+  bool PathAvoided(const Place& aPlace, TimePoint aNow) const;
+  Candidate MakeCandidate(const Place& aPlace,
                           const AttemptPlan& aPlan,
                           bool aMayFail,
                           TimePoint aNow) const;
-
+  // Of the next aMore places.
+  void AddCandidates(std::vector<Candidate>& aCandidates,
+                     const ServerOrder& aOrder,
+                     std::size_t aMore,
+                     const AttemptPlan& aPlan,
+                     bool aMayFail,
+                     TimePoint aNow) const;
+
+  const BoxName mBox;
   const AvailabilityZone mZone;
   const BalancerOptions mOptions;
   mutable std::array<ServiceShard, kShards> mServices;
--- a/packages/entry/src/EntryView.cpp
+++ b/packages/entry/src/EntryView.cpp
@@ -54,8 +54,11 @@
 
 } // namespace
 
-EntryView::EntryView(AvailabilityZone aZone, BalancerOptions aOptions)
-  : mZone(std::move(aZone))
+EntryView::EntryView(BoxName aBox,
+                     AvailabilityZone aZone,
+                     BalancerOptions aOptions)
+  : mBox(std::move(aBox))
+  , mZone(std::move(aZone))
   , mOptions(aOptions)
 {
 }
@@ -72,54 +75,137 @@
   return mBoxes.at(std::hash<std::string>{}(aBox.Value()) % kShards);
 }
 
+SubsetEntry
+EntryView::OwnPlace(const Snapshot& aSnapshot) const
+{
+  SubsetEntry entry{ .mEntries = 0 };
+  const auto own = RingPlace(mBox.Value());
+  for (const auto& [name, box] : aSnapshot.mBoxes) {
+    if (box.mZone == mZone) {
+      ++entry.mEntries;
+      entry.mRank += RingPlace(name.Value()) < own ? 1 : 0;
+    }
+  }
+  return entry;
+}
+
+EntryView::ServerOrderPtr
+EntryView::MakeOrder(const Snapshot& aSnapshot, const ServiceEntry& aService)
+{
+  std::vector<SubsetServer> servers;
+  std::vector<Place> places;
+  servers.reserve(aService.mServers.size());
+  places.reserve(aService.mServers.size());
+  for (const auto& server : aService.mServers) {
+    Place place{ .mServer = &server, .mBox = aSnapshot.FindBox(server.mBox) };
+    place.mSameZone = place.mBox != nullptr && place.mBox->mZone == mZone;
+    {
+      auto& shard = ShardOf(server.mService);
+      const std::lock_guard lock(shard.mMutex);
+      place.mView = &shard.mServers[server.mName];
+    }
+    {
+      auto& shard = ShardOf(server.mBox);
+      const std::lock_guard lock(shard.mMutex);
+      place.mBoxView = &shard.mBoxes[server.mBox];
+    }
+    servers.push_back({ .mPlace = RingPlace(server.mName.Value()),
+                        .mSameZone = place.mSameZone });
+    places.push_back(place);
+  }
+  const auto subset = ChooseSubset(servers, OwnPlace(aSnapshot));
+  auto order = std::make_shared<ServerOrder>();
+  order->mSerial = aSnapshot.mSerial;
+  order->mSubset = subset.mSize;
+  order->mPlaces.reserve(places.size());
+  for (const auto index : subset.mOrder) {
+    order->mPlaces.push_back(places[index]);
+  }
+  return order;
+}
+
+EntryView::ServerOrderPtr
+EntryView::OrderOf(const Snapshot& aSnapshot, const ServiceEntry& aService)
+{
+  const auto& name = aService.mSpec.mName;
+  auto& shard = ShardOf(name);
+  {
+    const std::lock_guard lock(shard.mMutex);
+    const auto it = shard.mOrders.find(name);
+    if (it != shard.mOrders.end() && aSnapshot.mSerial != 0 &&
+        it->second->mSerial == aSnapshot.mSerial) {
+      return it->second;
+    }
+  }
+  auto order = MakeOrder(aSnapshot, aService);
+  const std::lock_guard lock(shard.mMutex);
+  shard.mOrders[name] = order;
+  return order;
+}
+
 bool
-EntryView::PathAvoided(const BoxName& aBox, TimePoint aNow) const
+EntryView::PathAvoided(const Place& aPlace, TimePoint aNow) const
 {
-  const auto& shard = ShardOf(aBox);
+  const auto& shard = ShardOf(aPlace.mServer->mBox);
   const std::lock_guard lock(shard.mMutex);
-  const auto it = shard.mBoxes.find(aBox);
-  return it != shard.mBoxes.end() &&
-         (!it->second.mUsable || aNow < it->second.mAvoidUntil);
+  return !aPlace.mBoxView->mUsable || aNow < aPlace.mBoxView->mAvoidUntil;
 }
 
+// Under the lock of the service's shard.
 Candidate
-EntryView::MakeCandidate(const Snapshot& aSnapshot,
-                         const BackendServerSpec& aServer,
+EntryView::MakeCandidate(const Place& aPlace,
                          const AttemptPlan& aPlan,
                          bool aMayFail,
                          TimePoint aNow) const
 {
-  Candidate candidate{ .mSlots = aServer.mSlots };
-  const auto* box = aSnapshot.FindBox(aServer.mBox);
-  if (box == nullptr || !aPlan.MayUse(aServer.mName)) {
+  Candidate candidate{ .mSlots = aPlace.mServer->mSlots };
+  if (aPlace.mBox == nullptr || !aPlan.MayUse(aPlace.mServer->mName)) {
     candidate.mStanding = Standing::kTried;
     return candidate;
   }
-  candidate.mSameZone = box->mZone == mZone;
-  if (box->mState == BoxState::kLeaving) {
+  candidate.mSameZone = aPlace.mSameZone;
+  if (aPlace.mBox->mState == BoxState::kLeaving) {
     candidate.mStanding = Standing::kClosed;
-  } else if (PathAvoided(aServer.mBox, aNow)) {
+  } else if (PathAvoided(aPlace, aNow)) {
     candidate.mStanding = Standing::kUnreachable;
   }
-  const auto& shard = ShardOf(aServer.mService);
-  const std::lock_guard lock(shard.mMutex);
-  const auto it = shard.mServers.find(aServer.mName);
-  if (it != shard.mServers.end()) {
-    const auto& view = it->second;
-    candidate.mInFlight = view.mInFlight;
-    candidate.mReportedLoad = Aged(view.mLoad, aNow - view.mLoadAt);
-    const bool trial = aMayFail && aNow >= view.mNoTrialUntil;
-    candidate.mTrialDue = trial && aNow < view.mBrokenUntil;
-    if (!trial && !aPlan.LastResort() && aNow < view.mBrokenUntil) {
-      candidate.mStanding = std::max(candidate.mStanding, Standing::kDemoted);
-    }
-    if (aNow < view.mStandingUntil) {
-      candidate.mStanding = std::max(candidate.mStanding, view.mStanding);
-    }
+  const auto& view = *aPlace.mView;
+  candidate.mInFlight = view.mInFlight;
+  candidate.mReportedLoad = Aged(view.mLoad, aNow - view.mLoadAt);
+  const bool trial = aMayFail && aNow >= view.mNoTrialUntil;
+  candidate.mTrialDue = trial && aNow < view.mBrokenUntil;
+  if (!trial && !aPlan.LastResort() && aNow < view.mBrokenUntil) {
+    candidate.mStanding = std::max(candidate.mStanding, Standing::kDemoted);
+  }
+  if (aNow < view.mStandingUntil) {
+    candidate.mStanding = std::max(candidate.mStanding, view.mStanding);
   }
   return candidate;
 }
 
+void
+EntryView::AddCandidates(std::vector<Candidate>& aCandidates,
+                         const ServerOrder& aOrder,
+                         std::size_t aMore,
+                         const AttemptPlan& aPlan,
+                         bool aMayFail,
+                         TimePoint aNow) const
+{
+  const auto begin = aCandidates.size();
+  const auto end = std::min(aOrder.mPlaces.size(), begin + aMore);
+  if (begin == end) {
+    return;
+  }
+  auto& shard = ShardOf(aOrder.mPlaces[begin].mServer->mService);
+  const std::lock_guard lock(shard.mMutex);
+  for (auto i = begin; i < end; ++i) {
+    aCandidates.push_back(
+      MakeCandidate(aOrder.mPlaces[i], aPlan, aMayFail, aNow));
+  }
+}
+
+// The subset first. While nothing in it is open, as many servers more again
+// and again: a fault that takes a whole subset leaves the rest to it.
 Choice
 EntryView::Choose(const Snapshot& aSnapshot,
                   const ServiceEntry& aService,
@@ -127,17 +213,19 @@
                   const ChoiceTerms& aTerms,
                   TimePoint aNow)
 {
+  const auto order = OrderOf(aSnapshot, aService);
   std::vector<Candidate> candidates;
-  candidates.reserve(aService.mServers.size());
-  for (const auto& server : aService.mServers) {
-    candidates.push_back(
-      MakeCandidate(aSnapshot, server, aPlan, aTerms.mMayFail, aNow));
-  }
-  auto chosen = ChooseTrial(candidates, Random());
-  if (!chosen) {
-    chosen = ChooseServer(candidates, mOptions, Random(), Random());
-  }
-  const bool open = chosen && candidates[*chosen].mStanding == Standing::kOpen;
+  std::optional<std::size_t> chosen;
+  bool open = false;
+  do {
+    AddCandidates(
+      candidates, *order, order->mSubset, aPlan, aTerms.mMayFail, aNow);
+    chosen = ChooseTrial(candidates, Random());
+    if (!chosen) {
+      chosen = ChooseServer(candidates, mOptions, Random(), Random());
+    }
+    open = chosen && candidates[*chosen].mStanding == Standing::kOpen;
+  } while (!open && candidates.size() < order->mPlaces.size());
   if (aTerms.mOpenOnly && !open) {
     return {};
   }
@@ -152,7 +240,7 @@
     }
     chosen = ChooseServer(candidates, mOptions, Random(), Random());
   }
-  return { .mServer = chosen ? &aService.mServers[*chosen] : nullptr,
+  return { .mServer = chosen ? order->mPlaces[*chosen].mServer : nullptr,
            .mDemotedLeft = demotedLeft };
 }
 
--- a/packages/entry/tests/EntryViewTest.cpp
+++ b/packages/entry/tests/EntryViewTest.cpp
@@ -1,6 +1,7 @@
 #include "porttiller/entry/EntryView.h"
 
 #include <doctest/doctest.h>
+#include <set>
 
 using namespace porttiller;
 
@@ -51,7 +52,7 @@
   // Found by the fault matrix: a load reported just before its home died kept
   // all requests away from its next life, and so was never corrected.
   const auto snapshot = MakeSnapshot();
-  EntryView view(AvailabilityZone("entry"), {});
+  EntryView view(BoxName("entry"), AvailabilityZone("entry"), {});
   const auto& first = snapshot.mServices.begin()->second.mServers[0];
   view.OnLoad(first, 2.0, kStart);
   CHECK(CountFirst(view, snapshot, kStart) < kDraws * 2 / 5);
@@ -61,7 +62,7 @@
 TEST_CASE("A path that fails is avoided for a while and then tried again")
 {
   const auto snapshot = MakeSnapshot();
-  EntryView view(AvailabilityZone("entry"), {});
+  EntryView view(BoxName("entry"), AvailabilityZone("entry"), {});
   view.OnPathFailure(BoxName("a"), kStart);
   CHECK(CountFirst(view, snapshot, kStart) == 0);
   CHECK(CountFirst(view, snapshot, kStart + Millis(6000)) > 0);
@@ -70,7 +71,7 @@
 TEST_CASE("A box that started anew is used at once")
 {
   const auto snapshot = MakeSnapshot();
-  EntryView view(AvailabilityZone("entry"), {});
+  EntryView view(BoxName("entry"), AvailabilityZone("entry"), {});
   const BoxName box("a");
   view.SetLife(box, { .mIncarnation = Incarnation(1) });
   view.OnPathFailure(box, kStart);
@@ -84,7 +85,7 @@
 TEST_CASE("A home's news keeps requests away until it tells the opposite")
 {
   const auto snapshot = MakeSnapshot();
-  EntryView view(AvailabilityZone("entry"), {});
+  EntryView view(BoxName("entry"), AvailabilityZone("entry"), {});
   ServerNews news{ .mServer = BackendServerName("a"),
                    .mService = ServiceName("ledger"),
                    .mDemoted = true,
@@ -106,7 +107,7 @@
 TEST_CASE("An entry that missed the news of an open server asks in the end")
 {
   const auto snapshot = MakeSnapshot();
-  EntryView view(AvailabilityZone("entry"), {});
+  EntryView view(BoxName("entry"), AvailabilityZone("entry"), {});
   view.OnNews({ .mServer = BackendServerName("a"),
                 .mService = ServiceName("ledger"),
                 .mDemoted = true,
@@ -118,7 +119,7 @@
 TEST_CASE("A request that may fail goes to a demoted server whose trial is due")
 {
   const auto snapshot = MakeSnapshot();
-  EntryView view(AvailabilityZone("entry"), {});
+  EntryView view(BoxName("entry"), AvailabilityZone("entry"), {});
   const Millis retryAfter{ 4000 };
   view.OnNews({ .mServer = BackendServerName("a"),
                 .mService = ServiceName("ledger"),
@@ -133,3 +134,72 @@
   view.OnRefused(first, Refusal::kDemoted, retryAfter, true, due);
   CHECK(CountFirst(view, snapshot, due + Millis(1000)) == 0);
 }
+
+namespace {
+
+constexpr int kManyServers = 266;
+
+// Each on a box of its own, in five zones; the entry's box is one of them.
+Snapshot
+MakeLargeSnapshot()
+{
+  Snapshot snapshot;
+  snapshot.mSerial = 1;
+  auto& service = snapshot.mServices[ServiceName("ledger")];
+  service.mSpec.mName = ServiceName("ledger");
+  for (int i = 0; i < kManyServers; ++i) {
+    const BoxName box("box-" + std::to_string(i));
+    const AvailabilityZone zone("zone-" + std::to_string(i % 5));
+    snapshot.mBoxes[box] = { .mName = box, .mZone = zone };
+    service.mServers.push_back({ .mName = BackendServerName("s" + box.Value()),
+                                 .mService = ServiceName("ledger"),
+                                 .mBox = box,
+                                 .mSlots = 6 });
+  }
+  return snapshot;
+}
+
+std::set<BackendServerName>
+ChosenOf(EntryView& aView, const Snapshot& aSnapshot, TimePoint aNow)
+{
+  const auto& service = aSnapshot.mServices.begin()->second;
+  std::set<BackendServerName> chosen;
+  for (int i = 0; i < kDraws; ++i) {
+    const auto* server =
+      aView.Choose(aSnapshot, service, AttemptPlan(false), {}, aNow).mServer;
+    if (server != nullptr) {
+      chosen.insert(server->mName);
+    }
+  }
+  return chosen;
+}
+
+} // namespace
+
+TEST_CASE("Of hundreds of servers an entry works with twenty")
+{
+  const auto snapshot = MakeLargeSnapshot();
+  EntryView view(BoxName("box-7"), AvailabilityZone("zone-2"), {});
+  CHECK(ChosenOf(view, snapshot, kStart).size() <= 20);
+}
+
+TEST_CASE("An entry whose whole subset is demoted works with others")
+{
+  const auto snapshot = MakeLargeSnapshot();
+  EntryView view(BoxName("box-7"), AvailabilityZone("zone-2"), {});
+  std::set<BackendServerName> demoted;
+  for (int round = 0; round < 5; ++round) {
+    const auto chosen = ChosenOf(view, snapshot, kStart);
+    CHECK_FALSE(chosen.empty());
+    for (const auto& server : chosen) {
+      CHECK_FALSE(demoted.contains(server));
+      view.OnNews({ .mServer = server,
+                    .mService = ServiceName("ledger"),
+                    .mDemoted = true,
+                    .mRetryAfter = Millis(4000) },
+                  kStart);
+      demoted.insert(server);
+    }
+  }
+  CHECK(demoted.size() > 20);
+}
--- a/packages/node/src/Node.cpp
+++ b/packages/node/src/Node.cpp
@@ -123,7 +123,7 @@
             .mHeaders = EdgeHeadersOf(mSettings) },
           mSettings.mRetries,
           mCutoff)
-  , mView(mSettings.mZone, {})
+  , mView(mSettings.mBox, mSettings.mZone, {})
   , mNamer(mSettings.mBox, mIncarnation)
 {
 }
