Wake waits by cancellations; fewer threads; few boxes read the store's list

(2) 41 threads a box: 14,500 on one machine of 353 boxes did not fit. Change: Cancellation wakes those who wait; a waiter for a slot has a condition of its own in place of one for all; waits look for a planned stop every 400 ms. Readiness and admin are served by their reading threads, workers begin with one and rest for 10 s. A box that a peer has told of others reads no list; one box a zone reads it every 30 s so that parts that never met do; a box whose peers tell their revisions asks the store for none; calls that fail back off to 2 s. Ruled out: no list at all, as seeds may all be stale.

--- a/packages/control/include/porttiller/control/ConfigController.h
+++ b/packages/control/include/porttiller/control/ConfigController.h
@@ -60,6 +60,8 @@
   PeerRevision Own() const;
   bool PlatformReachable() const { return mPlatformReachable; }
   bool IsWatcher() const { return WatcherRank().has_value(); }
+  // The one of its zone that looks most often.
+  bool IsFirstWatcher() const { return WatcherRank() == std::size_t{ 0 }; }
 
   // A peer holds this revision: one that is ahead is asked for what lacks
   // here. Does not block.
@@ -76,6 +78,7 @@
   std::optional<std::size_t> WatcherRank() const;
   void Run();
   void MeetOthers();
+  bool HeardPeers() const;
   void FollowPlatform();
   void Switch(const SnapshotPtr& aSnapshot);
   void AskSeeds();
@@ -99,6 +102,7 @@
   SnapshotPtr mCurrent;              // under mMutex
   std::uint64_t mCursor = 0;         // of mThread: where the next watch goes on
   std::atomic<bool> mPlatformReachable{ false };
+  std::atomic<TimePoint> mHeardPeer{ TimePoint{} }; // of a revision
   std::set<std::string> mPulls; // addresses asked; under mMutex
   std::atomic<bool> mStop{ false };
   std::condition_variable mWake;
--- a/packages/control/include/porttiller/control/DirectoryController.h
+++ b/packages/control/include/porttiller/control/DirectoryController.h
@@ -33,6 +33,8 @@
   std::function<void(const BackendServerName&)> mOnServerLeaving;
   std::function<std::vector<BoxSpec>(std::size_t)> mRandomPeers;
   std::function<std::vector<BoxSpec>(const SpreadOptions&)> mSpreadPeers;
+  // This box is the one of its zone that reads the store's list now and then.
+  std::function<bool()> mReadsList = [] { return false; };
 };
 
 // Why a server's message is not acknowledged; it calls again.
@@ -78,6 +80,10 @@
 private:
   void Run();
   bool LoadFromStore();
+  bool ReadOwn();
+  bool ReadList();
+  bool LearnFromPeers();
+  void KeepUpToDate();
   bool WriteToStore(ObjectClient& aClient);
   void AskSeeds();
   void Adopt(const BoxRecord& aOwn);
@@ -95,6 +101,7 @@
   std::uint64_t WrittenRevision() const;
   bool OwnIsWritten() const;
   void Sleep(Millis aTime);
+  bool HeardPeer() const;
   void LogServer(const ServerMessage& aMessage, RegistrarVerdict aVerdict);
 
   const Settings& mSettings;
@@ -111,6 +118,7 @@
   TimePoint mPeerDigestSince;
   TimePoint mNextRequest;
   bool mServerKnown = false; // under mMutex
+  bool mHeardPeer = false;   // of other boxes, from one; under mMutex
   Batcher mBatcher;          // under mMutex
   // News that peers told, to be passed on with the next batch; under mMutex.
   std::map<BoxName, BoxRecord> mOnwards;
--- a/packages/control/src/ConfigController.cpp
+++ b/packages/control/src/ConfigController.cpp
@@ -30,6 +30,8 @@
 // A node that is no watcher looks at the platform this rarely, in case no
 // peer reaches it.
 constexpr Millis kFallbackWait{ 30'000 };
+// Not while peers tell it their revisions, as each of its neighbours does.
+constexpr Millis kPeersHeard{ 5000 };
 constexpr Millis kRoleCheck{ 1000 };
 constexpr Millis kPullTimeout{ 1000 };
 // Peers asked at a time; a second one makes up for one that is silent.
@@ -238,7 +240,7 @@
     nextFallback = Now() + kFirstFallback;
   }
   while (!mStop) {
-    if (IsWatcher() || Now() >= nextFallback) {
+    if (IsWatcher() || (Now() >= nextFallback && !HeardPeers())) {
       FollowPlatform();
       nextFallback = Now() + Jittered(kFallbackWait);
     } else {
@@ -247,6 +249,12 @@
   }
 }
 
+bool
+ConfigController::HeardPeers() const
+{
+  return Own().mRevision != 0 && Now() < mHeardPeer.load() + kPeersHeard;
+}
+
 void
 ConfigController::FollowPlatform()
 {
@@ -305,6 +313,7 @@
 void
 ConfigController::OnPeerRevision(const PeerRevision& aPeer)
 {
+  mHeardPeer = Now();
   const auto own = Own();
   if (aPeer.mRevision == own.mRevision && aPeer.mDigest != own.mDigest &&
       aPeer.mDigest != 0) {
--- a/packages/control/src/DirectoryController.cpp
+++ b/packages/control/src/DirectoryController.cpp
@@ -2,6 +2,7 @@
 
 #include "porttiller/control/ControlCodec.h"
 #include "porttiller/hop/Dialects.h"
+#include "porttiller/hop/Random.h"
 #include "porttiller/telemetry/Log.h"
 
 #include <Poco/Timestamp.h>
@@ -24,6 +25,17 @@
 constexpr SpreadOptions kOwnNews{ .mOwnZone = 3, .mPerOtherZone = 2 };
 constexpr SpreadOptions kOnwards{ .mOwnZone = 3 };
 constexpr Millis kRetryWait{ 700 };
+// Calls to a store that fails are spread out.
+constexpr Millis kMaxRetryWait{ 2000 };
+// At the very first start of all, boxes that have written their records wait
+// for up to so long to be told of the others, and read the list themselves if
+// nobody does. Each box that lists tells eleven others, so few do.
+constexpr Millis kListSpread{ 1500 };
+// A box that starts among running ones waits so long for each seed's reply.
+constexpr Millis kSeedPatience{ 400 };
+// One box of a zone reads the list again, so that parts of the fleet that never
+// heard of each other meet.
+constexpr Millis kListAgain{ 30'000 };
 // At the very first start the server's first heartbeat is waited for, so that
 // one write tells both. On the users' days it comes up to 2.3 s after the box.
 constexpr Millis kFirstHeartbeatWait{ 2600 };
@@ -157,26 +169,44 @@
     mWake.wait_for(
       lock, kFirstHeartbeatWait, [this] { return mStop || mServerKnown; });
   }
+  auto wait = kRetryWait;
   while (!mStop && !LoadFromStore()) {
     AskSeeds();
-    Sleep(kRetryWait);
+    Sleep(wait);
+    wait = std::min(2 * wait, kMaxRetryWait);
   }
+  KeepUpToDate();
+}
+
+void
+DirectoryController::KeepUpToDate()
+{
+  auto wait = kRetryWait;
+  auto nextList = Now() + kListAgain;
   while (!mStop) {
-    bool due = false;
     {
       std::unique_lock lock(mMutex);
-      mWake.wait(lock, [this] { return mStop || mWritten < mOwn.mRevision; });
-      due = !mStop;
+      mWake.wait_until(
+        lock, nextList, [this] { return mStop || mWritten < mOwn.mRevision; });
     }
-    bool written = false;
-    if (due) {
+    if (!mStop && Now() >= nextList) {
+      nextList = Now() + kListAgain;
+      if (mHooks.mReadsList()) {
+        ReadList();
+      }
+    }
+    bool written = true;
+    if (!mStop) {
       const std::lock_guard lock(mStoreMutex);
       written = OwnIsWritten() || WriteToStore(mClient);
     }
-    if (due && !written) {
-      std::unique_lock lock(mMutex);
-      mWake.wait_for(lock, kRetryWait, [this] { return mStop.load(); });
+    if (written) {
+      wait = kRetryWait;
+      continue;
     }
+    std::unique_lock lock(mMutex);
+    mWake.wait_for(lock, wait, [this] { return mStop.load(); });
+    wait = std::min(2 * wait, kMaxRetryWait);
   }
 }
 
@@ -185,26 +215,83 @@
 bool
 DirectoryController::LoadFromStore()
 {
-  if (!mSettings.mRegistration.mFirstStart) {
-    const auto own = mClient.Get({ kBoxRecordKind, mSettings.mBox.Value() });
-    if (!own && own.error().mKind != StoreErrorKind::kNotFound) {
-      return false;
-    }
-    if (own) {
-      const auto record = ParseBoxRecord(own->mSpecJson);
-      const std::lock_guard lock(mMutex);
-      mVersion = own->mVersion;
-      if (record) {
-        Adopt(*record);
-      }
-    }
+  if (!mSettings.mRegistration.mFirstStart && !ReadOwn()) {
+    return false;
   }
   {
     const std::lock_guard lock(mStoreMutex);
-    if (!WriteToStore(mClient)) {
+    if (!OwnIsWritten() && !WriteToStore(mClient)) {
       return false;
     }
   }
+  if (!LearnFromPeers() && !ReadList()) {
+    return false;
+  }
+  mLoaded = true;
+  // Also when nothing brought news: the own server may be one.
+  Publish();
+  BoxRecord own;
+  {
+    const std::lock_guard lock(mMutex);
+    own = mOwn;
+  }
+  Push({ own }, kOwnNews);
+  return true;
+}
+
+// What an earlier life of this box has left.
+bool
+DirectoryController::ReadOwn()
+{
+  const auto own = mClient.Get({ kBoxRecordKind, mSettings.mBox.Value() });
+  if (!own && own.error().mKind != StoreErrorKind::kNotFound) {
+    return false;
+  }
+  if (own) {
+    const auto record = ParseBoxRecord(own->mSpecJson);
+    const std::lock_guard lock(mMutex);
+    mVersion = own->mVersion;
+    if (record) {
+      Adopt(*record);
+    }
+  }
+  return true;
+}
+
+bool
+DirectoryController::HeardPeer() const
+{
+  const std::lock_guard lock(mMutex);
+  return mHeardPeer;
+}
+
+// True once a peer has told of other boxes: the rest comes by digests, and the
+// list, which is as long as the fleet, need not be read.
+bool
+DirectoryController::LearnFromPeers()
+{
+  const auto await = [this](Millis aTime) {
+    std::unique_lock lock(mMutex);
+    mWake.wait_for(lock, aTime, [this] { return mStop || mHeardPeer; });
+    return mHeardPeer;
+  };
+  if (mSettings.mRegistration.mFirstStart) {
+    const auto span = static_cast<std::uint64_t>(kListSpread.count());
+    return await(Millis(static_cast<Millis::rep>(Random() % span)));
+  }
+  for (const auto& seed : SeedAddresses(mSettings)) {
+    if (mStop || HeardPeer()) {
+      break;
+    }
+    Request(seed);
+    await(kSeedPatience);
+  }
+  return HeardPeer();
+}
+
+bool
+DirectoryController::ReadList()
+{
   const auto list = mClient.List(kBoxRecordKind);
   if (!list) {
     return false;
@@ -220,16 +307,7 @@
         .With("error", ToText(record.error()));
     }
   }
-  mLoaded = true;
   Merge(records, "store");
-  // Also when the list brought no news: the own server may be one.
-  Publish();
-  BoxRecord own;
-  {
-    const std::lock_guard lock(mMutex);
-    own = mOwn;
-  }
-  Push({ own }, kOwnNews);
   return true;
 }
 
@@ -320,8 +398,13 @@
   std::vector<BoxRecord> news;
   {
     const std::lock_guard lock(mMutex);
+    const bool fromPeer = std::string_view(aSource) == "peer";
     for (const auto& record : aRecords) {
       const bool own = record.mBox.mName == mSettings.mBox;
+      if (fromPeer && !own) {
+        mHeardPeer = true;
+        mWake.notify_all();
+      }
       if (own && record.mIncarnation != mOwn.mIncarnation) {
         if (record.mRevision >= mOwn.mRevision) {
           Adopt(record);
--- a/packages/entry/src/AttemptRunPriv.cpp
+++ b/packages/entry/src/AttemptRunPriv.cpp
@@ -64,11 +64,21 @@
   mChanged.notify_all();
 }
 
+void
+AttemptResults::Interrupt()
+{
+  const std::lock_guard lock(mMutex);
+  mInterrupted = true;
+  mChanged.notify_all();
+}
+
 std::optional<EndedAttempt>
 AttemptResults::Await(TimePoint aUntil)
 {
   std::unique_lock lock(mMutex);
-  if (!mChanged.wait_until(lock, aUntil, [this] { return !mEnded.empty(); })) {
+  mChanged.wait_until(
+    lock, aUntil, [this] { return !mEnded.empty() || mInterrupted; });
+  if (mEnded.empty()) {
     return std::nullopt;
   }
   auto ended = std::move(mEnded.front());
@@ -84,6 +94,8 @@
           { .mMaxAttempts = kMaxAttempts,
             .mMaxServers = aContext.mRoute->mMaxAttempts })
   , mResults(std::make_shared<AttemptResults>())
+  , mCallerWatch(OnCancel(aContext.mCancelled,
+                          [results = mResults] { results->Interrupt(); }))
 {
 }
 
@@ -103,7 +115,7 @@
 bool
 AttemptRun::MayGoOn() const
 {
-  return Now() < mContext.mDeadline && !*mContext.mCancelled;
+  return Now() < mContext.mDeadline && !mContext.mCancelled->IsCancelled();
 }
 
 // False when no server is left to be tried.
@@ -139,9 +151,8 @@
   RunningAttempt attempt{ .mId = mServices.mNamer.Next(),
                           .mServer = &aServer,
                           .mMayFail = aMayFail };
-  attempt.mCancelled = mContext.mRepeatable
-                         ? std::make_shared<std::atomic<bool>>(false)
-                         : mContext.mCancelled;
+  attempt.mCancelled =
+    mContext.mRepeatable ? Cancellation::Make() : mContext.mCancelled;
   auto request = MakeRequest(attempt);
   mPlan.OnSent(aServer.mName);
   mRunning.push_back(attempt);
@@ -194,12 +205,11 @@
   SendTo(*server, false);
 }
 
-// Takes one result, or starts a race, or looks whether the caller has gone.
+// Takes one result, or starts a race; ends at once when the caller goes.
 void
 AttemptRun::AwaitOne()
 {
-  const auto until = std::min<TimePoint>(
-    { mContext.mDeadline, mRaceAt, Now() + Cutoff::kSlice });
+  const auto until = std::min(mContext.mDeadline, mRaceAt);
   const auto start = Now();
   auto ended = mResults->Await(until);
   mContext.mHomeTime += Now() - start;
@@ -229,7 +239,7 @@
 {
   for (const auto& attempt : mRunning) {
     mToken = TokenOf(attempt);
-    *attempt.mCancelled = true;
+    attempt.mCancelled->Cancel();
   }
 }
 
--- a/packages/entry/src/AttemptRunPriv.h
+++ b/packages/entry/src/AttemptRunPriv.h
@@ -33,13 +33,16 @@
 {
 public:
   void Put(EndedAttempt aEnded);
-  // Null when there is none by aUntil.
+  // Waiting makes no sense any more, now or later.
+  void Interrupt();
+  // Null when there is none by aUntil, or it was interrupted.
   std::optional<EndedAttempt> Await(TimePoint aUntil);
 
 private:
   std::mutex mMutex;
   std::condition_variable mChanged;
   std::deque<EndedAttempt> mEnded;
+  bool mInterrupted = false;
 };
 
 // Lives on the stack of the thread that serves the request. What may be
@@ -78,6 +81,7 @@
   AttemptPlan mPlan;
   std::vector<RunningAttempt> mRunning;
   std::shared_ptr<AttemptResults> mResults;
+  Cancellation::Watch mCallerWatch;
   RunningAttempt mEnded; // the one whose result is being taken
   TimePoint mRaceAt = TimePoint::max();
   bool mDone = false;
--- a/packages/entry/src/Dispatcher.cpp
+++ b/packages/entry/src/Dispatcher.cpp
@@ -143,6 +143,7 @@
   const auto http = EncodeHomeRequest(aRequest, offset, Now());
   auto exchange = PoolOf(aBox).Begin(http, aRequest.mDeadline);
   if (exchange) {
+    (*exchange)->CancelWith(CancellationOf(aRequest));
     return Await(aBox, aRequest, **exchange);
   }
   if (exchange.error() == ExchangeError::kBusy) {
@@ -172,13 +173,14 @@
                   HttpExchange& aExchange)
 {
   const auto patience = Now() + mSettings.mTiming.mAttemptPatience;
-  if (WaitReadable(
-        aRequest, aExchange, std::min(patience, aRequest.mDeadline))) {
-    return Read(aBox, aRequest, aExchange);
-  }
+  const bool early =
+    WaitReadable(aRequest, aExchange, std::min(patience, aRequest.mDeadline));
   if (IsCancelled(aRequest)) {
     return AttemptUnknown{ "caller-gone" }; // the home sees the connection end
   }
+  if (early) {
+    return Read(aBox, aRequest, aExchange);
+  }
   // A home that is alive and has it knows better than we when to give up. In a
   // planned stop nothing is left that may be running: what comes of it is owed
   // to the caller, and there is little time for another attempt.
@@ -188,17 +190,18 @@
      Query(aBox, aRequest.mHomeIncarnation, aRequest.mAttempt, "").mState ==
        AttemptState::kRunning);
   if (!homeHasIt) {
-    auto early = Settle(aBox, aRequest, "slow");
-    if (!std::holds_alternative<AttemptUnknown>(early)) {
-      return early;
+    auto settled = Settle(aBox, aRequest, "slow");
+    if (!std::holds_alternative<AttemptUnknown>(settled)) {
+      return settled;
     }
   }
-  if (WaitReadable(aRequest, aExchange, aRequest.mDeadline)) {
-    return Read(aBox, aRequest, aExchange);
-  }
+  const bool late = WaitReadable(aRequest, aExchange, aRequest.mDeadline);
   if (IsCancelled(aRequest)) {
     return AttemptUnknown{ "caller-gone" };
   }
+  if (late) {
+    return Read(aBox, aRequest, aExchange);
+  }
   // The caller is owed its answer now. The home has the deadline, too, and runs
   // nothing after it.
   return AttemptUnknown{ "deadline" };
--- a/packages/entry/src/EntryServer.cpp
+++ b/packages/entry/src/EntryServer.cpp
@@ -148,7 +148,7 @@
     .With("reason", aAnswer.mReason)
     .With("held_ms", held.count())
     .With("given_ms", given.count())
-    .With("caller_gone", *aContext.mCancelled ? "yes" : "no")
+    .With("caller_gone", aContext.mCancelled->IsCancelled() ? "yes" : "no")
     .With("revision",
           static_cast<std::int64_t>(
             aContext.mSnapshot ? aContext.mSnapshot->mRevision : 0));
--- a/packages/home/include/porttiller/home/LocalServer.h
+++ b/packages/home/include/porttiller/home/LocalServer.h
@@ -98,6 +98,7 @@
     WaitState mState = WaitState::kWaiting;
     Refusal mRefusal = Refusal::kNone; // with kTurnedAway
     Millis mRetryAfter{ 0 };
+    std::condition_variable mChanged; // of this waiter alone
   };
 
   // Null once a slot is held; otherwise the refusal.
@@ -105,6 +106,7 @@
   std::optional<HomeAnswer> WaitForSlot(std::unique_lock<std::mutex>& aLock,
                                         Ticket aTicket,
                                         const HomeRequest& aRequest);
+  std::optional<HomeAnswer> EndWait(Ticket aTicket);
   std::optional<HomeAnswer> RefuseAside(const HomeRequest& aRequest);
   std::optional<HomeAnswer> RefuseBroken(const HomeRequest& aRequest);
   void NoteRefusal(HomeAnswer& aAnswer);
@@ -126,7 +128,6 @@
   const Cutoff& mCutoff;
   ServerCall mCall;
   mutable std::mutex mMutex;
-  std::condition_variable mChanged;
   SlotQueue mQueue;
   EjectionMachine mMachine;
   std::map<Ticket, Waiter> mWaiters;
--- a/packages/home/src/LocalServer.cpp
+++ b/packages/home/src/LocalServer.cpp
@@ -334,8 +334,9 @@
     NoteStarted(aRequest);
     return std::nullopt;
   }
-  mWaiters[ticket] = { .mAttempt = aRequest.mAttempt,
-                       .mLastResort = aRequest.mLastResort };
+  auto& waiter = mWaiters[ticket];
+  waiter.mAttempt = aRequest.mAttempt;
+  waiter.mLastResort = aRequest.mLastResort;
   auto refused = WaitForSlot(lock, ticket, aRequest);
   if (!refused) {
     NoteStarted(aRequest);
@@ -414,21 +415,44 @@
                          Ticket aTicket,
                          const HomeRequest& aRequest)
 {
-  mCutoff.WaitInSlices(
-    mQueue.LatestStart(aRequest.mDeadline),
-    [&] { return IsCancelled(aRequest); },
-    [&](TimePoint aUntil) {
-      return mChanged.wait_until(aLock, aUntil, [&] {
-        return mWaiters[aTicket].mState != WaitState::kWaiting;
-      });
+  auto& waiter = mWaiters[aTicket];
+  {
+    // The watch comes and goes without the lock: its listener takes it.
+    aLock.unlock();
+    const auto watch = OnCancel(CancellationOf(aRequest), [this, &waiter] {
+      const std::lock_guard lock(mMutex);
+      waiter.mChanged.notify_all();
     });
-  const auto waiter = mWaiters[aTicket];
-  mWaiters.erase(aTicket);
-  switch (waiter.mState) {
+    aLock.lock();
+    const auto over = [&] { return waiter.mState != WaitState::kWaiting; };
+    mCutoff.WaitInSlices(
+      mQueue.LatestStart(aRequest.mDeadline),
+      [&] { return IsCancelled(aRequest); },
+      [&](TimePoint aUntil) {
+        waiter.mChanged.wait_until(
+          aLock, aUntil, [&] { return over() || IsCancelled(aRequest); });
+        return over();
+      });
+    aLock.unlock();
+  }
+  aLock.lock();
+  return EndWait(aTicket);
+}
+
+// What became of a wait; null once a slot is held.
+std::optional<HomeAnswer>
+LocalServer::EndWait(Ticket aTicket)
+{
+  const auto it = mWaiters.find(aTicket);
+  const auto state = it->second.mState;
+  const auto refusal = it->second.mRefusal;
+  const auto retryAfter = it->second.mRetryAfter;
+  mWaiters.erase(it);
+  switch (state) {
     case WaitState::kStarted:
       return std::nullopt;
     case WaitState::kTurnedAway:
-      return RefuseLocked(waiter.mRefusal, waiter.mRetryAfter);
+      return RefuseLocked(refusal, retryAfter);
     case WaitState::kWaiting:
       mQueue.Cancel(aTicket);
       break;
@@ -444,7 +468,7 @@
   const auto it = mWaiters.find(aTicket);
   if (it != mWaiters.end()) {
     it->second.mState = aState;
-    mChanged.notify_all();
+    it->second.mChanged.notify_all();
   }
 }
 
--- a/packages/home/src/ServerCall.cpp
+++ b/packages/home/src/ServerCall.cpp
@@ -73,6 +73,7 @@
   }
   // Dropping the exchange closes its connection: the server may stop then.
   auto& exchange = **begun;
+  exchange.CancelWith(CancellationOf(aRequest));
   const auto deadline =
     aRequest.mDeadline + (Lingers(aRequest) ? kLinger : Millis(0));
   const auto stop = [&] {
--- a/packages/home/tests/LocalServerTest.cpp
+++ b/packages/home/tests/LocalServerTest.cpp
@@ -57,7 +57,7 @@
 private:
   HttpReply Serve(const HttpCall& aCall) const
   {
-    while (!mLetGo && !*aCall.mCancelled) {
+    while (!mLetGo && !aCall.mCancelled->IsCancelled()) {
       std::this_thread::sleep_for(kPoll);
     }
     return { .mAnswer = { .mStatus = 200 } };
--- a/packages/home/tests/ServerBreakerTest.cpp
+++ b/packages/home/tests/ServerBreakerTest.cpp
@@ -90,7 +90,8 @@
   const RouteTimes times = UsualTimes();
   ServerBreaker breaker(BackendServerName("s"), times);
   auto request = Request(1);
-  request.mCancelled = std::make_shared<std::atomic<bool>>(true);
+  request.mCancelled = Cancellation::Make();
+  request.mCancelled->Cancel();
   breaker.OnStarted(request, kStart);
   breaker.OnEnded(request, kCut, kLong, kStart + kLong);
   CHECK_FALSE(breaker.Admit(Request(2), true, kStart + kLong));
--- a/packages/hop/include/porttiller/hop/Cutoff.h
+++ b/packages/hop/include/porttiller/hop/Cutoff.h
@@ -13,8 +13,9 @@
 class Cutoff
 {
 public:
-  // Waits ask again this often.
-  static constexpr Millis kSlice{ 100 };
+  // Waits look for a planned stop this often. Callers that go end them by
+  // themselves; a stop is bounded by seconds.
+  static constexpr Millis kSlice{ 400 };
 
   void Set(TimePoint aEnd) { mEnd = aEnd.time_since_epoch().count(); }
 
--- a/packages/hop/include/porttiller/hop/HomeTypes.h
+++ b/packages/hop/include/porttiller/hop/HomeTypes.h
@@ -47,7 +47,15 @@
 inline bool
 IsCancelled(const HomeRequest& aRequest)
 {
-  return aRequest.mCancelled && *aRequest.mCancelled && !Lingers(aRequest);
+  return aRequest.mCancelled && aRequest.mCancelled->IsCancelled() &&
+         !Lingers(aRequest);
+}
+
+// What ends the waits of a request early; null when nothing does.
+inline CancelFlag
+CancellationOf(const HomeRequest& aRequest)
+{
+  return Lingers(aRequest) ? nullptr : aRequest.mCancelled;
 }
 
 struct HomeAnswer
--- a/packages/http/include/porttiller/http/HttpExchange.h
+++ b/packages/http/include/porttiller/http/HttpExchange.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "porttiller/core/Time.h"
+#include "porttiller/http/Cancellation.h"
 #include "porttiller/http/HttpTypes.h"
 
 #include <functional>
@@ -39,7 +40,7 @@
 {
 public:
   // Waits look at their StopCheck this often.
-  static constexpr Millis kSlice{ 100 };
+  static constexpr Millis kSlice{ 400 };
 
   HttpExchange(HttpPool& aPool,
                std::unique_ptr<ClientConnection> aConnection,
@@ -48,6 +49,9 @@
   HttpExchange(const HttpExchange&) = delete;
   HttpExchange& operator=(const HttpExchange&) = delete;
 
+  // Ends waits with kCancelled as soon as it is cancelled; may be null.
+  void CancelWith(CancelFlag aCancelled) { mCancelled = std::move(aCancelled); }
+
   // True once something can be read, be it an answer or the connection's end.
   bool WaitReadable(TimePoint aUntil);
   tl::expected<HttpAnswer, ExchangeError> ReadAnswer(
@@ -64,9 +68,11 @@
                                                 const StopCheck& aStop);
   tl::expected<void, ExchangeError> ReadMore();
   void KeepOrDrop(const HttpAnswer& aAnswer);
+  bool Cancelled() const { return mCancelled && mCancelled->IsCancelled(); }
 
   HttpPool& mPool;
   std::unique_ptr<ClientConnection> mConnection;
+  CancelFlag mCancelled;
   bool mHeadOnly;
   bool mInStep = true; // every answer so far was the expected one
 };
--- a/packages/http/include/porttiller/http/HttpListener.h
+++ b/packages/http/include/porttiller/http/HttpListener.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "porttiller/core/Time.h"
+#include "porttiller/http/Cancellation.h"
 #include "porttiller/http/HttpTypes.h"
 #include "porttiller/http/MessageReader.h"
 
@@ -16,15 +17,12 @@
 
 namespace porttiller {
 
-// Set once the caller of a request has gone. Shared by all who work on it.
-using CancelFlag = std::shared_ptr<std::atomic<bool>>;
-
 // One request as its handler gets it.
 struct HttpCall
 {
   HttpRequestData mHttp;
-  TimePoint mArrival; // when its last byte was read
-  CancelFlag mCancelled;
+  TimePoint mArrival;    // when its last byte was read
+  CancelFlag mCancelled; // by the caller, which has gone
 };
 
 struct HttpReply
@@ -33,7 +31,7 @@
   bool mClose = false; // end the connection after it
 };
 
-// Runs on a worker; may block.
+// Runs on a worker; may block where there are workers.
 using HttpHandler = std::function<HttpReply(HttpCall&)>;
 
 // Why the listener itself ends a request, which has not reached the handler.
@@ -56,8 +54,10 @@
 
 struct HttpListenerOptions
 {
-  std::string mAddress;    // "ip:port"
-  int mWorkers = 16;       // requests served at once
+  std::string mAddress; // "ip:port"
+  // Requests served at once. 0: the reading thread serves them one by one, and
+  // its handler must not block; a thread less for what is asked now and then.
+  int mWorkers = 16;
   int mConnections = 2048; // open at once; more are closed unread
   MessageLimits mLimits;
   Millis mIdleClose{ 30'000 };
--- a/packages/http/src/HttpConnectionPriv.cpp
+++ b/packages/http/src/HttpConnectionPriv.cpp
@@ -122,7 +122,7 @@
     call->mClose = !mReader.KeepAlive();
     call->mCall = { .mHttp = mReader.TakeRequest(),
                     .mArrival = aNow,
-                    .mCancelled = std::make_shared<std::atomic<bool>>(false) };
+                    .mCancelled = Cancellation::Make() };
     mReadOver = call->mClose;
     mCalls.push_back(std::move(call));
     mReader.Next();
@@ -309,7 +309,7 @@
   mState = State::kOver;
   mOut.clear();
   for (const auto& call : mCalls) {
-    *call->mCall.mCancelled = true;
+    call->mCall.mCancelled->Cancel();
   }
   mCalls.clear();
 }
--- a/packages/http/src/HttpExchange.cpp
+++ b/packages/http/src/HttpExchange.cpp
@@ -50,6 +50,17 @@
   return Now() + Millis(seconds * kUsedPerMille);
 }
 
+// Wakes whoever waits for the other side.
+void
+Shutdown(Poco::Net::StreamSocket aSocket)
+{
+  try {
+    aSocket.shutdown();
+  } catch (const Poco::Exception&) {
+    return; // it has ended already, which wakes them, too
+  }
+}
+
 } // namespace
 
 const char*
@@ -104,6 +115,9 @@
   if (!mConnection->mIn.empty()) {
     return true;
   }
+  // The connection may serve another request later, so the watch ends here.
+  const auto watch =
+    OnCancel(mCancelled, [socket = mConnection->mSocket] { Shutdown(socket); });
   try {
     return mConnection->mSocket.poll(ToTimespan(aUntil - Now()),
                                      Poco::Net::Socket::SELECT_READ);
@@ -151,7 +165,7 @@
       return {};
     }
     const auto now = Now();
-    if (aStop && aStop()) {
+    if (Cancelled() || (aStop && aStop())) {
       return tl::make_unexpected(ExchangeError::kCancelled);
     }
     if (now >= aDeadline) {
@@ -160,6 +174,9 @@
     if (!WaitReadable(std::min<TimePoint>(aDeadline, now + kSlice))) {
       continue;
     }
+    if (Cancelled()) {
+      return tl::make_unexpected(ExchangeError::kCancelled);
+    }
     if (auto more = ReadMore(); !more) {
       return more;
     }
--- a/packages/http/src/HttpListener.cpp
+++ b/packages/http/src/HttpListener.cpp
@@ -20,9 +20,10 @@
 using Poco::Net::PollSet;
 
 constexpr int kBacklog = 512;
-constexpr int kMinThreads = 2;
+// A box of a tenth of a core keeps few threads that rest.
+constexpr int kMinThreads = 1;
 // POCO ends workers that have rested for this long.
-constexpr int kThreadIdleSeconds = 30;
+constexpr int kThreadIdleSeconds = 10;
 // A worker's calls are shallow; address space counts on small boxes.
 constexpr int kStackBytes = 256 << 10;
 // How often connections are looked over for those that took too long.
@@ -42,11 +43,11 @@
     , mLimits({ .mMessage = mOptions.mLimits,
                 .mRead = mOptions.mReadTimeout,
                 .mIdle = mOptions.mIdleClose })
-    , mWorkers(kMinThreads,
-               std::max(kMinThreads, mOptions.mWorkers),
-               kThreadIdleSeconds,
-               kStackBytes)
   {
+    if (mOptions.mWorkers > 0) {
+      mWorkers = std::make_unique<Poco::ThreadPool>(
+        kMinThreads, mOptions.mWorkers, kThreadIdleSeconds, kStackBytes);
+    }
   }
 
   void Open();
@@ -81,8 +82,8 @@
   const HttpListenerOptions mOptions;
   const HttpHandler mHandler;
   std::mutex mLimitsMutex;
-  ConnectionLimits mLimits; // of new connections
-  Poco::ThreadPool mWorkers;
+  ConnectionLimits mLimits;                   // of new connections
+  std::unique_ptr<Poco::ThreadPool> mWorkers; // null: the reading thread
   Poco::Net::ServerSocket mSocket;
   PollSet mPoll;
   WakeUp mWake;
@@ -142,7 +143,9 @@
   mStopping = true;
   mWake.Signal();
   mThread.join();
-  mWorkers.joinAll();
+  if (mWorkers) {
+    mWorkers->joinAll();
+  }
 }
 
 bool
@@ -288,9 +291,13 @@
 {
   for (const auto& call : aCalls) {
     ++mOpenCalls;
+    if (!mWorkers) {
+      Serve(aConnection, call);
+      continue;
+    }
     auto job = std::make_unique<Job>(*this, aConnection, call);
     try {
-      mWorkers.start(*job);
+      mWorkers->start(*job);
       job.release(); // NOLINT(bugprone-unused-return-value): it owns itself
     } catch (const Poco::NoThreadAvailableException&) {
       const auto next = aConnection->Complete(
--- a/packages/http/tests/HttpListenerTest.cpp
+++ b/packages/http/tests/HttpListenerTest.cpp
@@ -27,9 +27,10 @@
     ++mArrived;
     mChanged.notify_all();
     mChanged.wait(lock, [&] {
-      return mOpen.contains(aCall.mHttp.mTarget) || *aCall.mCancelled;
+      return mOpen.contains(aCall.mHttp.mTarget) ||
+             aCall.mCancelled->IsCancelled();
     });
-    mCancelled = mCancelled || *aCall.mCancelled;
+    mCancelled = mCancelled || aCall.mCancelled->IsCancelled();
     return { .mAnswer = { .mStatus = 200, .mBody = aCall.mHttp.mTarget } };
   }
 
@@ -254,3 +255,18 @@
   }
   CHECK(pool.Opened() == 1);
 }
+
+TEST_CASE("Without workers the reading thread serves, in order")
+{
+  Gate gate;
+  gate.Open("/one");
+  gate.Open("/two");
+  const auto listener = Listen(gate, { .mWorkers = 0 });
+  Client client;
+  client.Send(Get("/one") + Get("/two"));
+  const auto text = client.ReadUntil("\r\n\r\n/two");
+  CHECK(text.find("/one") < text.find("/two"));
+  Client second;
+  second.Send(Get("/one"));
+  CHECK(second.ReadUntil("\r\n\r\n/one").find("200") != std::string::npos);
+}
--- a/packages/node/src/AdminServer.cpp
+++ b/packages/node/src/AdminServer.cpp
@@ -9,7 +9,6 @@
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
-constexpr int kWorkers = 4;
 constexpr const char* kJson = "application/json";
 
 HttpReply
@@ -51,9 +50,7 @@
                   AdminSources aSources)
 {
   auto listener = HttpListener::Make(
-    { .mAddress = aAddress,
-      .mWorkers = kWorkers,
-      .mOnException = LogException },
+    { .mAddress = aAddress, .mWorkers = 0, .mOnException = LogException },
     [&aMetrics, sources = std::move(aSources)](const HttpCall& aCall) {
       return Serve(aMetrics, sources, aCall);
     });
--- a/packages/node/src/Node.cpp
+++ b/packages/node/src/Node.cpp
@@ -331,7 +331,8 @@
            .mSpreadPeers =
              [this](const SpreadOptions& aOptions) {
                return mMembership->SpreadPeers(aOptions);
-             } };
+             },
+           .mReadsList = [this] { return mConfig->IsFirstWatcher(); } };
 }
 
 void
--- a/packages/node/src/ReadinessServer.cpp
+++ b/packages/node/src/ReadinessServer.cpp
@@ -6,7 +6,6 @@
 
 namespace {
 
-constexpr int kWorkers = 2;
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
@@ -19,7 +18,7 @@
 {
   auto listener = HttpListener::Make(
     { .mAddress = aSettings.mAddress,
-      .mWorkers = kWorkers,
+      .mWorkers = 0,
       .mOnException = LogException },
     [path = aSettings.mPath, ready = std::move(aReady)](const HttpCall& aCall) {
       if (aCall.mHttp.mTarget != path) {
--- a/testing/fleet/tests/DirectoryStartTest.cpp
+++ b/testing/fleet/tests/DirectoryStartTest.cpp
@@ -5,6 +5,7 @@
 #include "standin/ObjectStoreStandIn.h"
 
 #include <algorithm>
+#include <atomic>
 #include <doctest/doctest.h>
 #include <mutex>
 
@@ -98,3 +99,40 @@
   controller.Stop();
   transport->reset(); // as in a node: nothing calls back later
 }
+
+TEST_CASE("A box that peers have told of others reads no list from the store")
+{
+  // At 353 boxes each read the whole list at the start: of 1,971 calls of a
+  // calm day, 1,229 came in its first second.
+  standin::ObjectStoreStandIn store(kStore);
+  Settings settings;
+  settings.mBox = BoxName("own");
+  settings.mDialect = Dialect::kMesh;
+  settings.mPlatformAddress = kStore;
+  settings.mRegistration.mFirstStart = true;
+  auto transport =
+    PeerTransport::Make({ .mBindAddress = kControl, .mBox = settings.mBox },
+                        [](const wire::Envelope&, const PeerReplier&) {});
+  REQUIRE(transport);
+  std::atomic<int> told{ 0 };
+  DirectoryController controller(
+    settings,
+    Incarnation(2),
+    **transport,
+    { .mOnChange = [](const std::vector<BoxRecord>&) {},
+      .mOnServerLeaving = [](const BackendServerName&) {},
+      .mRandomPeers = [](std::size_t) { return std::vector<BoxSpec>{}; },
+      .mSpreadPeers =
+        [&](const SpreadOptions&) {
+          ++told;
+          return std::vector<BoxSpec>{};
+        } });
+  controller.OnRecords(EncodeRecords({ MakeRecord("other", "127.0.0.1:9") }));
+  controller.Start();
+  // Onwards what the peer told, and its own record once it has loaded.
+  CHECK(WaitUntil(kWait, [&] { return told >= 2; }));
+  CHECK(store.Count("box-records") == 1);
+  CHECK(store.Calls() == 1);
+  controller.Stop();
+  transport->reset(); // as in a node: nothing calls back later
+}
--- a/testing/standin/MeshServerStandIn.cpp
+++ b/testing/standin/MeshServerStandIn.cpp
@@ -72,7 +72,7 @@
   ++mRuns;
   const auto end = Now() + faults.mWork;
   while (Now() < end) {
-    if (*aCall.mCancelled) {
+    if (aCall.mCancelled->IsCancelled()) {
       ++mCancelled;
       return { .mClose = true };
     }
