Give homes the burst that the fleet's bound allows

The default of 50 for a service's own burst also bound the users' fleet, which allows 630: dealt out over 266 homes 0.19 of a repeat each. Ruled out: too small a share (6.9 % of the requests needed a repeat, 9.1 % were earned); budgets at entries, which had left none a whole repeat. Change: the platform's services have no bound of their own; dealing out is a decision of its own, policy/RetryShare. The native default stays.

--- a/packages/home/include/porttiller/home/Home.h
+++ b/packages/home/include/porttiller/home/Home.h
@@ -5,6 +5,7 @@
 #include "porttiller/home/LocalServer.h"
 #include "porttiller/hop/HomeTypes.h"
 #include "porttiller/policy/AttemptRegistry.h"
+#include "porttiller/policy/RetryShare.h"
 
 #include <array>
 #include <map>
--- a/packages/home/src/Home.cpp
+++ b/packages/home/src/Home.cpp
@@ -10,15 +10,6 @@
 
 constexpr Millis kNotHereRetryAfter{ 100 };
 constexpr Millis kDuplicateRetryAfter{ 1000 };
-// Of what the fleet may repeat at a service. The rest is for the calls that
-// repeated requests make there once more, which nobody can tell from first
-// ones, and for boxes that start anew with a full burst: with all of it, 255
-// repeats arrived in 10 s where 196 were allowed.
-constexpr double kOwnShare = 0.7;
-constexpr double kOwnBurst = 0.8;
-// Of the own share, kept for spells of failures rather than spent as it comes.
-// Both together stay within the own share of any window.
-constexpr double kSavedPart = 0.35;
 constexpr double kPercent = 100.0;
 
 // Whether a server goes on with its state: leaving changes nothing else.
@@ -168,23 +159,17 @@
   return shard.mRegistry.Query(aAttempt);
 }
 
-// The share of one server. The homes of a service see all that arrives at it,
-// and are fewer than the entries: dealt out over 80 entries, a fleet's burst of
-// 48 left none of them a whole retry.
 RetryBudgetOptions
 Home::BudgetOf(const ServiceEntry& aService) const
 {
   const auto& spec = aService.mSpec;
-  const double share =
-    std::min(spec.mRetryPercent / kPercent, kOwnShare * mRetries.mShare);
-  const double burst =
-    std::min<double>(spec.mRetryBurst, kOwnBurst * mRetries.mBurst);
-  const auto servers =
-    static_cast<double>(std::max<std::size_t>(1, aService.mServers.size()));
-  return { .mShare = (1.0 - kSavedPart) * share,
-           .mBurst = burst / servers,
-           .mSavedShare = kSavedPart * share,
-           .mWindow = mRetries.mWindow };
+  const RetryBound fleet{ .mShare = mRetries.mShare,
+                          .mBurst = mRetries.mBurst,
+                          .mWindow = mRetries.mWindow };
+  const RetryBound own{ .mShare = spec.mRetryPercent / kPercent,
+                        .mBurst = static_cast<double>(spec.mRetryBurst),
+                        .mWindow = mRetries.mWindow };
+  return HomeShareOf(Tighter(UsedOf(fleet), own), aService.mServers.size());
 }
 
 void
