Tell at once what changes where requests may go

Cause: news of a box without power crossed the fleet on probes, one a second and hop: some nine seconds for 353 boxes. Ruled out: shorter probe gaps, whose cost grows with the fleet. Change: suspicions, ends and refutations that are new to a box are told at once to three boxes of its zone and one of each other, at most five times a second; the suspect hears of it, too; a line box_state for on-call. A box that starts among running ones reads the store's list at once again: after a loss of all power nobody could tell it.

--- a/packages/control/include/porttiller/control/DirectoryController.h
+++ b/packages/control/include/porttiller/control/DirectoryController.h
@@ -101,7 +101,6 @@
   std::uint64_t WrittenRevision() const;
   bool OwnIsWritten() const;
   void Sleep(Millis aTime);
-  bool HeardPeer() const;
   void LogServer(const ServerMessage& aMessage, RegistrarVerdict aVerdict);
 
   const Settings& mSettings;
--- a/packages/control/include/porttiller/control/MembershipController.h
+++ b/packages/control/include/porttiller/control/MembershipController.h
@@ -51,7 +51,8 @@
   void Leave();
 
   // Handlers of peers' messages.
-  wire::Envelope OnProbe(const wire::Envelope& aRequest);
+  // Null for a message that asks for no reply.
+  std::optional<wire::Envelope> OnProbe(const wire::Envelope& aRequest);
   void OnIndirectProbe(const wire::Envelope& aRequest,
                        const PeerReplier& aReply);
 
@@ -76,6 +77,8 @@
   void NoteRevision(const std::string& aFromBox, const PeerRevision& aRevision);
   std::optional<BoxSpec> SpecOf(const BoxName& aBox) const;
   void RefreshUsable();
+  void TellUrgent();
+  wire::Envelope MakeUrgent(const std::vector<MemberUpdate>& aUpdates);
   std::vector<const BoxSpec*> LivePeers(const Snapshot& aSnapshot) const;
   SnapshotPtr CurrentSnapshot() const;
 
@@ -84,9 +87,11 @@
   EntryView& mView;
   const MembershipHooks mHooks;
   mutable std::mutex mMutex;
-  Membership mMembership;     // under mMutex
-  SnapshotPtr mSnapshot;      // under mMutex
-  std::set<BoxName> mAvoided; // of the ticker: what the view was told
+  Membership mMembership; // under mMutex
+  TimePoint mNextUrgent;  // under mMutex
+  SnapshotPtr mSnapshot;  // under mMutex
+  std::mutex mRefreshMutex;
+  std::set<BoxName> mAvoided; // the view was told; under mRefreshMutex
   std::unique_ptr<Ticker> mTicker;
 };
 
--- a/packages/control/src/DirectoryController.cpp
+++ b/packages/control/src/DirectoryController.cpp
@@ -31,8 +31,6 @@
 // for up to so long to be told of the others, and read the list themselves if
 // nobody does. Each box that lists tells eleven others, so few do.
 constexpr Millis kListSpread{ 1500 };
-// A box that starts among running ones waits so long for each seed's reply.
-constexpr Millis kSeedPatience{ 400 };
 // One box of a zone reads the list again, so that parts of the fleet that never
 // heard of each other meet.
 constexpr Millis kListAgain{ 30'000 };
@@ -258,35 +256,21 @@
   return true;
 }
 
-bool
-DirectoryController::HeardPeer() const
-{
-  const std::lock_guard lock(mMutex);
-  return mHeardPeer;
-}
-
-// True once a peer has told of other boxes: the rest comes by digests, and the
-// list, which is as long as the fleet, need not be read.
+// At the very first start of all: true once a peer has told of other boxes. The
+// rest comes by digests, and the list, which is as long as the fleet, need not
+// be read. Later a box reads it at once: after a loss of all power every moment
+// until it knows the others is lost to its callers.
 bool
 DirectoryController::LearnFromPeers()
 {
-  const auto await = [this](Millis aTime) {
-    std::unique_lock lock(mMutex);
-    mWake.wait_for(lock, aTime, [this] { return mStop || mHeardPeer; });
-    return mHeardPeer;
-  };
-  if (mSettings.mRegistration.mFirstStart) {
-    const auto span = static_cast<std::uint64_t>(kListSpread.count());
-    return await(Millis(static_cast<Millis::rep>(Random() % span)));
-  }
-  for (const auto& seed : SeedAddresses(mSettings)) {
-    if (mStop || HeardPeer()) {
-      break;
-    }
-    Request(seed);
-    await(kSeedPatience);
+  if (!mSettings.mRegistration.mFirstStart) {
+    return false;
   }
-  return HeardPeer();
+  const auto span = static_cast<std::uint64_t>(kListSpread.count());
+  const auto patience = Millis(static_cast<Millis::rep>(Random() % span));
+  std::unique_lock lock(mMutex);
+  mWake.wait_for(lock, patience, [this] { return mStop || mHeardPeer; });
+  return mHeardPeer;
 }
 
 bool
--- a/packages/control/src/MembershipController.cpp
+++ b/packages/control/src/MembershipController.cpp
@@ -13,6 +13,12 @@
 namespace {
 
 constexpr std::size_t kLeaveNotices = 5;
+// What requests depend on crosses the fleet in a few trips: each zone hears of
+// it, and whoever it is new to tells some more of its zone.
+constexpr SpreadOptions kUrgentNews{ .mOwnZone = 3, .mPerOtherZone = 1 };
+// Of 120 boxes that are cut off at once, in a few messages of 2 KB.
+constexpr std::size_t kUrgentAtOnce = 32;
+constexpr Millis kUrgentGap{ 200 };
 
 // Gathers the answers of the helpers; the last one, or the first success,
 // decides.
@@ -90,15 +96,64 @@
     const std::lock_guard lock(mMutex);
     mMembership.OnTick(Now());
   }
+  TellUrgent();
   RefreshUsable();
   ProbeNext();
 }
 
+wire::Envelope
+MembershipController::MakeUrgent(const std::vector<MemberUpdate>& aUpdates)
+{
+  const auto own = mHooks.mOwnRevision();
+  wire::Envelope envelope;
+  auto* probe = envelope.mutable_probe();
+  probe->set_revision(own.mRevision);
+  probe->set_digest(own.mDigest);
+  probe->set_directory(own.mDirectory);
+  EncodeMembers(aUpdates, *probe->mutable_members());
+  return envelope;
+}
+
+// News that came within a gap waits for the next news or tick. Suspects hear
+// of it, too, and may refute.
+void
+MembershipController::TellUrgent()
+{
+  std::vector<MemberUpdate> updates;
+  {
+    const std::lock_guard lock(mMutex);
+    if (Now() < mNextUrgent) {
+      return;
+    }
+    updates = mMembership.TakeUrgent(kUrgentAtOnce);
+    if (updates.empty()) {
+      return;
+    }
+    mNextUrgent = Now() + kUrgentGap;
+  }
+  const auto message = MakeUrgent(updates);
+  for (const auto& peer : SpreadPeers(kUrgentNews)) {
+    mTransport.Tell(peer.mControlAddress, message);
+  }
+  for (const auto& update : updates) {
+    const auto spec = SpecOf(update.mBox);
+    if (update.mState == MemberState::kSuspect && spec) {
+      mTransport.Tell(spec->mControlAddress, message);
+    }
+    LogLine(LogLevel::kInfo, "box_state")
+      .With("of", update.mBox.Value())
+      .With("state", ToText(update.mState))
+      .With("incarnation", std::to_string(update.mIncarnation.Value()));
+  }
+  RefreshUsable();
+}
+
 // The entry avoids boxes that are gone or suspected, and paths that are cut.
 // It is told of changes alone: of 353 boxes few change in a second.
 void
 MembershipController::RefreshUsable()
 {
+  const std::lock_guard refreshLock(mRefreshMutex);
   std::set<BoxName> avoided;
   {
     const std::lock_guard lock(mMutex);
@@ -164,8 +219,11 @@
   const google::protobuf::RepeatedPtrField<wire::Member>& aMembers)
 {
   const auto updates = DecodeMembers(aMembers);
-  const std::lock_guard lock(mMutex);
-  mMembership.OnUpdates(updates, Now());
+  {
+    const std::lock_guard lock(mMutex);
+    mMembership.OnUpdates(updates, Now());
+  }
+  TellUrgent();
 }
 
 void
@@ -208,14 +266,17 @@
   const auto finish = [this, aBox, round](const PeerResult& aResult) {
     const bool reached = aResult && aResult->has_probe_reply() &&
                          aResult->probe_reply().target_alive();
-    const std::lock_guard lock(mMutex);
-    if (reached && !round->mReached.exchange(true)) {
-      mMembership.OnReachedByOthers(
-        aBox.mName, Incarnation(aResult->probe_reply().target_incarnation()));
-    }
-    if (--round->mOpen <= 0 && !round->mReached) {
-      mMembership.OnNotReached(aBox.mName, Now());
+    {
+      const std::lock_guard lock(mMutex);
+      if (reached && !round->mReached.exchange(true)) {
+        mMembership.OnReachedByOthers(
+          aBox.mName, Incarnation(aResult->probe_reply().target_incarnation()));
+      }
+      if (--round->mOpen <= 0 && !round->mReached) {
+        mMembership.OnNotReached(aBox.mName, Now());
+      }
     }
+    TellUrgent();
   };
   if (helpers.empty()) {
     finish(tl::make_unexpected(PeerError{}));
@@ -236,12 +297,15 @@
   }
 }
 
-wire::Envelope
+std::optional<wire::Envelope>
 MembershipController::OnProbe(const wire::Envelope& aRequest)
 {
   const auto& probe = aRequest.probe();
   TakeBeliefs(probe.members());
   NoteRevision(aRequest.from_box(), RevisionOf(probe));
+  if (aRequest.correlation() == 0) {
+    return std::nullopt; // news that nobody waits for a reply to
+  }
   const auto own = mHooks.mOwnRevision();
   wire::Envelope envelope;
   auto* reply = envelope.mutable_probe_reply();
--- a/packages/policy/include/porttiller/policy/Membership.h
+++ b/packages/policy/include/porttiller/policy/Membership.h
@@ -11,6 +11,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -94,6 +95,12 @@
   // it can refute.
   std::vector<MemberUpdate> Spread(const BoxName& aTo);
 
+  // What changes where requests may go: suspicions, ends and refutations that
+  // are new here. Each is given out once, at most aMost at a time, to be told
+  // at once: on probes alone, one a second, news of a box without power took
+  // some nine seconds to cross 353 boxes, and each entry lost a request to it.
+  std::vector<MemberUpdate> TakeUrgent(std::size_t aMost);
+
   MemberState StateOf(const BoxName& aBox) const;
   Incarnation LifeOf(const BoxName& aBox) const;
   // False while only others reach it.
@@ -123,6 +130,7 @@
   void Refute(const MemberUpdate& aUpdate);
   void MarkAlive(const BoxName& aBox, Incarnation aIncarnation, bool aPath);
   void MarkNews(Member& aMember) const;
+  void MarkUrgent(const BoxName& aBox);
   std::vector<BoxName> Neighbours() const;
   std::vector<BoxName> OthersOf(bool aPresentOnly) const;
   std::optional<BoxName> UnreachedBox(std::uint64_t aRandom) const;
@@ -132,6 +140,7 @@
   MembershipOptions mOptions;
   std::map<BoxName, Member> mMembers;
   std::deque<BoxName> mProbeOrder;
+  std::set<BoxName> mUrgent;
   bool mProbeUnreached = false; // next, if there is one
 };
 
--- a/packages/policy/src/Membership.cpp
+++ b/packages/policy/src/Membership.cpp
@@ -210,6 +210,27 @@
   it->second.mSuspectSince = aNow;
   it->second.mPathWorks = false;
   MarkNews(it->second);
+  MarkUrgent(aBox);
+}
+
+void
+Membership::MarkUrgent(const BoxName& aBox)
+{
+  mUrgent.insert(aBox);
+}
+
+std::vector<MemberUpdate>
+Membership::TakeUrgent(std::size_t aMost)
+{
+  std::vector<MemberUpdate> updates;
+  while (!mUrgent.empty() && updates.size() < aMost) {
+    const auto box = *mUrgent.begin();
+    mUrgent.erase(mUrgent.begin());
+    if (const auto it = mMembers.find(box); it != mMembers.end()) {
+      updates.push_back(ToUpdate(box, it->second));
+    }
+  }
+  return updates;
 }
 
 bool
@@ -231,6 +252,9 @@
   if (overruling) {
     self.mRefutation = aUpdate.mRefutation + 1;
   }
+  if (aUpdate.mState != MemberState::kAlive) {
+    MarkUrgent(mSelf);
+  }
   // Also against old news: whoever spread it may never have heard the answer.
   MarkNews(self);
 }
@@ -247,6 +271,10 @@
     return;
   }
   auto& member = it->second;
+  if (aUpdate.mState != MemberState::kAlive ||
+      member.mState != MemberState::kAlive) {
+    MarkUrgent(aUpdate.mBox);
+  }
   if (aUpdate.mState == MemberState::kAlive) {
     // Somebody has reached it since. Whether this box can is for its requests
     // and its next probe to find out.
--- a/packages/policy/tests/MembershipTest.cpp
+++ b/packages/policy/tests/MembershipTest.cpp
@@ -1,4 +1,5 @@
 #include "porttiller/policy/Membership.h"
+#include "porttiller/policy/Spread.h"
 
 #include "FuzzDraw.h"
 
@@ -323,3 +324,82 @@
   }
   CHECK(rounds <= 12);
 }
+
+TEST_CASE("A suspicion and its refutation are urgent once for each box")
+{
+  auto a = MakeMember(kBoxes[0]);
+  auto b = MakeMember(kBoxes[1]);
+  auto c = MakeMember(kBoxes[2]);
+  a.OnNotReached(kBoxes[1], kStart);
+  const auto suspicion = a.TakeUrgent(8);
+  REQUIRE(suspicion.size() == 1);
+  CHECK(suspicion[0].mState == MemberState::kSuspect);
+  CHECK(a.TakeUrgent(8).empty());
+  c.OnUpdates(suspicion, kStart);
+  CHECK_FALSE(c.WorthSending(kBoxes[1]));
+  CHECK(c.TakeUrgent(8).size() == 1); // it passes it on
+  c.OnUpdates(suspicion, kStart);
+  CHECK(c.TakeUrgent(8).empty()); // but not again
+  b.OnUpdates(suspicion, kStart);
+  const auto refutation = b.TakeUrgent(8);
+  REQUIRE(refutation.size() == 1);
+  c.OnUpdates(refutation, kStart);
+  CHECK(c.WorthSending(kBoxes[1]));
+  CHECK(c.TakeUrgent(8).size() == 1);
+}
+
+TEST_CASE("Urgent news of a box without power crosses a large fleet in few "
+          "trips")
+{
+  // As the controller sends it: to three boxes of the own zone and one of each
+  // other, and onwards from whoever it was new to.
+  constexpr int kZones = 5;
+  const auto boxes = MakeBoxes(353);
+  std::vector<Membership> nodes;
+  std::vector<AvailabilityZone> zones;
+  nodes.reserve(boxes.size());
+  for (std::size_t i = 0; i < boxes.size(); ++i) {
+    nodes.emplace_back(boxes[i], Incarnation(1));
+    nodes.back().SetBoxes(boxes);
+    zones.emplace_back("zone-" + std::to_string(i % kZones));
+    for (const auto& other : boxes) {
+      nodes.back().OnNewLife(other, Incarnation(1));
+    }
+  }
+  nodes[7].OnNotReached(boxes[0], kStart);
+  std::mt19937_64 random(11);
+  int trips = 0;
+  int messages = 0;
+  for (; trips < 10; ++trips) {
+    std::vector<std::pair<std::size_t, std::vector<MemberUpdate>>> sent;
+    for (std::size_t i = 0; i < nodes.size(); ++i) {
+      const auto news = nodes[i].TakeUrgent(32);
+      if (news.empty()) {
+        continue;
+      }
+      for (const auto to :
+           ChooseReceivers(zones,
+                           zones[i],
+                           { .mOwnZone = 3, .mPerOtherZone = 1 },
+                           random())) {
+        sent.emplace_back(to, news);
+      }
+    }
+    if (sent.empty()) {
+      break;
+    }
+    messages += static_cast<int>(sent.size());
+    for (const auto& [to, news] : sent) {
+      if (to != 0) { // it has no power
+        nodes[to].OnUpdates(news, kStart);
+      }
+    }
+  }
+  const auto told =
+    std::count_if(nodes.begin(), nodes.end(), [&](const auto& aNode) {
+      return !aNode.WorthSending(boxes[0]);
+    });
+  CHECK(told >= 345);
+  CHECK(trips <= 8);
+  CHECK(messages <= 7 * 353);
+}
