--- a/packages/control/include/porttiller/control/DirectoryController.h
+++ b/packages/control/include/porttiller/control/DirectoryController.h
@@ -7,11 +7,11 @@
 #include "porttiller/config/Directory.h"
 #include "porttiller/config/Registrar.h"
 #include "porttiller/config/Settings.h"
+#include "porttiller/control/BoxRecordStore.h"
 #include "porttiller/control/MembershipController.h"
 #include "porttiller/control/Worker.h"
 #include "porttiller/peer/PeerTransport.h"
 #include "porttiller/policy/Batcher.h"
-#include "porttiller/store/ObjectClient.h"
 
 #include <atomic>
 #include <condition_variable>
@@ -84,7 +84,7 @@
   bool ReadList();
   bool LearnFromPeers();
   void KeepUpToDate();
-  bool WriteToStore(ObjectClient& aClient);
+  bool WriteOwn(bool aForAck);
   void AskSeeds();
   void Adopt(const BoxRecord& aOwn);
   void RaiseOwn();
@@ -98,8 +98,6 @@
   void Request(const std::string& aAddress);
   bool KeepAtPeers(const BoxRecord& aRecord);
   bool Keep(const BoxRecord& aRecord);
-  std::uint64_t WrittenRevision() const;
-  bool OwnIsWritten() const;
   void Sleep(Millis aTime);
   void LogServer(const ServerMessage& aMessage, RegistrarVerdict aVerdict);
 
@@ -112,7 +110,6 @@
   Registrar mRegistrar;          // under mMutex
   BoxRecord mOwn;                // under mMutex
   std::uint64_t mWritten = 0;    // revision that the store holds; under mMutex
-  std::uint64_t mVersion = 0;    // of the own object there; under mMutex
   std::uint64_t mPeerDigest = 0; // a difference seen once; under mMutex
   TimePoint mPeerDigestSince;
   TimePoint mNextRequest;
@@ -122,13 +119,12 @@
   // News that peers told, to be passed on with the next batch; under mMutex.
   std::map<BoxName, BoxRecord> mOnwards;
   std::mutex mPublishMutex; // one call of mOnChange at a time
-  std::mutex mStoreMutex;   // one write of the own record at a time
+  std::mutex mWriteMutex;   // one write of the own record at a time
   const TimePoint mStarted;
   std::atomic<bool> mLoaded{ false };
   std::atomic<bool> mStop{ false };
-  ObjectClient mClient;    // of mThread
-  ObjectClient mAckClient; // under mStoreMutex
-  Worker mWorker;          // applies what peers send
+  BoxRecordStore mStore;
+  Worker mWorker; // applies what peers send
   std::thread mThread;
 };
 
--- a/packages/control/src/DirectoryController.cpp
+++ b/packages/control/src/DirectoryController.cpp
@@ -12,10 +12,7 @@
 
 namespace {
 
-constexpr Millis kCallTimeout{ 1500 };
-// A server waits a second for its acknowledgement; the store and then the
-// peers must fit in.
-constexpr Millis kAckStoreTimeout{ 350 };
+// Of the second that a server waits; the store comes first.
 constexpr Millis kAckPeerTimeout{ 300 };
 constexpr std::size_t kAckPeers = 4;
 constexpr Millis kPushTimeout{ 1000 };
@@ -50,14 +47,6 @@
   return static_cast<std::uint64_t>(Poco::Timestamp().epochMicroseconds());
 }
 
-ObjectClientOptions
-ClientOptions(const Settings& aSettings, Millis aTimeout)
-{
-  return { .mAddress = aSettings.mPlatformAddress,
-           .mTimeout = aTimeout,
-           .mDialect = StoreDialectOf(aSettings) };
-}
-
 } // namespace
 
 const char*
@@ -74,8 +63,7 @@
   , mTransport(aTransport)
   , mHooks(std::move(aHooks))
   , mStarted(Now())
-  , mClient(ClientOptions(aSettings, kCallTimeout))
-  , mAckClient(ClientOptions(aSettings, kAckStoreTimeout))
+  , mStore(aSettings)
 {
   mOwn.mBox = { .mName = aSettings.mBox,
                 .mZone = aSettings.mZone,
@@ -110,8 +98,7 @@
     mStop = true;
     mWake.notify_all();
   }
-  mClient.Abort();
-  mAckClient.Abort();
+  mStore.Abort();
   mWorker.Stop();
   if (mThread.joinable()) {
     mThread.join();
@@ -135,20 +122,6 @@
   return mDirectory.Size() > 1; // peers have answered
 }
 
-bool
-DirectoryController::OwnIsWritten() const
-{
-  const std::lock_guard lock(mMutex);
-  return mWritten >= mOwn.mRevision;
-}
-
-std::uint64_t
-DirectoryController::WrittenRevision() const
-{
-  const std::lock_guard lock(mMutex);
-  return mWritten;
-}
-
 void
 DirectoryController::Sleep(Millis aTime)
 {
@@ -193,12 +166,7 @@
         ReadList();
       }
     }
-    bool written = true;
-    if (!mStop) {
-      const std::lock_guard lock(mStoreMutex);
-      written = OwnIsWritten() || WriteToStore(mClient);
-    }
-    if (written) {
+    if (mStop || WriteOwn(false)) {
       wait = kRetryWait;
       continue;
     }
@@ -216,11 +184,8 @@
   if (!mSettings.mRegistration.mFirstStart && !ReadOwn()) {
     return false;
   }
-  {
-    const std::lock_guard lock(mStoreMutex);
-    if (!OwnIsWritten() && !WriteToStore(mClient)) {
-      return false;
-    }
+  if (!WriteOwn(false)) {
+    return false;
   }
   if (!LearnFromPeers() && !ReadList()) {
     return false;
@@ -241,19 +206,12 @@
 bool
 DirectoryController::ReadOwn()
 {
-  const auto own = mClient.Get({ kBoxRecordKind, mSettings.mBox.Value() });
-  if (!own && own.error().mKind != StoreErrorKind::kNotFound) {
-    return false;
-  }
-  if (own) {
-    const auto record = ParseBoxRecord(own->mSpecJson);
+  const auto own = mStore.ReadOwn();
+  if (own && *own) {
     const std::lock_guard lock(mMutex);
-    mVersion = own->mVersion;
-    if (record) {
-      Adopt(*record);
-    }
+    Adopt(**own);
   }
-  return true;
+  return own.has_value();
 }
 
 // At the very first start of all: true once a peer has told of other boxes. The
@@ -276,71 +234,35 @@
 bool
 DirectoryController::ReadList()
 {
-  const auto list = mClient.List(kBoxRecordKind);
-  if (!list) {
-    return false;
-  }
-  std::vector<BoxRecord> records;
-  for (const auto& object : list->mObjects) {
-    if (auto record = ParseBoxRecord(object.mSpecJson)) {
-      records.push_back(std::move(*record));
-    } else {
-      LogLine(LogLevel::kWarning, "box_record_unreadable")
-        .With("box", object.mKey.mName)
-        .With("version", static_cast<std::int64_t>(object.mVersion))
-        .With("error", ToText(record.error()));
-    }
+  const auto records = mStore.ReadAll();
+  if (records) {
+    Merge(*records, "store");
   }
-  Merge(records, "store");
-  return true;
+  return records.has_value();
 }
 
-// Under mStoreMutex.
+// True once the store holds the newest own record.
 bool
-DirectoryController::WriteToStore(ObjectClient& aClient)
+DirectoryController::WriteOwn(bool aForAck)
 {
+  const std::lock_guard writeLock(mWriteMutex);
   BoxRecord record;
-  std::uint64_t version = 0;
   {
     const std::lock_guard lock(mMutex);
-    record = mOwn;
-    version = mVersion;
-  }
-  const ObjectKey key{ kBoxRecordKind, mSettings.mBox.Value() };
-  auto written = version == 0
-                   ? aClient.Create(key, ToJsonText(record))
-                   : aClient.Update(key, version, ToJsonText(record));
-  if (!written && written.error().mKind != StoreErrorKind::kUnavailable) {
-    // Another version is there: of this write, whose answer was lost, or of an
-    // earlier life of this box. This life's record replaces it.
-    if (const auto held = aClient.Get(key)) {
-      const auto heldRecord = ParseBoxRecord(held->mSpecJson);
-      if (heldRecord && *heldRecord == record) {
-        written = held->mVersion;
-      } else {
-        const std::lock_guard lock(mMutex);
-        mVersion = held->mVersion;
-        if (heldRecord && heldRecord->mIncarnation != mOwn.mIncarnation) {
-          Adopt(*heldRecord);
-        }
-        mWake.notify_all();
-      }
-    } else if (held.error().mKind == StoreErrorKind::kNotFound) {
-      const std::lock_guard lock(mMutex);
-      mVersion = 0;
+    if (mWritten >= mOwn.mRevision) {
+      return true;
     }
+    record = mOwn;
   }
-  if (!written) {
-    LogLine(LogLevel::kWarning, "box_record_not_written")
-      .With("revision", std::to_string(record.mRevision))
-      .With("error", ToText(written.error().mKind))
-      .With("detail", written.error().mDetail);
-    return false;
-  }
+  const auto write = mStore.Write(record, aForAck);
   const std::lock_guard lock(mMutex);
-  mVersion = *written;
-  mWritten = std::max(mWritten, record.mRevision);
-  return true;
+  if (write.mEarlier) {
+    Adopt(*write.mEarlier);
+  }
+  if (write.mWritten) {
+    mWritten = std::max(mWritten, record.mRevision);
+  }
+  return write.mWritten;
 }
 
 // Goes on from the record of an earlier life. Under mMutex.
@@ -606,13 +528,7 @@
 bool
 DirectoryController::Keep(const BoxRecord& aRecord)
 {
-  {
-    const std::lock_guard lock(mStoreMutex);
-    if (WrittenRevision() >= aRecord.mRevision || WriteToStore(mAckClient)) {
-      return true;
-    }
-  }
-  return KeepAtPeers(aRecord);
+  return WriteOwn(true) || KeepAtPeers(aRecord);
 }
 
 bool
--- a/packages/control/src/MembershipController.cpp
+++ b/packages/control/src/MembershipController.cpp
@@ -38,6 +38,15 @@
            .mDirectory = aMessage.directory() };
 }
 
+template<typename Message>
+void
+SetRevision(const PeerRevision& aOwn, Message& aMessage)
+{
+  aMessage.set_revision(aOwn.mRevision);
+  aMessage.set_digest(aOwn.mDigest);
+  aMessage.set_directory(aOwn.mDirectory);
+}
+
 } // namespace
 
 MembershipController::MembershipController(const Settings& aSettings,
@@ -107,9 +116,7 @@
   const auto own = mHooks.mOwnRevision();
   wire::Envelope envelope;
   auto* probe = envelope.mutable_probe();
-  probe->set_revision(own.mRevision);
-  probe->set_digest(own.mDigest);
-  probe->set_directory(own.mDirectory);
+  SetRevision(own, *probe);
   EncodeMembers(aUpdates, *probe->mutable_members());
   return envelope;
 }
@@ -196,9 +203,7 @@
   const auto own = mHooks.mOwnRevision();
   wire::Envelope envelope;
   auto* probe = envelope.mutable_probe();
-  probe->set_revision(own.mRevision);
-  probe->set_digest(own.mDigest);
-  probe->set_directory(own.mDirectory);
+  SetRevision(own, *probe);
   const std::lock_guard lock(mMutex);
   EncodeMembers(mMembership.Spread(aTo), *probe->mutable_members());
   return envelope;
@@ -309,9 +314,7 @@
   const auto own = mHooks.mOwnRevision();
   wire::Envelope envelope;
   auto* reply = envelope.mutable_probe_reply();
-  reply->set_revision(own.mRevision);
-  reply->set_digest(own.mDigest);
-  reply->set_directory(own.mDirectory);
+  SetRevision(own, *reply);
   const std::lock_guard lock(mMutex);
   EncodeMembers(mMembership.Spread(BoxName(aRequest.from_box())),
                 *reply->mutable_members());
