--- a/packages/node/src/Node.cpp
+++ b/packages/node/src/Node.cpp
@@ -1,33 +1,12 @@
 #include "porttiller/node/Node.h"
 
-#include "porttiller/config/JsonText.h"
-#include "porttiller/control/ConfigController.h"
-#include "porttiller/control/DirectoryController.h"
-#include "porttiller/control/EjectionController.h"
-#include "porttiller/control/MembershipController.h"
-#include "porttiller/control/NewsController.h"
-#include "porttiller/control/StatusController.h"
-#include "porttiller/entry/Dispatcher.h"
-#include "porttiller/entry/EntryServer.h"
-#include "porttiller/entry/EntryView.h"
-#include "porttiller/home/Home.h"
-#include "porttiller/home/HomeServer.h"
-#include "porttiller/hop/Cutoff.h"
+#include "NodePartsPriv.h"
 #include "porttiller/hop/Dialects.h"
 #include "porttiller/hop/Random.h"
-#include "porttiller/node/AdminServer.h"
-#include "porttiller/node/ReadinessServer.h"
-#include "porttiller/node/RegistrationServer.h"
-#include "porttiller/peer/PeerTransport.h"
 #include "porttiller/telemetry/Log.h"
-#include "porttiller/telemetry/Metrics.h"
 
-#include <Poco/JSON/Array.h>
 #include <Poco/Timestamp.h>
-#include <atomic>
 #include <future>
-#include <map>
-#include <optional>
 #include <thread>
 
 namespace porttiller {
@@ -49,71 +28,8 @@
   return Incarnation((micros << kRandomBits) | (Random() & kRandomMask));
 }
 
-wire::Envelope
-MakeAck()
-{
-  wire::Envelope ack;
-  ack.mutable_ack();
-  return ack;
-}
-
 } // namespace
 
-class Node::Parts
-{
-public:
-  explicit Parts(Settings aSettings);
-
-  ~Parts();
-
-  tl::expected<void, std::string> Open();
-  void Drain();
-  void LeaveHome();
-  std::string StateText() const;
-
-private:
-  int ServersInUse() const;
-  tl::expected<void, std::string> OpenTransport();
-  tl::expected<void, std::string> OpenServers();
-  void MakeControllers();
-  void StartControllers();
-  void StopControllers();
-  void HandlePeer(const wire::Envelope& aRequest, const PeerReplier& aReply);
-  std::optional<wire::Envelope> Answer(const wire::Envelope& aRequest);
-  wire::Envelope AnswerAttempt(const wire::AttemptRequest& aRequest);
-  void RefreshGauges();
-  tl::expected<void, std::string> OpenPlatformServers();
-  DirectoryHooks MakeDirectoryHooks();
-  void OnSnapshot(const Snapshot& aSnapshot);
-  bool Ready() const;
-  PeerRevision OwnRevision() const;
-  void OnPeerRevision(const PeerRevision& aPeer);
-
-  const Settings mSettings;
-  const Incarnation mIncarnation;
-  Metrics mMetrics;
-  Cutoff mCutoff;
-  Home mHome;
-  EntryView mView;
-  AttemptNamer mNamer;
-  std::atomic<bool> mDraining{ false };
-  std::atomic<bool> mReady{ false }; // the controllers below exist
-  std::unique_ptr<ConfigController> mConfig;
-  std::unique_ptr<MembershipController> mMembership;
-  std::unique_ptr<EjectionController> mEjection;
-  std::unique_ptr<StatusController> mStatus;
-  std::unique_ptr<NewsController> mNews; // null: failing servers are ejected
-  std::unique_ptr<Dispatcher> mDispatcher;
-  AttemptPool mAttemptPool;
-  std::unique_ptr<HomeServer> mHomeServer;
-  std::unique_ptr<EntryServer> mEntryServer;
-  std::unique_ptr<DirectoryController> mDirectory; // null: operators list all
-  std::unique_ptr<RegistrationServer> mRegistration;
-  std::unique_ptr<ReadinessServer> mReadiness;
-  std::unique_ptr<AdminServer> mAdminServer;
-  std::unique_ptr<PeerTransport> mTransport;
-};
-
 Node::Parts::Parts(Settings aSettings)
   : mSettings(std::move(aSettings))
   , mIncarnation(DrawIncarnation())
@@ -379,101 +295,6 @@
   }
 }
 
-void
-Node::Parts::RefreshGauges()
-{
-  const auto traffic = mTransport->Traffic();
-  mMetrics.ControlBytesSent().Set(static_cast<double>(traffic.mBytesSent));
-  mMetrics.ControlBytesReceived().Set(
-    static_cast<double>(traffic.mBytesReceived));
-  std::map<std::string, std::uint64_t> byKind;
-  for (const auto& [kind, bytes] : traffic.mSentByKind) {
-    byKind[ToText(kind)] += bytes;
-  }
-  for (const auto& [kind, bytes] : byKind) {
-    mMetrics.ControlBytesSentOf(kind).Set(static_cast<double>(bytes));
-  }
-  mMetrics.UnreadableMessages().Set(static_cast<double>(traffic.mUnreadable));
-  mMetrics.LateReplies().Set(static_cast<double>(traffic.mLateReplies));
-}
-
-wire::Envelope
-Node::Parts::AnswerAttempt(const wire::AttemptRequest& aRequest)
-{
-  AttemptReport report;
-  const auto attempt = AttemptId::Parse(aRequest.attempt());
-  const Incarnation named(aRequest.home_incarnation());
-  if (attempt) {
-    report = aRequest.revoke() ? mHome.Revoke(*attempt, named)
-                               : mHome.Query(*attempt, named);
-  }
-  wire::Envelope envelope;
-  auto* reply = envelope.mutable_attempt_reply();
-  reply->set_state(static_cast<std::uint32_t>(report.mState));
-  reply->set_outcome(static_cast<std::uint32_t>(report.mOutcome));
-  const auto& answer = report.mAnswer;
-  if (answer && answer->mRequestKey == aRequest.request_key()) {
-    reply->set_has_answer(true);
-    reply->set_status(answer->mStatus);
-    reply->set_content_type(answer->mContentType);
-    reply->set_body(answer->mBody);
-  }
-  return envelope;
-}
-
-void
-Node::Parts::HandlePeer(const wire::Envelope& aRequest,
-                        const PeerReplier& aReply)
-{
-  if (!mReady) {
-    return; // the sender asks again
-  }
-  if (aRequest.has_indirect_probe()) {
-    mMembership->OnIndirectProbe(aRequest, aReply);
-  } else if (const auto answer = Answer(aRequest)) {
-    aReply(*answer);
-  }
-}
-
-std::optional<wire::Envelope>
-Node::Parts::Answer(const wire::Envelope& aRequest)
-{
-  switch (aRequest.body_case()) {
-    case wire::Envelope::kAttempt:
-      return AnswerAttempt(aRequest.attempt());
-    case wire::Envelope::kProbe:
-      return mMembership->OnProbe(aRequest);
-    case wire::Envelope::kDeltaRequest:
-      return mConfig->OnDeltaRequest(aRequest.delta_request());
-    case wire::Envelope::kHealth:
-      if (mEjection) {
-        return mEjection->OnHealthRequest(aRequest.health());
-      }
-      return std::nullopt;
-    case wire::Envelope::kBoxRecords:
-      if (mDirectory) {
-        mDirectory->OnRecords(aRequest.box_records());
-      }
-      return MakeAck();
-    case wire::Envelope::kDirectoryRequest:
-      if (mDirectory) {
-        return mDirectory->OnDirectoryRequest(aRequest.directory_request());
-      }
-      return std::nullopt;
-    case wire::Envelope::kServerNews:
-      if (mNews) {
-        mNews->OnNews(aRequest.server_news());
-      }
-      return std::nullopt; // nobody waits for a reply
-    case wire::Envelope::kAnnounce: {
-      mConfig->OnAnnounce(aRequest);
-      return MakeAck();
-    }
-    default:
-      return std::nullopt;
-  }
-}
-
 // No more work for the servers of this box; others are told.
 void
 Node::Parts::LeaveHome()
@@ -515,49 +336,6 @@
     .With("left_running", static_cast<std::int64_t>(mHome.InFlight()));
 }
 
-// Servers that this box's entry may send to, as far as they have told.
-int
-Node::Parts::ServersInUse() const
-{
-  const auto snapshot = mConfig->Current();
-  int count = 0;
-  if (snapshot) {
-    for (const auto& [name, service] : snapshot->mServices) {
-      for (const auto& server : service.mServers) {
-        count += server.mLeaving ? 0 : 1;
-      }
-    }
-  }
-  return count;
-}
-
-std::string
-Node::Parts::StateText() const
-{
-  Poco::JSON::Object state(Poco::JSON_PRESERVE_KEY_ORDER);
-  state.set("box", mSettings.mBox.Value());
-  state.set("zone", mSettings.mZone.Value());
-  state.set("incarnation", std::to_string(mIncarnation.Value()));
-  state.set("draining", mDraining.load());
-  state.set("revision", mConfig->Own().mRevision);
-  state.set("platform_reachable", mConfig->PlatformReachable());
-  state.set("watcher", mConfig->IsWatcher());
-  state.set("servers_in_use", ServersInUse());
-  Poco::JSON::Array servers;
-  for (const auto& server : mHome.Servers()) {
-    Poco::JSON::Object item(Poco::JSON_PRESERVE_KEY_ORDER);
-    item.set("name", server->Spec().mName.Value());
-    item.set("service", server->Spec().mService.Value());
-    item.set("phase", ToText(server->Phase()));
-    item.set("state", server->Dump());
-    servers.add(item);
-  }
-  state.set("servers", servers);
-  state.set("members", mMembership->Dump());
-  state.set("view", mView.Dump());
-  return ToJsonText(state) + "\n";
-}
-
 tl::expected<std::unique_ptr<Node>, NodeError>
 Node::Make(Settings aSettings)
 {
--- /dev/null
+++ b/packages/node/src/NodePartsPriv.h
@@ -0,0 +1,87 @@
+// The parts of one daemon and how they are wired. Owned by Node.
+#pragma once
+
+#include "porttiller/node/Node.h"
+
+#include "porttiller/control/ConfigController.h"
+#include "porttiller/control/DirectoryController.h"
+#include "porttiller/control/EjectionController.h"
+#include "porttiller/control/MembershipController.h"
+#include "porttiller/control/NewsController.h"
+#include "porttiller/control/StatusController.h"
+#include "porttiller/entry/AttemptPool.h"
+#include "porttiller/entry/Dispatcher.h"
+#include "porttiller/entry/EntryServer.h"
+#include "porttiller/entry/EntryView.h"
+#include "porttiller/home/Home.h"
+#include "porttiller/home/HomeServer.h"
+#include "porttiller/hop/Cutoff.h"
+#include "porttiller/node/AdminServer.h"
+#include "porttiller/node/ReadinessServer.h"
+#include "porttiller/node/RegistrationServer.h"
+#include "porttiller/peer/PeerTransport.h"
+#include "porttiller/telemetry/Metrics.h"
+
+#include <atomic>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace porttiller {
+
+class Node::Parts
+{
+public:
+  explicit Parts(Settings aSettings);
+
+  ~Parts();
+
+  tl::expected<void, std::string> Open();
+  void Drain();
+  void LeaveHome();
+  std::string StateText() const;
+
+private:
+  int ServersInUse() const;
+  tl::expected<void, std::string> OpenTransport();
+  tl::expected<void, std::string> OpenServers();
+  void MakeControllers();
+  void StartControllers();
+  void StopControllers();
+  void HandlePeer(const wire::Envelope& aRequest, const PeerReplier& aReply);
+  std::optional<wire::Envelope> Answer(const wire::Envelope& aRequest);
+  wire::Envelope AnswerAttempt(const wire::AttemptRequest& aRequest);
+  void RefreshGauges();
+  tl::expected<void, std::string> OpenPlatformServers();
+  DirectoryHooks MakeDirectoryHooks();
+  void OnSnapshot(const Snapshot& aSnapshot);
+  bool Ready() const;
+  PeerRevision OwnRevision() const;
+  void OnPeerRevision(const PeerRevision& aPeer);
+
+  const Settings mSettings;
+  const Incarnation mIncarnation;
+  Metrics mMetrics;
+  Cutoff mCutoff;
+  Home mHome;
+  EntryView mView;
+  AttemptNamer mNamer;
+  std::atomic<bool> mDraining{ false };
+  std::atomic<bool> mReady{ false }; // the controllers below exist
+  std::unique_ptr<ConfigController> mConfig;
+  std::unique_ptr<MembershipController> mMembership;
+  std::unique_ptr<EjectionController> mEjection;
+  std::unique_ptr<StatusController> mStatus;
+  std::unique_ptr<NewsController> mNews; // null: failing servers are ejected
+  std::unique_ptr<Dispatcher> mDispatcher;
+  AttemptPool mAttemptPool;
+  std::unique_ptr<HomeServer> mHomeServer;
+  std::unique_ptr<EntryServer> mEntryServer;
+  std::unique_ptr<DirectoryController> mDirectory; // null: operators list all
+  std::unique_ptr<RegistrationServer> mRegistration;
+  std::unique_ptr<ReadinessServer> mReadiness;
+  std::unique_ptr<AdminServer> mAdminServer;
+  std::unique_ptr<PeerTransport> mTransport;
+};
+
+} // namespace porttiller
--- /dev/null
+++ b/packages/node/src/NodePeers.cpp
@@ -0,0 +1,95 @@
+// What a daemon answers to other boxes' control messages.
+#include "NodePartsPriv.h"
+
+namespace porttiller {
+
+namespace {
+
+wire::Envelope
+MakeAck()
+{
+  wire::Envelope ack;
+  ack.mutable_ack();
+  return ack;
+}
+
+} // namespace
+
+wire::Envelope
+Node::Parts::AnswerAttempt(const wire::AttemptRequest& aRequest)
+{
+  AttemptReport report;
+  const auto attempt = AttemptId::Parse(aRequest.attempt());
+  const Incarnation named(aRequest.home_incarnation());
+  if (attempt) {
+    report = aRequest.revoke() ? mHome.Revoke(*attempt, named)
+                               : mHome.Query(*attempt, named);
+  }
+  wire::Envelope envelope;
+  auto* reply = envelope.mutable_attempt_reply();
+  reply->set_state(static_cast<std::uint32_t>(report.mState));
+  reply->set_outcome(static_cast<std::uint32_t>(report.mOutcome));
+  const auto& answer = report.mAnswer;
+  if (answer && answer->mRequestKey == aRequest.request_key()) {
+    reply->set_has_answer(true);
+    reply->set_status(answer->mStatus);
+    reply->set_content_type(answer->mContentType);
+    reply->set_body(answer->mBody);
+  }
+  return envelope;
+}
+
+void
+Node::Parts::HandlePeer(const wire::Envelope& aRequest,
+                        const PeerReplier& aReply)
+{
+  if (!mReady) {
+    return; // the sender asks again
+  }
+  if (aRequest.has_indirect_probe()) {
+    mMembership->OnIndirectProbe(aRequest, aReply);
+  } else if (const auto answer = Answer(aRequest)) {
+    aReply(*answer);
+  }
+}
+
+std::optional<wire::Envelope>
+Node::Parts::Answer(const wire::Envelope& aRequest)
+{
+  switch (aRequest.body_case()) {
+    case wire::Envelope::kAttempt:
+      return AnswerAttempt(aRequest.attempt());
+    case wire::Envelope::kProbe:
+      return mMembership->OnProbe(aRequest);
+    case wire::Envelope::kDeltaRequest:
+      return mConfig->OnDeltaRequest(aRequest.delta_request());
+    case wire::Envelope::kHealth:
+      if (mEjection) {
+        return mEjection->OnHealthRequest(aRequest.health());
+      }
+      return std::nullopt;
+    case wire::Envelope::kBoxRecords:
+      if (mDirectory) {
+        mDirectory->OnRecords(aRequest.box_records());
+      }
+      return MakeAck();
+    case wire::Envelope::kDirectoryRequest:
+      if (mDirectory) {
+        return mDirectory->OnDirectoryRequest(aRequest.directory_request());
+      }
+      return std::nullopt;
+    case wire::Envelope::kServerNews:
+      if (mNews) {
+        mNews->OnNews(aRequest.server_news());
+      }
+      return std::nullopt; // nobody waits for a reply
+    case wire::Envelope::kAnnounce: {
+      mConfig->OnAnnounce(aRequest);
+      return MakeAck();
+    }
+    default:
+      return std::nullopt;
+  }
+}
+
+} // namespace porttiller
--- /dev/null
+++ b/packages/node/src/NodeReport.cpp
@@ -0,0 +1,72 @@
+// What a daemon shows of itself: gauges and the state dump.
+#include "NodePartsPriv.h"
+
+#include "porttiller/config/JsonText.h"
+
+#include <Poco/JSON/Array.h>
+#include <map>
+
+namespace porttiller {
+
+void
+Node::Parts::RefreshGauges()
+{
+  const auto traffic = mTransport->Traffic();
+  mMetrics.ControlBytesSent().Set(static_cast<double>(traffic.mBytesSent));
+  mMetrics.ControlBytesReceived().Set(
+    static_cast<double>(traffic.mBytesReceived));
+  std::map<std::string, std::uint64_t> byKind;
+  for (const auto& [kind, bytes] : traffic.mSentByKind) {
+    byKind[ToText(kind)] += bytes;
+  }
+  for (const auto& [kind, bytes] : byKind) {
+    mMetrics.ControlBytesSentOf(kind).Set(static_cast<double>(bytes));
+  }
+  mMetrics.UnreadableMessages().Set(static_cast<double>(traffic.mUnreadable));
+  mMetrics.LateReplies().Set(static_cast<double>(traffic.mLateReplies));
+}
+
+// Servers that this box's entry may send to, as far as they have told.
+int
+Node::Parts::ServersInUse() const
+{
+  const auto snapshot = mConfig->Current();
+  int count = 0;
+  if (snapshot) {
+    for (const auto& [name, service] : snapshot->mServices) {
+      for (const auto& server : service.mServers) {
+        count += server.mLeaving ? 0 : 1;
+      }
+    }
+  }
+  return count;
+}
+
+std::string
+Node::Parts::StateText() const
+{
+  Poco::JSON::Object state(Poco::JSON_PRESERVE_KEY_ORDER);
+  state.set("box", mSettings.mBox.Value());
+  state.set("zone", mSettings.mZone.Value());
+  state.set("incarnation", std::to_string(mIncarnation.Value()));
+  state.set("draining", mDraining.load());
+  state.set("revision", mConfig->Own().mRevision);
+  state.set("platform_reachable", mConfig->PlatformReachable());
+  state.set("watcher", mConfig->IsWatcher());
+  state.set("servers_in_use", ServersInUse());
+  Poco::JSON::Array servers;
+  for (const auto& server : mHome.Servers()) {
+    Poco::JSON::Object item(Poco::JSON_PRESERVE_KEY_ORDER);
+    item.set("name", server->Spec().mName.Value());
+    item.set("service", server->Spec().mService.Value());
+    item.set("phase", ToText(server->Phase()));
+    item.set("state", server->Dump());
+    servers.add(item);
+  }
+  state.set("servers", servers);
+  state.set("members", mMembership->Dump());
+  state.set("view", mView.Dump());
+  return ToJsonText(state) + "\n";
+}
+
+} // namespace porttiller
