--- a/packages/policy/tests/SubsetTest.cpp
+++ b/packages/policy/tests/SubsetTest.cpp
@@ -27,6 +27,7 @@
 MakeNames(int aCount, int aZones, const std::string& aKind)
 {
   std::vector<std::string> names;
+  names.reserve(static_cast<std::size_t>(aCount));
   for (int i = 0; i < aCount; ++i) {
     names.push_back("z" + std::to_string(i % aZones) + "/" + aKind +
                     std::to_string(i));
@@ -52,6 +53,7 @@
 SubsetOf(const std::string& aEntry, const Fleet& aFleet)
 {
   std::vector<SubsetServer> servers;
+  servers.reserve(aFleet.mServers.size());
   for (const auto& server : aFleet.mServers) {
     servers.push_back({ .mPlace = RingPlace(server),
                         .mSameZone = ZoneOf(server) == ZoneOf(aEntry) });
