--- a/packages/policy/include/porttiller/policy/Membership.h
+++ b/packages/policy/include/porttiller/policy/Membership.h
@@ -97,8 +97,8 @@
 
   // What changes where requests may go: suspicions, ends and refutations that
   // are new here. Each is given out once, at most aMost at a time, to be told
-  // at once: on probes alone, one a second, news of a box without power took
-  // some nine seconds to cross 353 boxes, and each entry lost a request to it.
+  // at once: on probes alone, one a second, news takes five rounds to cross 353
+  // boxes, and each entry loses a request to a box without power meanwhile.
   std::vector<MemberUpdate> TakeUrgent(std::size_t aMost);
 
   MemberState StateOf(const BoxName& aBox) const;
