--- a/packages/config/include/porttiller/config/Settings.h
+++ b/packages/config/include/porttiller/config/Settings.h
@@ -21,7 +21,7 @@
 struct CallerSettings
 {
   std::string mAddress = "127.0.0.1:8080";
-  int mThreads = 128; // also the most connections served at once
+  int mThreads = 128;      // requests served at once
   int mConnections = 2048; // open at once
   int mMaxBodyBytes = 1 << 20;
   int mMaxHeaders = 100;
