Read again: one lock and one wake in Merge, one maker of probes

MakeUrgent was a twin of MakeProbe. An entry's place among the boxes of its zone was counted for each service again. The comment of BoxRecordStore promised more log lines than there are. Ruled out here: fewer looks at the same candidates while a subset widens, and one lock in place of two around the own record, which want measurements or a review.

--- a/packages/control/include/porttiller/control/BoxRecordStore.h
+++ b/packages/control/include/porttiller/control/BoxRecordStore.h
@@ -20,7 +20,8 @@
 };
 
 // Owned by the directory controller. Thread-safe: reads and writes of the own
-// record come one at a time. Logs what fails.
+// record come one at a time. Logs writes that fail and listed records that
+// cannot be read; a read that fails is its caller's to tell.
 class BoxRecordStore
 {
 public:
--- a/packages/control/include/porttiller/control/MembershipController.h
+++ b/packages/control/include/porttiller/control/MembershipController.h
@@ -73,12 +73,12 @@
   void AskHelpers(const BoxSpec& aBox);
   void TakeBeliefs(
     const google::protobuf::RepeatedPtrField<wire::Member>& aMembers);
-  wire::Envelope MakeProbe(const BoxName& aTo);
+  wire::Envelope MakeProbe(const std::vector<MemberUpdate>& aUpdates) const;
+  std::vector<MemberUpdate> NewsFor(const BoxName& aBox);
   void NoteRevision(const std::string& aFromBox, const PeerRevision& aRevision);
   std::optional<BoxSpec> SpecOf(const BoxName& aBox) const;
   void RefreshUsable();
   void TellUrgent();
-  wire::Envelope MakeUrgent(const std::vector<MemberUpdate>& aUpdates);
   std::vector<const BoxSpec*> LivePeers(const Snapshot& aSnapshot) const;
   SnapshotPtr CurrentSnapshot() const;
 
--- a/packages/control/src/DirectoryController.cpp
+++ b/packages/control/src/DirectoryController.cpp
@@ -301,13 +301,13 @@
 DirectoryController::Merge(const std::vector<BoxRecord>& aRecords,
                            const char* aSource)
 {
+  const bool fromPeer = std::string_view(aSource) == "peer";
   std::vector<BoxRecord> news;
   {
     const std::lock_guard lock(mMutex);
-    const bool fromPeer = std::string_view(aSource) == "peer";
     for (const auto& record : aRecords) {
       const bool own = record.mBox.mName == mSettings.mBox;
-      if (fromPeer && !own) {
+      if (fromPeer && !own && !mHeardPeer) {
         mHeardPeer = true;
         mWake.notify_all();
       }
@@ -320,6 +320,11 @@
         news.push_back(record);
       }
     }
+    if (fromPeer) {
+      for (const auto& record : news) {
+        mOnwards.insert_or_assign(record.mBox.mName, record);
+      }
+    }
   }
   if (news.empty()) {
     return;
@@ -333,15 +338,6 @@
       .With("server", record.mServer ? record.mServer->mId.Value() : "")
       .With("state", record.mServer ? ToText(record.mServer->mState) : "");
   }
-  const bool onwards = std::string_view(aSource) == "peer";
-  {
-    const std::lock_guard lock(mMutex);
-    for (const auto& record : news) {
-      if (onwards) {
-        mOnwards.insert_or_assign(record.mBox.mName, record);
-      }
-    }
-  }
   PlanBatch();
 }
 
--- a/packages/control/src/MembershipController.cpp
+++ b/packages/control/src/MembershipController.cpp
@@ -110,17 +110,6 @@
   ProbeNext();
 }
 
-wire::Envelope
-MembershipController::MakeUrgent(const std::vector<MemberUpdate>& aUpdates)
-{
-  const auto own = mHooks.mOwnRevision();
-  wire::Envelope envelope;
-  auto* probe = envelope.mutable_probe();
-  SetRevision(own, *probe);
-  EncodeMembers(aUpdates, *probe->mutable_members());
-  return envelope;
-}
-
 // News that came within a gap waits for the next news or tick. Suspects hear
 // of it, too, and may refute.
 void
@@ -138,7 +127,7 @@
     }
     mNextUrgent = Now() + kUrgentGap;
   }
-  const auto message = MakeUrgent(updates);
+  const auto message = MakeProbe(updates);
   for (const auto& peer : SpreadPeers(kUrgentNews)) {
     mTransport.Tell(peer.mControlAddress, message);
   }
@@ -198,23 +187,28 @@
 }
 
 wire::Envelope
-MembershipController::MakeProbe(const BoxName& aTo)
+MembershipController::MakeProbe(const std::vector<MemberUpdate>& aUpdates) const
 {
-  const auto own = mHooks.mOwnRevision();
   wire::Envelope envelope;
   auto* probe = envelope.mutable_probe();
-  SetRevision(own, *probe);
-  const std::lock_guard lock(mMutex);
-  EncodeMembers(mMembership.Spread(aTo), *probe->mutable_members());
+  SetRevision(mHooks.mOwnRevision(), *probe);
+  EncodeMembers(aUpdates, *probe->mutable_members());
   return envelope;
 }
 
+std::vector<MemberUpdate>
+MembershipController::NewsFor(const BoxName& aBox)
+{
+  const std::lock_guard lock(mMutex);
+  return mMembership.Spread(aBox);
+}
+
 void
 MembershipController::ProbeBox(const BoxSpec& aBox)
 {
   mTransport.Send(
     aBox.mControlAddress,
-    MakeProbe(aBox.mName),
+    MakeProbe(NewsFor(aBox.mName)),
     mSettings.mTiming.mProbeTimeout,
     [this, aBox](const PeerResult& aResult) { OnProbed(aBox, aResult); });
 }
@@ -315,8 +309,7 @@
   wire::Envelope envelope;
   auto* reply = envelope.mutable_probe_reply();
   SetRevision(own, *reply);
-  const std::lock_guard lock(mMutex);
-  EncodeMembers(mMembership.Spread(BoxName(aRequest.from_box())),
+  EncodeMembers(NewsFor(BoxName(aRequest.from_box())),
                 *reply->mutable_members());
   return envelope;
 }
@@ -333,7 +326,7 @@
     return;
   }
   mTransport.Send(spec->mControlAddress,
-                  MakeProbe(spec->mName),
+                  MakeProbe(NewsFor(spec->mName)),
                   mSettings.mTiming.mProbeTimeout,
                   [aReply](const PeerResult& aResult) {
                     wire::Envelope envelope;
--- a/packages/entry/include/porttiller/entry/EntryView.h
+++ b/packages/entry/include/porttiller/entry/EntryView.h
@@ -150,7 +150,7 @@
 
   ServiceShard& ShardOf(const ServiceName& aService) const;
   BoxShard& ShardOf(const BoxName& aBox) const;
-  SubsetEntry OwnPlace(const Snapshot& aSnapshot) const;
+  SubsetEntry OwnPlace(const Snapshot& aSnapshot);
   ServerOrderPtr OrderOf(const Snapshot& aSnapshot,
                          const ServiceEntry& aService);
   ServerOrderPtr MakeOrder(const Snapshot& aSnapshot,
@@ -171,6 +171,9 @@
   const BoxName mBox;
   const AvailabilityZone mZone;
   const BalancerOptions mOptions;
+  std::mutex mOwnPlaceMutex;
+  SubsetEntry mOwnPlace;             // under mOwnPlaceMutex
+  std::uint64_t mOwnPlaceSerial = 0; // of its snapshot; under mOwnPlaceMutex
   mutable std::array<ServiceShard, kShards> mServices;
   mutable std::array<BoxShard, kShards> mBoxes;
 };
--- a/packages/entry/src/EntryView.cpp
+++ b/packages/entry/src/EntryView.cpp
@@ -75,9 +75,14 @@
   return mBoxes.at(std::hash<std::string>{}(aBox.Value()) % kShards);
 }
 
+// Counted once for each snapshot, as it is the same for all services.
 SubsetEntry
-EntryView::OwnPlace(const Snapshot& aSnapshot) const
+EntryView::OwnPlace(const Snapshot& aSnapshot)
 {
+  const std::lock_guard lock(mOwnPlaceMutex);
+  if (aSnapshot.mSerial != 0 && aSnapshot.mSerial == mOwnPlaceSerial) {
+    return mOwnPlace;
+  }
   SubsetEntry entry{ .mEntries = 0 };
   const auto own = RingPlace(mBox.Value());
   for (const auto& [name, box] : aSnapshot.mBoxes) {
@@ -86,6 +91,8 @@
       entry.mRank += RingPlace(name.Value()) < own ? 1 : 0;
     }
   }
+  mOwnPlace = entry;
+  mOwnPlaceSerial = aSnapshot.mSerial;
   return entry;
 }
 
