Report integers above 2^63 - 1 as errors; bound the depth of JSON

Callers saw: nothing yet; a record or a heartbeat of another writer with such a number throws out of the decoder, and on a thread of the peer transport that ends the process. Cause: FieldReader converted to a signed integer without handling POCO's range error. JSON was parsed to any depth; parser and values recurse once a level. Fix: the range error becomes the field's error; the parser stops at 64 levels. Evidence: FieldReaderTest "Integers are read within their range only" failed on the earlier code ("test case THREW exception: Out of range"). The nesting test passed there with the main thread's stack of 8 MB; it guards the bound.

--- a/packages/config/include/porttiller/config/FieldReader.h
+++ b/packages/config/include/porttiller/config/FieldReader.h
@@ -59,6 +59,8 @@
   std::vector<std::string> Addresses(const std::string& aName);
   // A required "ip:port".
   std::string Address(const std::string& aName);
+  // A required IPv4 "ip:port" that can be connected to.
+  std::string Endpoint(const std::string& aName);
   std::string AddressOr(const std::string& aName, const std::string& aDefault);
   // The objects of an array; none when it is absent.
   std::vector<FieldReader> Children(const std::string& aName);
--- a/packages/config/src/FieldReader.cpp
+++ b/packages/config/src/FieldReader.cpp
@@ -3,6 +3,7 @@
 #include "porttiller/core/Ids.h"
 
 #include <Poco/JSON/Array.h>
+#include <arpa/inet.h>
 
 namespace porttiller {
 
@@ -21,6 +22,15 @@
   return port && *port <= kMaxPort;
 }
 
+bool
+IsEndpoint(const std::string& aText)
+{
+  const auto colon = aText.rfind(':');
+  in_addr address{};
+  return IsAddress(aText) && ParseUnsigned(aText.substr(colon + 1)) != 0 &&
+         inet_pton(AF_INET, aText.substr(0, colon).c_str(), &address) == 1;
+}
+
 } // namespace
 
 std::string
@@ -105,6 +115,16 @@
   return text;
 }
 
+std::string
+FieldReader::Endpoint(const std::string& aName)
+{
+  auto text = String(aName);
+  if (!text.empty() && !IsEndpoint(text)) {
+    Fail(aName, "must be an IPv4 \"ip:port\" with a port from 1 to 65535");
+  }
+  return text;
+}
+
 std::string
 FieldReader::AddressOr(const std::string& aName, const std::string& aDefault)
 {
@@ -120,8 +140,14 @@
     Fail(aName, "must be an integer");
     return std::nullopt;
   }
-  const auto number = value.convert<std::int64_t>();
-  if (number < aRange.mMin || number > aRange.mMax) {
+  std::int64_t number = 0;
+  bool fits = true;
+  try {
+    number = value.convert<std::int64_t>();
+  } catch (const Poco::RangeException&) { // above 2^63 - 1
+    fits = false;
+  }
+  if (!fits || number < aRange.mMin || number > aRange.mMax) {
     Fail(aName,
          "must be from " + std::to_string(aRange.mMin) + " to " +
            std::to_string(aRange.mMax));
--- a/packages/config/src/JsonText.cpp
+++ b/packages/config/src/JsonText.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+// The parser and the values that it makes recurse once for each level.
+constexpr std::size_t kMaxDepth = 64;
+
 // POCO's parser drops block comments only; blanks line comments for it.
 std::string
 WithoutLineComments(std::string aText)
@@ -38,6 +41,7 @@
   try {
     Poco::JSON::Parser parser;
     parser.setAllowComments(true);
+    parser.setDepth(kMaxDepth);
     const auto value = parser.parse(WithoutLineComments(aText));
     if (value.type() != typeid(Poco::JSON::Object::Ptr)) {
       return tl::make_unexpected(
--- /dev/null
+++ b/packages/config/tests/FieldReaderTest.cpp
@@ -0,0 +1,80 @@
+#include "porttiller/config/JsonText.h"
+
+#include <doctest/doctest.h>
+#include <limits>
+
+using namespace porttiller;
+
+namespace {
+
+std::string
+Nested(int aDepth)
+{
+  std::string text;
+  for (int i = 0; i < aDepth; ++i) {
+    text += R"({"a":[)";
+  }
+  return text;
+}
+
+} // namespace
+
+TEST_CASE("Integers are read within their range only")
+{
+  constexpr IntegerRange kRange{ .mMin = 1,
+                                 .mMax =
+                                   std::numeric_limits<std::int64_t>::max() };
+  for (const char* wrong : { "0",
+                             "-1",
+                             "1.5",
+                             "\"4\"",
+                             "true",
+                             "null",
+                             "[]",
+                             "9223372036854775808",
+                             "18446744073709551615" }) {
+    CAPTURE(wrong);
+    const auto json = ParseJsonObject(std::string(R"({"n":)") + wrong + "}");
+    REQUIRE(json);
+    FieldErrors errors;
+    FieldReader(*json, "", errors).Integer("n", kRange);
+    CHECK(errors.size() == 1);
+  }
+}
+
+TEST_CASE("Deep nesting is an error, not a stack overflow")
+{
+  const auto open = Nested(10'000);
+  std::string close;
+  for (int i = 0; i < 10'000; ++i) {
+    close += "]}";
+  }
+  CHECK_FALSE(ParseJsonObject(open + close));
+  CHECK_FALSE(ParseJsonObject(open));
+  CHECK(ParseJsonObject(R"({"a":[{"b":[{"c":1}]}]})"));
+}
+
+TEST_CASE("An endpoint is an IPv4 address with a port that can be reached")
+{
+  const auto accepts = [](const std::string& aText) {
+    const auto json = ParseJsonObject(R"({"a":")" + aText + "\"}");
+    FieldErrors errors;
+    FieldReader(*json, "", errors).Endpoint("a");
+    return errors.empty();
+  };
+  CHECK(accepts("10.1.0.38:8145"));
+  for (const char* wrong : { "10.1.0.38",
+                             "10.1.0.38:",
+                             "10.1.0.38:0",
+                             "10.1.0.38:65536",
+                             "10.1.0.38:-1",
+                             "10.1.0.38:80x",
+                             "10.1.0:80",
+                             "box.example:80",
+                             "[::1]:80",
+                             "/run/server.sock:1",
+                             ":80" }) {
+    CAPTURE(wrong);
+    CHECK_FALSE(accepts(wrong));
+  }
+}
