--- a/packages/config/include/porttiller/config/BoxRecord.h
+++ b/packages/config/include/porttiller/config/BoxRecord.h
@@ -5,6 +5,7 @@
 
 #include "porttiller/config/Resources.h"
 #include "porttiller/core/Ids.h"
+#include "porttiller/core/ServerIncarnation.h"
 
 #include <optional>
 #include <string>
@@ -15,22 +16,22 @@
 enum class ServerState
 {
   kReady,
-  kDraining, // said that it will leave; finishes what it has
-  kLeft      // said that it leaves now
+  kDraining, // announced that it will leave; finishes what it has
+  kLeft      // announced that it leaves now
 };
 
 const char*
 ToText(ServerState aState);
 
-// The backend server beside a box, in one of its lives.
+// The backend server beside a box, in one of its starts.
 struct ServerRecord
 {
-  BackendServerName mId; // drawn anew in each life of the server
+  ServerIncarnation mIncarnation;
   ServiceName mService;
   std::string mAddress; // "ip:port", reached from its own box
   int mSlots = 1;
   ServerState mState = ServerState::kReady;
-  std::uint64_t mSequence = 0; // of the server's message that said so
+  std::uint64_t mSequence = 0; // of the heartbeat that said so
 
   friend auto operator<=>(const ServerRecord&, const ServerRecord&) = default;
 };
--- a/packages/config/include/porttiller/config/Registrar.h
+++ b/packages/config/include/porttiller/config/Registrar.h
@@ -1,5 +1,5 @@
-// Orders what the backend server of one box says of itself. A server has an id
-// for each of its lives, and numbers its messages; messages may come late.
+// Orders the messages of the backend server beside one box. Messages may come
+// late, from an earlier start of the server, or from another writer.
 #pragma once
 
 #include "porttiller/config/BoxRecord.h"
@@ -10,30 +10,35 @@
 
 namespace porttiller {
 
-// A heartbeat, or the word that the server leaves.
+// A heartbeat, or the message that the server leaves.
 struct ServerMessage
 {
-  ServerRecord mServer; // of a leaving one only the id counts
+  ServerRecord mServer; // of a leaving one only incarnation and state count
   Millis mColdFor{ 0 }; // it is slow from its start for so much longer
 };
 
 // What a message changes.
 enum class RegistrarVerdict
 {
-  kNothingNew, // known, late, or of an earlier life
-  kNewServer,  // another server, or its first message
-  kLeaving     // it drains or leaves; to be kept before it is acknowledged
+  kNothingNew, // known, late, or of an earlier start
+  kNewServer,  // another server or start, or its first message
+  kLeaving,    // it drains or leaves; to be kept before it is acknowledged
+  kForeign     // not of the server in use; not to be acknowledged
 };
 
-// Owned by the directory controller, under its lock.
+// Within one id a later start replaces an earlier one at once, whatever the
+// state of either, and messages of earlier starts change nothing. Servers
+// that report no start time have a new id at each start. Owned by the directory
+// controller, under its lock.
 class Registrar
 {
 public:
-  // A life that was taken for over comes back after so many further messages:
-  // then a late message of a still older life had been taken for a new one.
-  static constexpr int kMessagesToReturn = 3;
+  // So many further heartbeats show that a server is running although it was
+  // taken for gone: by a late message of another id, or by a leave message that
+  // does not say which start it is of.
+  static constexpr int kHeartbeatsToReturn = 3;
 
-  // Goes on from what an earlier life of this box had recorded.
+  // Goes on from what an earlier incarnation of this box had recorded.
   void Restore(const ServerRecord& aServer);
 
   RegistrarVerdict Take(const ServerMessage& aMessage);
@@ -42,18 +47,24 @@
   const std::optional<ServerRecord>& Server() const { return mServer; }
 
 private:
-  struct EarlierLife
+  struct EarlierServer
   {
     ServerRecord mServer;
-    int mMessages = 0; // since it was taken for over
+    int mHeartbeats = 0; // since it was taken for gone
   };
 
-  RegistrarVerdict TakeKnown(const ServerRecord& aServer);
-  RegistrarVerdict TakeEarlier(EarlierLife& aLife, const ServerRecord& aServer);
+  RegistrarVerdict TakeSameId(const ServerRecord& aServer);
+  RegistrarVerdict TakeSameStart(const ServerRecord& aServer);
+  RegistrarVerdict TakeEarlier(EarlierServer& aEarlier,
+                               const ServerRecord& aServer);
+  RegistrarVerdict Replace(const ServerRecord& aServer);
   void Retire();
 
   std::optional<ServerRecord> mServer;
-  std::map<BackendServerName, EarlierLife> mEarlier;
+  // The leave message of mServer named no start, though the server has one.
+  bool mLeftWithoutStart = false;
+  int mHeartbeatsSinceLeft = 0;
+  std::map<BackendServerName, EarlierServer> mEarlier;
 };
 
 } // namespace porttiller
--- a/packages/config/include/porttiller/config/Resources.h
+++ b/packages/config/include/porttiller/config/Resources.h
@@ -5,6 +5,7 @@
 #include "porttiller/config/FieldReader.h"
 #include "porttiller/core/Ids.h"
 #include "porttiller/core/Outcome.h"
+#include "porttiller/core/ServerIncarnation.h"
 #include "porttiller/core/Time.h"
 
 #include <optional>
@@ -49,6 +50,13 @@
   int mSlots = 1;       // requests that it runs at once
   int mConnections = 1;
   bool mLeaving = false; // finishes what it has and takes nothing new
+  // Of its start, by its own clock; null where servers do not report it.
+  std::optional<std::int64_t> mStartMs;
+
+  ServerIncarnation Incarnation() const
+  {
+    return ServerIncarnation(mName, mStartMs);
+  }
 
   friend auto operator<=>(const BackendServerSpec&,
                           const BackendServerSpec&) = default;
--- a/packages/config/src/BoxRecord.cpp
+++ b/packages/config/src/BoxRecord.cpp
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <cassert>
+#include <limits>
 
 namespace porttiller {
 
@@ -34,12 +35,27 @@
   return number.value_or(0);
 }
 
+std::int64_t
+ReadStart(FieldReader& aReader)
+{
+  const auto start = ReadNumber(aReader, "start_ms");
+  if (start > std::numeric_limits<std::int64_t>::max()) {
+    aReader.Fail("start_ms", "is out of range");
+    return 0;
+  }
+  return static_cast<std::int64_t>(start);
+}
+
 ServerRecord
 ReadServer(FieldReader aReader)
 {
-  ServerRecord server{ .mId = BackendServerName(aReader.String("id")) };
+  const BackendServerName id(aReader.String("id"));
+  // Absent in records of servers that do not report it.
+  const auto start =
+    aReader.Has("start_ms") ? std::optional(ReadStart(aReader)) : std::nullopt;
+  ServerRecord server{ .mIncarnation = ServerIncarnation(id, start) };
   server.mService = ServiceName(aReader.String("service"));
-  server.mAddress = aReader.Address("address");
+  server.mAddress = aReader.Endpoint("address");
   server.mSlots = static_cast<int>(aReader.Integer("slots", kSlots));
   const auto state = ParseState(aReader.String("state"));
   if (!state) {
@@ -63,13 +79,14 @@
 {
   assert(aRecord.mServer);
   const auto& server = *aRecord.mServer;
-  return { .mName = server.mId,
+  return { .mName = server.mIncarnation.Id(),
            .mService = server.mService,
            .mBox = aRecord.mBox.mName,
            .mAddress = server.mAddress,
            .mSlots = server.mSlots,
            .mConnections = server.mSlots,
-           .mLeaving = server.mState != ServerState::kReady };
+           .mLeaving = server.mState != ServerState::kReady,
+           .mStartMs = server.mIncarnation.StartMs() };
 }
 
 std::string
@@ -85,7 +102,11 @@
   document.set("revision", std::to_string(aRecord.mRevision));
   if (aRecord.mServer) {
     Poco::JSON::Object server;
-    server.set("id", aRecord.mServer->mId.Value());
+    const auto& incarnation = aRecord.mServer->mIncarnation;
+    server.set("id", incarnation.Id().Value());
+    if (incarnation.StartMs()) {
+      server.set("start_ms", std::to_string(*incarnation.StartMs()));
+    }
     server.set("service", aRecord.mServer->mService.Value());
     server.set("address", aRecord.mServer->mAddress);
     server.set("slots", aRecord.mServer->mSlots);
@@ -108,8 +129,8 @@
   BoxRecord record;
   record.mBox.mName = BoxName(reader.String("box"));
   record.mBox.mZone = AvailabilityZone(reader.String("zone"));
-  record.mBox.mHomeAddress = reader.Address("home");
-  record.mBox.mControlAddress = reader.Address("control");
+  record.mBox.mHomeAddress = reader.Endpoint("home");
+  record.mBox.mControlAddress = reader.Endpoint("control");
   if (reader.OptionalBool("leaving").value_or(false)) {
     record.mBox.mState = BoxState::kLeaving;
   }
--- a/packages/config/src/Registrar.cpp
+++ b/packages/config/src/Registrar.cpp
@@ -4,81 +4,186 @@
 
 namespace porttiller {
 
+namespace {
+
+RegistrarVerdict
+VerdictOn(ServerState aState)
+{
+  return aState == ServerState::kReady ? RegistrarVerdict::kNewServer
+                                       : RegistrarVerdict::kLeaving;
+}
+
+// A leave message that is the first one of its start carries no address.
+bool
+IsBareLeave(const ServerRecord& aServer)
+{
+  return aServer.mState == ServerState::kLeft && aServer.mAddress.empty();
+}
+
+// A record that was read after messages of the same id had come.
+ServerRecord
+Updated(ServerRecord aRecord, const ServerRecord& aMessages)
+{
+  if (aMessages.mIncarnation.Supersedes(aRecord.mIncarnation)) {
+    aRecord.mIncarnation = aMessages.mIncarnation;
+    aRecord.mState = aMessages.mState;
+    aRecord.mSequence = aMessages.mSequence;
+  } else if (aMessages.mIncarnation == aRecord.mIncarnation) {
+    // A state that was acknowledged is never taken back.
+    aRecord.mState = std::max(aRecord.mState, aMessages.mState);
+    aRecord.mSequence = std::max(aRecord.mSequence, aMessages.mSequence);
+  }
+  return aRecord;
+}
+
+} // namespace
+
 void
 Registrar::Restore(const ServerRecord& aServer)
 {
-  if (!mServer) {
-    mServer = aServer;
+  const auto& id = aServer.mIncarnation.Id();
+  if (mServer && mServer->mIncarnation.Id() == id) {
+    const bool later = aServer.mIncarnation.Supersedes(mServer->mIncarnation);
+    mServer = later ? aServer : Updated(*mServer, aServer);
     return;
   }
-  if (mServer->mId == aServer.mId) {
-    // A state that was acknowledged is never taken back.
-    mServer->mState = std::max(mServer->mState, aServer.mState);
-    mServer->mSequence = std::max(mServer->mSequence, aServer.mSequence);
+  const auto it = mEarlier.find(id);
+  const auto record =
+    it == mEarlier.end() ? aServer : Updated(aServer, it->second.mServer);
+  if (!mServer) {
+    mServer = record;
+    mEarlier.erase(id);
     return;
   }
-  // The one that has spoken to this life is the later one.
-  mEarlier[aServer.mId].mServer = aServer;
+  // The one that has sent messages to this incarnation of the box is the later.
+  mEarlier[id].mServer = record;
 }
 
 void
 Registrar::Retire()
 {
   if (mServer) {
-    mEarlier[mServer->mId] = { .mServer = *mServer };
+    mEarlier[mServer->mIncarnation.Id()] = { .mServer = *mServer };
   }
 }
 
+RegistrarVerdict
+Registrar::Replace(const ServerRecord& aServer)
+{
+  mServer = aServer;
+  mLeftWithoutStart = false;
+  mHeartbeatsSinceLeft = 0;
+  return VerdictOn(aServer.mState);
+}
+
 RegistrarVerdict
 Registrar::Take(const ServerMessage& aMessage)
 {
   const auto& server = aMessage.mServer;
-  if (mServer && mServer->mId == server.mId) {
-    return TakeKnown(server);
+  const auto& id = server.mIncarnation.Id();
+  if (mServer && mServer->mIncarnation.Id() == id) {
+    return TakeSameId(server);
   }
-  if (const auto it = mEarlier.find(server.mId); it != mEarlier.end()) {
+  if (const auto it = mEarlier.find(id); it != mEarlier.end()) {
     return TakeEarlier(it->second, server);
   }
-  if (server.mState == ServerState::kLeft && server.mAddress.empty()) {
+  if (IsBareLeave(server)) {
     // It leaves before its first heartbeat came: nothing may use it.
-    mEarlier[server.mId].mServer = server;
+    mEarlier[id].mServer = server;
     return RegistrarVerdict::kNothingNew;
   }
+  if (mServer && mServer->mIncarnation.StartMs() &&
+      !server.mIncarnation.StartMs()) {
+    return RegistrarVerdict::kForeign;
+  }
   Retire();
-  mServer = server;
-  return server.mState == ServerState::kReady ? RegistrarVerdict::kNewServer
-                                              : RegistrarVerdict::kLeaving;
+  return Replace(server);
 }
 
 RegistrarVerdict
-Registrar::TakeEarlier(EarlierLife& aLife, const ServerRecord& aServer)
+Registrar::TakeSameId(const ServerRecord& aServer)
 {
-  aLife.mServer.mState = std::max(aLife.mServer.mState, aServer.mState);
-  if (aServer.mSequence <= aLife.mServer.mSequence ||
-      aLife.mServer.mState != ServerState::kReady) {
+  const auto& held = mServer->mIncarnation;
+  if (aServer.mIncarnation.Supersedes(held)) {
+    if (!IsBareLeave(aServer)) {
+      return Replace(aServer);
+    }
+    auto left = *mServer;
+    left.mIncarnation = aServer.mIncarnation;
+    left.mState = ServerState::kLeft;
+    left.mSequence = 0;
+    return Replace(left);
+  }
+  if (!held.Supersedes(aServer.mIncarnation)) {
+    return TakeSameStart(aServer);
+  }
+  if (aServer.mIncarnation.StartMs()) {
     return RegistrarVerdict::kNothingNew;
   }
-  aLife.mServer.mSequence = aServer.mSequence;
-  if (++aLife.mMessages < kMessagesToReturn) {
+  if (aServer.mState != ServerState::kLeft) {
+    return RegistrarVerdict::kForeign;
+  }
+  // Of which start is not known: the safe one to assume is the present one.
+  if (mServer->mState == ServerState::kLeft) {
     return RegistrarVerdict::kNothingNew;
   }
-  Retire();
-  mServer = aServer;
-  mEarlier.erase(aServer.mId);
-  return RegistrarVerdict::kNewServer;
+  mServer->mState = ServerState::kLeft;
+  mLeftWithoutStart = true;
+  mHeartbeatsSinceLeft = 0;
+  return RegistrarVerdict::kLeaving;
 }
 
 RegistrarVerdict
-Registrar::TakeKnown(const ServerRecord& aServer)
+Registrar::TakeSameStart(const ServerRecord& aServer)
 {
-  if (aServer.mState <= mServer->mState) {
+  if (aServer.mState > mServer->mState) {
+    // Draining and leaving hold whatever their order: they are not taken back.
+    mServer->mState = aServer.mState;
     mServer->mSequence = std::max(mServer->mSequence, aServer.mSequence);
-    return RegistrarVerdict::kNothingNew;
+    mLeftWithoutStart = false;
+    return RegistrarVerdict::kLeaving;
   }
-  // Draining and leaving hold whatever their order: they are never taken back.
-  mServer->mState = aServer.mState;
+  const bool later = aServer.mSequence > mServer->mSequence;
   mServer->mSequence = std::max(mServer->mSequence, aServer.mSequence);
-  return RegistrarVerdict::kLeaving;
+  if (!mLeftWithoutStart || !later ||
+      ++mHeartbeatsSinceLeft < kHeartbeatsToReturn) {
+    return RegistrarVerdict::kNothingNew;
+  }
+  return Replace(aServer);
+}
+
+RegistrarVerdict
+Registrar::TakeEarlier(EarlierServer& aEarlier, const ServerRecord& aServer)
+{
+  auto& held = aEarlier.mServer;
+  const bool superseded = held.mIncarnation.Supersedes(aServer.mIncarnation);
+  if (superseded && aServer.mIncarnation.StartMs()) {
+    return RegistrarVerdict::kNothingNew;
+  }
+  if (superseded && aServer.mState != ServerState::kLeft) {
+    return RegistrarVerdict::kForeign;
+  }
+  if (aServer.mIncarnation.Supersedes(held.mIncarnation)) {
+    if (IsBareLeave(aServer)) {
+      held = aServer;
+      return RegistrarVerdict::kNothingNew;
+    }
+    mEarlier.erase(aServer.mIncarnation.Id());
+    Retire();
+    return Replace(aServer);
+  }
+  held.mState = std::max(held.mState, aServer.mState);
+  if (aServer.mSequence <= held.mSequence ||
+      held.mState != ServerState::kReady) {
+    return RegistrarVerdict::kNothingNew;
+  }
+  held.mSequence = aServer.mSequence;
+  if (++aEarlier.mHeartbeats < kHeartbeatsToReturn) {
+    return RegistrarVerdict::kNothingNew;
+  }
+  mEarlier.erase(aServer.mIncarnation.Id());
+  Retire();
+  return Replace(aServer);
 }
 
 } // namespace porttiller
--- a/packages/config/tests/DirectoryTest.cpp
+++ b/packages/config/tests/DirectoryTest.cpp
@@ -24,16 +24,20 @@
 {
   auto record = Record("b", 18'000'000'000'000'000'000U);
   record.mBox.mState = BoxState::kLeaving;
-  record.mServer = ServerRecord{ .mId = BackendServerName("i"),
-                                 .mService = ServiceName("s"),
-                                 .mAddress = "10.0.0.1:3",
-                                 .mSlots = 4,
-                                 .mState = ServerState::kDraining,
-                                 .mSequence = 12 };
+  record.mServer =
+    ServerRecord{ .mIncarnation = ServerIncarnation(BackendServerName("i")),
+                  .mService = ServiceName("s"),
+                  .mAddress = "10.0.0.1:3",
+                  .mSlots = 4,
+                  .mState = ServerState::kDraining,
+                  .mSequence = 12 };
   const auto text = ToJsonText(record);
   const auto read = ParseBoxRecord(text);
   REQUIRE(read);
   CHECK(*read == record);
+  record.mServer->mIncarnation =
+    ServerIncarnation(BackendServerName("i"), 1'700'000'000'123);
+  CHECK(*ParseBoxRecord(ToJsonText(record)) == record);
   CHECK_FALSE(ParseBoxRecord("{}"));
   CHECK_FALSE(ParseBoxRecord("no"));
   auto broken = text;
--- a/packages/config/tests/SnapshotTest.cpp
+++ b/packages/config/tests/SnapshotTest.cpp
@@ -108,11 +108,12 @@
   fixture.Apply(MakeObject("Service", "s", 1, "{}"));
   BoxRecord record{ .mIncarnation = Incarnation(7), .mRevision = 3 };
   record.mBox.mName = BoxName("b");
-  record.mServer = ServerRecord{ .mId = BackendServerName("i-1"),
-                                 .mService = ServiceName("s"),
-                                 .mAddress = "127.0.0.1:1",
-                                 .mSlots = 4,
-                                 .mState = ServerState::kDraining };
+  record.mServer =
+    ServerRecord{ .mIncarnation = ServerIncarnation(BackendServerName("i-1")),
+                  .mService = ServiceName("s"),
+                  .mAddress = "127.0.0.1:1",
+                  .mSlots = 4,
+                  .mState = ServerState::kDraining };
   const auto snapshot = fixture.Overlay({ record });
   REQUIRE(snapshot->FindBox(BoxName("b")) != nullptr);
   const auto& servers = snapshot->FindService(ServiceName("s"))->mServers;
--- a/packages/control/include/porttiller/control/DirectoryController.h
+++ b/packages/control/include/porttiller/control/DirectoryController.h
@@ -28,20 +28,21 @@
 {
   // The directory changed. Called one at a time, without the lock.
   std::function<void(std::vector<BoxRecord>)> mOnChange;
-  // The own server takes nothing new from now on; called before its word is
+  // The own server takes nothing new from now on; called before its message is
   // acknowledged.
-  std::function<void(const BackendServerName&)> mOnServerLeaving;
+  std::function<void(const ServerIncarnation&)> mOnServerLeaving;
   std::function<std::vector<BoxSpec>(std::size_t)> mRandomPeers;
   std::function<std::vector<BoxSpec>(const SpreadOptions&)> mSpreadPeers;
   // This box is the one of its zone that reads the store's list now and then.
   std::function<bool()> mReadsList = [] { return false; };
 };
 
-// Why a server's message is not acknowledged; it calls again.
+// Why a server's message is not acknowledged.
 enum class RegistrationError
 {
   kStarting, // what an earlier life of this box recorded is not known yet
-  kNotKept   // neither the store nor a peer holds it
+  kNotKept,  // neither the store nor a peer holds it
+  kForeign   // it is not of the server in use
 };
 
 const char*
--- a/packages/control/src/DirectoryController.cpp
+++ b/packages/control/src/DirectoryController.cpp
@@ -52,7 +52,15 @@
 const char*
 ToText(RegistrationError aError)
 {
-  return aError == RegistrationError::kStarting ? "starting" : "not-kept";
+  switch (aError) {
+    case RegistrationError::kStarting:
+      return "starting";
+    case RegistrationError::kNotKept:
+      return "not-kept";
+    case RegistrationError::kForeign:
+      break;
+  }
+  return "foreign";
 }
 
 DirectoryController::DirectoryController(const Settings& aSettings,
@@ -335,7 +343,8 @@
       .With("revision", std::to_string(record.mRevision))
       .With("source", aSource)
       .With("leaving", record.mBox.mState == BoxState::kLeaving ? "yes" : "no")
-      .With("server", record.mServer ? record.mServer->mId.Value() : "")
+      .With("server",
+            record.mServer ? record.mServer->mIncarnation.ToString() : "")
       .With("state", record.mServer ? ToText(record.mServer->mState) : "");
   }
   PlanBatch();
@@ -487,6 +496,9 @@
     verdict = mRegistrar.Take(aMessage);
     mServerKnown = true;
     mWake.notify_all();
+    if (verdict == RegistrarVerdict::kForeign) {
+      return tl::make_unexpected(RegistrationError::kForeign);
+    }
     if (verdict == RegistrarVerdict::kNothingNew) {
       return {};
     }
@@ -496,7 +508,7 @@
   }
   LogServer(aMessage, verdict);
   if (verdict == RegistrarVerdict::kLeaving) {
-    mHooks.mOnServerLeaving(aMessage.mServer.mId);
+    mHooks.mOnServerLeaving(record.mServer->mIncarnation);
   }
   PlanBatch();
   Push({ record }, kOwnNews);
@@ -512,7 +524,7 @@
 {
   const auto& server = aMessage.mServer;
   LogLine(LogLevel::kInfo, "server_message")
-    .With("server", server.mId.Value())
+    .With("server", server.mIncarnation.ToString())
     .With("service", server.mService.Value())
     .With("state", ToText(server.mState))
     .With("sequence", static_cast<std::int64_t>(server.mSequence))
--- a/packages/control/src/NewsController.cpp
+++ b/packages/control/src/NewsController.cpp
@@ -55,7 +55,10 @@
   }
   wire::Envelope message;
   auto* body = message.mutable_server_news();
-  body->set_server(aNews.mServer.Value());
+  body->set_server(aNews.mServer.Id().Value());
+  if (aNews.mServer.StartMs()) {
+    body->set_start_ms(*aNews.mServer.StartMs());
+  }
   body->set_service(aNews.mService.Value());
   body->set_demoted(aNews.mDemoted);
   body->set_retry_after_ms(
@@ -73,7 +76,7 @@
     mTransport.Tell(box->mControlAddress, message);
   }
   LogLine(LogLevel::kInfo, "server_news")
-    .With("server", aNews.mServer.Value())
+    .With("server", aNews.mServer.ToString())
     .With("state", aNews.mDemoted ? "demoted" : "open")
     .With("told", static_cast<std::int64_t>(aNews.mReceivers.size()));
 }
@@ -81,7 +84,11 @@
 void
 NewsController::OnNews(const wire::ServerNews& aMessage)
 {
-  mView.OnNews({ .mServer = BackendServerName(aMessage.server()),
+  const auto start = aMessage.has_start_ms()
+                       ? std::optional<std::int64_t>(aMessage.start_ms())
+                       : std::nullopt;
+  const ServerIncarnation server(BackendServerName(aMessage.server()), start);
+  mView.OnNews({ .mServer = server,
                  .mService = ServiceName(aMessage.service()),
                  .mDemoted = aMessage.demoted(),
                  .mRetryAfter = Millis(aMessage.retry_after_ms()) },
--- /dev/null
+++ b/packages/core/include/porttiller/core/ServerIncarnation.h
@@ -0,0 +1,45 @@
+// One start of a backend server.
+#pragma once
+
+#include "porttiller/core/Ids.h"
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace porttiller {
+
+// A backend server's id, which it may keep when it starts again, and the time
+// of that start by the server's own clock. Start times order the starts of one
+// id; they are never compared with those of another id or with another clock.
+// An unknown start time comes before every known one. Immutable.
+class ServerIncarnation
+{
+public:
+  ServerIncarnation() = default;
+  explicit ServerIncarnation(BackendServerName aId,
+                             std::optional<std::int64_t> aStartMs = {});
+
+  const BackendServerName& Id() const { return mId; }
+  // Milliseconds since the Unix epoch.
+  std::optional<std::int64_t> StartMs() const { return mStartMs; }
+
+  // True when this is a later start of the same id.
+  bool Supersedes(const ServerIncarnation& aOther) const;
+
+  // "ID@START", or "ID" while the start time is unknown.
+  std::string ToString() const;
+
+  friend bool operator==(const ServerIncarnation&,
+                         const ServerIncarnation&) = default;
+  // Starts of different ids are unordered.
+  friend std::partial_ordering operator<=>(const ServerIncarnation& aLeft,
+                                           const ServerIncarnation& aRight);
+
+private:
+  BackendServerName mId;
+  std::optional<std::int64_t> mStartMs;
+};
+
+} // namespace porttiller
--- a/packages/entry/include/porttiller/entry/EntryView.h
+++ b/packages/entry/include/porttiller/entry/EntryView.h
@@ -62,7 +62,7 @@
                  bool aMayFail, // the request that was refused
                  TimePoint aNow);
 
-  // From the home of a server, unasked.
+  // Sent by the home of a server.
   void OnNews(const ServerNews& aNews, TimePoint aNow);
 
   // The way to a box fails or works; never held against its servers.
@@ -93,8 +93,10 @@
 private:
   static constexpr std::size_t kShards = 16;
 
+  // Of one start of a server; a later start begins with a new one.
   struct ServerView
   {
+    std::optional<std::int64_t> mStartMs;
     int mInFlight = 0;
     double mLoad = 0.0; // as reported at mLoadAt
     TimePoint mLoadAt;
@@ -148,6 +150,8 @@
     std::map<BoxName, BoxView> mBoxes;
   };
 
+  static ServerView* ViewOf(ServiceShard& aShard,
+                            const ServerIncarnation& aServer);
   ServiceShard& ShardOf(const ServiceName& aService) const;
   BoxShard& ShardOf(const BoxName& aBox) const;
   SubsetEntry OwnPlace(const Snapshot& aSnapshot);
--- a/packages/entry/src/EntryView.cpp
+++ b/packages/entry/src/EntryView.cpp
@@ -69,6 +69,22 @@
   return mServices.at(std::hash<std::string>{}(aService.Value()) % kShards);
 }
 
+// The view of a server's present start. What was learned of an earlier one is
+// dropped; null for a start that is not the present one any more. Under the
+// shard's lock.
+EntryView::ServerView*
+EntryView::ViewOf(ServiceShard& aShard, const ServerIncarnation& aServer)
+{
+  auto& view = aShard.mServers[aServer.Id()];
+  if (aServer.StartMs() < view.mStartMs) {
+    return nullptr;
+  }
+  if (aServer.StartMs() > view.mStartMs) {
+    view = { .mStartMs = aServer.StartMs() };
+  }
+  return &view;
+}
+
 EntryView::BoxShard&
 EntryView::ShardOf(const BoxName& aBox) const
 {
@@ -109,6 +125,7 @@
     {
       auto& shard = ShardOf(server.mService);
       const std::lock_guard lock(shard.mMutex);
+      ViewOf(shard, server.Incarnation());
       place.mView = &shard.mServers[server.mName];
     }
     {
@@ -256,7 +273,9 @@
 {
   auto& shard = ShardOf(aServer.mService);
   const std::lock_guard lock(shard.mMutex);
-  ++shard.mServers[aServer.mName].mInFlight;
+  if (auto* view = ViewOf(shard, aServer.Incarnation())) {
+    ++view->mInFlight;
+  }
 }
 
 void
@@ -264,7 +283,9 @@
 {
   auto& shard = ShardOf(aServer.mService);
   const std::lock_guard lock(shard.mMutex);
-  --shard.mServers[aServer.mName].mInFlight;
+  if (auto* view = ViewOf(shard, aServer.Incarnation())) {
+    --view->mInFlight;
+  }
 }
 
 void
@@ -274,9 +295,10 @@
 {
   auto& shard = ShardOf(aServer.mService);
   const std::lock_guard lock(shard.mMutex);
-  auto& view = shard.mServers[aServer.mName];
-  view.mLoad = aLoad;
-  view.mLoadAt = aNow;
+  if (auto* view = ViewOf(shard, aServer.Incarnation())) {
+    view->mLoad = aLoad;
+    view->mLoadAt = aNow;
+  }
 }
 
 void
@@ -292,16 +314,20 @@
   }
   auto& shard = ShardOf(aServer.mService);
   const std::lock_guard lock(shard.mMutex);
-  auto& view = shard.mServers[aServer.mName];
+  auto* view = ViewOf(shard, aServer.Incarnation());
+  if (view == nullptr) {
+    return;
+  }
+  const auto until = aNow + std::clamp(aRetryAfter, kMinAvoid, kMaxAvoid);
   if (!standing) {
-    view.mBrokenUntil = aNow + std::clamp(aRetryAfter, kMinAvoid, kMaxAvoid);
+    view->mBrokenUntil = until;
     if (aMayFail) {
-      view.mNoTrialUntil = view.mBrokenUntil; // it has its trials
+      view->mNoTrialUntil = until; // it has its trials
     }
     return;
   }
-  view.mStanding = *standing;
-  view.mStandingUntil = aNow + std::clamp(aRetryAfter, kMinAvoid, kMaxAvoid);
+  view->mStanding = *standing;
+  view->mStandingUntil = until;
 }
 
 void
@@ -309,17 +335,21 @@
 {
   auto& shard = ShardOf(aNews.mService);
   const std::lock_guard lock(shard.mMutex);
-  auto& view = shard.mServers[aNews.mServer];
+  auto* view = ViewOf(shard, aNews.mServer);
+  if (view == nullptr) {
+    return;
+  }
   if (!aNews.mDemoted) {
-    view.mBrokenUntil = {};
-    view.mNoTrialUntil = {};
+    view->mBrokenUntil = {};
+    view->mNoTrialUntil = {};
     return;
   }
   const auto retryAfter = std::clamp(aNews.mRetryAfter, kMinAvoid, kMaxAvoid);
-  view.mBrokenUntil = aNow + retryAfter;
-  // Its home needs few trials, and all that were told have some.
+  view->mBrokenUntil = aNow + retryAfter;
+  // Its home needs few trials, and every box that was told has some.
   const auto span = static_cast<std::uint64_t>(retryAfter.count());
-  view.mNoTrialUntil = aNow + Millis(static_cast<Millis::rep>(Random() % span));
+  view->mNoTrialUntil =
+    aNow + Millis(static_cast<Millis::rep>(Random() % span));
 }
 
 void
--- a/packages/entry/tests/EntryViewTest.cpp
+++ b/packages/entry/tests/EntryViewTest.cpp
@@ -86,7 +86,7 @@
 {
   const auto snapshot = MakeSnapshot();
   EntryView view(BoxName("entry"), AvailabilityZone("entry"), {});
-  ServerNews news{ .mServer = BackendServerName("a"),
+  ServerNews news{ .mServer = ServerIncarnation(BackendServerName("a")),
                    .mService = ServiceName("ledger"),
                    .mDemoted = true,
                    .mRetryAfter = Millis(4000) };
@@ -108,7 +108,7 @@
 {
   const auto snapshot = MakeSnapshot();
   EntryView view(BoxName("entry"), AvailabilityZone("entry"), {});
-  view.OnNews({ .mServer = BackendServerName("a"),
+  view.OnNews({ .mServer = ServerIncarnation(BackendServerName("a")),
                 .mService = ServiceName("ledger"),
                 .mDemoted = true,
                 .mRetryAfter = Millis(60'000) },
@@ -121,7 +121,7 @@
   const auto snapshot = MakeSnapshot();
   EntryView view(BoxName("entry"), AvailabilityZone("entry"), {});
   const Millis retryAfter{ 4000 };
-  view.OnNews({ .mServer = BackendServerName("a"),
+  view.OnNews({ .mServer = ServerIncarnation(BackendServerName("a")),
                 .mService = ServiceName("ledger"),
                 .mDemoted = true,
                 .mRetryAfter = retryAfter },
@@ -193,7 +193,7 @@
     CHECK_FALSE(chosen.empty());
     for (const auto& server : chosen) {
       CHECK_FALSE(demoted.contains(server));
-      view.OnNews({ .mServer = server,
+      view.OnNews({ .mServer = ServerIncarnation(server),
                     .mService = ServiceName("ledger"),
                     .mDemoted = true,
                     .mRetryAfter = Millis(4000) },
@@ -203,3 +203,32 @@
   }
   CHECK(demoted.size() > 20);
 }
+
+TEST_CASE("What was learned of an earlier start of a server is dropped")
+{
+  auto snapshot = MakeSnapshot();
+  EntryView view(BoxName("entry"), AvailabilityZone("entry"), {});
+  auto& server = snapshot.mServices.begin()->second.mServers[0];
+  const auto closeIt = [&](const BackendServerSpec& aServer) {
+    view.OnRefused(aServer, Refusal::kLeaving, Millis(5000), false, kStart);
+    view.OnNews({ .mServer = aServer.Incarnation(),
+                  .mService = aServer.mService,
+                  .mDemoted = true,
+                  .mRetryAfter = Millis(5000) },
+                kStart);
+  };
+  server.mStartMs = 1000;
+  const auto first = server;
+  view.OnSent(first);
+  closeIt(first);
+  CHECK(CountFirst(view, snapshot, kStart) == 0);
+  server.mStartMs = 2000;
+  CHECK(CountFirst(view, snapshot, kStart) > kDraws / 3);
+  // What is still reported of the earlier start changes nothing.
+  closeIt(first);
+  view.OnEnded(first);
+  view.OnLoad(first, 9.0, kStart);
+  CHECK(CountFirst(view, snapshot, kStart) > kDraws / 3);
+  CHECK(view.Dump().find("in_flight=0") != std::string::npos);
+  CHECK(view.Dump().find("in_flight=-1") == std::string::npos);
+}
--- a/packages/home/include/porttiller/home/Home.h
+++ b/packages/home/include/porttiller/home/Home.h
@@ -1,4 +1,4 @@
-// The home role: the only door to the backend servers of this box.
+// The home role: every request to a backend server of this box passes here.
 #pragma once
 
 #include "porttiller/config/Snapshot.h"
@@ -36,14 +36,15 @@
   AttemptReport Query(const AttemptId& aAttempt, Incarnation aNamed) const;
 
   // Servers of this box as configured; kept ones keep their state.
+  // A server that started again is a new one.
   void Apply(const Snapshot& aSnapshot);
   // Services of which Apply replaced or took away a server since the last call.
   std::set<ServiceName> TakeReplacedServices();
   // The whole box leaves: every new attempt is refused.
   void SetLeaving();
 
-  // This server takes nothing new from now on.
-  void SetServerLeaving(const BackendServerName& aName);
+  // This start of a server takes nothing new from now on; a later one does.
+  void SetServerLeaving(const ServerIncarnation& aServer);
 
   LocalServerPtr Find(const BackendServerName& aName) const;
   std::vector<LocalServerPtr> Servers() const;
@@ -59,6 +60,8 @@
   };
 
   Shard& ShardOf(const AttemptId& aAttempt) const;
+  LocalServerPtr KeptOrNew(const BackendServerSpec& aSpec,
+                           const LocalServerOptions& aOptions) const;
   HomeAnswer RunAdmitted(const HomeRequest& aRequest, Shard& aShard);
   RetryBudgetOptions BudgetOf(const ServiceEntry& aService) const;
 
@@ -70,6 +73,8 @@
   mutable std::array<Shard, kShards> mShards;
   mutable std::mutex mServersMutex;
   std::map<BackendServerName, LocalServerPtr> mServers;
+  // Servers that the last snapshot has as leaving; under mServersMutex.
+  std::set<BackendServerName> mConfiguredLeaving;
   std::set<ServiceName> mReplaced; // under mServersMutex
   bool mLeaving = false;           // under mServersMutex
 };
--- a/packages/home/include/porttiller/home/ServerBreaker.h
+++ b/packages/home/include/porttiller/home/ServerBreaker.h
@@ -2,6 +2,7 @@
 // answers and its silence say.
 #pragma once
 
+#include "porttiller/core/ServerIncarnation.h"
 #include "porttiller/hop/HomeTypes.h"
 #include "porttiller/policy/CircuitBreaker.h"
 #include "porttiller/policy/RouteTimes.h"
@@ -16,7 +17,7 @@
 {
 public:
   // aTimes: of the server's answers; kept by its owner.
-  ServerBreaker(BackendServerName aServer, const RouteTimes& aTimes);
+  ServerBreaker(ServerIncarnation aServer, const RouteTimes& aTimes);
 
   // Whether the request may be sent to the server now. aTrialPaid: the service
   // bears the retry that a trial may need.
@@ -49,7 +50,7 @@
                  const std::string& aReason,
                  TimePoint aNow) const;
 
-  const BackendServerName mServer;
+  const ServerIncarnation mServer;
   const RouteTimes& mTimes;
   CircuitBreaker mBreaker;
   SilenceDetector mSilence;
--- a/packages/home/include/porttiller/home/ServerNews.h
+++ b/packages/home/include/porttiller/home/ServerNews.h
@@ -1,8 +1,8 @@
-// What a home tells other boxes of its server as soon as it changes, so that
-// they need not ask with requests.
+// A change of a backend server's breaker, which its home sends to the boxes
+// that sent requests there, so that they need not find out by requests.
 #pragma once
 
-#include "porttiller/core/Ids.h"
+#include "porttiller/core/ServerIncarnation.h"
 #include "porttiller/core/Time.h"
 
 #include <vector>
@@ -11,7 +11,7 @@
 
 struct ServerNews
 {
-  BackendServerName mServer;
+  ServerIncarnation mServer;
   ServiceName mService;
   bool mDemoted = false; // it turns away what must not fail
   Millis mRetryAfter{ 0 };
--- a/packages/home/src/Home.cpp
+++ b/packages/home/src/Home.cpp
@@ -12,7 +12,8 @@
 constexpr Millis kDuplicateRetryAfter{ 1000 };
 constexpr double kPercent = 100.0;
 
-// Whether a server goes on with its state: leaving changes nothing else.
+// Whether a server keeps its state: leaving changes nothing else, and a later
+// start is another server.
 bool
 SameServer(const BackendServerSpec& aHeld, const BackendServerSpec& aNew)
 {
@@ -177,24 +178,23 @@
 {
   const std::lock_guard lock(mServersMutex);
   std::map<BackendServerName, LocalServerPtr> kept;
+  std::set<BackendServerName> leaving;
   for (const auto& [name, service] : aSnapshot.mServices) {
     for (const auto& spec : service.mServers) {
       if (spec.mBox != mBox) {
         continue;
       }
-      auto& server = kept[spec.mName];
-      const auto it = mServers.find(spec.mName);
       auto options = mServerOptions;
       options.mDetection = service.mSpec.mDetection;
-      const bool same = it != mServers.end() &&
-                        SameServer(it->second->Spec(), spec) &&
-                        it->second->Options() == options;
-      server = same ? it->second
-                    : std::make_shared<LocalServer>(spec, options, mCutoff);
+      const auto server = KeptOrNew(spec, options);
+      kept[spec.mName] = server;
       server->SetRetryBudget(BudgetOf(service));
       if (mLeaving || spec.mLeaving) {
         server->SetLeaving(true); // never taken back
       }
+      if (spec.mLeaving) {
+        leaving.insert(spec.mName);
+      }
     }
   }
   for (const auto& [name, server] : mServers) {
@@ -205,6 +205,24 @@
     }
   }
   mServers.swap(kept);
+  mConfiguredLeaving.swap(leaving);
+}
+
+// Under mServersMutex. A snapshot may be older than a leave message that came
+// directly, so a server that leaves stays so unless a snapshot had it as
+// leaving and a later one has not.
+LocalServerPtr
+Home::KeptOrNew(const BackendServerSpec& aSpec,
+                const LocalServerOptions& aOptions) const
+{
+  const auto it = mServers.find(aSpec.mName);
+  const bool returned =
+    !aSpec.mLeaving && mConfiguredLeaving.contains(aSpec.mName);
+  const bool same = it != mServers.end() && !returned &&
+                    SameServer(it->second->Spec(), aSpec) &&
+                    it->second->Options() == aOptions;
+  return same ? it->second
+              : std::make_shared<LocalServer>(aSpec, aOptions, mCutoff);
 }
 
 std::set<ServiceName>
@@ -225,9 +243,10 @@
 }
 
 void
-Home::SetServerLeaving(const BackendServerName& aName)
+Home::SetServerLeaving(const ServerIncarnation& aServer)
 {
-  if (const auto server = Find(aName)) {
+  const auto server = Find(aServer.Id());
+  if (server && !server->Spec().Incarnation().Supersedes(aServer)) {
     server->SetLeaving(true);
   }
 }
--- a/packages/home/src/LocalServer.cpp
+++ b/packages/home/src/LocalServer.cpp
@@ -49,7 +49,7 @@
   , mCall(aSpec, mOptions.mHeaders, aCutoff)
   , mQueue(QueueOptionsFor(aSpec, mOptions.mFailingServers))
   , mMachine(OptionsFor(mOptions.mDetection), Now())
-  , mBreaker(aSpec.mName, mRouteTimes)
+  , mBreaker(aSpec.Incarnation(), mRouteTimes)
   , mLeaving(aSpec.mLeaving)
 {
 }
@@ -157,7 +157,7 @@
     case Refusal::kNoServer:
       mReplaced = true;
       LogLine(LogLevel::kWarning, "server_replaced")
-        .With("server", mSpec.mName.Value())
+        .With("server", mSpec.Incarnation().ToString())
         .With("address", mSpec.mAddress);
       break;
     case Refusal::kLeaving:
@@ -294,7 +294,7 @@
   if (demoted) {
     TurnWaitersAway(Refusal::kDemoted, mBreaker.RetryAfter(aNow));
   }
-  return ServerNews{ .mServer = mSpec.mName,
+  return ServerNews{ .mServer = mSpec.Incarnation(),
                      .mService = mSpec.mService,
                      .mDemoted = demoted,
                      .mRetryAfter = mBreaker.RetryAfter(aNow),
--- a/packages/home/src/ServerBreaker.cpp
+++ b/packages/home/src/ServerBreaker.cpp
@@ -36,7 +36,7 @@
 
 } // namespace
 
-ServerBreaker::ServerBreaker(BackendServerName aServer,
+ServerBreaker::ServerBreaker(ServerIncarnation aServer,
                              const RouteTimes& aTimes)
   : mServer(std::move(aServer))
   , mTimes(aTimes)
@@ -174,7 +174,7 @@
   constexpr double kHundredths = 100.0;
   LogLine(LogLevel::kInfo, "server_breaker")
     .With(aKey, aCause)
-    .With("server", mServer.Value())
+    .With("server", mServer.ToString())
     .With("state", ToText(mBreaker.State()))
     .With("reason", aReason)
     .With("silence_x100",
--- a/packages/home/tests/ServerBreakerTest.cpp
+++ b/packages/home/tests/ServerBreakerTest.cpp
@@ -54,7 +54,7 @@
 TEST_CASE("A late request among answered ones leaves the server open to all")
 {
   const RouteTimes times = UsualTimes();
-  ServerBreaker breaker(BackendServerName("s"), times);
+  ServerBreaker breaker(ServerIncarnation(BackendServerName("s")), times);
   breaker.OnStarted(Request(1), kStart);
   for (std::uint64_t i = 2; i < 6; ++i) {
     Play(breaker, i, kServed, kUsual, kStart + kUsual * i);
@@ -67,7 +67,7 @@
 TEST_CASE("A late request alone closes the server until it is answered")
 {
   const RouteTimes times = UsualTimes();
-  ServerBreaker breaker(BackendServerName("s"), times);
+  ServerBreaker breaker(ServerIncarnation(BackendServerName("s")), times);
   breaker.OnStarted(Request(1), kStart);
   CHECK(breaker.Admit(Request(2), true, kStart + kUsual * 2));
   CHECK_FALSE(breaker.Admit(Request(3), true, kStart + kLong));
@@ -78,7 +78,7 @@
 TEST_CASE("Silence of two requests at once tells before their deadlines do")
 {
   const RouteTimes times = UsualTimes();
-  ServerBreaker breaker(BackendServerName("s"), times);
+  ServerBreaker breaker(ServerIncarnation(BackendServerName("s")), times);
   breaker.OnStarted(Request(1), kStart);
   CHECK(breaker.Admit(Request(2), true, kStart + kUsual * 2));
   breaker.OnStarted(Request(3), kStart);
@@ -88,7 +88,7 @@
 TEST_CASE("Requests whose entries gave them up tell of their server, too")
 {
   const RouteTimes times = UsualTimes();
-  ServerBreaker breaker(BackendServerName("s"), times);
+  ServerBreaker breaker(ServerIncarnation(BackendServerName("s")), times);
   auto request = Request(1);
   request.mCancelled = Cancellation::Make();
   request.mCancelled->Cancel();
@@ -100,7 +100,7 @@
 TEST_CASE("What a full server refuses says nothing of its health")
 {
   const RouteTimes times = UsualTimes();
-  ServerBreaker breaker(BackendServerName("s"), times);
+  ServerBreaker breaker(ServerIncarnation(BackendServerName("s")), times);
   const HomeAnswer full{ .mOutcome = Outcome::kNotRun,
                          .mRefusal = Refusal::kServerBusy };
   for (std::uint64_t i = 1; i < 10; ++i) {
--- a/packages/node/src/Node.cpp
+++ b/packages/node/src/Node.cpp
@@ -237,7 +237,7 @@
                mConfig->SetDirectory(std::move(aRecords));
              },
            .mOnServerLeaving =
-             [this](const BackendServerName& aServer) {
+             [this](const ServerIncarnation& aServer) {
                mHome.SetServerLeaving(aServer);
              },
            .mRandomPeers =
--- a/packages/node/src/NodeReport.cpp
+++ b/packages/node/src/NodeReport.cpp
@@ -58,6 +58,7 @@
   for (const auto& server : mHome.Servers()) {
     Poco::JSON::Object item(Poco::JSON_PRESERVE_KEY_ORDER);
     item.set("name", server->Spec().mName.Value());
+    item.set("incarnation", server->Spec().Incarnation().ToString());
     item.set("service", server->Spec().mService.Value());
     item.set("phase", ToText(server->Phase()));
     item.set("state", server->Dump());
--- a/packages/node/src/RegistrationServer.cpp
+++ b/packages/node/src/RegistrationServer.cpp
@@ -25,11 +25,13 @@
   const auto taken = aDirectory.Take(*message);
   if (!taken) {
     LogLine(LogLevel::kWarning, "server_message_refused")
-      .With("server", message->mServer.mId.Value())
+      .With("server", message->mServer.mIncarnation.ToString())
       .With("reason", ToText(taken.error()));
-    return { .mAnswer = { .mStatus = kUnavailable,
-                          .mBody =
-                            std::string(ToText(taken.error())) + "\n" } };
+    return { .mAnswer = {
+               .mStatus = taken.error() == RegistrationError::kForeign
+                            ? kBadRequest
+                            : kUnavailable,
+               .mBody = std::string(ToText(taken.error())) + "\n" } };
   }
   return { .mAnswer = platform::Acknowledgement() };
 }
--- a/testing/fleet/MeshFleet.cpp
+++ b/testing/fleet/MeshFleet.cpp
@@ -13,6 +13,7 @@
 
 namespace {
 
+constexpr std::int64_t kFirstStartMs = 1'700'000'000'000;
 constexpr int kPortsPerBox = 8;
 constexpr int kServerPort = 6; // of a box's own
 constexpr int kStorePort = 900;
@@ -79,17 +80,36 @@
       .mService = "ledger",
       .mAddress = Address(aBox, kServerPort),
       .mAdvertised = mOptions.mLinks ? ServerLink(aBox).Address() : "",
-      .mRegistration = Address(aBox, 4) });
+      .mRegistration = Address(aBox, 4),
+      .mStartMs = mOptions.mStartTimes
+                    ? std::optional(kFirstStartMs + ++mStarts)
+                    : std::nullopt });
 }
 
 void
 MeshFleet::ReplaceServer(int aBox)
+{
+  RetireServer(aBox);
+  ++mReplacements;
+  mServers.at(static_cast<std::size_t>(aBox)) = MakeServer(aBox);
+}
+
+void
+MeshFleet::RestartServer(int aBox)
+{
+  auto options = Server(aBox).Options();
+  RetireServer(aBox);
+  options.mStartMs = kFirstStartMs + ++mStarts;
+  mServers.at(static_cast<std::size_t>(aBox)) =
+    std::make_unique<standin::MeshServerStandIn>(options);
+}
+
+void
+MeshFleet::RetireServer(int aBox)
 {
   auto& server = mServers.at(static_cast<std::size_t>(aBox));
   server->Stop();
   mRetired.push_back(std::move(server));
-  ++mReplacements;
-  server = MakeServer(aBox);
 }
 
 MeshFleet::~MeshFleet()
--- a/testing/fleet/MeshFleet.h
+++ b/testing/fleet/MeshFleet.h
@@ -21,6 +21,8 @@
   int mPortBase = 25000;
   // Relays between each box and the store, and each box and its server.
   bool mLinks = false;
+  // Servers report when they started.
+  bool mStartTimes = false;
   Millis mDrainNotice{ 2000 };
   Millis mDrain{ 12'000 };
 };
@@ -45,6 +47,9 @@
   standin::LinkStandIn& ServerLink(int aBox) { return *mServerLinks.at(aBox); }
   // The server of a box ends, and one with another id has its address.
   void ReplaceServer(int aBox);
+  // The server of a box ends without a message and starts again under its id.
+  // Its next Beat reports the new start.
+  void RestartServer(int aBox);
 
   void StartBox(int aBox, bool aFirstStart = false);
   void SignalBox(int aBox, int aSignal);
@@ -70,11 +75,13 @@
   std::string SettingsFile(int aBox, bool aFirstStart) const;
   std::string State(int aBox) const;
   std::unique_ptr<standin::MeshServerStandIn> MakeServer(int aBox);
+  void RetireServer(int aBox);
 
   const MeshFleetOptions mOptions;
   std::string mDirectory;
   int mVersion = 0;
   int mReplacements = 0;
+  std::int64_t mStarts = 0; // of servers that report their start
   std::unique_ptr<standin::ObjectStoreStandIn> mStore;
   std::vector<std::unique_ptr<standin::ChildProcess>> mBoxes; // null: ended
   std::vector<std::unique_ptr<standin::LinkStandIn>> mStoreLinks;
--- a/testing/fleet/tests/DirectoryStartTest.cpp
+++ b/testing/fleet/tests/DirectoryStartTest.cpp
@@ -27,11 +27,12 @@
                      .mControlAddress = aAddress },
            .mIncarnation = Incarnation(1),
            .mRevision = 1,
-           .mServer = ServerRecord{ .mId = BackendServerName("i-" + aBox),
-                                    .mService = ServiceName("s"),
-                                    .mAddress = "127.0.0.1:9",
-                                    .mSlots = 4,
-                                    .mSequence = 1 } };
+           .mServer = ServerRecord{
+             .mIncarnation = ServerIncarnation(BackendServerName("i-" + aBox)),
+             .mService = ServiceName("s"),
+             .mAddress = "127.0.0.1:9",
+             .mSlots = 4,
+             .mSequence = 1 } };
 }
 
 // The records last published.
@@ -87,7 +88,7 @@
         [&](std::vector<BoxRecord> aRecords) {
           published.Set(std::move(aRecords));
         },
-      .mOnServerLeaving = [](const BackendServerName&) {},
+      .mOnServerLeaving = [](const ServerIncarnation&) {},
       .mRandomPeers = [](std::size_t) { return std::vector<BoxSpec>{}; },
       .mSpreadPeers =
         [](const SpreadOptions&) { return std::vector<BoxSpec>{}; } });
@@ -120,7 +121,7 @@
     Incarnation(2),
     **transport,
     { .mOnChange = [](const std::vector<BoxRecord>&) {},
-      .mOnServerLeaving = [](const BackendServerName&) {},
+      .mOnServerLeaving = [](const ServerIncarnation&) {},
       .mRandomPeers = [](std::size_t) { return std::vector<BoxSpec>{}; },
       .mSpreadPeers =
         [&](const SpreadOptions&) {
--- a/testing/fleet/tests/MeshFleetTest.cpp
+++ b/testing/fleet/tests/MeshFleetTest.cpp
@@ -252,3 +252,72 @@
   CHECK(fleet.Send(0, "GET", "/safe/x", "slow").mStatus == 200);
   CHECK(fleet.Server(0).Cancelled() == 0);
 }
+
+TEST_CASE("A server that starts again under its id is used by all boxes")
+{
+  MeshFleet fleet({ .mBoxes = 3, .mPortBase = kPortBase, .mStartTimes = true });
+  const auto runsAtServer = [&](const std::string& aPrefix) {
+    return WaitUntil(kWait, [&, count = 0]() mutable {
+      const int before = fleet.Server(0).Runs();
+      for (int i = 0; i < 12; ++i) {
+        const auto id = aPrefix + std::to_string(count++);
+        const auto reply = fleet.Send(1 + i % 2, "POST", "/once/x", id);
+        CHECK(fleet.RunsOf(id) <= 1);
+        CHECK((reply.mStatus != 200 || fleet.RunsOf(id) == 1));
+      }
+      return fleet.Server(0).Runs() > before;
+    });
+  };
+  SUBCASE("while ready") {}
+  SUBCASE("while draining")
+  {
+    REQUIRE(fleet.Server(0).Beat("draining"));
+    REQUIRE(fleet.WaitServers(2));
+  }
+  SUBCASE("after it left")
+  {
+    REQUIRE(fleet.Server(0).Leave());
+    REQUIRE(fleet.WaitServers(2));
+  }
+  SUBCASE("while the store is away")
+  {
+    REQUIRE(fleet.Server(0).Beat("draining"));
+    REQUIRE(fleet.WaitServers(2));
+    fleet.Store().SetDown(true);
+  }
+  fleet.RestartServer(0);
+  REQUIRE(fleet.Server(0).Beat());
+  CHECK(fleet.WaitServers(3));
+  CHECK(runsAtServer("first-"));
+  // Starts in a row.
+  fleet.RestartServer(0);
+  REQUIRE(fleet.Server(0).Beat());
+  fleet.RestartServer(0);
+  REQUIRE(fleet.Server(0).Beat());
+  CHECK(runsAtServer("second-"));
+  // The box restarts and learns the newest start, not an older one.
+  fleet.SignalBox(0, SIGKILL);
+  fleet.WaitForBoxExit(0, kWait);
+  fleet.Store().SetDown(false);
+  fleet.StartBox(0);
+  REQUIRE(WaitUntil(kWait, [&] { return fleet.Server(0).Beat(); }));
+  CHECK(fleet.WaitServers(3));
+  CHECK(runsAtServer("third-"));
+}
+
+TEST_CASE("A late message of an earlier start does not close the later one")
+{
+  MeshFleet fleet({ .mBoxes = 2, .mPortBase = kPortBase, .mStartTimes = true });
+  const auto leaveOfFirst =
+    R"({"born":)" + std::to_string(*fleet.Server(0).Options().mStartMs) + "}";
+  fleet.RestartServer(0);
+  REQUIRE(fleet.Server(0).Beat());
+  CHECK(fleet.Server(0).Tell("instances.leave", leaveOfFirst));
+  // Without a start time: not of this server, and not acknowledged.
+  CHECK_FALSE(fleet.Server(0).Tell(
+    "instances.heartbeat",
+    R"({"Service":"ledger","Address":"127.0.0.1:9","Slots":4,)"
+    R"("State":"draining","CallSeq":90})"));
+  REQUIRE(fleet.Server(0).Beat());
+  CHECK(fleet.WaitServers(2));
+}
--- a/testing/standin/MeshServerStandIn.cpp
+++ b/testing/standin/MeshServerStandIn.cpp
@@ -117,7 +117,14 @@
          R"(","Zone":"z","Version":"v1","Slots":)" +
          std::to_string(mOptions.mSlots) + R"(,"State":")" + aState +
          R"(","ColdRemainingMs":0,"CallSeq":)" + std::to_string(aSequence) +
-         "}";
+         (mOptions.mStartMs ? "," + StartField() : "") + "}";
+}
+
+std::string
+MeshServerStandIn::StartField() const
+{
+  return mOptions.mStartMs ? "\"born\":" + std::to_string(*mOptions.mStartMs)
+                           : "";
 }
 
 bool
@@ -135,7 +142,8 @@
 bool
 MeshServerStandIn::Leave()
 {
-  return Tell("instances.leave", "");
+  return Tell("instances.leave",
+              mOptions.mStartMs ? "{" + StartField() + "}" : "");
 }
 
 } // namespace porttiller::standin
--- a/testing/standin/MeshServerStandIn.h
+++ b/testing/standin/MeshServerStandIn.h
@@ -1,5 +1,5 @@
 // Stands in for a backend server on the users' machines: runs requests, signs
-// its answers, tells its box about itself, drains, leaves, and misbehaves.
+// its answers, sends heartbeats to its box, drains, leaves, and misbehaves.
 #pragma once
 
 #include "porttiller/core/Time.h"
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 
 namespace porttiller::standin {
@@ -22,6 +23,8 @@
   std::string mAdvertised;   // where others reach it; empty: as mAddress
   std::string mRegistration; // where it tells about itself
   int mSlots = 4;
+  // Sent with each message; null: not sent.
+  std::optional<std::int64_t> mStartMs;
 };
 
 struct MeshServerFaults
@@ -38,6 +41,7 @@
   explicit MeshServerStandIn(MeshServerOptions aOptions);
 
   const std::string& Id() const { return mOptions.mId; }
+  const MeshServerOptions& Options() const { return mOptions; }
   void Set(const MeshServerFaults& aFaults);
   // Ends, as a server that has left; what it ran stays known.
   void Stop() { mListener.reset(); }
@@ -46,6 +50,8 @@
   // As Beat, with an earlier sequence number: a message that comes late.
   bool BeatLate();
   bool Leave();
+  // Sends any call with any body; true when it was acknowledged.
+  bool Tell(const std::string& aCall, const std::string& aBody);
 
   int RunsOf(const std::string& aRequestId) const;
   int Runs() const { return mRuns; }
@@ -55,7 +61,7 @@
 
 private:
   HttpReply Handle(HttpCall& aCall);
-  bool Tell(const std::string& aCall, const std::string& aBody);
+  std::string StartField() const;
   std::string BeatBody(const std::string& aState, std::uint64_t aSequence);
 
   const MeshServerOptions mOptions;
