porttillerctl: show servers that boxes report, and records that cannot be read

Callers saw: on-call had no view of which start of a server is in use, nor of records that were left out. Cause: `status` read the operator's objects only. Fix: it also reads the boxes' records: start time, leaving state, and a line for each object that cannot be read. Evidence: CommandLineTest "porttillerctl shows the start of a server, and unreadable records", written with the change and not run on the earlier code.

--- a/apps/porttillerctl/StatusCommand.cpp
+++ b/apps/porttillerctl/StatusCommand.cpp
@@ -1,5 +1,6 @@
 #include "Commands.h"
 
+#include "porttiller/config/Directory.h"
 #include "porttiller/config/JsonText.h"
 #include "porttiller/config/Snapshot.h"
 #include "porttiller/control/LedgerStore.h"
@@ -17,6 +18,7 @@
 struct Report
 {
   SnapshotPtr mSnapshot;
+  std::vector<UnreadableObject> mUnreadable; // among the boxes' records
   std::map<ServiceName, EjectionLedger> mLedgers;
   Poco::JSON::Object::Ptr mFleet; // null when none was written yet
 };
@@ -59,6 +61,9 @@
   if (box->mState == BoxState::kLeaving) {
     return "leaving (its box is)";
   }
+  if (aServer.mLeaving) {
+    return "leaving (it announced that)";
+  }
   if (IsEjected(aReport, aServer)) {
     return "ejected (its home found it failing)";
   }
@@ -77,9 +82,22 @@
   }
   ObjectSet objects;
   const auto changed = objects.Apply(*list);
+  const auto listed = aClient.List(kBoxRecordKind);
+  if (!listed) {
+    return tl::make_unexpected(listed.error());
+  }
   Report report;
+  report.mUnreadable = listed->mUnreadable;
+  Directory directory;
+  for (const auto& object : listed->mObjects) {
+    if (const auto record = ReadBoxRecord(object)) {
+      directory.Merge(*record);
+    } else {
+      report.mUnreadable.push_back(record.error());
+    }
+  }
   report.mSnapshot = SnapshotBuilder().Build(
-    objects, changed.value_or(std::vector<ObjectKey>()));
+    objects, changed.value_or(std::vector<ObjectKey>()), directory.InUse());
   const auto ledgers = aClient.List(kLedgerKind);
   if (!ledgers) {
     return tl::make_unexpected(ledgers.error());
@@ -96,6 +114,16 @@
   return report;
 }
 
+void
+PrintUnreadable(const Report& aReport)
+{
+  for (const auto& object : aReport.mUnreadable) {
+    std::cout << "unreadable: " << object.mKind << "/" << object.mName
+              << " version " << object.mVersion << " ("
+              << ToText(object.mReason) << ")\n";
+  }
+}
+
 void
 PrintFleet(const Report& aReport)
 {
@@ -121,7 +149,9 @@
 std::vector<Row>
 ServerRows(const Report& aReport, const std::string& aService)
 {
-  std::vector<Row> rows = { { "SERVICE", "SERVER", "BOX", "SLOTS", "STATE" } };
+  std::vector<Row> rows = {
+    { "SERVICE", "SERVER", "BOX", "SLOTS", "STARTED", "STATE" }
+  };
   for (const auto& [name, service] : aReport.mSnapshot->mServices) {
     if (!aService.empty() && name.Value() != aService) {
       continue;
@@ -131,6 +161,7 @@
                        server.mName.Value(),
                        server.mBox.Value(),
                        std::to_string(server.mSlots),
+                       server.mStartMs ? std::to_string(*server.mStartMs) : "-",
                        StateOf(aReport, server) });
     }
   }
@@ -147,7 +178,8 @@
     server.set("server", aRows[i][1]);
     server.set("box", aRows[i][2]);
     server.set("slots", aRows[i][3]);
-    server.set("state", aRows[i][4]);
+    server.set("start_ms", aRows[i][4]);
+    server.set("state", aRows[i][5]);
     servers.add(server);
   }
   Poco::JSON::Object document;
@@ -179,6 +211,7 @@
     PrintJson(*report, rows);
   } else {
     PrintFleet(*report);
+    PrintUnreadable(*report);
     PrintTable(rows);
   }
   return ExitCode::kOk;
--- a/testing/fleet/tests/CommandLineTest.cpp
+++ b/testing/fleet/tests/CommandLineTest.cpp
@@ -126,6 +126,23 @@
   CHECK(ctl({ "get", "Service", "ledger" }).mExitCode == 6);
 }
 
+TEST_CASE("porttillerctl shows the start of a server, and unreadable records")
+{
+  const Ctl ctl;
+  ctl.Apply(kService);
+  ctl.mPlatform.Put(
+    { "box-records", "b" },
+    R"({"box":"b","zone":"z","home":"10.0.0.1:1","control":"10.0.0.1:2",)"
+    R"("incarnation":"7","revision":"9","server":{"id":"i-1",)"
+    R"("start_ms":"1764753600123","service":"ledger","address":"10.0.0.1:3",)"
+    R"("slots":4,"state":"draining","sequence":"12"}})");
+  ctl.mPlatform.Put({ "box-records", "x" }, R"({"state":"resting"})");
+  const auto status = ctl({ "status" }).mText;
+  CHECK(status.find("1764753600123") != std::string::npos);
+  CHECK(status.find("leaving (it announced that)") != std::string::npos);
+  CHECK(status.find("unreadable: box-records/x") != std::string::npos);
+}
+
 TEST_CASE("porttillerctl names the field of an invalid object")
 {
   const Ctl ctl;
