Read each object of the store by itself; leave other writers' objects alone

Callers saw: one object of another writer in the store, or one number in it that fits no type, hid a whole page of records or a batch of changes; a watch met the same event again and again; a box whose name such an object had overwrote it. Cause: lists and watches were decoded as a whole and threw on the first bad item; POCO's parser takes 2^64 for 0 and refuses the text for larger numbers; records were read without comparing the object's name with the box in it; the own record was written over whatever stood there. Fix: each item is read on its own; what cannot be read is left out, counted by reason (porttiller_unreadable_objects_total) and logged once a version. Lists go on after the last readable name, watches behind bad events, and a broken configuration document changes nothing. A box whose name is taken keeps its record under a spare name and finds it there again. Heartbeats are read with types and ranges; ids must be printable, as they go into headers.

--- a/packages/config/include/porttiller/config/BoxRecord.h
+++ b/packages/config/include/porttiller/config/BoxRecord.h
@@ -1,8 +1,9 @@
-// What a box tells about itself and its backend server, where no operator
-// lists them. The box alone writes its record, and each change raises the
+// What a box reports of itself and its backend server, where no operator lists
+// them. The box alone writes its record, and each change raises the
 // record's revision, so of two versions the higher one holds.
 #pragma once
 
+#include "porttiller/config/ObjectSet.h"
 #include "porttiller/config/Resources.h"
 #include "porttiller/core/Ids.h"
 #include "porttiller/core/ServerIncarnation.h"
@@ -46,9 +47,25 @@
   friend auto operator<=>(const BoxRecord&, const BoxRecord&) = default;
 };
 
-// The store's kind of these objects; their names are those of the boxes.
+// The store's kind of these objects.
 inline constexpr const char* kBoxRecordKind = "box-records";
 
+// Where a box's record stands: under the box's name or, while an object of
+// another writer has that name, under a spare one.
+enum class BoxRecordPlace
+{
+  kUsual,
+  kSpare
+};
+
+ObjectKey
+BoxRecordKey(const BoxName& aBox, BoxRecordPlace aPlace);
+
+// The record in an object of the store. An object that cannot be read, or whose
+// name is not one of the box in it, is no record.
+tl::expected<BoxRecord, UnreadableObject>
+ReadBoxRecord(const Object& aObject);
+
 // The server as routing takes it. The record must have one.
 BackendServerSpec
 SpecOf(const BoxRecord& aRecord);
--- a/packages/config/include/porttiller/config/JsonText.h
+++ b/packages/config/include/porttiller/config/JsonText.h
@@ -14,6 +14,11 @@
 tl::expected<Poco::JSON::Object::Ptr, FieldErrors>
 ParseJsonObject(const std::string& aText);
 
+// With null for each number that no 64-bit type can hold, so that the rest of
+// the text can be read.
+std::string
+WithoutUnfitNumbers(std::string aText);
+
 // On one line.
 std::string
 ToJsonText(const Poco::JSON::Object& aObject);
--- a/packages/config/include/porttiller/config/ObjectSet.h
+++ b/packages/config/include/porttiller/config/ObjectSet.h
@@ -3,6 +3,8 @@
 // node, so a revision number alone tells two nodes who is behind.
 #pragma once
 
+#include "porttiller/config/UnreadableObject.h"
+
 #include <compare>
 #include <cstdint>
 #include <map>
@@ -47,6 +49,8 @@
   std::vector<Object> mObjects;
   // Where the store's next watch goes on; at or after mTo.
   std::uint64_t mCursor = 0;
+  // What was left out of mObjects; of a store's answer only.
+  std::vector<UnreadableObject> mUnreadable;
 
   friend bool operator==(const ObjectDelta&, const ObjectDelta&) = default;
 };
--- a/packages/config/src/BoxRecord.cpp
+++ b/packages/config/src/BoxRecord.cpp
@@ -10,7 +10,10 @@
 
 namespace {
 
+constexpr const char* kSpareSuffix = "~1";
 constexpr std::array kStates = { "ready", "draining", "left" };
+constexpr std::uint64_t kMaxRevision =
+  std::numeric_limits<std::uint64_t>::max() - (std::uint64_t{ 1 } << 32);
 constexpr IntegerRange kSlots{ .mMin = 1, .mMax = 100'000 };
 
 std::optional<ServerState>
@@ -50,6 +53,9 @@
 ReadServer(FieldReader aReader)
 {
   const BackendServerName id(aReader.String("id"));
+  if (!id.Empty() && !IsToken(id.Value())) {
+    aReader.Fail("id", "must be printable ASCII without blanks");
+  }
   // Absent in records of servers that do not report it.
   const auto start =
     aReader.Has("start_ms") ? std::optional(ReadStart(aReader)) : std::nullopt;
@@ -117,6 +123,36 @@
   return ToJsonText(document);
 }
 
+ObjectKey
+BoxRecordKey(const BoxName& aBox, BoxRecordPlace aPlace)
+{
+  return { kBoxRecordKind,
+           aBox.Value() +
+             (aPlace == BoxRecordPlace::kSpare ? kSpareSuffix : "") };
+}
+
+tl::expected<BoxRecord, UnreadableObject>
+ReadBoxRecord(const Object& aObject)
+{
+  UnreadableObject unreadable{ .mKind = aObject.mKey.mKind,
+                               .mName = aObject.mKey.mName,
+                               .mVersion = aObject.mVersion,
+                               .mReason = UnreadableReason::kSpec };
+  auto record = ParseBoxRecord(aObject.mSpecJson);
+  if (!record) {
+    unreadable.mDetail = ToText(record.error());
+    return tl::make_unexpected(std::move(unreadable));
+  }
+  const auto& box = record->mBox.mName;
+  if (aObject.mKey != BoxRecordKey(box, BoxRecordPlace::kUsual) &&
+      aObject.mKey != BoxRecordKey(box, BoxRecordPlace::kSpare)) {
+    unreadable.mReason = UnreadableReason::kOwner;
+    unreadable.mDetail = "the contents are of box " + box.Value();
+    return tl::make_unexpected(std::move(unreadable));
+  }
+  return *record;
+}
+
 tl::expected<BoxRecord, FieldErrors>
 ParseBoxRecord(const std::string& aText)
 {
@@ -136,6 +172,9 @@
   }
   record.mIncarnation = Incarnation(ReadNumber(reader, "incarnation"));
   record.mRevision = ReadNumber(reader, "revision");
+  if (record.mRevision > kMaxRevision) {
+    reader.Fail("revision", "leaves its box no room to raise it");
+  }
   if (reader.Has("server")) {
     record.mServer = ReadServer(reader.Child("server"));
   }
--- a/packages/config/src/JsonText.cpp
+++ b/packages/config/src/JsonText.cpp
@@ -2,7 +2,11 @@
 
 #include <Poco/Exception.h>
 #include <Poco/JSON/Parser.h>
+#include <cctype>
+#include <charconv>
+#include <cstdint>
 #include <sstream>
+#include <string_view>
 
 namespace porttiller {
 
@@ -33,16 +37,70 @@
   return aText;
 }
 
+bool
+Fits(std::string_view aNumber)
+{
+  const auto* end = aNumber.data() + aNumber.size();
+  const auto readsAs = [&](auto aValue) {
+    return std::from_chars(aNumber.data(), end, aValue).ec == std::errc();
+  };
+  const bool real = aNumber.find_first_of(".eE") != std::string_view::npos;
+  return real ? readsAs(double{})
+              : readsAs(std::int64_t{}) || readsAs(std::uint64_t{});
+}
+
+// The first number at or behind aFrom that no 64-bit type can hold; empty when
+// there is none. POCO's parser takes some of them for others.
+std::string_view
+FindUnfitNumber(std::string_view aText, std::size_t aFrom = 0)
+{
+  bool inString = false;
+  for (auto i = aFrom; i < aText.size(); ++i) {
+    if (aText[i] == '\\' && inString) {
+      ++i;
+    } else if (aText[i] == '"') {
+      inString = !inString;
+    } else if (!inString && (aText[i] == '-' || std::isdigit(aText[i]) != 0)) {
+      const auto end = aText.find_first_not_of("+-.0123456789eE", i);
+      const auto number = aText.substr(i, end - i);
+      if (!Fits(number)) {
+        return number;
+      }
+      i += number.size() - 1;
+    }
+  }
+  return {};
+}
+
 } // namespace
 
+std::string
+WithoutUnfitNumbers(std::string aText)
+{
+  constexpr std::string_view kNull = "null";
+  std::size_t from = 0;
+  for (auto number = FindUnfitNumber(aText); !number.empty();
+       number = FindUnfitNumber(aText, from)) {
+    const auto at = static_cast<std::size_t>(number.data() - aText.data());
+    aText.replace(at, number.size(), kNull);
+    from = at + kNull.size();
+  }
+  return aText;
+}
+
 tl::expected<Poco::JSON::Object::Ptr, FieldErrors>
 ParseJsonObject(const std::string& aText)
 {
+  const auto text = WithoutLineComments(aText);
+  if (const auto unfit = FindUnfitNumber(text); !unfit.empty()) {
+    return tl::make_unexpected(
+      FieldErrors{ { "(document)", "has a number that is out of range" } });
+  }
   try {
     Poco::JSON::Parser parser;
     parser.setAllowComments(true);
     parser.setDepth(kMaxDepth);
-    const auto value = parser.parse(WithoutLineComments(aText));
+    const auto value = parser.parse(text);
     if (value.type() != typeid(Poco::JSON::Object::Ptr)) {
       return tl::make_unexpected(
         FieldErrors{ { "(document)", "must be a JSON object" } });
--- a/packages/config/tests/FieldReaderTest.cpp
+++ b/packages/config/tests/FieldReaderTest.cpp
@@ -42,6 +42,24 @@
   }
 }
 
+TEST_CASE("Numbers that do not fit are errors, or null where asked for")
+{
+  for (const char* wrong : { "18446744073709551616",
+                             "-9223372036854775809",
+                             "99999999999999999999999999",
+                             "1e999" }) {
+    CAPTURE(wrong);
+    const auto text = std::string(R"({"a":)") + wrong + R"(,"b":"9e9999"})";
+    CHECK_FALSE(ParseJsonObject(text));
+    CHECK(WithoutUnfitNumbers(text) == R"({"a":null,"b":"9e9999"})");
+  }
+  const std::string fits =
+    R"({"a":18446744073709551615,"b":-9223372036854775808,)"
+    R"("c":0.333333333333333333333333,"d":1e9,"e":"\\\"1e999"})";
+  CHECK(ParseJsonObject(fits));
+  CHECK(WithoutUnfitNumbers(fits) == fits);
+}
+
 TEST_CASE("Deep nesting is an error, not a stack overflow")
 {
   const auto open = Nested(10'000);
--- a/packages/control/include/porttiller/control/BoxRecordStore.h
+++ b/packages/control/include/porttiller/control/BoxRecordStore.h
@@ -15,24 +15,26 @@
 struct RecordWrite
 {
   bool mWritten = false;
-  // Not written: a record of an earlier life stands there.
+  // Not written: a record of an earlier incarnation of the box stands there.
   std::optional<BoxRecord> mEarlier;
 };
 
-// Owned by the directory controller. Thread-safe: reads and writes of the own
-// record come one at a time. Logs writes that fail and listed records that
-// cannot be read; a read that fails is its caller's to tell.
+// Objects of other writers under the own name are neither replaced nor deleted:
+// the own record then stands under the spare name. Owned by the directory
+// controller. Thread-safe: reads and writes of the own record come one at a
+// time. Logs writes that fail; a read that fails is reported by its caller.
 class BoxRecordStore
 {
 public:
   // Within kCallTimeout, or kAckTimeout for what a server's acknowledgement
   // waits for.
-  explicit BoxRecordStore(const Settings& aSettings);
+  BoxRecordStore(const Settings& aSettings, UnreadableListener aOnUnreadable);
 
-  // What a life of this box has left; nothing inside when it left nothing.
+  // What an earlier incarnation of this box has left; nothing inside when it
+  // left nothing.
   tl::expected<std::optional<BoxRecord>, StoreError> ReadOwn();
   // Creates or replaces the own record. A second try replaces what an earlier
-  // life left.
+  // incarnation left.
   RecordWrite Write(const BoxRecord& aRecord, bool aForAck);
   // All records that can be read.
   tl::expected<std::vector<BoxRecord>, StoreError> ReadAll();
@@ -40,10 +42,18 @@
   void Abort();
 
 private:
+  ObjectKey OwnKey() const { return BoxRecordKey(mBox, mPlace); }
+  tl::expected<Object, StoreError> GetOwn(ObjectClient& aClient);
+  std::optional<BoxRecord> OwnRecordIn(const Object& aObject);
+  tl::expected<std::uint64_t, StoreError> Put(ObjectClient& aClient,
+                                              const BoxRecord& aRecord);
   RecordWrite TakeConflict(ObjectClient& aClient, const BoxRecord& aRecord);
+  bool UseSpare();
 
-  const ObjectKey mOwnKey;
-  std::mutex mMutex;          // one call for the own record at a time
+  const BoxName mBox;
+  const UnreadableListener mOnUnreadable;
+  std::mutex mMutex; // one call for the own record at a time
+  BoxRecordPlace mPlace = BoxRecordPlace::kUsual; // under mMutex
   std::uint64_t mVersion = 0; // of the own object there; under mMutex
   ObjectClient mClient;       // of the thread that keeps the record up to date
   ObjectClient mAckClient;    // under mMutex
--- a/packages/control/include/porttiller/control/ConfigController.h
+++ b/packages/control/include/porttiller/control/ConfigController.h
@@ -37,10 +37,12 @@
 class ConfigController
 {
 public:
-  ConfigController(const Settings& aSettings,
-                   PeerTransport& aTransport,
-                   Metrics& aMetrics,
-                   ConfigPeers aPeers);
+  ConfigController(
+    const Settings& aSettings,
+    PeerTransport& aTransport,
+    Metrics& aMetrics,
+    ConfigPeers aPeers,
+    UnreadableListener aOnUnreadable = [](const auto&) {});
   ~ConfigController();
 
   // Before Start.
@@ -93,6 +95,7 @@
   PeerTransport& mTransport;
   Metrics& mMetrics;
   const ConfigPeers mPeers;
+  const UnreadableListener mOnUnreadable;
   std::vector<SnapshotListener> mListeners;
   std::mutex mApplyMutex; // one switch at a time, listeners included
   mutable std::mutex mMutex;
--- a/packages/control/include/porttiller/control/ControlCodec.h
+++ b/packages/control/include/porttiller/control/ControlCodec.h
@@ -28,8 +28,13 @@
 wire::BoxRecords
 EncodeRecords(const std::vector<BoxRecord>& aRecords);
 
-// Records that cannot be read are left out.
-std::vector<BoxRecord>
+struct DecodedRecords
+{
+  std::vector<BoxRecord> mRecords;
+  std::vector<UnreadableObject> mUnreadable; // left out
+};
+
+DecodedRecords
 DecodeRecords(const wire::BoxRecords& aMessage);
 
 void
--- a/packages/control/include/porttiller/control/DirectoryController.h
+++ b/packages/control/include/porttiller/control/DirectoryController.h
@@ -33,6 +33,8 @@
   std::function<void(const ServerIncarnation&)> mOnServerLeaving;
   std::function<std::vector<BoxSpec>(std::size_t)> mRandomPeers;
   std::function<std::vector<BoxSpec>(const SpreadOptions&)> mSpreadPeers;
+  // Objects that cannot be read and were left out.
+  UnreadableListener mOnUnreadable = [](const auto&) {};
   // This box is the one of its zone that reads the store's list now and then.
   std::function<bool()> mReadsList = [] { return false; };
 };
--- a/packages/control/src/BoxRecordStore.cpp
+++ b/packages/control/src/BoxRecordStore.cpp
@@ -20,10 +20,20 @@
            .mDialect = StoreDialectOf(aSettings) };
 }
 
+UnreadableObject
+UnreadableOwn(const StoreError& aError)
+{
+  return { .mKind = kBoxRecordKind,
+           .mReason = UnreadableReason::kItem,
+           .mDetail = aError.mDetail };
+}
+
 } // namespace
 
-BoxRecordStore::BoxRecordStore(const Settings& aSettings)
-  : mOwnKey{ kBoxRecordKind, aSettings.mBox.Value() }
+BoxRecordStore::BoxRecordStore(const Settings& aSettings,
+                               UnreadableListener aOnUnreadable)
+  : mBox(aSettings.mBox)
+  , mOnUnreadable(std::move(aOnUnreadable))
   , mClient(ClientOptions(aSettings, kCallTimeout))
   , mAckClient(ClientOptions(aSettings, kAckTimeout))
 {
@@ -36,20 +46,60 @@
   mAckClient.Abort();
 }
 
+// Null when the object is another writer's, which is reported.
+std::optional<BoxRecord>
+BoxRecordStore::OwnRecordIn(const Object& aObject)
+{
+  auto record = ReadBoxRecord(aObject);
+  if (!record) {
+    mOnUnreadable({ record.error() });
+    return std::nullopt;
+  }
+  return *record;
+}
+
+// False when the spare name is in use already. Under mMutex.
+bool
+BoxRecordStore::UseSpare()
+{
+  if (mPlace == BoxRecordPlace::kSpare) {
+    return false;
+  }
+  mPlace = BoxRecordPlace::kSpare;
+  mVersion = 0;
+  return true;
+}
+
 tl::expected<std::optional<BoxRecord>, StoreError>
 BoxRecordStore::ReadOwn()
 {
   const std::lock_guard lock(mMutex);
-  const auto own = mClient.Get(mOwnKey);
-  if (own) {
-    mVersion = own->mVersion;
-    const auto record = ParseBoxRecord(own->mSpecJson);
-    return record ? std::optional(*record) : std::nullopt;
-  }
-  if (own.error().mKind == StoreErrorKind::kNotFound) {
-    return std::nullopt;
-  }
-  return tl::make_unexpected(own.error());
+  do {
+    const auto own = mClient.Get(OwnKey());
+    if (own) {
+      if (const auto record = OwnRecordIn(*own)) {
+        mVersion = own->mVersion;
+        return record;
+      }
+    } else if (own.error().mKind == StoreErrorKind::kBadAnswer) {
+      mOnUnreadable({ UnreadableOwn(own.error()) });
+    } else if (own.error().mKind != StoreErrorKind::kNotFound) {
+      return tl::make_unexpected(own.error());
+    }
+  } while (UseSpare());
+  // Neither name has a record: the usual one is tried first again.
+  mPlace = BoxRecordPlace::kUsual;
+  mVersion = 0;
+  return std::nullopt;
+}
+
+// Under mMutex.
+tl::expected<std::uint64_t, StoreError>
+BoxRecordStore::Put(ObjectClient& aClient, const BoxRecord& aRecord)
+{
+  return mVersion == 0
+           ? aClient.Create(OwnKey(), ToJsonText(aRecord))
+           : aClient.Update(OwnKey(), mVersion, ToJsonText(aRecord));
 }
 
 RecordWrite
@@ -57,17 +107,21 @@
 {
   const std::lock_guard lock(mMutex);
   auto& client = aForAck ? mAckClient : mClient;
-  const auto written =
-    mVersion == 0 ? client.Create(mOwnKey, ToJsonText(aRecord))
-                  : client.Update(mOwnKey, mVersion, ToJsonText(aRecord));
-  if (written) {
-    mVersion = *written;
-    return { .mWritten = true };
-  }
   RecordWrite result;
-  if (written.error().mKind != StoreErrorKind::kUnavailable) {
-    result = TakeConflict(client, aRecord);
-  }
+  tl::expected<std::uint64_t, StoreError> written;
+  bool moved = false;
+  do {
+    const auto place = mPlace;
+    written = Put(client, aRecord);
+    if (written) {
+      mVersion = *written;
+      return { .mWritten = true };
+    }
+    if (written.error().mKind != StoreErrorKind::kUnavailable) {
+      result = TakeConflict(client, aRecord);
+    }
+    moved = mPlace != place;
+  } while (moved && !result.mWritten);
   if (!result.mWritten) {
     LogLine(LogLevel::kWarning, "box_record_not_written")
       .With("revision", std::to_string(aRecord.mRevision))
@@ -77,25 +131,33 @@
   return result;
 }
 
-// Another version is there: of this write, whose answer was lost, or of an
-// earlier life of this box, which the next write replaces. Under mMutex.
+// Another version is there: of this write, whose answer was lost, of an earlier
+// incarnation of this box, which the next write replaces, or of another writer,
+// whose object stays. Under mMutex.
 RecordWrite
 BoxRecordStore::TakeConflict(ObjectClient& aClient, const BoxRecord& aRecord)
 {
-  const auto held = aClient.Get(mOwnKey);
+  const auto held = aClient.Get(OwnKey());
   if (!held) {
     if (held.error().mKind == StoreErrorKind::kNotFound) {
       mVersion = 0;
+    } else if (held.error().mKind == StoreErrorKind::kBadAnswer) {
+      mOnUnreadable({ UnreadableOwn(held.error()) });
+      UseSpare();
     }
     return {};
   }
+  const auto record = OwnRecordIn(*held);
+  if (!record) {
+    UseSpare();
+    return {};
+  }
   mVersion = held->mVersion;
-  const auto record = ParseBoxRecord(held->mSpecJson);
-  if (record && *record == aRecord) {
+  if (*record == aRecord) {
     return { .mWritten = true };
   }
-  const bool earlier = record && record->mIncarnation != aRecord.mIncarnation;
-  return { .mEarlier = earlier ? std::optional(*record) : std::nullopt };
+  const bool earlier = record->mIncarnation != aRecord.mIncarnation;
+  return { .mEarlier = earlier ? record : std::nullopt };
 }
 
 tl::expected<std::vector<BoxRecord>, StoreError>
@@ -105,18 +167,17 @@
   if (!list) {
     return tl::make_unexpected(list.error());
   }
+  auto unreadable = list->mUnreadable;
   std::vector<BoxRecord> records;
   records.reserve(list->mObjects.size());
   for (const auto& object : list->mObjects) {
-    if (auto record = ParseBoxRecord(object.mSpecJson)) {
+    if (auto record = ReadBoxRecord(object)) {
       records.push_back(std::move(*record));
     } else {
-      LogLine(LogLevel::kWarning, "box_record_unreadable")
-        .With("box", object.mKey.mName)
-        .With("version", static_cast<std::int64_t>(object.mVersion))
-        .With("error", ToText(record.error()));
+      unreadable.push_back(std::move(record.error()));
     }
   }
+  mOnUnreadable(unreadable);
   return records;
 }
 
--- a/packages/control/src/ConfigController.cpp
+++ b/packages/control/src/ConfigController.cpp
@@ -55,11 +55,13 @@
 ConfigController::ConfigController(const Settings& aSettings,
                                    PeerTransport& aTransport,
                                    Metrics& aMetrics,
-                                   ConfigPeers aPeers)
+                                   ConfigPeers aPeers,
+                                   UnreadableListener aOnUnreadable)
   : mSettings(aSettings)
   , mTransport(aTransport)
   , mMetrics(aMetrics)
   , mPeers(std::move(aPeers))
+  , mOnUnreadable(std::move(aOnUnreadable))
   , mClient({ .mAddress = aSettings.mPlatformAddress,
               .mTimeout = kCallTimeout,
               .mDialect = StoreDialectOf(aSettings) })
@@ -282,6 +284,7 @@
     Sleep(Jittered(kRetryWait));
     return;
   }
+  mOnUnreadable(delta->mUnreadable);
   mCursor = std::max(mCursor, delta->mCursor);
   if (!delta->mObjects.empty() || delta->mFull) {
     Apply(*delta, "platform");
--- a/packages/control/src/ControlCodec.cpp
+++ b/packages/control/src/ControlCodec.cpp
@@ -76,16 +76,20 @@
   return message;
 }
 
-std::vector<BoxRecord>
+DecodedRecords
 DecodeRecords(const wire::BoxRecords& aMessage)
 {
-  std::vector<BoxRecord> records;
+  DecodedRecords decoded;
   for (const auto& text : aMessage.records()) {
     if (auto record = ParseBoxRecord(text)) {
-      records.push_back(std::move(*record));
+      decoded.mRecords.push_back(std::move(*record));
+    } else {
+      decoded.mUnreadable.push_back({ .mKind = kBoxRecordKind,
+                                      .mReason = UnreadableReason::kMessage,
+                                      .mDetail = ToText(record.error()) });
     }
   }
-  return records;
+  return decoded;
 }
 
 void
--- a/packages/control/src/DirectoryController.cpp
+++ b/packages/control/src/DirectoryController.cpp
@@ -71,7 +71,7 @@
   , mTransport(aTransport)
   , mHooks(std::move(aHooks))
   , mStarted(Now())
-  , mStore(aSettings)
+  , mStore(aSettings, mHooks.mOnUnreadable)
 {
   mOwn.mBox = { .mName = aSettings.mBox,
                 .mZone = aSettings.mZone,
@@ -409,9 +409,10 @@
 void
 DirectoryController::OnRecords(const wire::BoxRecords& aMessage)
 {
-  auto records = DecodeRecords(aMessage);
+  auto decoded = DecodeRecords(aMessage);
+  mHooks.mOnUnreadable(decoded.mUnreadable);
   mWorker.Post(
-    [this, records = std::move(records)] { Merge(records, "peer"); });
+    [this, records = std::move(decoded.mRecords)] { Merge(records, "peer"); });
 }
 
 wire::Envelope
--- a/packages/core/include/porttiller/core/Ids.h
+++ b/packages/core/include/porttiller/core/Ids.h
@@ -81,6 +81,11 @@
   std::uint64_t mSequence = 0;
 };
 
+// Whether a text can be an id from outside: printable ASCII without blanks, 256
+// characters at most. Ids go into headers and log lines.
+bool
+IsToken(std::string_view aText);
+
 // Null unless the whole text is a decimal number that fits.
 std::optional<std::uint64_t>
 ParseUnsigned(std::string_view aText);
--- a/packages/core/src/Ids.cpp
+++ b/packages/core/src/Ids.cpp
@@ -1,9 +1,20 @@
 #include "porttiller/core/Ids.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace porttiller {
 
+bool
+IsToken(std::string_view aText)
+{
+  constexpr std::size_t kMaxLength = 256;
+  return !aText.empty() && aText.size() <= kMaxLength &&
+         std::all_of(aText.begin(), aText.end(), [](char aEach) {
+           return aEach > ' ' && aEach <= '~';
+         });
+}
+
 std::optional<std::uint64_t>
 ParseUnsigned(std::string_view aText)
 {
--- a/packages/node/src/Node.cpp
+++ b/packages/node/src/Node.cpp
@@ -101,7 +101,8 @@
                  .mSpreadPeers =
                    [this](const SpreadOptions& aOptions) {
                      return mMembership->SpreadPeers(aOptions);
-                   } });
+                   } },
+    [this](const auto& aObjects) { mUnreadable.Note(aObjects); });
   mMembership = std::make_unique<MembershipController>(
     mSettings,
     mIncarnation,
@@ -248,6 +249,8 @@
              [this](const SpreadOptions& aOptions) {
                return mMembership->SpreadPeers(aOptions);
              },
+           .mOnUnreadable =
+             [this](const auto& aObjects) { mUnreadable.Note(aObjects); },
            .mReadsList = [this] { return mConfig->IsFirstWatcher(); } };
 }
 
--- a/packages/node/src/NodePartsPriv.h
+++ b/packages/node/src/NodePartsPriv.h
@@ -9,6 +9,7 @@
 #include "porttiller/control/MembershipController.h"
 #include "porttiller/control/NewsController.h"
 #include "porttiller/control/StatusController.h"
+#include "porttiller/control/UnreadableObjects.h"
 #include "porttiller/entry/AttemptPool.h"
 #include "porttiller/entry/Dispatcher.h"
 #include "porttiller/entry/EntryServer.h"
@@ -62,6 +63,7 @@
   const Settings mSettings;
   const Incarnation mIncarnation;
   Metrics mMetrics;
+  UnreadableObjects mUnreadable{ mMetrics };
   Cutoff mCutoff;
   Home mHome;
   EntryView mView;
--- a/packages/store/src/ObjectClient.cpp
+++ b/packages/store/src/ObjectClient.cpp
@@ -176,6 +176,7 @@
 {
   ObjectDelta whole{ .mFull = true };
   std::string after;
+  bool more = false;
   do {
     const auto page = ReadPage(aKind, after);
     if (!page) {
@@ -186,8 +187,13 @@
     whole.mObjects.insert(whole.mObjects.end(),
                           page->mDelta.mObjects.begin(),
                           page->mDelta.mObjects.end());
+    whole.mUnreadable.insert(whole.mUnreadable.end(),
+                             page->mDelta.mUnreadable.begin(),
+                             page->mDelta.mUnreadable.end());
+    // Names rise from page to page; anything else would not come to an end.
+    more = page->mNext > after;
     after = page->mNext;
-  } while (!after.empty());
+  } while (more);
   return whole;
 }
 
--- a/packages/telemetry/include/porttiller/telemetry/Metrics.h
+++ b/packages/telemetry/include/porttiller/telemetry/Metrics.h
@@ -1,6 +1,7 @@
 // The daemon's metrics, as /metrics shows them.
 #pragma once
 
+#include "porttiller/config/UnreadableObject.h"
 #include "porttiller/core/Outcome.h"
 #include "porttiller/core/Refusal.h"
 
@@ -22,6 +23,8 @@
 
   void CountRequest(Outcome aOutcome);
   void CountRefusal(Refusal aRefusal);
+  // An object of the store or a peer's record that was left out.
+  void CountUnreadable(UnreadableReason aReason);
   prometheus::Counter& Retries() { return *mRetries; }
   // Attempts at a second server while the first one takes unusually long.
   prometheus::Counter& Races() { return *mRaces; }
@@ -49,6 +52,7 @@
   std::shared_ptr<prometheus::Registry> mRegistry;
   std::array<prometheus::Counter*, 3> mRequests{};
   std::array<prometheus::Counter*, kRefusalCount> mRefusals{};
+  std::array<prometheus::Counter*, kUnreadableReasonCount> mUnreadable{};
   prometheus::Counter* mRetries;
   prometheus::Counter* mRaces;
   prometheus::Counter* mRevokes;
--- a/packages/telemetry/src/Metrics.cpp
+++ b/packages/telemetry/src/Metrics.cpp
@@ -106,6 +106,15 @@
     mRefusals.at(i) =
       &refusals.Add({ { "reason", std::string(ToText(refusal)) } });
   }
+  auto& unreadable =
+    CounterFamily(*mRegistry,
+                  "porttiller_unreadable_objects_total",
+                  "Objects of the store or of peers that were left out");
+  for (std::size_t i = 0; i < mUnreadable.size(); ++i) {
+    const auto reason = static_cast<UnreadableReason>(i);
+    mUnreadable.at(i) =
+      &unreadable.Add({ { "reason", std::string(ToText(reason)) } });
+  }
 }
 
 void
@@ -120,6 +129,12 @@
   mRefusals.at(static_cast<std::size_t>(aRefusal))->Increment();
 }
 
+void
+Metrics::CountUnreadable(UnreadableReason aReason)
+{
+  mUnreadable.at(static_cast<std::size_t>(aReason))->Increment();
+}
+
 prometheus::Gauge&
 Metrics::ControlBytesSentOf(const std::string& aKind)
 {
--- a/testing/fleet/tests/MeshFleetTest.cpp
+++ b/testing/fleet/tests/MeshFleetTest.cpp
@@ -321,3 +321,73 @@
   REQUIRE(fleet.Server(0).Beat());
   CHECK(fleet.WaitServers(2));
 }
+
+TEST_CASE("Objects of another writer in the store hide no box and no server")
+{
+  MeshFleet fleet({ .mBoxes = 3, .mPortBase = kPortBase, .mStartTimes = true });
+  auto& store = fleet.Store();
+  const std::string recordOfBox1 = store.SpecOf({ "box-records", "box-1" });
+  // Before, between and behind the boxes' own names.
+  for (const char* name : { "a", "box-0~x", "box-1.5", "zz" }) {
+    store.Put({ "box-records", name }, "7");
+  }
+  store.Put({ "box-records", "copy" }, recordOfBox1);
+  store.Put({ "config", "a" }, R"("no document")");
+  store.Put({ "config", "main" }, R"({"Routes":7})");
+  // A box's own name holds an object of another writer.
+  store.Put({ "box-records", "box-2" }, R"({"state":"resting"})");
+  for (int box = 0; box < 3; ++box) {
+    fleet.SignalBox(box, SIGKILL);
+    fleet.WaitForBoxExit(box, kWait);
+  }
+  // All start from what the store holds, but for the configuration.
+  fleet.Configure("/extra/");
+  for (int box = 0; box < 3; ++box) {
+    fleet.StartBox(box);
+  }
+  for (int box = 0; box < 3; ++box) {
+    CHECK(WaitUntil(kWait, [&] { return fleet.Server(box).Beat(); }));
+  }
+  CHECK(fleet.WaitServers(3));
+  CHECK(WaitUntil(kWait, [&] {
+    return fleet.Send(1, "GET", "/extra/x", "e").mStatus == 200;
+  }));
+  // What the other writer wrote still stands, and a broken document changes
+  // nothing.
+  CHECK(store.SpecOf({ "box-records", "box-2" }) == R"({"state":"resting"})");
+  CHECK(store.SpecOf({ "box-records", "box-2~1" }).find("i-2") !=
+        std::string::npos);
+  store.Put({ "config", "main" }, R"({"Routes":7})");
+  REQUIRE(fleet.Server(2).Beat("draining"));
+  CHECK(fleet.WaitServers(2));
+  CHECK(fleet.Send(1, "GET", "/extra/x", "f").mStatus == 200);
+  // The box finds its record under the spare name again.
+  fleet.SignalBox(2, SIGKILL);
+  fleet.WaitForBoxExit(2, kWait);
+  fleet.StartBox(2);
+  REQUIRE(WaitUntil(kWait, [&] { return fleet.Server(2).Beat(); }));
+  CHECK(fleet.WaitServers(2));
+  fleet.Configure("/later/");
+  CHECK(WaitUntil(kWait, [&] {
+    return fleet.Send(0, "GET", "/later/x", "g").mStatus == 200;
+  }));
+  CHECK(fleet.LogOf(2).find("object_unreadable") != std::string::npos);
+}
+
+TEST_CASE("Heartbeats of another writer change no server in use")
+{
+  MeshFleet fleet({ .mBoxes = 2, .mPortBase = kPortBase, .mStartTimes = true });
+  for (const char* body : { "",
+                            "not json",
+                            "{}",
+                            R"({"Service":7})",
+                            R"({"Service":"ledger","Address":"127.0.0.1:0",)"
+                            R"("Slots":4,"State":"ready","CallSeq":90})",
+                            R"({"Service":"ledger","Address":"127.0.0.1:9",)"
+                            R"("Slots":4,"State":"resting","CallSeq":90})" }) {
+    CAPTURE(body);
+    CHECK_FALSE(fleet.Server(0).Tell("instances.heartbeat", body));
+  }
+  CHECK(fleet.WaitServers(2));
+  CHECK(fleet.Send(1, "POST", "/once/x", "h").mStatus == 200);
+}
