Soak: servers that start again under their id, and a foreign writer

Servers report their start times; two more kinds of fault: a server ends at once and starts again under its id, and another writer puts unreadable objects and a copied record into the store and sends a heartbeat without its fields.

--- a/testing/soak/Schedule.cpp
+++ b/testing/soak/Schedule.cpp
@@ -70,9 +70,13 @@
     case FaultKind::kReplaceServer:
       return "replace-server";
     case FaultKind::kConfigure:
+      return "configure";
+    case FaultKind::kRestartServer:
+      return "restart-server";
+    case FaultKind::kForeignWriter:
       break;
   }
-  return "configure";
+  return "foreign-writer";
 }
 
 std::vector<Fault>
--- a/testing/soak/Schedule.h
+++ b/testing/soak/Schedule.h
@@ -28,10 +28,13 @@
   kServerFull,      // refuses, and says that it did not run
   kServerSpoils,    // answers without its signature
   kReplaceServer,   // drains, leaves, and another has its address
-  kConfigure        // a new version of the configuration
+  kConfigure,       // a new version of the configuration
+  kRestartServer,   // ends at once and starts again under its id
+  kForeignWriter    // writes objects and a heartbeat that are none of ours
 };
 
-inline constexpr int kFaultKinds = static_cast<int>(FaultKind::kConfigure) + 1;
+inline constexpr int kFaultKinds =
+  static_cast<int>(FaultKind::kForeignWriter) + 1;
 
 const char*
 ToText(FaultKind aKind);
--- a/testing/soak/Soak.cpp
+++ b/testing/soak/Soak.cpp
@@ -27,6 +27,7 @@
   , mFleet({ .mBoxes = aOptions.mSchedule.mBoxes,
              .mPortBase = aOptions.mPortBase,
              .mLinks = true,
+             .mStartTimes = true,
              .mDrainNotice = Millis(500),
              .mDrain = Millis(4000) })
   , mServerMutexes(static_cast<std::size_t>(aOptions.mSchedule.mBoxes))
@@ -156,6 +157,12 @@
     case FaultKind::kReplaceServer:
       BeginReplacement(box);
       break;
+    case FaultKind::kRestartServer:
+      RestartServer(box);
+      break;
+    case FaultKind::kForeignWriter:
+      WriteForeignObjects(box);
+      break;
     default:
       mFleet.Configure("/extra/");
       mClients->ExpectRoute("/extra/");
@@ -244,6 +251,29 @@
   mDown.erase(box);
 }
 
+void
+Soak::RestartServer(int aBox)
+{
+  const std::lock_guard lock(mServerMutexes.at(aBox));
+  if (!mDraining.at(aBox)) {
+    mFleet.RestartServer(aBox); // the next heartbeat reports the new start
+  }
+}
+
+void
+Soak::WriteForeignObjects(int aBox)
+{
+  auto& store = mFleet.Store();
+  const auto name = "other-" + std::to_string(aBox);
+  store.Put({ "box-records", name }, R"({"state":"resting"})");
+  store.Put({ "box-records", name + "-text" }, "\"\xff\"");
+  store.Put({ "box-records", name + "-copy" },
+            store.SpecOf({ "box-records", "box-0" }));
+  store.Put({ "config", name }, "99999999999999999999");
+  const std::lock_guard lock(mServerMutexes.at(aBox));
+  mFleet.Server(aBox).Tell("instances.heartbeat", R"({"State":"draining"})");
+}
+
 void
 Soak::BeginReplacement(int aBox)
 {
--- a/testing/soak/Soak.h
+++ b/testing/soak/Soak.h
@@ -40,6 +40,8 @@
   void BeginOnBox(const Fault& aFault);
   void EndOnBox(const Fault& aFault);
   void SetServer(int aBox, const standin::MeshServerFaults& aFaults);
+  void RestartServer(int aBox);
+  void WriteForeignObjects(int aBox);
   void BeginReplacement(int aBox);
   void EndReplacement(int aBox);
   void Heal();
