Let batches of the directory rest in proportion to what they cost

Cause: while changes do not end, a batch ran every 200 ms whatever it took, and a rebuild costs as much as the fleet is large. Fix: the gap behind a batch is ten times what it took, from 200 ms to a second: at most a tenth of a box's time, while drains still last two. Cheap batches, as on small fleets, come as often as before. Evidence: BatcherTest "Batches that take long ..." and "However long batches take ..." failed with the gap held at 200 ms.

--- a/packages/control/src/DirectoryController.cpp
+++ b/packages/control/src/DirectoryController.cpp
@@ -380,6 +380,8 @@
   if (!onwards.empty()) {
     Push(onwards, kOnwards);
   }
+  const std::lock_guard lock(mMutex);
+  mBatcher.OnBatchDone(Now());
 }
 
 void
--- a/packages/policy/src/Batcher.cpp
+++ b/packages/policy/src/Batcher.cpp
@@ -6,6 +6,7 @@
 
 Batcher::Batcher(BatcherOptions aOptions)
   : mOptions(aOptions)
+  , mGap(aOptions.mGap)
 {
 }
 
@@ -19,7 +20,7 @@
   if (!mLast) {
     return Millis(0);
   }
-  const auto left = std::chrono::ceil<Millis>(*mLast + mOptions.mGap - aNow);
+  const auto left = std::chrono::ceil<Millis>(*mLast + mGap - aNow);
   return std::max(Millis(0), left);
 }
 
@@ -30,4 +31,13 @@
   mLast = aNow;
 }
 
+void
+Batcher::OnBatchDone(TimePoint aNow)
+{
+  const auto cost = std::chrono::ceil<Millis>(aNow - mLast.value_or(aNow));
+  const auto gap = cost * (1 + mOptions.mRestPerCost);
+  const auto most = std::max(mOptions.mGap, mOptions.mMaxGap);
+  mGap = std::clamp(gap, mOptions.mGap, most);
+}
+
 } // namespace porttiller
--- a/packages/policy/tests/BatcherTest.cpp
+++ b/packages/policy/tests/BatcherTest.cpp
@@ -26,6 +26,43 @@
   CHECK(batcher.OnChange(kStart + Millis(900)) == Millis(0));
 }
 
+TEST_CASE("Batches that take long leave nine tenths of the time to others")
+{
+  constexpr Millis kCost{ 60 };
+  constexpr Millis kChangeEvery{ 5 };
+  constexpr Millis kLength{ 20'000 };
+  Batcher batcher;
+  Millis inBatches{ 0 };
+  TimePoint due;
+  bool planned = false;
+  for (auto now = kStart; now < kStart + kLength; now += kChangeEvery) {
+    if (const auto delay = batcher.OnChange(now)) {
+      due = now + *delay;
+      planned = true;
+    }
+    if (planned && now >= due) {
+      planned = false;
+      batcher.OnBatch(now);
+      batcher.OnBatchDone(now + kCost);
+      inBatches += kCost;
+    }
+  }
+  CHECK(inBatches <= kLength / 10 + kCost);
+}
+
+TEST_CASE("However long batches take, the next one comes within a second")
+{
+  Batcher batcher;
+  CHECK(batcher.OnChange(kStart) == Millis(0));
+  batcher.OnBatch(kStart);
+  batcher.OnBatchDone(kStart + Millis(400));
+  CHECK(batcher.OnChange(kStart + Millis(401)) == Millis(599));
+  // Cheap ones come as often as before.
+  batcher.OnBatch(kStart + Millis(1000));
+  batcher.OnBatchDone(kStart + Millis(1003));
+  CHECK(batcher.OnChange(kStart + Millis(1003)) == Millis(197));
+}
+
 namespace {
 
 constexpr int kZones = 5;
