--- a/packages/control/src/DirectoryController.cpp
+++ b/packages/control/src/DirectoryController.cpp
@@ -12,33 +12,24 @@
 
 namespace {
 
-// Of the second that a server waits; the store comes first.
-constexpr Millis kAckPeerTimeout{ 300 };
-constexpr std::size_t kAckPeers = 4;
-constexpr Millis kPushTimeout{ 1000 };
-// A box tells its own news to a few boxes of each zone, which tell their zone.
-// To random boxes of the fleet, each passing it on, it took 80 copies over
-// borders at 30 boxes in place of 4.
+// A box sends its own record to a few boxes of each zone, which pass it on
+// within the zone: at 30 boxes 4 copies cross zones, by random receivers 80 do.
 constexpr SpreadOptions kOwnNews{ .mOwnZone = 3, .mPerOtherZone = 2 };
 constexpr SpreadOptions kOnwards{ .mOwnZone = 3 };
 constexpr Millis kRetryWait{ 700 };
 // Calls to a store that fails are spread out.
 constexpr Millis kMaxRetryWait{ 2000 };
-// At the very first start of all, boxes that have written their records wait
-// for up to so long to be told of the others, and read the list themselves if
-// nobody does. Each box that lists tells eleven others, so few do.
+// At the very first start of all, boxes that have written their records wait up
+// to so long for records of others, and read the list if none come. Each box
+// that lists sends to eleven others, so few do.
 constexpr Millis kListSpread{ 1500 };
 // One box of a zone reads the list again, so that parts of the fleet that never
 // heard of each other meet.
 constexpr Millis kListAgain{ 30'000 };
-// At the very first start the server's first heartbeat is waited for, so that
-// one write tells both. On the users' days it comes up to 2.3 s after the box.
+// At the very first start the box waits for its server's first heartbeat, so
+// that one write has both.
 constexpr Millis kFirstHeartbeatWait{ 2600 };
-// A difference between two directories that is older than this is no news on
-// its way any more.
-constexpr Millis kDifferenceLasts{ 1200 };
-constexpr Millis kRequestGap{ 1000 };
-// A box that nobody answers works with what its own server tells.
+// A box that nobody answers works with its own server's messages alone.
 constexpr Millis kStartPatience{ 3000 };
 
 std::uint64_t
@@ -396,96 +387,6 @@
   mHooks.mOnChange(std::move(records));
 }
 
-void
-DirectoryController::Push(const std::vector<BoxRecord>& aRecords,
-                          const SpreadOptions& aSpread)
-{
-  wire::Envelope message;
-  *message.mutable_box_records() = EncodeRecords(aRecords);
-  // What is lost is found by the digests.
-  for (const auto& peer : mHooks.mSpreadPeers(aSpread)) {
-    mTransport.Tell(peer.mControlAddress, message);
-  }
-}
-
-void
-DirectoryController::OnRecords(const wire::BoxRecords& aMessage)
-{
-  auto decoded = DecodeRecords(aMessage);
-  mHooks.mOnUnreadable(decoded.mUnreadable);
-  mWorker.Post(
-    [this, records = std::move(decoded.mRecords)] { Merge(records, "peer"); });
-}
-
-wire::Envelope
-DirectoryController::OnDirectoryRequest(const wire::DirectoryRequest& aRequest)
-{
-  const auto theirs = DecodeVersions(aRequest.held());
-  wire::Envelope reply;
-  const std::lock_guard lock(mMutex);
-  *reply.mutable_box_records() = EncodeRecords(mDirectory.NewerThan(theirs));
-  if (mDirectory.LacksAnyOf(theirs)) {
-    EncodeVersions(mDirectory.Versions(),
-                   *reply.mutable_box_records()->mutable_held());
-  }
-  return reply;
-}
-
-void
-DirectoryController::OnPeerDigest(const PeerRevision& aPeer)
-{
-  const auto now = Now();
-  {
-    const std::lock_guard lock(mMutex);
-    if (aPeer.mDirectory == mDirectory.Digest()) {
-      mPeerDigest = 0;
-      return;
-    }
-    if (mPeerDigest == 0) {
-      mPeerDigest = aPeer.mDirectory;
-      mPeerDigestSince = now;
-    }
-    if (now < mPeerDigestSince + kDifferenceLasts || now < mNextRequest) {
-      return;
-    }
-    mNextRequest = now + kRequestGap;
-  }
-  Request(aPeer.mAddress);
-}
-
-// Asks a peer for what is newer there, and sends it what it lacks.
-void
-DirectoryController::Request(const std::string& aAddress)
-{
-  wire::Envelope request;
-  {
-    const std::lock_guard lock(mMutex);
-    EncodeVersions(mDirectory.Versions(),
-                   *request.mutable_directory_request()->mutable_held());
-  }
-  mTransport.Send(aAddress,
-                  std::move(request),
-                  kPushTimeout,
-                  [this, aAddress](const PeerResult& aResult) {
-                    if (!aResult || !aResult->has_box_records()) {
-                      return;
-                    }
-                    OnRecords(aResult->box_records());
-                    const auto theirs =
-                      DecodeVersions(aResult->box_records().held());
-                    if (theirs.empty()) {
-                      return;
-                    }
-                    wire::Envelope message;
-                    {
-                      const std::lock_guard lock(mMutex);
-                      *message.mutable_box_records() =
-                        EncodeRecords(mDirectory.NewerThan(theirs));
-                    }
-                    mTransport.Tell(aAddress, std::move(message));
-                  });
-}
-
 tl::expected<void, RegistrationError>
 DirectoryController::Take(const ServerMessage& aMessage)
 {
@@ -542,37 +443,6 @@
   return WriteOwn(true) || KeepAtPeers(aRecord);
 }
 
-bool
-DirectoryController::KeepAtPeers(const BoxRecord& aRecord)
-{
-  struct Round
-  {
-    std::mutex mMutex;
-    std::condition_variable mChanged;
-    std::size_t mOpen = 0;
-    bool mKept = false;
-  };
-  const auto round = std::make_shared<Round>();
-  const auto peers = mHooks.mRandomPeers(kAckPeers);
-  round->mOpen = peers.size();
-  wire::Envelope message;
-  *message.mutable_box_records() = EncodeRecords({ aRecord });
-  for (const auto& peer : peers) {
-    mTransport.Send(peer.mControlAddress,
-                    message,
-                    kAckPeerTimeout,
-                    [round](const PeerResult& aResult) {
-                      const std::lock_guard lock(round->mMutex);
-                      --round->mOpen;
-                      round->mKept = round->mKept || aResult.has_value();
-                      round->mChanged.notify_all();
-                    });
-  }
-  std::unique_lock lock(round->mMutex);
-  round->mChanged.wait(lock, [&] { return round->mKept || round->mOpen == 0; });
-  return round->mKept;
-}
-
 void
 DirectoryController::Leave()
 {
--- /dev/null
+++ b/packages/control/src/DirectoryPeers.cpp
@@ -0,0 +1,142 @@
+// The directory's exchange of records with other boxes.
+#include "porttiller/control/DirectoryController.h"
+
+#include "porttiller/control/ControlCodec.h"
+
+namespace porttiller {
+
+namespace {
+
+// Of the second that a server waits; the store comes first.
+constexpr Millis kAckPeerTimeout{ 300 };
+constexpr std::size_t kAckPeers = 4;
+constexpr Millis kPushTimeout{ 1000 };
+// A difference between two directories that lasts longer is not a record on its
+// way.
+constexpr Millis kDifferenceLasts{ 1200 };
+constexpr Millis kRequestGap{ 1000 };
+
+} // namespace
+
+void
+DirectoryController::Push(const std::vector<BoxRecord>& aRecords,
+                          const SpreadOptions& aSpread)
+{
+  wire::Envelope message;
+  *message.mutable_box_records() = EncodeRecords(aRecords);
+  // What is lost is found by the digests.
+  for (const auto& peer : mHooks.mSpreadPeers(aSpread)) {
+    mTransport.Tell(peer.mControlAddress, message);
+  }
+}
+
+void
+DirectoryController::OnRecords(const wire::BoxRecords& aMessage)
+{
+  auto decoded = DecodeRecords(aMessage);
+  mHooks.mOnUnreadable(decoded.mUnreadable);
+  mWorker.Post(
+    [this, records = std::move(decoded.mRecords)] { Merge(records, "peer"); });
+}
+
+wire::Envelope
+DirectoryController::OnDirectoryRequest(const wire::DirectoryRequest& aRequest)
+{
+  const auto theirs = DecodeVersions(aRequest.held());
+  wire::Envelope reply;
+  const std::lock_guard lock(mMutex);
+  *reply.mutable_box_records() = EncodeRecords(mDirectory.NewerThan(theirs));
+  if (mDirectory.LacksAnyOf(theirs)) {
+    EncodeVersions(mDirectory.Versions(),
+                   *reply.mutable_box_records()->mutable_held());
+  }
+  return reply;
+}
+
+void
+DirectoryController::OnPeerDigest(const PeerRevision& aPeer)
+{
+  const auto now = Now();
+  {
+    const std::lock_guard lock(mMutex);
+    if (aPeer.mDirectory == mDirectory.Digest()) {
+      mPeerDigest = 0;
+      return;
+    }
+    if (mPeerDigest == 0) {
+      mPeerDigest = aPeer.mDirectory;
+      mPeerDigestSince = now;
+    }
+    if (now < mPeerDigestSince + kDifferenceLasts || now < mNextRequest) {
+      return;
+    }
+    mNextRequest = now + kRequestGap;
+  }
+  Request(aPeer.mAddress);
+}
+
+// Asks a peer for what is newer there, and sends it what it lacks.
+void
+DirectoryController::Request(const std::string& aAddress)
+{
+  wire::Envelope request;
+  {
+    const std::lock_guard lock(mMutex);
+    EncodeVersions(mDirectory.Versions(),
+                   *request.mutable_directory_request()->mutable_held());
+  }
+  mTransport.Send(aAddress,
+                  std::move(request),
+                  kPushTimeout,
+                  [this, aAddress](const PeerResult& aResult) {
+                    if (!aResult || !aResult->has_box_records()) {
+                      return;
+                    }
+                    OnRecords(aResult->box_records());
+                    const auto theirs =
+                      DecodeVersions(aResult->box_records().held());
+                    if (theirs.empty()) {
+                      return;
+                    }
+                    wire::Envelope message;
+                    {
+                      const std::lock_guard lock(mMutex);
+                      *message.mutable_box_records() =
+                        EncodeRecords(mDirectory.NewerThan(theirs));
+                    }
+                    mTransport.Tell(aAddress, std::move(message));
+                  });
+}
+
+bool
+DirectoryController::KeepAtPeers(const BoxRecord& aRecord)
+{
+  struct Round
+  {
+    std::mutex mMutex;
+    std::condition_variable mChanged;
+    std::size_t mOpen = 0;
+    bool mKept = false;
+  };
+  const auto round = std::make_shared<Round>();
+  const auto peers = mHooks.mRandomPeers(kAckPeers);
+  round->mOpen = peers.size();
+  wire::Envelope message;
+  *message.mutable_box_records() = EncodeRecords({ aRecord });
+  for (const auto& peer : peers) {
+    mTransport.Send(peer.mControlAddress,
+                    message,
+                    kAckPeerTimeout,
+                    [round](const PeerResult& aResult) {
+                      const std::lock_guard lock(round->mMutex);
+                      --round->mOpen;
+                      round->mKept = round->mKept || aResult.has_value();
+                      round->mChanged.notify_all();
+                    });
+  }
+  std::unique_lock lock(round->mMutex);
+  round->mChanged.wait(lock, [&] { return round->mKept || round->mOpen == 0; });
+  return round->mKept;
+}
+
+} // namespace porttiller
