--- a/packages/config/include/porttiller/config/BoxRecord.h
+++ b/packages/config/include/porttiller/config/BoxRecord.h
@@ -1,6 +1,6 @@
-// What a box reports of itself and its backend server, where no operator lists
-// them. The box alone writes its record, and each change raises the
-// record's revision, so of two versions the higher one holds.
+// The record of a box and its backend server, where no operator lists them. The
+// box alone writes its record, and each change raises the record's revision, so
+// of two versions the higher one holds.
 #pragma once
 
 #include "porttiller/config/ObjectSet.h"
--- a/packages/config/src/JsonText.cpp
+++ b/packages/config/src/JsonText.cpp
@@ -2,7 +2,6 @@
 
 #include <Poco/Exception.h>
 #include <Poco/JSON/Parser.h>
-#include <cctype>
 #include <charconv>
 #include <cstdint>
 #include <sstream>
@@ -37,6 +36,12 @@
   return aText;
 }
 
+bool
+IsDigit(char aEach)
+{
+  return aEach >= '0' && aEach <= '9';
+}
+
 bool
 Fits(std::string_view aNumber)
 {
@@ -60,7 +65,7 @@
       ++i;
     } else if (aText[i] == '"') {
       inString = !inString;
-    } else if (!inString && (aText[i] == '-' || std::isdigit(aText[i]) != 0)) {
+    } else if (!inString && (aText[i] == '-' || IsDigit(aText[i]))) {
       const auto end = aText.find_first_not_of("+-.0123456789eE", i);
       const auto number = aText.substr(i, end - i);
       if (!Fits(number)) {
--- a/packages/entry/src/EntryView.cpp
+++ b/packages/entry/src/EntryView.cpp
@@ -346,7 +346,7 @@
   }
   const auto retryAfter = std::clamp(aNews.mRetryAfter, kMinAvoid, kMaxAvoid);
   view->mBrokenUntil = aNow + retryAfter;
-  // Its home needs few trials, and every box that was told has some.
+  // Its home needs few trials, and every receiver sends some.
   const auto span = static_cast<std::uint64_t>(retryAfter.count());
   view->mNoTrialUntil =
     aNow + Millis(static_cast<Millis::rep>(Random() % span));
