--- a/packages/control/include/porttiller/control/BoxRecordStore.h
+++ b/packages/control/include/porttiller/control/BoxRecordStore.h
@@ -43,7 +43,6 @@
 
 private:
   ObjectKey OwnKey() const { return BoxRecordKey(mBox, mPlace); }
-  tl::expected<Object, StoreError> GetOwn(ObjectClient& aClient);
   std::optional<BoxRecord> OwnRecordIn(const Object& aObject);
   tl::expected<std::uint64_t, StoreError> Put(ObjectClient& aClient,
                                               const BoxRecord& aRecord);
--- a/packages/control/include/porttiller/control/DirectoryController.h
+++ b/packages/control/include/porttiller/control/DirectoryController.h
@@ -42,7 +42,7 @@
 // Why a server's message is not acknowledged.
 enum class RegistrationError
 {
-  kStarting, // what an earlier life of this box recorded is not known yet
+  kStarting, // what this box recorded before its restart is not known yet
   kNotKept,  // neither the store nor a peer holds it
   kForeign   // it is not of the server in use
 };
