Read lists of box records in one place

porttillerctl and BoxRecordStore each had the loop that keeps records and collects what cannot be read; DecodeRecords had a type of the same shape. ReadBoxRecords and BoxRecordList serve all three.

--- a/apps/porttillerctl/StatusCommand.cpp
+++ b/apps/porttillerctl/StatusCommand.cpp
@@ -87,14 +87,11 @@
     return tl::make_unexpected(listed.error());
   }
   Report report;
-  report.mUnreadable = listed->mUnreadable;
+  auto read = ReadBoxRecords(*listed);
+  report.mUnreadable = std::move(read.mUnreadable);
   Directory directory;
-  for (const auto& object : listed->mObjects) {
-    if (const auto record = ReadBoxRecord(object)) {
-      directory.Merge(*record);
-    } else {
-      report.mUnreadable.push_back(record.error());
-    }
+  for (const auto& record : read.mRecords) {
+    directory.Merge(record);
   }
   report.mSnapshot = SnapshotBuilder().Build(
     objects, changed.value_or(std::vector<ObjectKey>()), directory.InUse());
--- a/packages/config/include/porttiller/config/BoxRecord.h
+++ b/packages/config/include/porttiller/config/BoxRecord.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <string>
 #include <tl/expected.hpp>
+#include <vector>
 
 namespace porttiller {
 
@@ -66,6 +67,17 @@
 tl::expected<BoxRecord, UnreadableObject>
 ReadBoxRecord(const Object& aObject);
 
+// Records from outside, and what was left out among them.
+struct BoxRecordList
+{
+  std::vector<BoxRecord> mRecords;
+  std::vector<UnreadableObject> mUnreadable;
+};
+
+// The records in a list of the store.
+BoxRecordList
+ReadBoxRecords(const ObjectDelta& aList);
+
 // The server as routing takes it. The record must have one.
 BackendServerSpec
 SpecOf(const BoxRecord& aRecord);
--- a/packages/config/src/BoxRecord.cpp
+++ b/packages/config/src/BoxRecord.cpp
@@ -153,6 +153,21 @@
   return *record;
 }
 
+BoxRecordList
+ReadBoxRecords(const ObjectDelta& aList)
+{
+  BoxRecordList list{ .mUnreadable = aList.mUnreadable };
+  list.mRecords.reserve(aList.mObjects.size());
+  for (const auto& object : aList.mObjects) {
+    if (auto record = ReadBoxRecord(object)) {
+      list.mRecords.push_back(std::move(*record));
+    } else {
+      list.mUnreadable.push_back(std::move(record.error()));
+    }
+  }
+  return list;
+}
+
 tl::expected<BoxRecord, FieldErrors>
 ParseBoxRecord(const std::string& aText)
 {
--- a/packages/control/include/porttiller/control/ControlCodec.h
+++ b/packages/control/include/porttiller/control/ControlCodec.h
@@ -28,13 +28,7 @@
 wire::BoxRecords
 EncodeRecords(const std::vector<BoxRecord>& aRecords);
 
-struct DecodedRecords
-{
-  std::vector<BoxRecord> mRecords;
-  std::vector<UnreadableObject> mUnreadable; // left out
-};
-
-DecodedRecords
+BoxRecordList
 DecodeRecords(const wire::BoxRecords& aMessage);
 
 void
--- a/packages/control/src/BoxRecordStore.cpp
+++ b/packages/control/src/BoxRecordStore.cpp
@@ -167,18 +167,9 @@
   if (!list) {
     return tl::make_unexpected(list.error());
   }
-  auto unreadable = list->mUnreadable;
-  std::vector<BoxRecord> records;
-  records.reserve(list->mObjects.size());
-  for (const auto& object : list->mObjects) {
-    if (auto record = ReadBoxRecord(object)) {
-      records.push_back(std::move(*record));
-    } else {
-      unreadable.push_back(std::move(record.error()));
-    }
-  }
-  mOnUnreadable(unreadable);
-  return records;
+  auto read = ReadBoxRecords(*list);
+  mOnUnreadable(read.mUnreadable);
+  return std::move(read.mRecords);
 }
 
 } // namespace porttiller
--- a/packages/control/src/ControlCodec.cpp
+++ b/packages/control/src/ControlCodec.cpp
@@ -76,10 +76,10 @@
   return message;
 }
 
-DecodedRecords
+BoxRecordList
 DecodeRecords(const wire::BoxRecords& aMessage)
 {
-  DecodedRecords decoded;
+  BoxRecordList decoded;
   for (const auto& text : aMessage.records()) {
     if (auto record = ParseBoxRecord(text)) {
       decoded.mRecords.push_back(std::move(*record));
