Policy: keep limits of workspaces over all boxes by collected counts

Cause: a limit holds over all boxes together, of which each sees a sixth of a request a second of an ordinary workspace; nothing counted over boxes. LimitFleet plays fleets of them as discrete events with cuts, kills and an oracle; LimitsBench compares the ways.

--- /dev/null
+++ b/bench/LimitsBench.cpp
@@ -0,0 +1,147 @@
+// Ways to keep workspaces' limits over a fleet, compared on the same drawn
+// load: worst window, requests refused below the limit, messages.
+#include "Figure.h"
+#include "sim/LimitFleet.h"
+
+#include <cxxopts.hpp>
+#include <iostream>
+
+using namespace porttiller;
+using namespace porttiller::bench;
+
+namespace {
+
+const char*
+ToText(LimitWay aWay)
+{
+  switch (aWay) {
+    case LimitWay::kCollected:
+      return "collected";
+    case LimitWay::kParts:
+      return "parts";
+    case LimitWay::kAsked:
+      break;
+  }
+  return "asked";
+}
+
+struct Sums
+{
+  double mWorstWindow = 0.0;
+  double mWorstUsual = 0.0; // of workspaces that keep to their usual
+  double mOffered = 0.0;
+  double mRefusedBelow = 0.0;
+  double mRefusedUsual = 0.0;
+  double mMessages = 0.0;
+  double mBusiest = 0.0;
+  double mItems = 0.0;
+};
+
+void
+Add(const LimitOutcome& aOutcome,
+    const std::vector<SimWorkspace>& aWorkspaces,
+    Sums& aSums)
+{
+  for (std::size_t i = 0; i < aWorkspaces.size(); ++i) {
+    const auto& outcome = aOutcome.mWorkspaces[i];
+    aSums.mOffered += outcome.mOffered;
+    aSums.mRefusedBelow += outcome.mRefusedBelow;
+    aSums.mWorstWindow = std::max(aSums.mWorstWindow, outcome.mWorstWindow);
+    if (aWorkspaces[i].mHotFactor == 1.0) {
+      aSums.mRefusedUsual += outcome.mRefusedBelow;
+      aSums.mWorstUsual = std::max(aSums.mWorstUsual, outcome.mWorstWindow);
+    }
+  }
+  aSums.mMessages += aOutcome.mMessagesPerBoxSecond;
+  aSums.mItems += aOutcome.mItemsPerBoxSecond;
+  aSums.mBusiest = std::max(aSums.mBusiest, aOutcome.mMessagesOfBusiest);
+}
+
+struct Scene
+{
+  const char* mName;
+  int mCutOneIn;  // 0: none is cut
+  int mKillOneIn; // 0: none is killed
+};
+
+void
+Measure(int aBoxes, LimitWay aWay, const Scene& aScene, int aSeeds)
+{
+  Sums sums;
+  for (int seed = 1; seed <= aSeeds; ++seed) {
+    auto workspaces =
+      DrawWorkspaces(81, 11.8 * aBoxes, 1.6, static_cast<std::uint64_t>(seed));
+    workspaces[0].mHotFactor = 3.0;
+    workspaces[7].mHotFactor = 4.8;
+    workspaces[30].mHotFactor = 7.5;
+    LimitFleet fleet({ .mBoxes = aBoxes,
+                       .mZones = aBoxes > 1000  ? 27
+                                 : aBoxes > 300 ? 5
+                                                : 3,
+                       .mWorkspaces = workspaces,
+                       .mWay = aWay,
+                       .mSeed = static_cast<std::uint64_t>(seed) });
+    for (int box = 0; box < aBoxes; ++box) {
+      if (aScene.mCutOneIn > 0 && box % aScene.mCutOneIn == 0) {
+        fleet.Cut(box, Micros(9'000'000), Micros(15'000'000));
+      }
+      if (aScene.mKillOneIn > 0 && box % aScene.mKillOneIn == 0) {
+        fleet.Kill(box, Micros(12'000'000), Micros(1'000'000));
+      }
+    }
+    Add(fleet.Run(), workspaces, sums);
+  }
+  const auto print =
+    [&](const char* aMeasure, double aValue, const char* aUnit) {
+      Print(
+        { .mMeasure = aMeasure,
+          .mScenario = std::string(aScene.mName) + "/" + std::to_string(aBoxes),
+          .mPolicy = ToText(aWay),
+          .mValue = aValue,
+          .mUnit = aUnit });
+    };
+  constexpr double kPermille = 1000.0;
+  print("worst_window", sums.mWorstWindow, "of the bound");
+  print("worst_window_usual", sums.mWorstUsual, "of the bound");
+  print("refused_below",
+        kPermille * sums.mRefusedBelow / sums.mOffered,
+        "permille");
+  print("refused_usual",
+        kPermille * sums.mRefusedUsual / sums.mOffered,
+        "permille");
+  print("messages", sums.mMessages / aSeeds, "per box and s");
+  print("messages_busiest", sums.mBusiest, "per s");
+  print("items", sums.mItems / aSeeds, "per box and s");
+}
+
+} // namespace
+
+int
+main(int aCount, char** aArguments)
+{
+  cxxopts::Options options("LimitsBench", "Ways to keep workspaces' limits");
+  options.add_options()(
+    "seeds", "draws of load", cxxopts::value<int>()->default_value("10"))(
+    "boxes",
+    "sizes of the fleet",
+    cxxopts::value<std::vector<int>>()->default_value("93"))("help",
+                                                             "shows this");
+  const auto arguments = options.parse(aCount, aArguments);
+  if (arguments.count("help") > 0) {
+    std::cout << options.help();
+    return 0;
+  }
+  const Scene scenes[] = { { "calm", 0, 0 },
+                           { "third-cut", 3, 0 },
+                           { "tenth-killed", 0, 10 },
+                           { "all-killed", 0, 1 } };
+  for (const int boxes : arguments["boxes"].as<std::vector<int>>()) {
+    for (const auto& scene : scenes) {
+      for (const auto way :
+           { LimitWay::kCollected, LimitWay::kParts, LimitWay::kAsked }) {
+        Measure(boxes, way, scene, arguments["seeds"].as<int>());
+      }
+    }
+  }
+  return 0;
+}
--- a/packages/core/include/porttiller/core/Ids.h
+++ b/packages/core/include/porttiller/core/Ids.h
@@ -36,6 +36,8 @@
 using AvailabilityZone = Name<struct AvailabilityZoneTag>;
 using ServiceName = Name<struct ServiceTag>;
 using BackendServerName = Name<struct BackendServerTag>;
+// A customer of the fleet: whoever holds one of its keys acts for it.
+using WorkspaceName = Name<struct WorkspaceTag>;
 
 // One life of a daemon. Drawn at start from the wall clock in microseconds and
 // random bits, so two lives of a box never share one.
--- /dev/null
+++ b/packages/policy/include/porttiller/policy/RequestLimit.h
@@ -0,0 +1,66 @@
+// What all boxes together may let through for one workspace, and the messages
+// in which they count it.
+#pragma once
+
+#include "porttiller/core/Ids.h"
+#include "porttiller/core/Outcome.h"
+#include "porttiller/core/Time.h"
+
+#include <array>
+#include <cstdint>
+#include <vector>
+
+namespace porttiller {
+
+struct RequestLimit
+{
+  double mRatePerSecond = 0.0;
+  double mBurst = 0.0; // requests besides, after a rest
+
+  friend auto operator<=>(const RequestLimit&, const RequestLimit&) = default;
+};
+
+// How exactly a limit has to be kept: in no window more than
+// (rate x mWindow + burst) x (1 + mOver) + mSlack requests.
+struct LimitBounds
+{
+  Millis mWindow{ 5000 };
+  double mOver = 0.1;
+  double mSlack = 20.0;
+};
+
+// Requests that a window may have beyond rate x window + burst.
+inline double
+SpareOf(const RequestLimit& aLimit, const LimitBounds& aBounds)
+{
+  const double window = std::chrono::duration<double>(aBounds.mWindow).count();
+  return aBounds.mOver * (aLimit.mRatePerSecond * window + aLimit.mBurst) +
+         aBounds.mSlack;
+}
+
+// Requests of one workspace, since the last time that they were told.
+struct WorkspaceUse
+{
+  WorkspaceName mWorkspace;
+  std::array<std::uint32_t, kPriorityCount> mOffered{}; // by priority
+  std::int32_t mAdmitted = 0; // less those given back: it may be negative
+
+  friend bool operator==(const WorkspaceUse&, const WorkspaceUse&) = default;
+};
+
+using WorkspaceUses = std::vector<WorkspaceUse>;
+
+// What entries let through of a workspace that is near its limit.
+struct WorkspaceGrant
+{
+  WorkspaceName mWorkspace;
+  // Of the requests of each priority, from 0 to 1.
+  std::array<double, kPriorityCount> mShares{};
+
+  friend bool operator==(const WorkspaceGrant&,
+                         const WorkspaceGrant&) = default;
+};
+
+using WorkspaceGrants = std::vector<WorkspaceGrant>;
+
+} // namespace porttiller
