Workspaces: keys at the entry, and a limit that all boxes keep

Cause: servers ran requests of strangers and of keys that were taken away, were shown the key, and no limit held over boxes. Change: Workspace is a configuration object (keys, priority, rate, burst) in a table with one look-up that shares what has not changed; platform/ reads the document's tenants and refuses one with a wrong tenant or a shared key, naming every error and no key. WorkspaceFilter settles for each request whose it is (401 at once otherwise), takes the key and any named workspace out of the request, and names the workspace to the server. An entry alone lets no more through than the whole limit.

--- a/packages/config/include/porttiller/config/Resources.h
+++ b/packages/config/include/porttiller/config/Resources.h
@@ -87,6 +87,7 @@
   // An answer within this time is worth the most; null: nothing is known.
   std::optional<Millis> mTarget;
   int mMaxAttempts = 0; // backend servers for one request; 0: no limit here
+  bool mPublic = false; // asks nobody for a key
 
   friend auto operator<=>(const RouteSpec&, const RouteSpec&) = default;
 };
@@ -120,16 +121,38 @@
   friend auto operator<=>(const LimitsSpec&, const LimitsSpec&) = default;
 };
 
-using Resource =
-  std::variant<ServiceSpec, BackendServerSpec, RouteSpec, BoxSpec, LimitsSpec>;
+// Whose requests these are, and how many there may be. Keys are secrets: they
+// go into no log, dump, metric or error.
+struct WorkspaceSpec
+{
+  WorkspaceName mName;
+  std::vector<std::string> mKeys;
+  // Goes before the route's; null: the route's alone decides.
+  std::optional<Priority> mPriority;
+  // Of all boxes together; 0: no limit.
+  double mRatePerSecond = 0.0;
+  double mBurst = 0.0; // requests besides, after a rest
+
+  bool Limited() const { return mRatePerSecond > 0.0; }
+
+  friend auto operator<=>(const WorkspaceSpec&, const WorkspaceSpec&) = default;
+};
+
+using Resource = std::variant<ServiceSpec,
+                              BackendServerSpec,
+                              RouteSpec,
+                              BoxSpec,
+                              LimitsSpec,
+                              WorkspaceSpec>;
 
 inline constexpr const char* kServiceKind = "Service";
 inline constexpr const char* kBackendServerKind = "BackendServer";
 inline constexpr const char* kRouteKind = "Route";
 inline constexpr const char* kBoxKind = "Box";
 inline constexpr const char* kLimitsKind = "Limits";
+inline constexpr const char* kWorkspaceKind = "Workspace";
 
-// True for the five kinds above; other kinds are no configuration.
+// True for the six kinds above; other kinds are no configuration.
 bool
 IsConfigKind(const std::string& aKind);
 
--- a/packages/config/include/porttiller/config/Settings.h
+++ b/packages/config/include/porttiller/config/Settings.h
@@ -82,6 +82,15 @@
   Millis mWindow{ 10'000 }; // that share and burst hold for
 };
 
+// How exactly the limits of workspaces have to be kept: in no window more than
+// (rate x window + burst) x (1 + mOver) + mSlack requests.
+struct WorkspaceLimitSettings
+{
+  Millis mWindow{ 5000 };
+  double mOver = 0.1;
+  double mSlack = 20.0;
+};
+
 struct TimingSettings
 {
   Millis mDrain{ 10'000 }; // bound of a planned stop
@@ -107,6 +116,7 @@
   RegistrationSettings mRegistration;
   ReadinessSettings mReadiness;
   RetrySettings mRetries;
+  WorkspaceLimitSettings mWorkspaceLimits;
   ResourceSettings mResources;
   std::string mLogLevel = "info";
   TimingSettings mTiming;
--- a/packages/config/include/porttiller/config/Snapshot.h
+++ b/packages/config/include/porttiller/config/Snapshot.h
@@ -5,6 +5,7 @@
 #include "porttiller/config/ObjectSet.h"
 #include "porttiller/config/Resources.h"
 #include "porttiller/config/RouteTable.h"
+#include "porttiller/config/WorkspaceTable.h"
 
 #include <map>
 #include <memory>
@@ -38,6 +39,9 @@
   std::map<ServiceName, ServiceEntry> mServices;
   std::map<BoxName, BoxSpec> mBoxes;
   RouteTable mRoutes;
+  // Never null; shared with earlier snapshots while it is the same.
+  std::shared_ptr<const WorkspaceTable> mWorkspaces =
+    std::make_shared<const WorkspaceTable>();
   std::vector<Rejection> mRejections;
   std::optional<LimitsSpec> mLimits;
   // Boxes that told about themselves, by their incarnations.
@@ -62,8 +66,13 @@
 
 private:
   void Take(const ObjectSet& aObjects, const ObjectKey& aKey);
+  std::optional<Resource> Parse(const Object& aObject);
+  void TakeWorkspaces(const ObjectSet& aObjects,
+                      const std::vector<ObjectKey>& aChanged);
 
-  std::map<ObjectKey, Resource> mGood;
+  std::map<ObjectKey, Resource> mGood; // but for workspaces
+  std::shared_ptr<const WorkspaceTable> mWorkspaces =
+    std::make_shared<const WorkspaceTable>();
   std::map<ObjectKey, Rejection> mRejected;
   std::uint64_t mSerials = 0; // given out
 };
--- a/packages/config/src/Resources.cpp
+++ b/packages/config/src/Resources.cpp
@@ -3,6 +3,7 @@
 #include "porttiller/config/JsonText.h"
 
 #include <Poco/String.h>
+#include <set>
 
 namespace porttiller {
 
@@ -16,6 +17,7 @@
 constexpr IntegerRange kBurst{ .mMin = 0, .mMax = 1'000'000 };
 constexpr IntegerRange kLimitBytes{ .mMin = 1, .mMax = 1 << 30 };
 constexpr IntegerRange kLimitMs{ .mMin = 1, .mMax = 3'600'000 };
+constexpr IntegerRange kRequests{ .mMin = 0, .mMax = 1'000'000'000 };
 constexpr IntegerRange kPercent{ .mMin = 0, .mMax = 100 };
 constexpr int kDefaultRetryPercent = 20;
 constexpr int kDefaultRetryBurst = 50;
@@ -90,6 +92,19 @@
   return targets;
 }
 
+// "priority", when given.
+std::optional<Priority>
+OptionalPriority(FieldReader& aReader)
+{
+  const auto text = aReader.StringOr("priority", "");
+  const auto priority = ParsePriority(text);
+  if (!priority && !text.empty()) {
+    aReader.Fail("priority",
+                 "must be \"critical\", \"normal\" or \"sheddable\"");
+  }
+  return priority;
+}
+
 Resource
 ParseRoute(const std::string& aName, FieldReader& aReader)
 {
@@ -105,13 +120,8 @@
   spec.mTarget = OptionalMillis(aReader, "target_ms");
   spec.mMaxAttempts =
     static_cast<int>(aReader.IntegerOr("max_attempts", kAttempts, 0));
-  const auto priority = ParsePriority(aReader.StringOr("priority", "normal"));
-  if (priority) {
-    spec.mPriority = *priority;
-  } else {
-    aReader.Fail("priority",
-                 "must be \"critical\", \"normal\" or \"sheddable\"");
-  }
+  spec.mPriority = OptionalPriority(aReader).value_or(Priority::kNormal);
+  spec.mPublic = aReader.OptionalBool("public").value_or(false);
   spec.mRepeatable = aReader.OptionalBool("repeatable");
   return spec;
 }
@@ -153,6 +163,40 @@
                      .mIdleTimeout = time("idle_timeout_ms") };
 }
 
+// Names a key by its place: keys themselves go into no error.
+std::vector<std::string>
+ParseKeys(FieldReader& aReader)
+{
+  auto keys = aReader.Strings("keys");
+  std::set<std::string> seen;
+  for (std::size_t i = 0; i < keys.size(); ++i) {
+    const auto place = "key " + std::to_string(i + 1);
+    if (!IsToken(keys[i])) {
+      aReader.Fail("keys",
+                   place + " must be printable ASCII without blanks, of 1 to "
+                           "256 characters");
+    } else if (!seen.insert(keys[i]).second) {
+      aReader.Fail("keys", place + " stands there twice");
+    }
+  }
+  return keys;
+}
+
+Resource
+ParseWorkspace(const std::string& aName, FieldReader& aReader)
+{
+  WorkspaceSpec spec{ .mName = WorkspaceName(aName) };
+  if (!aName.empty() && !IsToken(aName)) {
+    aReader.Fail("(name)", "must be printable ASCII without blanks");
+  }
+  spec.mKeys = ParseKeys(aReader);
+  spec.mPriority = OptionalPriority(aReader);
+  spec.mRatePerSecond =
+    static_cast<double>(aReader.IntegerOr("rate_per_s", kRequests, 0));
+  spec.mBurst = static_cast<double>(aReader.IntegerOr("burst", kRequests, 0));
+  return spec;
+}
+
 using ParseFunction = Resource (*)(const std::string&, FieldReader&);
 
 ParseFunction
@@ -170,6 +214,9 @@
   if (aKind == kLimitsKind) {
     return ParseLimits;
   }
+  if (aKind == kWorkspaceKind) {
+    return ParseWorkspace;
+  }
   return aKind == kBoxKind ? ParseBox : nullptr;
 }
 
--- a/packages/config/src/Settings.cpp
+++ b/packages/config/src/Settings.cpp
@@ -21,8 +21,8 @@
 constexpr IntegerRange kPort{ .mMin = 0, .mMax = 65535 };
 // Whatever a platform may say of its machines; only the sign is checked.
 constexpr double kHuge = 1e9;
-constexpr double kMinBudgetWindowS = 0.1;
-constexpr double kMaxBudgetWindowS = 86'400.0;
+constexpr double kMinWindowS = 0.1;
+constexpr double kMaxWindowS = 86'400.0;
 // Of the time until a stop is forced: callers are owed an end of what runs in
 // the last sixth, and the process needs some time to end.
 constexpr double kDrainPart = 0.88;
@@ -181,16 +181,32 @@
   return settings;
 }
 
+Millis
+ReadWindow(FieldReader& aReader, Millis aDefault)
+{
+  using Seconds = std::chrono::duration<double>;
+  return std::chrono::duration_cast<Millis>(Seconds(aReader.NumberOr(
+    "window_s", kMinWindowS, kMaxWindowS, Seconds(aDefault).count())));
+}
+
+WorkspaceLimitSettings
+ReadWorkspaceLimits(FieldReader aReader)
+{
+  WorkspaceLimitSettings settings;
+  settings.mWindow = ReadWindow(aReader, settings.mWindow);
+  settings.mOver = aReader.NumberOr("over", 0.0, kHuge, settings.mOver);
+  settings.mSlack = aReader.NumberOr("slack", 0.0, kHuge, settings.mSlack);
+  aReader.RefuseUnknown();
+  return settings;
+}
+
 RetrySettings
 ReadRetries(FieldReader aReader)
 {
   RetrySettings settings;
   settings.mShare = aReader.NumberOr("share", 0.0, kHuge, settings.mShare);
   settings.mBurst = aReader.NumberOr("burst", 0.0, kHuge, settings.mBurst);
-  const auto window = std::chrono::duration<double>(settings.mWindow).count();
-  settings.mWindow = std::chrono::duration_cast<Millis>(
-    std::chrono::duration<double>(aReader.NumberOr(
-      "window_s", kMinBudgetWindowS, kMaxBudgetWindowS, window)));
+  settings.mWindow = ReadWindow(aReader, settings.mWindow);
   aReader.RefuseUnknown();
   return settings;
 }
@@ -272,6 +288,8 @@
   settings.mRegistration = ReadRegistration(reader.Child("registration"));
   settings.mReadiness = ReadReadiness(reader.Child("readiness"));
   settings.mRetries = ReadRetries(reader.Child("retries"));
+  settings.mWorkspaceLimits =
+    ReadWorkspaceLimits(reader.Child("workspace_limits"));
   reader.RefuseUnknown();
   if (!errors.empty()) {
     return tl::make_unexpected(std::move(errors));
@@ -347,6 +365,13 @@
     "window_s",
     std::chrono::duration<double>(aSettings.mRetries.mWindow).count());
   document.set("retries", retries);
+  Poco::JSON::Object limits;
+  limits.set(
+    "window_s",
+    std::chrono::duration<double>(aSettings.mWorkspaceLimits.mWindow).count());
+  limits.set("over", aSettings.mWorkspaceLimits.mOver);
+  limits.set("slack", aSettings.mWorkspaceLimits.mSlack);
+  document.set("workspace_limits", limits);
   Poco::JSON::Object resources;
   resources.set("memory_mb", aSettings.mResources.mMemoryMb);
   resources.set("descriptors", aSettings.mResources.mDescriptors);
--- a/packages/config/src/Snapshot.cpp
+++ b/packages/config/src/Snapshot.cpp
@@ -1,5 +1,7 @@
 #include "porttiller/config/Snapshot.h"
 
+#include <cassert>
+
 namespace porttiller {
 
 namespace {
@@ -48,6 +50,9 @@
 
   void operator()(const LimitsSpec& aSpec) const { mSnapshot.mLimits = aSpec; }
 
+  // The builder keeps them in a table of their own.
+  void operator()(const WorkspaceSpec&) const { assert(false); }
+
 private:
   void RejectReference() const
   {
@@ -77,6 +82,19 @@
   }
 }
 
+// Its key stays with the other workspace.
+void
+AddClashes(Snapshot& aSnapshot)
+{
+  for (const auto& clash : aSnapshot.mWorkspaces->Clashes()) {
+    aSnapshot.mRejections.push_back(
+      { .mKey = { kWorkspaceKind, clash.mOther.Value() },
+        .mErrors = {
+          { "spec.keys",
+            "one of them is held by workspace " + clash.mHolder.Value() } } });
+  }
+}
+
 } // namespace
 
 const ServiceEntry*
@@ -96,20 +114,54 @@
 void
 SnapshotBuilder::Take(const ObjectSet& aObjects, const ObjectKey& aKey)
 {
-  mRejected.erase(aKey);
   const auto* object = aObjects.Find(aKey);
   if (object == nullptr) {
+    mRejected.erase(aKey);
     mGood.erase(aKey);
-    return;
+  } else if (auto resource = Parse(*object)) {
+    mGood.insert_or_assign(aKey, std::move(*resource));
   }
-  auto resource = ParseResource(aKey.mKind, aKey.mName, object->mSpecJson);
+}
+
+// Null when it did not pass, which is noted.
+std::optional<Resource>
+SnapshotBuilder::Parse(const Object& aObject)
+{
+  const auto& key = aObject.mKey;
+  mRejected.erase(key);
+  auto resource = ParseResource(key.mKind, key.mName, aObject.mSpecJson);
   if (resource) {
-    mGood.insert_or_assign(aKey, std::move(*resource));
-    return;
+    return std::move(*resource);
+  }
+  mRejected[key] = { .mKey = key,
+                     .mVersion = aObject.mVersion,
+                     .mErrors = resource.error() };
+  return std::nullopt;
+}
+
+void
+SnapshotBuilder::TakeWorkspaces(const ObjectSet& aObjects,
+                                const std::vector<ObjectKey>& aChanged)
+{
+  std::shared_ptr<WorkspaceTable> table;
+  for (const auto& key : aChanged) {
+    if (key.mKind != kWorkspaceKind) {
+      continue;
+    }
+    if (!table) {
+      table = std::make_shared<WorkspaceTable>(*mWorkspaces);
+    }
+    const auto* object = aObjects.Find(key);
+    if (object == nullptr) {
+      mRejected.erase(key);
+      table->Remove(WorkspaceName(key.mName));
+    } else if (const auto resource = Parse(*object)) {
+      table->Put(std::get<WorkspaceSpec>(*resource));
+    }
+  }
+  if (table) {
+    mWorkspaces = std::move(table);
   }
-  mRejected[aKey] = { .mKey = aKey,
-                      .mVersion = object->mVersion,
-                      .mErrors = resource.error() };
 }
 
 SnapshotPtr
@@ -118,12 +170,16 @@
                        const std::vector<BoxRecord>& aDirectory)
 {
   for (const auto& key : aChanged) {
-    Take(aObjects, key);
+    if (key.mKind != kWorkspaceKind) {
+      Take(aObjects, key);
+    }
   }
+  TakeWorkspaces(aObjects, aChanged);
   auto snapshot = std::make_shared<Snapshot>();
   snapshot->mRevision = aObjects.Revision();
   snapshot->mDigest = aObjects.Digest();
   snapshot->mSerial = ++mSerials;
+  snapshot->mWorkspaces = mWorkspaces;
   for (const auto& [key, resource] : mGood) {
     if (std::holds_alternative<ServiceSpec>(resource)) {
       std::visit(Adder(*snapshot, key), resource);
@@ -140,6 +196,7 @@
   for (const auto& [key, rejection] : mRejected) {
     snapshot->mRejections.push_back(rejection);
   }
+  AddClashes(*snapshot);
   return snapshot;
 }
 
--- a/packages/control/include/porttiller/control/ControlCodec.h
+++ b/packages/control/include/porttiller/control/ControlCodec.h
@@ -4,6 +4,7 @@
 #include "porttiller/config/Directory.h"
 #include "porttiller/config/ObjectSet.h"
 #include "porttiller/policy/Membership.h"
+#include "porttiller/policy/RequestLimit.h"
 
 #include <porttiller.pb.h>
 
@@ -39,4 +40,18 @@
 DecodeVersions(
   const google::protobuf::RepeatedPtrField<wire::RecordVersion>& aHeld);
 
+void
+EncodeUses(const WorkspaceUses& aUses, wire::WorkspaceReport& aReport);
+
+// Uses that no entry can have counted are left out.
+WorkspaceUses
+DecodeUses(const wire::WorkspaceReport& aReport);
+
+void
+EncodeGrants(const WorkspaceGrants& aGrants, wire::WorkspaceGrants& aMessage);
+
+// Grants without a share for each priority are left out.
+WorkspaceGrants
+DecodeGrants(const wire::WorkspaceGrants& aMessage);
+
 } // namespace porttiller
--- a/packages/control/src/ControlCodec.cpp
+++ b/packages/control/src/ControlCodec.cpp
@@ -1,7 +1,18 @@
 #include "porttiller/control/ControlCodec.h"
 
+#include <algorithm>
+#include <cstdlib>
+
 namespace porttiller {
 
+namespace {
+
+// Of one workspace between two reports.
+constexpr std::int64_t kMostUses = 1'000'000;
+constexpr double kPermille = 1000.0;
+
+} // namespace
+
 void
 EncodeMembers(const std::vector<MemberUpdate>& aUpdates,
               google::protobuf::RepeatedPtrField<wire::Member>& aMembers)
@@ -115,4 +126,68 @@
   return versions;
 }
 
+void
+EncodeUses(const WorkspaceUses& aUses, wire::WorkspaceReport& aReport)
+{
+  for (const auto& use : aUses) {
+    auto* item = aReport.add_uses();
+    item->set_workspace(use.mWorkspace.Value());
+    for (const auto offered : use.mOffered) {
+      item->add_offered(offered);
+    }
+    item->set_admitted(use.mAdmitted);
+  }
+}
+
+WorkspaceUses
+DecodeUses(const wire::WorkspaceReport& aReport)
+{
+  WorkspaceUses uses;
+  for (const auto& item : aReport.uses()) {
+    WorkspaceUse use{ .mWorkspace = WorkspaceName(item.workspace()),
+                      .mAdmitted = item.admitted() };
+    bool plausible = item.offered_size() == kPriorityCount &&
+                     std::abs(std::int64_t{ use.mAdmitted }) <= kMostUses;
+    for (int i = 0; i < item.offered_size() && plausible; ++i) {
+      use.mOffered.at(static_cast<std::size_t>(i)) = item.offered(i);
+      plausible = item.offered(i) <= kMostUses;
+    }
+    if (plausible) {
+      uses.push_back(std::move(use));
+    }
+  }
+  return uses;
+}
+
+void
+EncodeGrants(const WorkspaceGrants& aGrants, wire::WorkspaceGrants& aMessage)
+{
+  for (const auto& grant : aGrants) {
+    auto* item = aMessage.add_grants();
+    item->set_workspace(grant.mWorkspace.Value());
+    for (const auto share : grant.mShares) {
+      item->add_permille(
+        static_cast<std::uint32_t>(std::clamp(share, 0.0, 1.0) * kPermille));
+    }
+  }
+}
+
+WorkspaceGrants
+DecodeGrants(const wire::WorkspaceGrants& aMessage)
+{
+  WorkspaceGrants grants;
+  for (const auto& item : aMessage.grants()) {
+    if (item.permille_size() != kPriorityCount) {
+      continue;
+    }
+    WorkspaceGrant grant{ .mWorkspace = WorkspaceName(item.workspace()) };
+    for (int i = 0; i < kPriorityCount; ++i) {
+      grant.mShares.at(static_cast<std::size_t>(i)) =
+        std::min(1.0, item.permille(i) / kPermille);
+    }
+    grants.push_back(std::move(grant));
+  }
+  return grants;
+}
+
 } // namespace porttiller
--- a/packages/control/tests/ControlCodecTest.cpp
+++ b/packages/control/tests/ControlCodecTest.cpp
@@ -62,3 +62,26 @@
   });
   CHECK(ok);
 }
+
+TEST_CASE("Uses and grants of workspaces come back as they were sent")
+{
+  const WorkspaceUses uses = {
+    { .mWorkspace = WorkspaceName("a"),
+      .mOffered = { 1, 2, 3 },
+      .mAdmitted = 4 },
+    { .mWorkspace = WorkspaceName("b"), .mOffered = {}, .mAdmitted = -1 }
+  };
+  wire::WorkspaceReport report;
+  EncodeUses(uses, report);
+  CHECK(DecodeUses(report) == uses);
+  report.mutable_uses(0)->set_admitted(INT32_MIN);
+  report.mutable_uses(1)->add_offered(1);
+  CHECK(DecodeUses(report).empty());
+  const WorkspaceGrants grants = { { .mWorkspace = WorkspaceName("a"),
+                                     .mShares = { 1.0, 0.5, 0.25 } } };
+  wire::WorkspaceGrants message;
+  EncodeGrants(grants, message);
+  CHECK(DecodeGrants(message) == grants);
+  message.mutable_grants(0)->clear_permille();
+  CHECK(DecodeGrants(message).empty());
+}
--- a/packages/entry/include/porttiller/entry/AttemptFilter.h
+++ b/packages/entry/include/porttiller/entry/AttemptFilter.h
@@ -5,6 +5,7 @@
 #include "porttiller/entry/AttemptPool.h"
 #include "porttiller/entry/Dispatcher.h"
 #include "porttiller/entry/RequestContext.h"
+#include "porttiller/entry/WorkspaceGate.h"
 
 #include <atomic>
 #include <optional>
@@ -32,6 +33,7 @@
   Metrics& mMetrics;
   AttemptNamer& mNamer;
   AttemptPool& mPool;
+  WorkspaceGate& mGate;
 };
 
 // A caller that was told "unknown" asks again: its home says what became of
--- a/packages/entry/include/porttiller/entry/Filters.h
+++ b/packages/entry/include/porttiller/entry/Filters.h
@@ -4,6 +4,7 @@
 
 #include "porttiller/entry/AttemptFilter.h"
 #include "porttiller/entry/RequestContext.h"
+#include "porttiller/entry/WorkspaceFilters.h"
 
 #include <variant>
 #include <vector>
@@ -31,8 +32,13 @@
   std::optional<CallerAnswer> Apply(RequestContext& aContext) const;
 };
 
-using Filter = std::
-  variant<VersionFilter, RouteFilter, TermsFilter, TokenFilter, AttemptFilter>;
+using Filter = std::variant<VersionFilter,
+                            RouteFilter,
+                            WorkspaceFilter,
+                            TermsFilter,
+                            LimitFilter,
+                            TokenFilter,
+                            AttemptFilter>;
 
 // The answer of the first filter that has one; the last always has.
 CallerAnswer
--- a/packages/entry/include/porttiller/entry/RequestContext.h
+++ b/packages/entry/include/porttiller/entry/RequestContext.h
@@ -45,6 +45,9 @@
   std::string mPath;                 // decoded, without the query
   const RouteSpec* mRoute = nullptr; // in mSnapshot
   const ServiceEntry* mService = nullptr;
+  WorkspacePtr mWorkspace; // null: the route asks for no key
+  Priority mPriority = Priority::kNormal;
+  bool mCounted = false; // against the limit of mWorkspace
   TimePoint mDeadline;
   bool mRepeatable = false;
   std::string mRequestKey;
--- a/packages/entry/src/AttemptRunPriv.cpp
+++ b/packages/entry/src/AttemptRunPriv.cpp
@@ -248,7 +248,7 @@
 {
   HomeRequest request{ .mAttempt = aAttempt.mId,
                        .mServer = aAttempt.mServer->mName,
-                       .mPriority = mContext.mRoute->mPriority,
+                       .mPriority = mContext.mPriority,
                        .mRepeatable = mContext.mRepeatable,
                        .mMayFail = aAttempt.mMayFail,
                        .mLastResort = mPlan.LastResort(),
@@ -272,6 +272,9 @@
   auto headers = WithoutHopHeaders(mContext.mHttp.mHeaders);
   const auto& names = mContext.mNames;
   RemoveHeader(headers, names.mServerDeadline);
+  if (mContext.mWorkspace) {
+    headers.push_back({ names.mWorkspace, mContext.mWorkspace->mName.Value() });
+  }
   if (!names.mExpectedServer.empty()) {
     RemoveHeader(headers, names.mExpectedServer);
   }
--- a/packages/entry/src/EntryServer.cpp
+++ b/packages/entry/src/EntryServer.cpp
@@ -37,7 +37,9 @@
   , mServices(aServices)
   , mFilters({ VersionFilter(),
                RouteFilter(),
+               WorkspaceFilter(),
                TermsFilter(),
+               LimitFilter(aServices.mGate, aServices.mMetrics),
                TokenFilter(aServices),
                AttemptFilter(aServices) })
 {
@@ -117,6 +119,9 @@
 {
   auto context = MakeContext(aCall);
   auto answer = ApplyFilters(mFilters, context);
+  if (context.mCounted && answer.mOutcome == Outcome::kNotRun) {
+    mServices.mGate.GiveBack(context.mWorkspace->mName);
+  }
   mServices.mMetrics.CountRequest(answer.mOutcome);
   if (answer.mOutcome == Outcome::kRun) {
     const auto added = Now() - context.mArrival - context.mHomeTime;
@@ -133,7 +138,8 @@
                        const CallerAnswer& aAnswer) const
 {
   constexpr int kErrors = 400;
-  if (aAnswer.mStatus < kErrors) {
+  // LimitFilter writes a line of its own.
+  if (aAnswer.mStatus < kErrors || aAnswer.mReason == kOverLimitReason) {
     return;
   }
   const auto held =
@@ -143,6 +149,8 @@
   LogLine(LogLevel::kInfo, "request_failed")
     .With("request", aContext.mRequestId)
     .With("route", aContext.mRoute == nullptr ? "" : aContext.mRoute->mName)
+    .With("workspace",
+          aContext.mWorkspace ? aContext.mWorkspace->mName.Value() : "")
     .With("status", aAnswer.mStatus)
     .With("outcome", std::string(ToText(aAnswer.mOutcome)))
     .With("reason", aAnswer.mReason)
--- a/packages/hop/include/porttiller/hop/HopHeaders.h
+++ b/packages/hop/include/porttiller/hop/HopHeaders.h
@@ -7,6 +7,9 @@
 inline constexpr const char* kDeadlineMs = "Porttiller-Deadline-Ms";
 inline constexpr const char* kRepeatable = "Porttiller-Repeatable";
 inline constexpr const char* kRequestKey = "Porttiller-Request-Key";
+inline constexpr const char* kKey = "Porttiller-Key";
+// To backend servers. Without the prefix of headers that end at one hop.
+inline constexpr const char* kWorkspace = "Caller-Workspace";
 // To callers; kToken also back from them.
 inline constexpr const char* kOutcome = "Porttiller-Outcome";
 inline constexpr const char* kToken = "Porttiller-Token";
--- a/packages/hop/src/Dialects.cpp
+++ b/packages/hop/src/Dialects.cpp
@@ -12,7 +12,9 @@
     return platform::MeshHeaders();
   }
   return { .mDeadline = hop::kDeadlineMs,
+           .mKey = hop::kKey,
            .mServerDeadline = hop::kDeadlineMs,
+           .mWorkspace = hop::kWorkspace,
            .mTellOutcome = true };
 }
 
--- a/packages/http/include/porttiller/http/HttpTypes.h
+++ b/packages/http/include/porttiller/http/HttpTypes.h
@@ -49,8 +49,8 @@
 std::string
 HeaderValue(const HttpHeaders& aHeaders, std::string_view aName);
 
-// Takes every header of this name away, whatever its case.
-void
+// Takes every header of this name away, whatever its case. Returns how many.
+std::size_t
 RemoveHeader(HttpHeaders& aHeaders, std::string_view aName);
 
 // Headers that end at one hop or that only the proxy may set.
--- a/packages/http/src/HttpTypes.cpp
+++ b/packages/http/src/HttpTypes.cpp
@@ -112,10 +112,10 @@
   return {};
 }
 
-void
+std::size_t
 RemoveHeader(HttpHeaders& aHeaders, std::string_view aName)
 {
-  std::erase_if(aHeaders, [&](const HttpHeader& aHeader) {
+  return std::erase_if(aHeaders, [&](const HttpHeader& aHeader) {
     return SameName(aHeader.mName, aName);
   });
 }
--- a/packages/node/src/Node.cpp
+++ b/packages/node/src/Node.cpp
@@ -41,6 +41,7 @@
           mCutoff)
   , mView(mSettings.mBox, mSettings.mZone, {})
   , mNamer(mSettings.mBox, mIncarnation)
+  , mGate(LimitBoundsOf(mSettings))
 {
 }
 
@@ -112,6 +113,10 @@
       .mOwnRevision = [this] { return OwnRevision(); },
       .mOnPeerRevision =
         [this](const PeerRevision& aPeer) { OnPeerRevision(aPeer); } });
+  mLimits = std::make_unique<LimitController>(
+    mSettings, *mTransport, mGate, mMetrics, [this] {
+      return mMembership->LiveBoxes();
+    });
   if (mSettings.mFailingServers == FailingServers::kEject) {
     mEjection = std::make_unique<EjectionController>(mSettings,
                                                      mIncarnation,
@@ -158,10 +163,10 @@
     return tl::make_unexpected(admin.error());
   }
   mAdminServer = std::move(*admin);
-  auto entry =
-    EntryServer::Make(mSettings,
-                      [this] { return mConfig->Current(); },
-                      { mView, *mDispatcher, mMetrics, mNamer, mAttemptPool });
+  auto entry = EntryServer::Make(
+    mSettings,
+    [this] { return mConfig->Current(); },
+    { mView, *mDispatcher, mMetrics, mNamer, mAttemptPool, mGate });
   if (!entry) {
     return tl::make_unexpected(entry.error());
   }
@@ -261,6 +266,8 @@
     [this](const SnapshotPtr& aSnapshot) { mMembership->Apply(aSnapshot); });
   mConfig->AddListener(
     [this](const SnapshotPtr& aSnapshot) { OnSnapshot(*aSnapshot); });
+  mConfig->AddListener(
+    [this](const SnapshotPtr& aSnapshot) { mLimits->Apply(aSnapshot); });
   mConfig->Start();
   mMembership->Start();
   if (mDirectory) {
@@ -295,6 +302,7 @@
     }
     mMembership->Stop();
     mConfig->Stop();
+    mLimits->Stop();
   }
 }
 
--- a/packages/node/src/NodePartsPriv.h
+++ b/packages/node/src/NodePartsPriv.h
@@ -6,6 +6,7 @@
 #include "porttiller/control/ConfigController.h"
 #include "porttiller/control/DirectoryController.h"
 #include "porttiller/control/EjectionController.h"
+#include "porttiller/control/LimitController.h"
 #include "porttiller/control/MembershipController.h"
 #include "porttiller/control/NewsController.h"
 #include "porttiller/control/StatusController.h"
@@ -68,12 +69,14 @@
   Home mHome;
   EntryView mView;
   AttemptNamer mNamer;
+  WorkspaceGate mGate;
   std::atomic<bool> mDraining{ false };
   std::atomic<bool> mReady{ false }; // the controllers below exist
   std::unique_ptr<ConfigController> mConfig;
   std::unique_ptr<MembershipController> mMembership;
   std::unique_ptr<EjectionController> mEjection;
   std::unique_ptr<StatusController> mStatus;
+  std::unique_ptr<LimitController> mLimits;
   std::unique_ptr<NewsController> mNews; // null: failing servers are ejected
   std::unique_ptr<Dispatcher> mDispatcher;
   AttemptPool mAttemptPool;
--- a/packages/node/src/NodePeers.cpp
+++ b/packages/node/src/NodePeers.cpp
@@ -83,6 +83,11 @@
         mNews->OnNews(aRequest.server_news());
       }
       return std::nullopt; // nobody waits for a reply
+    case wire::Envelope::kWorkspaceReport:
+      return mLimits->OnReport(aRequest);
+    case wire::Envelope::kWorkspaceGrants:
+      mLimits->OnGrants(aRequest.workspace_grants());
+      return std::nullopt; // nobody waits for a reply
     case wire::Envelope::kAnnounce: {
       mConfig->OnAnnounce(aRequest);
       return MakeAck();
--- a/packages/node/src/NodeReport.cpp
+++ b/packages/node/src/NodeReport.cpp
@@ -67,6 +67,10 @@
   state.set("servers", servers);
   state.set("members", mMembership->Dump());
   state.set("view", mView.Dump());
+  state.set("workspaces",
+            mConfig->Current() ? mConfig->Current()->mWorkspaces->Size() : 0);
+  state.set("limits_here", mGate.Dump());
+  state.set("limits_collected", mLimits->Dump());
   return ToJsonText(state) + "\n";
 }
 
--- a/packages/peer/src/PeerTransport.cpp
+++ b/packages/peer/src/PeerTransport.cpp
@@ -30,6 +30,9 @@
       return "directory";
     case Body::kServerNews:
       return "server-news";
+    case Body::kWorkspaceReport:
+    case Body::kWorkspaceGrants:
+      return "workspaces";
     case Body::kAck:
     case Body::BODY_NOT_SET:
       break;
--- a/packages/policy/include/porttiller/policy/LimitGate.h
+++ b/packages/policy/include/porttiller/policy/LimitGate.h
@@ -24,6 +24,10 @@
   // Requests that its own part lets through after a rest; a part is often less
   // than one request a second.
   double mOwnBurst = 1.0;
+  // Beside its shares, an entry alone lets no more through than the whole limit
+  // and so much of what is spare.
+  LimitBounds mBounds;
+  double mSpareAlone = 0.5;
   // Workspaces without a request for so long are forgotten.
   Millis mForgetAfter{ 30'000 };
 };
@@ -76,8 +80,9 @@
     std::array<double, kPriorityCount> mShares = { 1.0, 1.0, 1.0 };
     // Of shares, summed up: a request passes at each whole one.
     std::array<double, kPriorityCount> mPassing{};
-    double mOwnTokens = 0.0; // of its own part; below zero: it took more
-    TimePoint mOwnAt;        // when mOwnTokens was right
+    double mOwnTokens = 0.0;   // of its own part; below zero: it took more
+    double mWholeTokens = 0.0; // of the whole limit
+    std::optional<TimePoint> mFilledAt; // when both were right
     TimePoint mUsedAt;
   };
 
@@ -85,7 +90,7 @@
                  TimePoint aNow,
                  std::uint64_t aRandom);
   bool Trusted(TimePoint aNow);
-  void FillOwn(State& aState, const RequestLimit& aLimit, TimePoint aNow) const;
+  void Fill(State& aState, const RequestLimit& aLimit, TimePoint aNow) const;
   LimitVerdict OfferShare(State& aState,
                           std::size_t aPriority,
                           TimePoint aNow,
--- a/packages/policy/src/LimitGate.cpp
+++ b/packages/policy/src/LimitGate.cpp
@@ -66,8 +66,6 @@
   if (isNew) {
     state.mUntold.mWorkspace = aWorkspace;
     state.mPassing.fill(static_cast<double>(aRandom & 0xffffffffU) / kRange);
-    state.mOwnTokens = mOptions.mOwnBurst;
-    state.mOwnAt = aNow;
   }
   state.mUsedAt = aNow;
   return state;
@@ -83,29 +81,40 @@
   auto& state = StateOf(aWorkspace, aNow, aRandom);
   const auto priority = static_cast<std::size_t>(aPriority);
   ++state.mUntold.mOffered.at(priority);
-  FillOwn(state, aLimit, aNow);
-  const auto verdict = Trusted(aNow)
-                         ? OfferShare(state, priority, aNow, aRandom)
-                         : OfferOwn(state, aLimit, aRandom);
+  Fill(state, aLimit, aNow);
+  auto verdict = Trusted(aNow) ? OfferShare(state, priority, aNow, aRandom)
+                               : OfferOwn(state, aLimit, aRandom);
+  if (verdict.mAdmitted && state.mWholeTokens < 1.0) {
+    verdict.mAdmitted = false;
+    verdict.mRetryAfter =
+      Spread(1.0 / std::max(aLimit.mRatePerSecond, 1e-6), aRandom);
+  }
   if (verdict.mAdmitted) {
     ++state.mUntold.mAdmitted;
     state.mOwnTokens = std::max(-mOptions.mOwnBurst, state.mOwnTokens - 1.0);
+    state.mWholeTokens -= 1.0;
   }
   return verdict;
 }
 
-// Kept up while shares hold, too: an entry that loses its collector has no
-// burst to spend on top of what it has just let through.
+// The own part is kept up while shares hold, too: an entry that loses its
+// collector has no burst to spend on top of what it has just let through.
 void
-LimitGate::FillOwn(State& aState,
-                   const RequestLimit& aLimit,
-                   TimePoint aNow) const
+LimitGate::Fill(State& aState, const RequestLimit& aLimit, TimePoint aNow) const
 {
-  const double most = std::max(mOptions.mOwnBurst, aLimit.mBurst / mBoxes);
-  const double gained =
-    aLimit.mRatePerSecond / mBoxes * SecondsOf(aNow - aState.mOwnAt);
-  aState.mOwnTokens = std::min(most, aState.mOwnTokens + gained);
-  aState.mOwnAt = aNow;
+  const double own = std::max(mOptions.mOwnBurst, aLimit.mBurst / mBoxes);
+  const double whole =
+    aLimit.mBurst + mOptions.mSpareAlone * SpareOf(aLimit, mOptions.mBounds);
+  if (!aState.mFilledAt) {
+    aState.mOwnTokens = own;
+    aState.mWholeTokens = whole;
+  }
+  const double gained = aState.mFilledAt ? aLimit.mRatePerSecond *
+                                             SecondsOf(aNow - *aState.mFilledAt)
+                                         : 0.0;
+  aState.mOwnTokens = std::min(own, aState.mOwnTokens + gained / mBoxes);
+  aState.mWholeTokens = std::min(whole, aState.mWholeTokens + gained);
+  aState.mFilledAt = aNow;
 }
 
 LimitVerdict
@@ -158,7 +167,8 @@
   }
   auto& state = it->second;
   --state.mUntold.mAdmitted;
-  state.mOwnTokens += 1.0; // the next offer keeps it below the most
+  state.mOwnTokens += 1.0; // the next offer keeps both below their most
+  state.mWholeTokens += 1.0;
 }
 
 WorkspaceUses
@@ -213,7 +223,6 @@
     auto& state = it->second;
     if (isNew) {
       state.mUntold.mWorkspace = grant.mWorkspace;
-      state.mOwnAt = aNow;
       state.mUsedAt = aNow;
     }
     for (std::size_t i = 0; i < kPriorityCount; ++i) {
--- a/packages/telemetry/include/porttiller/telemetry/Metrics.h
+++ b/packages/telemetry/include/porttiller/telemetry/Metrics.h
@@ -29,6 +29,10 @@
   // Attempts at a second server while the first one takes unusually long.
   prometheus::Counter& Races() { return *mRaces; }
   prometheus::Counter& Revokes() { return *mRevokes; }
+  // Requests turned away with 429 because their workspace is at its limit.
+  prometheus::Counter& OverLimit() { return *mOverLimit; }
+  // Workspaces held to a share, as this box collects.
+  prometheus::Gauge& LimitedWorkspaces() { return *mLimitedWorkspaces; }
   prometheus::Counter& DroppedAnswers() { return *mDroppedAnswers; }
   prometheus::Counter& PlatformCalls() { return *mPlatformCalls; }
   prometheus::Counter& FloorRefusals() { return *mFloorRefusals; }
@@ -56,6 +60,7 @@
   prometheus::Counter* mRetries;
   prometheus::Counter* mRaces;
   prometheus::Counter* mRevokes;
+  prometheus::Counter* mOverLimit;
   prometheus::Counter* mDroppedAnswers;
   prometheus::Counter* mPlatformCalls;
   prometheus::Counter* mFloorRefusals;
@@ -67,6 +72,7 @@
   prometheus::Family<prometheus::Gauge>* mControlSentByKind;
   prometheus::Gauge* mControlReceived;
   prometheus::Gauge* mLateReplies;
+  prometheus::Gauge* mLimitedWorkspaces;
   prometheus::Gauge* mUnreadableMessages;
 };
 
--- a/packages/telemetry/src/Metrics.cpp
+++ b/packages/telemetry/src/Metrics.cpp
@@ -50,6 +50,9 @@
   , mRevokes(MakeCounter(*mRegistry,
                          "porttiller_revokes_total",
                          "Attempts whose home was asked to revoke them"))
+  , mOverLimit(MakeCounter(*mRegistry,
+                           "porttiller_over_limit_total",
+                           "Requests beyond the limit of their workspace"))
   , mDroppedAnswers(MakeCounter(*mRegistry,
                                 "porttiller_dropped_answers_total",
                                 "Answers that were late, foreign or cut"))
@@ -88,6 +91,10 @@
   , mLateReplies(MakeGauge(*mRegistry,
                            "porttiller_late_replies",
                            "Control replies that nobody waited for"))
+  , mLimitedWorkspaces(
+      MakeGauge(*mRegistry,
+                "porttiller_limited_workspaces",
+                "Workspaces held to a share, as this box collects"))
   , mUnreadableMessages(MakeGauge(*mRegistry,
                                   "porttiller_control_unreadable",
                                   "Control messages that could not be read"))
--- a/testing/fleet/MeshFleet.cpp
+++ b/testing/fleet/MeshFleet.cpp
@@ -144,7 +144,15 @@
                 routes +
                 R"(},"Services":{"ledger":{"HealthPath":"/health"}},)"
                 R"("Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":1048576,)"
-                R"("HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}})");
+                R"("HeaderTimeoutMs":3000,"IdleTimeoutMs":15000})" +
+                (mTenants.empty() ? "" : R"(,"Tenants":)" + mTenants) + "}");
+}
+
+void
+MeshFleet::SetWorkspaces(const std::string& aTenants)
+{
+  mTenants = aTenants;
+  Configure();
 }
 
 std::string
@@ -218,6 +226,14 @@
     .mBody;
 }
 
+std::string
+MeshFleet::MetricsOf(int aBox) const
+{
+  return Ask(
+           Address(aBox, 3), { .mMethod = "GET", .mTarget = "/metrics" }, kAsk)
+    .mBody;
+}
+
 bool
 MeshFleet::WaitServers(int aCount)
 {
@@ -243,15 +259,55 @@
                 const std::string& aBody,
                 Millis aTime)
 {
-  return Ask(CallerAddress(aBox),
-             { .mMethod = aMethod,
-               .mTarget = aTarget,
-               .mHeaders = { { "Host", "a.example" },
-                             { "Request-Id", aId },
-                             { "Deadline-Ms", std::to_string(aTime.count()) },
-                             { "Caller-Service", "forged" } },
-               .mBody = aBody },
-             aTime + kAsk);
+  return Send({ .mBox = aBox,
+                .mMethod = aMethod,
+                .mTarget = aTarget,
+                .mId = aId,
+                .mBody = aBody,
+                .mTime = aTime });
+}
+
+Reply
+MeshFleet::Send(const MeshRequest& aRequest)
+{
+  HttpRequestData http{
+    .mMethod = aRequest.mMethod,
+    .mTarget = aRequest.mTarget,
+    .mHeaders = { { "Host", "a.example" },
+                  { "Request-Id", aRequest.mId },
+                  { "Deadline-Ms", std::to_string(aRequest.mTime.count()) },
+                  { "Caller-Service", "forged" },
+                  { "Tenant", "forged" } },
+    .mBody = aRequest.mBody
+  };
+  if (!aRequest.mKey.empty()) {
+    http.mHeaders.push_back({ "Credential", aRequest.mKey });
+  }
+  const auto time = aRequest.mTime + kAsk;
+  return aRequest.mPool != nullptr
+           ? SendTo(*aRequest.mPool, http, time)
+           : Ask(CallerAddress(aRequest.mBox), http, time);
+}
+
+std::string
+MeshFleet::WorkspaceOf(const std::string& aId) const
+{
+  for (const auto& server : mServers) {
+    if (server->RunsOf(aId) > 0) {
+      return server->WorkspaceOf(aId);
+    }
+  }
+  return "";
+}
+
+std::string
+MeshFleet::SeenByServers() const
+{
+  std::string seen;
+  for (const auto& server : mServers) {
+    seen += server->SeenHeaders();
+  }
+  return seen;
 }
 
 int
--- a/testing/fleet/MeshFleet.h
+++ b/testing/fleet/MeshFleet.h
@@ -27,6 +27,19 @@
   Millis mDrain{ 12'000 };
 };
 
+// One request of a caller.
+struct MeshRequest
+{
+  int mBox = 0;
+  std::string mMethod = "GET";
+  std::string mTarget = "/safe/x";
+  std::string mId;
+  std::string mKey; // empty: the request carries none
+  std::string mBody;
+  Millis mTime{ 4000 };
+  HttpPool* mPool = nullptr; // null: a connection of its own
+};
+
 class MeshFleet
 {
 public:
@@ -59,7 +72,10 @@
   bool WaitServers(int aCount);
   // Writes the operator's document, with one more route if named.
   void Configure(const std::string& aExtraPrefix = "");
+  // The document's workspaces from now on, as JSON; "": none.
+  void SetWorkspaces(const std::string& aTenants);
 
+  Reply Send(const MeshRequest& aRequest);
   Reply Send(int aBox,
              const std::string& aMethod,
              const std::string& aTarget,
@@ -67,18 +83,24 @@
              const std::string& aBody = "",
              Millis aTime = Millis(4000));
   int RunsOf(const std::string& aId) const;
+  // As the server was told that ran the request last.
+  std::string WorkspaceOf(const std::string& aId) const;
+  // All headers that servers have got.
+  std::string SeenByServers() const;
+  std::string State(int aBox) const;
+  std::string MetricsOf(int aBox) const;
   std::string CallerAddress(int aBox) const { return Address(aBox, 0); }
   std::string LogOf(int aBox) const;
 
 private:
   std::string Address(int aBox, int aPort) const;
   std::string SettingsFile(int aBox, bool aFirstStart) const;
-  std::string State(int aBox) const;
   std::unique_ptr<standin::MeshServerStandIn> MakeServer(int aBox);
   void RetireServer(int aBox);
 
   const MeshFleetOptions mOptions;
   std::string mDirectory;
+  std::string mTenants;
   int mVersion = 0;
   int mReplacements = 0;
   std::int64_t mStarts = 0; // of servers that report their start
--- a/testing/standin/MeshServerStandIn.cpp
+++ b/testing/standin/MeshServerStandIn.cpp
@@ -46,6 +46,21 @@
   return mCallerService;
 }
 
+std::string
+MeshServerStandIn::WorkspaceOf(const std::string& aRequestId) const
+{
+  const std::lock_guard lock(mMutex);
+  const auto it = mWorkspaces.find(aRequestId);
+  return it == mWorkspaces.end() ? "" : it->second;
+}
+
+std::string
+MeshServerStandIn::SeenHeaders() const
+{
+  const std::lock_guard lock(mMutex);
+  return mSeenHeaders;
+}
+
 HttpReply
 MeshServerStandIn::Handle(HttpCall& aCall)
 {
@@ -59,9 +74,13 @@
   {
     const std::lock_guard lock(mMutex);
     faults = mFaults;
+    for (const auto& header : headers) {
+      mSeenHeaders += header.mName + ": " + header.mValue + "\n";
+    }
     if (!faults.mFull) {
       ++mRunsById[id];
       mCallerService = HeaderValue(headers, "Caller-Service");
+      mWorkspaces[id] = HeaderValue(headers, "Tenant");
     }
   }
   if (faults.mFull) {
--- a/testing/standin/MeshServerStandIn.h
+++ b/testing/standin/MeshServerStandIn.h
@@ -58,6 +58,10 @@
   // Requests whose connection ended while they ran.
   int Cancelled() const { return mCancelled; }
   std::string LastCallerService() const;
+  // The workspace that the request named when it ran last; "" for none.
+  std::string WorkspaceOf(const std::string& aRequestId) const;
+  // The headers of every request, one a line.
+  std::string SeenHeaders() const;
 
 private:
   HttpReply Handle(HttpCall& aCall);
@@ -69,6 +73,8 @@
   MeshServerFaults mFaults;
   std::map<std::string, int> mRunsById;
   std::string mCallerService;
+  std::map<std::string, std::string> mWorkspaces; // by request
+  std::string mSeenHeaders;
   std::uint64_t mSequence = 10;
   std::atomic<int> mRuns{ 0 };
   std::atomic<int> mCancelled{ 0 };
