--- a/apps/porttillerctl/Output.cpp
+++ b/apps/porttillerctl/Output.cpp
@@ -1,6 +1,7 @@
 #include "Output.h"
 
 #include "porttiller/config/JsonText.h"
+#include "porttiller/config/Resources.h"
 
 #include <Poco/JSON/Array.h>
 #include <algorithm>
@@ -14,6 +15,23 @@
 constexpr unsigned kIndent = 2;
 constexpr int kColumnGap = 2;
 
+// The spec; of a workspace's keys only their number, as they are secrets.
+Poco::JSON::Object::Ptr
+ShownSpec(const Object& aObject)
+{
+  const auto parsed = ParseJsonObject(aObject.mSpecJson);
+  if (!parsed) {
+    return nullptr;
+  }
+  Poco::JSON::Object::Ptr spec = *parsed;
+  if (aObject.mKey.mKind == kWorkspaceKind) {
+    const auto keys = spec->getArray("keys");
+    spec->remove("keys");
+    spec->set("key_count", keys.isNull() ? 0 : keys->size());
+  }
+  return spec;
+}
+
 Poco::JSON::Object::Ptr
 ToJson(const Object& aObject)
 {
@@ -26,9 +44,9 @@
     json->set("deleted", true);
     return json;
   }
-  const auto spec = ParseJsonObject(aObject.mSpecJson);
-  if (spec) {
-    json->set("spec", *spec);
+  const auto spec = ShownSpec(aObject);
+  if (!spec.isNull()) {
+    json->set("spec", spec);
   }
   return json;
 }
@@ -36,10 +54,11 @@
 Row
 ToRow(const Object& aObject)
 {
+  const auto spec = aObject.mDeleted ? nullptr : ShownSpec(aObject);
   return { aObject.mKey.mKind,
            aObject.mKey.mName,
            std::to_string(aObject.mVersion),
-           aObject.mDeleted ? "(deleted)" : aObject.mSpecJson };
+           spec.isNull() ? "(deleted)" : ToJsonText(*spec) };
 }
 
 } // namespace
--- a/testing/fleet/tests/CommandLineTest.cpp
+++ b/testing/fleet/tests/CommandLineTest.cpp
@@ -197,3 +197,28 @@
   CHECK(result.mExitCode == 0);
   CHECK(result.mText.find("new-route") != std::string::npos);
 }
+
+TEST_CASE("porttillerctl shows how many keys a workspace has, and none of them")
+{
+  const Ctl ctl;
+  CHECK(ctl
+          .Apply(R"({"kind": "Workspace", "name": "w", "spec":
+    {"keys": ["secret-1", "secret-2"], "rate_per_s": 7}})")
+          .mExitCode == 0);
+  for (const auto& arguments : std::vector<std::vector<std::string>>{
+         { "get", "Workspace", "w" },
+         { "--output", "json", "get", "Workspace", "w" },
+         { "list", "Workspace" } }) {
+    const auto shown = ctl(arguments);
+    CAPTURE(shown.mText);
+    CHECK(shown.mExitCode == 0);
+    CHECK(shown.mText.find("secret") == std::string::npos);
+    CHECK(shown.mText.find("key_count") != std::string::npos);
+  }
+  const auto bad = ctl.Apply(R"({"kind": "Workspace", "name": "w", "spec":
+    {"keys": ["secret 3", "secret-4", "secret-4"]}})");
+  CHECK(bad.mExitCode != 0);
+  CHECK(bad.mText.find("key 1") != std::string::npos);
+  CHECK(bad.mText.find("key 3") != std::string::npos);
+  CHECK(bad.mText.find("secret") == std::string::npos);
+}
