--- a/packages/http/src/HttpExchange.cpp
+++ b/packages/http/src/HttpExchange.cpp
@@ -118,12 +118,7 @@
   // The connection may serve another request later, so the watch ends here.
   const auto watch =
     OnCancel(mCancelled, [socket = mConnection->mSocket] { Shutdown(socket); });
-  try {
-    return mConnection->mSocket.poll(ToTimespan(aUntil - Now()),
-                                     Poco::Net::Socket::SELECT_READ);
-  } catch (const Poco::Exception&) {
-    return true; // reading tells what is wrong
-  }
+  return AwaitReadable(mConnection->mSocket, aUntil - Now());
 }
 
 tl::expected<HttpAnswer, ExchangeError>
--- a/packages/http/src/HttpPool.cpp
+++ b/packages/http/src/HttpPool.cpp
@@ -15,12 +15,7 @@
 bool
 IsQuiet(const ClientConnection& aConnection)
 {
-  try {
-    return !aConnection.mSocket.poll(Poco::Timespan(0),
-                                     Poco::Net::Socket::SELECT_READ);
-  } catch (const Poco::Exception&) {
-    return false;
-  }
+  return !AwaitReadable(aConnection.mSocket, Micros(0));
 }
 
 enum class SendResult
--- a/packages/http/src/SocketsPriv.cpp
+++ b/packages/http/src/SocketsPriv.cpp
@@ -2,17 +2,45 @@
 
 #include <Poco/Exception.h>
 #include <algorithm>
+#include <cerrno>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 
 namespace porttiller {
 
+namespace {
+
+constexpr Millis::rep kMaxPollMs = 3'600'000;
+
+} // namespace
+
 Poco::Timespan
 ToTimespan(Micros aTime)
 {
   return { std::max<std::int64_t>(1, aTime.count()) };
 }
 
+bool
+AwaitReadable(const Poco::Net::Socket& aSocket, Micros aTime)
+{
+  pollfd item{ .fd = aSocket.impl()->sockfd(), .events = POLLIN, .revents = 0 };
+  const auto until = Now() + aTime;
+  for (;;) {
+    const auto left = std::chrono::ceil<Millis>(until - Now());
+    const int found = ::poll(
+      &item,
+      1,
+      static_cast<int>(std::clamp<Millis::rep>(left.count(), 0, kMaxPollMs)));
+    if (found != 0 && (found > 0 || errno != EINTR)) {
+      return true;
+    }
+    if (Now() >= until) {
+      return false;
+    }
+  }
+}
+
 void
 SetUserTimeout(Poco::Net::StreamSocket& aSocket, Millis aTime)
 {
--- a/packages/http/src/SocketsPriv.h
+++ b/packages/http/src/SocketsPriv.h
@@ -13,6 +13,12 @@
 Poco::Timespan
 ToTimespan(Micros aTime);
 
+// True once there is something to read, or reading tells what is wrong; waits up
+// to aTime. One system call: POCO's own poll makes and closes a descriptor each
+// time.
+bool
+AwaitReadable(const Poco::Net::Socket& aSocket, Micros aTime);
+
 // Ends connections whose other side says nothing: a box without power does not
 // even reset them. Sent bytes that stay unacknowledged for aTime end it.
 void
--- a/testing/fleet/MeshFleet.cpp
+++ b/testing/fleet/MeshFleet.cpp
@@ -204,6 +204,12 @@
   mBoxes.at(aBox)->Signal(aSignal);
 }
 
+int
+MeshFleet::PidOf(int aBox) const
+{
+  return mBoxes.at(static_cast<std::size_t>(aBox))->Id();
+}
+
 int
 MeshFleet::WaitForBoxExit(int aBox, Millis aTime)
 {
--- a/testing/fleet/MeshFleet.h
+++ b/testing/fleet/MeshFleet.h
@@ -68,6 +68,7 @@
   void SignalBox(int aBox, int aSignal);
   int WaitForBoxExit(int aBox, Millis aTime);
   bool Ready(int aBox);
+  int PidOf(int aBox) const;
   // True once every running box routes to this many servers that take work.
   bool WaitServers(int aCount);
   // Writes the operator's document, with one more route if named.
