--- a/packages/policy/include/porttiller/policy/CircuitBreaker.h
+++ b/packages/policy/include/porttiller/policy/CircuitBreaker.h
@@ -27,7 +27,7 @@
   // Errors that the server itself answers count as a failure when so many among
   // the last kErrorWindow answers are this unlikely for its service: what all
   // its servers answer comes from what they call, or from the requests.
-  double mErrorsUnlikely = 0.002;
+  double mErrorsUnlikely = 0.02;
 };
 
 enum class BreakerState
