Tell boxes of the zone of demoted servers with each answer

Change: an answer to a box of the own zone names up to eight servers whose homes have refused within the last 2 s, with the age of what the home said; nothing that a home has told since is undone.

--- a/packages/entry/tests/EntryViewTest.cpp
+++ b/packages/entry/tests/EntryViewTest.cpp
@@ -232,3 +232,58 @@
   CHECK(view.Dump().find("in_flight=0") != std::string::npos);
   CHECK(view.Dump().find("in_flight=-1") == std::string::npos);
 }
+
+TEST_CASE("What a home said to another box keeps requests away as long")
+{
+  const auto snapshot = MakeSnapshot();
+  EntryView view(BoxName("entry"), AvailabilityZone("entry"), {});
+  const auto& service = snapshot.mServices.begin()->second;
+  const ServerIncarnation server(BackendServerName("a"));
+  const auto choose = [&](TimePoint aNow) {
+    return view.Choose(snapshot, service, AttemptPlan(false), {}, aNow)
+      .mServer->mName;
+  };
+  choose(kStart); // it knows its servers
+  const ServerHints hints = { { .mService = ServiceName("ledger"),
+                                .mServer = server,
+                                .mAge = Millis(500) } };
+  view.OnHints(hints, kStart);
+  for (int i = 0; i < kDraws; ++i) {
+    CHECK(choose(kStart + Millis(3000)) == BackendServerName("b"));
+  }
+  CHECK(CountFirst(view, snapshot, kStart + Millis(4000)) > kDraws / 3);
+  // It is passed on with the age that it has by now.
+  REQUIRE(view.Hints(kStart + Millis(100)).size() == 1);
+  CHECK(view.Hints(kStart + Millis(100))[0].mAge == Millis(600));
+}
+
+TEST_CASE("A hint does not undo what the home has told since")
+{
+  const auto snapshot = MakeSnapshot();
+  EntryView view(BoxName("entry"), AvailabilityZone("entry"), {});
+  CountFirst(view, snapshot, kStart);
+  const ServerIncarnation server(BackendServerName("a"));
+  view.OnNews(
+    { .mServer = server, .mService = ServiceName("ledger"), .mDemoted = false },
+    kStart);
+  const auto late = kStart + Millis(1000);
+  view.OnHints({ { .mService = ServiceName("ledger"),
+                   .mServer = server,
+                   .mAge = Millis(1200) } },
+               late);
+  CHECK(CountFirst(view, snapshot, late) > kDraws / 3);
+  CHECK(view.Hints(late).empty());
+}
+
+TEST_CASE("A refusal for a doubtful silence is no hint for others")
+{
+  const auto snapshot = MakeSnapshot();
+  EntryView view(BoxName("entry"), AvailabilityZone("entry"), {});
+  const auto& first = snapshot.mServices.begin()->second.mServers[0];
+  CountFirst(view, snapshot, kStart);
+  view.OnRefused(first, Refusal::kDemoted, Millis(300), false, kStart);
+  CHECK(view.Hints(kStart).empty());
+  CHECK(CountFirst(view, snapshot, kStart + Millis(400)) > kDraws / 3);
+  view.OnRefused(first, Refusal::kDemoted, Millis(4000), false, kStart);
+  CHECK(view.Hints(kStart).size() == 1);
+}
