--- a/packages/entry/include/porttiller/entry/EntryView.h
+++ b/packages/entry/include/porttiller/entry/EntryView.h
@@ -6,7 +6,6 @@
 #include "porttiller/config/Snapshot.h"
 #include "porttiller/home/ServerNews.h"
 #include "porttiller/hop/HomeTypes.h"
-#include "porttiller/hop/RecentHints.h"
 #include "porttiller/policy/AttemptPlan.h"
 #include "porttiller/policy/Balancer.h"
 #include "porttiller/policy/Subset.h"
@@ -63,12 +62,6 @@
                  bool aMayFail, // the request that was refused
                  TimePoint aNow);
 
-  // What homes have said of late, for other boxes; it never outlives that by
-  // more than RecentHints::kLast.
-  ServerHints Hints(TimePoint aNow) const;
-  // Of another box. Nothing that its own requests or a home told is undone.
-  void OnHints(const ServerHints& aHints, TimePoint aNow);
-
   // Sent by the home of a server.
   void OnNews(const ServerNews& aNews, TimePoint aNow);
 
@@ -112,8 +105,6 @@
     // Its home turns away what must not fail there, and what may fail, too.
     TimePoint mBrokenUntil;
     TimePoint mNoTrialUntil;
-    TimePoint mBrokenSaidAt; // by its home, maybe to another box
-    TimePoint mOpenSaidAt;
   };
 
   struct BoxView
@@ -161,10 +152,6 @@
 
   static ServerView* ViewOf(ServiceShard& aShard,
                             const ServerIncarnation& aServer);
-  void NoteDemoted(const ServiceName& aService,
-                   const ServerIncarnation& aServer,
-                   TimePoint aSaidAt);
-  void NoteOpen(const ServerIncarnation& aServer);
   ServiceShard& ShardOf(const ServiceName& aService) const;
   BoxShard& ShardOf(const BoxName& aBox) const;
   SubsetEntry OwnPlace(const Snapshot& aSnapshot);
@@ -191,8 +178,6 @@
   std::mutex mOwnPlaceMutex;
   SubsetEntry mOwnPlace;             // under mOwnPlaceMutex
   std::uint64_t mOwnPlaceSerial = 0; // of its snapshot; under mOwnPlaceMutex
-  mutable std::mutex mHintsMutex;    // may be taken under a shard's lock
-  RecentHints mHints;                // under mHintsMutex
   mutable std::array<ServiceShard, kShards> mServices;
   mutable std::array<BoxShard, kShards> mBoxes;
 };
--- a/packages/entry/src/Dispatcher.cpp
+++ b/packages/entry/src/Dispatcher.cpp
@@ -222,7 +222,6 @@
     mView.OnPathFailure(aBox.mName, Now());
     return Settle(aBox, aRequest, std::string("home-") + ToText(http.error()));
   }
-  const auto hints = DecodeHints(HeaderValue(http->mHeaders, hop::kHints));
   auto decoded = DecodeHomeAnswer(std::move(*http), aRequest.mAttempt);
   if (!decoded) {
     mMetrics.DroppedAnswers().Increment();
@@ -233,7 +232,6 @@
     aBox.mName,
     { .mIncarnation = decoded->mIncarnation, .mClockOffset = offset });
   mView.OnPathSuccess(aBox.mName);
-  mView.OnHints(hints, Now());
   return FromHome(std::move(decoded->mAnswer));
 }
 
--- a/packages/entry/src/EntryView.cpp
+++ b/packages/entry/src/EntryView.cpp
@@ -14,9 +14,6 @@
 constexpr Millis kPathAvoid{ 800 };
 constexpr Millis kMaxAvoid{ 5000 };
 constexpr int kMaxAvoidDoublings = 5;
-// A hint of another box counts for so long after the home said it. Breakers
-// stay open for seconds; a home that closes one tells those who asked.
-constexpr Millis kHintsHold{ 4000 };
 // Of the newest answer in the share of a service's errors.
 constexpr double kAnswerWeight = 0.1;
 // A second server costs a trip; answers that come sooner are not worth it.
@@ -47,13 +44,6 @@
   }
 }
 
-Millis
-RandomUpTo(Millis aTime)
-{
-  return Millis(static_cast<Millis::rep>(
-    Random() % static_cast<std::uint64_t>(aTime.count())));
-}
-
 // Nothing is left of a report after a second.
 double
 Aged(double aLoad, Micros aAge)
@@ -330,11 +320,7 @@
   }
   const auto until = aNow + std::clamp(aRetryAfter, kMinAvoid, kMaxAvoid);
   if (!standing) {
-    view->mBrokenSaidAt = aNow;
     view->mBrokenUntil = until;
-    if (aRetryAfter >= kHintsHold) {
-      NoteDemoted(aServer.mService, aServer.Incarnation(), aNow);
-    }
     if (aMayFail) {
       view->mNoTrialUntil = until; // it has its trials
     }
@@ -344,55 +330,6 @@
   view->mStandingUntil = until;
 }
 
-ServerHints
-EntryView::Hints(TimePoint aNow) const
-{
-  const std::lock_guard lock(mHintsMutex);
-  return mHints.Fresh(aNow);
-}
-
-void
-EntryView::NoteDemoted(const ServiceName& aService,
-                       const ServerIncarnation& aServer,
-                       TimePoint aSaidAt)
-{
-  const std::lock_guard lock(mHintsMutex);
-  mHints.Note(aService, aServer, aSaidAt);
-}
-
-void
-EntryView::NoteOpen(const ServerIncarnation& aServer)
-{
-  const std::lock_guard lock(mHintsMutex);
-  mHints.Forget(aServer);
-}
-
-void
-EntryView::OnHints(const ServerHints& aHints, TimePoint aNow)
-{
-  for (const auto& hint : aHints) {
-    auto& shard = ShardOf(hint.mService);
-    const std::lock_guard lock(shard.mMutex);
-    const auto it = shard.mServers.find(hint.mServer.Id());
-    const auto saidAt = aNow - hint.mAge;
-    if (it == shard.mServers.end() || hint.mAge > RecentHints::kLast ||
-        it->second.mStartMs != hint.mServer.StartMs()) {
-      continue;
-    }
-    auto& view = it->second;
-    if (saidAt <= view.mBrokenSaidAt || saidAt <= view.mOpenSaidAt) {
-      continue;
-    }
-    const bool known = aNow < view.mBrokenUntil;
-    view.mBrokenSaidAt = saidAt;
-    view.mBrokenUntil = std::max(view.mBrokenUntil, saidAt + kHintsHold);
-    NoteDemoted(hint.mService, hint.mServer, saidAt);
-    if (!known) {
-      view.mNoTrialUntil = aNow + RandomUpTo(kHintsHold);
-    }
-  }
-}
-
 void
 EntryView::OnNews(const ServerNews& aNews, TimePoint aNow)
 {
@@ -403,20 +340,16 @@
     return;
   }
   if (!aNews.mDemoted) {
-    view->mOpenSaidAt = aNow;
-    NoteOpen(aNews.mServer);
     view->mBrokenUntil = {};
     view->mNoTrialUntil = {};
     return;
   }
   const auto retryAfter = std::clamp(aNews.mRetryAfter, kMinAvoid, kMaxAvoid);
-  view->mBrokenSaidAt = aNow;
   view->mBrokenUntil = aNow + retryAfter;
-  if (aNews.mRetryAfter >= kHintsHold) {
-    NoteDemoted(aNews.mService, aNews.mServer, aNow);
-  }
   // Its home needs few trials, and every receiver sends some.
-  view->mNoTrialUntil = aNow + RandomUpTo(retryAfter);
+  const auto span = static_cast<std::uint64_t>(retryAfter.count());
+  view->mNoTrialUntil =
+    aNow + Millis(static_cast<Millis::rep>(Random() % span));
 }
 
 void
--- a/packages/home/include/porttiller/home/ServerBreaker.h
+++ b/packages/home/include/porttiller/home/ServerBreaker.h
@@ -56,7 +56,6 @@
   SilenceDetector mSilence;
   double mUsualErrors = 0.0; // of the service, as entries tell
   bool mBySilence = false;   // why the breaker is half open
-  TimePoint mSilentSince;    // with mBySilence
 };
 
 } // namespace porttiller
--- a/packages/home/src/HomeServer.cpp
+++ b/packages/home/src/HomeServer.cpp
@@ -2,7 +2,6 @@
 
 #include "porttiller/hop/Dialects.h"
 #include "porttiller/hop/HopCodec.h"
-#include "porttiller/hop/HopHeaders.h"
 #include "porttiller/telemetry/Log.h"
 
 namespace porttiller {
@@ -36,20 +35,16 @@
 
 } // namespace
 
-HomeServer::HomeServer(const Settings& aSettings,
-                       Home& aHome,
-                       HintSource aHints)
+HomeServer::HomeServer(const Settings& aSettings, Home& aHome)
   : mNames(EdgeHeadersOf(aSettings))
   , mHome(aHome)
-  , mHints(std::move(aHints))
 {
 }
 
 tl::expected<std::unique_ptr<HomeServer>, std::string>
-HomeServer::Make(const Settings& aSettings, Home& aHome, HintSource aHints)
+HomeServer::Make(const Settings& aSettings, Home& aHome)
 {
-  std::unique_ptr<HomeServer> server(
-    new HomeServer(aSettings, aHome, std::move(aHints)));
+  std::unique_ptr<HomeServer> server(new HomeServer(aSettings, aHome));
   auto listener = HttpListener::Make(
     { .mAddress = aSettings.mPeers.mHomeAddress,
       .mWorkers = aSettings.mPeers.mThreads,
@@ -87,9 +82,6 @@
   for (auto& header : WithoutHopHeaders(answer.mHttp.mHeaders)) {
     reply.mAnswer.mHeaders.push_back(std::move(header));
   }
-  if (auto hints = EncodeHints(mHints(request->mAttempt.Box())); !hints.empty()) {
-    reply.mAnswer.mHeaders.push_back({ hop::kHints, std::move(hints) });
-  }
   reply.mAnswer.mBody = std::move(answer.mHttp.mBody);
   return reply;
 }
--- a/packages/home/src/ServerBreaker.cpp
+++ b/packages/home/src/ServerBreaker.cpp
@@ -17,9 +17,6 @@
 // Entries keep away from an open breaker for so long before they ask again.
 // They are told when it closes; this is for those that miss the news.
 constexpr Millis kRetryAfter{ 4000 };
-// Most alarms for silence end sooner than this, with the suspected answer: who
-// asked meanwhile need not keep away for long.
-constexpr Millis kDoubtful{ 150 };
 
 bool
 SaysNothing(const HomeAnswer& aAnswer)
@@ -66,9 +63,7 @@
 Millis
 ServerBreaker::RetryAfter(TimePoint aNow) const
 {
-  const bool young = mBySilence && aNow < mSilentSince + kDoubtful;
-  return young ? mBreaker.RetryAfter(aNow)
-               : std::max(mBreaker.RetryAfter(aNow), kRetryAfter);
+  return std::max(mBreaker.RetryAfter(aNow), kRetryAfter);
 }
 
 void
@@ -153,7 +148,6 @@
   const bool alarm = mSilence.Alarms(Survival(), aNow);
   if (alarm && mBreaker.State() == BreakerState::kClosed) {
     mBySilence = true;
-    mSilentSince = aNow;
     mBreaker.OnFailure(aNow);
     LogChange("cause", "silence", "no answer for long", aNow);
   } else if (!alarm && mBySilence) {
--- a/packages/home/tests/ServerBreakerTest.cpp
+++ b/packages/home/tests/ServerBreakerTest.cpp
@@ -85,21 +85,6 @@
   CHECK_FALSE(breaker.Admit(Request(4), true, kStart + kUsual * 2));
 }
 
-TEST_CASE("Who asks during a young silence need not keep away for long")
-{
-  const RouteTimes times = UsualTimes();
-  ServerBreaker breaker(ServerIncarnation(BackendServerName("s")), times);
-  breaker.OnStarted(Request(1), kStart);
-  const auto silent = kStart + kLong;
-  CHECK_FALSE(breaker.Admit(Request(2), true, silent));
-  CHECK(breaker.RetryAfter(silent) < Millis(1000));
-  CHECK(breaker.RetryAfter(silent + Millis(500)) >= Millis(4000));
-  // A failure is no doubt.
-  ServerBreaker failed(ServerIncarnation(BackendServerName("s")), times);
-  Play(failed, 1, kCut, Millis(1));
-  CHECK(failed.RetryAfter(kStart + Millis(1)) >= Millis(4000));
-}
-
 TEST_CASE("Requests whose entries gave them up tell of their server, too")
 {
   const RouteTimes times = UsualTimes();
--- a/packages/hop/include/porttiller/hop/HopHeaders.h
+++ b/packages/hop/include/porttiller/hop/HopHeaders.h
@@ -19,7 +19,5 @@
 // HopCodec has the fields.
 inline constexpr const char* kRequestHop = "Porttiller-Try";
 inline constexpr const char* kAnswerHop = "Porttiller-Told";
-// What the answering box knows of other servers; see ServerHints.
-inline constexpr const char* kHints = "Porttiller-Hints";
 
 } // namespace porttiller::hop
--- a/packages/node/src/Node.cpp
+++ b/packages/node/src/Node.cpp
@@ -148,8 +148,7 @@
 tl::expected<void, std::string>
 Node::Parts::OpenServers()
 {
-  auto homeServer = HomeServer::Make(
-    mSettings, mHome, [this](const BoxName& aBox) { return HintsFor(aBox); });
+  auto homeServer = HomeServer::Make(mSettings, mHome);
   if (!homeServer) {
     return tl::make_unexpected(homeServer.error());
   }
@@ -236,17 +235,6 @@
   }
 }
 
-// Only within the zone: bytes across its border cost, and the zone's boxes work
-// with much the same servers.
-ServerHints
-Node::Parts::HintsFor(const BoxName& aBox) const
-{
-  const auto snapshot = mConfig->Current();
-  const auto* box = snapshot ? snapshot->FindBox(aBox) : nullptr;
-  return box != nullptr && box->mZone == mSettings.mZone ? mView.Hints(Now())
-                                                         : ServerHints{};
-}
-
 DirectoryHooks
 Node::Parts::MakeDirectoryHooks()
 {
--- a/packages/node/src/NodePartsPriv.h
+++ b/packages/node/src/NodePartsPriv.h
@@ -58,7 +58,6 @@
   DirectoryHooks MakeDirectoryHooks();
   void OnSnapshot(const Snapshot& aSnapshot);
   bool Ready() const;
-  ServerHints HintsFor(const BoxName& aBox) const;
   PeerRevision OwnRevision() const;
   void OnPeerRevision(const PeerRevision& aPeer);
 
