--- a/bench/RequestPathBench.cpp
+++ b/bench/RequestPathBench.cpp
@@ -94,10 +94,12 @@
 {
   std::atomic<int> served{ 0 };
   std::vector<std::thread> threads;
+  threads.reserve(kThreads);
   const auto start = Now();
   for (int thread = 0; thread < kThreads; ++thread) {
     threads.emplace_back([&, thread] {
       std::vector<std::unique_ptr<HttpPool>> pools;
+      pools.reserve(static_cast<std::size_t>(aBoxes));
       for (int box = 0; box < aBoxes; ++box) {
         pools.push_back(std::make_unique<HttpPool>(
           HttpPoolOptions{ .mAddress = aFleet.CallerAddress(box) }));
