--- a/bench/sim/LimitFleet.h
+++ b/bench/sim/LimitFleet.h
@@ -4,6 +4,8 @@
 // every request.
 #pragma once
 
+#include "sim/SimWorkspace.h"
+
 #include "porttiller/policy/LimitGate.h"
 #include "porttiller/policy/UsageCollector.h"
 #include "porttiller/policy/UseReporter.h"
@@ -27,14 +29,6 @@
   kAsked      // each request is put to the first collector of zone 0
 };
 
-// A workspace and how much it sends.
-struct SimWorkspace
-{
-  RequestLimit mLimit;
-  double mUsual = 0.0; // requests a second through all entries
-  double mHotFactor = 1.0;
-};
-
 struct LimitFleetOptions
 {
   int mBoxes = 93;
@@ -146,9 +140,4 @@
   std::uint64_t mOffers = 0;
 };
 
-// As on a sheet: aCount workspaces with a few large ones, aTotal requests a
-// second in all, each limited to aRoom times its usual.
-std::vector<SimWorkspace>
-DrawWorkspaces(int aCount, double aTotal, double aRoom, std::uint64_t aSeed);
-
 } // namespace porttiller::bench
--- a/packages/control/include/porttiller/control/LimitController.h
+++ b/packages/control/include/porttiller/control/LimitController.h
@@ -1,7 +1,7 @@
 // Keeps the limits of workspaces over all boxes together: tells a collector of
 // the zone what this box's entry has let through, and collects where this box
-// is asked to. Which boxes collect follows from the rendezvous hash over those
-// that live, without an election; whoever is told of requests collects.
+// is asked to. Which boxes collect follows from the rendezvous hash over the
+// live ones, without an election; any box that gets a report collects.
 #pragma once
 
 #include "porttiller/config/Settings.h"
--- a/packages/policy/include/porttiller/policy/LimitGate.h
+++ b/packages/policy/include/porttiller/policy/LimitGate.h
@@ -16,9 +16,9 @@
 
 struct LimitGateOptions
 {
-  // Shares hold for so long after a collector's last word.
+  // Shares hold for so long after a collector has granted them.
   Millis mGrantsLast{ 1500 };
-  // An entry that wants word, after a rest say, goes on as before for so long;
+  // An entry whose shares are too old, after a rest say, uses them for so long;
   // after that it keeps to its own part of each limit.
   Millis mPatience{ 700 };
   // Requests that its own part lets through after a rest; a part is often less
@@ -64,7 +64,7 @@
   // It was not taken in after all.
   void PutBack(const WorkspaceUses& aUses);
 
-  // A collector's word: workspaces that it does not name pass. One that warms
+  // From a collector: workspaces that it does not name pass. One that warms
   // up lowers shares only.
   void OnGrants(const WorkspaceGrants& aGrants, bool aWarming, TimePoint aNow);
   // Of a limit, the part of this entry by itself: one of so many boxes.
--- a/packages/policy/include/porttiller/policy/UseReporter.h
+++ b/packages/policy/include/porttiller/policy/UseReporter.h
@@ -15,7 +15,7 @@
 {
   Millis mReplyEvery{ 750 };
   // An entry that has seen no request of a limited workspace for so long asks
-  // for no word of collectors.
+  // for no grants.
   Millis mRestAfter{ 5000 };
   // A collector that did not reply is passed over for so long.
   Millis mAvoidFor{ 3000 };
--- a/packages/policy/src/LimitGate.cpp
+++ b/packages/policy/src/LimitGate.cpp
@@ -16,7 +16,7 @@
   return std::chrono::duration<double>(aTime).count();
 }
 
-// From half to one and a half times aTime, so that those who are turned away
+// From half to one and a half times aTime, so that those who are refused
 // together do not return together.
 Millis
 Spread(double aSeconds, std::uint64_t aRandom)
@@ -54,7 +54,7 @@
 }
 
 // Shares are summed up from a random start, or entries that see few requests
-// would all turn away their first one.
+// would all refuse their first one.
 LimitGate::State&
 LimitGate::StateOf(const WorkspaceName& aWorkspace,
                    TimePoint aNow,
--- a/packages/policy/tests/WorkspaceLimitTest.cpp
+++ b/packages/policy/tests/WorkspaceLimitTest.cpp
@@ -88,7 +88,7 @@
   CHECK(admitted < kGates * 6 / 10);
 }
 
-TEST_CASE("Without word from a collector a gate keeps to its own part")
+TEST_CASE("Without grants from a collector a gate keeps to its own part")
 {
   LimitGate gate;
   gate.SetBoxes(5); // 2 requests a second
