Tell a collector what it may not have once more, not again and again

Change: UseReporter tells unconfirmed counts a second time at most, and not while both collectors are silent; a first collector that does not reply is passed over for 3 s, doubling to 24 s.

--- a/bench/sim/LimitFleet.cpp
+++ b/bench/sim/LimitFleet.cpp
@@ -93,6 +93,14 @@
   At(TimePoint(aUntil), [&box] { box.mCut = false; });
 }
 
+void
+LimitFleet::Deafen(int aBox, Micros aFrom, Micros aUntil)
+{
+  auto& box = mBoxes[static_cast<std::size_t>(aBox)];
+  At(TimePoint(aFrom), [&box] { box.mDeaf = true; });
+  At(TimePoint(aUntil), [&box] { box.mDeaf = false; });
+}
+
 void
 LimitFleet::Kill(int aBox, Micros aAt, Micros aDown)
 {
@@ -124,7 +132,7 @@
   auto& from = mBoxes[static_cast<std::size_t>(aFrom)];
   auto& to = mBoxes[static_cast<std::size_t>(aTo)];
   ++from.mMessages;
-  if (from.mCut || to.mCut || to.mDown) {
+  if (from.mCut || to.mCut || to.mDeaf || to.mDown) {
     return;
   }
   const auto delay =
@@ -205,7 +213,7 @@
   if (to == aBox) {
     box.mCollector->OnEntryUse(report->mUses);
     box.mGate->OnGrants(box.mGrants, box.mCollector->Warming(mNow), mNow);
-    box.mReporter->OnReply(report->mQuestion, true, *box.mGate, mNow);
+    box.mReporter->OnReply(report->mQuestion, true, mNow);
     return;
   }
   const auto replied = std::make_shared<bool>(false);
@@ -229,14 +237,14 @@
                replied] {
                 *replied = true;
                 box.mGate->OnGrants(grants, warming, mNow);
-                box.mReporter->OnReply(question, true, *box.mGate, mNow);
+                box.mReporter->OnReply(question, true, mNow);
               });
        });
   if (report->mQuestion != 0) {
     At(mNow + kReplyTimeout,
        [this, &box, life = box.mLife, question = report->mQuestion, replied] {
          if (!*replied && box.mLife == life) {
-           box.mReporter->OnReply(question, false, *box.mGate, mNow);
+           box.mReporter->OnReply(question, false, mNow);
          }
        });
   }
@@ -324,6 +332,9 @@
   const auto verdict = box.mGate->Offer(
     NameOf(aWorkspace), limit, Priority::kNormal, mNow, mRandom());
   Judge(aWorkspace, verdict.mAdmitted);
+  if (!verdict.mAdmitted && !box.mCut && !box.mDeaf) {
+    ++mOutcome.mWorkspaces[aWorkspace].mRefusedInTouch;
+  }
 }
 
 void
--- a/bench/sim/LimitFleet.h
+++ b/bench/sim/LimitFleet.h
@@ -51,6 +51,7 @@
   int mAdmitted = 0;
   // Refused although a bucket that sees all requests had room.
   int mRefusedBelow = 0;
+  int mRefusedInTouch = 0; // at boxes that get what others send
   // The most in any window, as a part of what is allowed there.
   double mWorstWindow = 0.0;
 };
@@ -72,6 +73,8 @@
   // Faults, to be set before Run. A box that is cut reaches no other; its
   // callers go on. A killed one starts again with nothing after aDown.
   void Cut(int aBox, Micros aFrom, Micros aUntil);
+  // What others send to the box is lost; what it sends arrives.
+  void Deafen(int aBox, Micros aFrom, Micros aUntil);
   void Kill(int aBox, Micros aAt, Micros aDown);
   void ChangeLimit(std::size_t aWorkspace, Micros aAt, RequestLimit aLimit);
 
@@ -88,6 +91,7 @@
     WorkspaceGrants mTold;
     std::map<int, TimePoint> mReporters;
     bool mCut = false;
+    bool mDeaf = false;
     bool mDown = false;
     bool mReportsNow = false;
     int mLife = 0;
--- a/bench/tests/LimitFleetTest.cpp
+++ b/bench/tests/LimitFleetTest.cpp
@@ -104,6 +104,28 @@
   }
 }
 
+TEST_CASE("Boxes that get no replies make no others refuse what is allowed")
+{
+  // A third of the boxes reports, and hears nothing: what they have told must
+  // not count again and again.
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    CAPTURE(seed);
+    auto options = HotFleet(seed);
+    options.mHotUntil = options.mHotFrom;
+    LimitFleet fleet(options);
+    for (int box = 0; box < kBoxes; ++box) {
+      if (box / 3 % 3 == 1) { // of each zone, the second collectors among them
+        fleet.Deafen(box, Seconds(8), Seconds(60));
+      }
+    }
+    const auto outcome = fleet.Run();
+    CheckWindows(outcome);
+    for (const auto& workspace : outcome.mWorkspaces) {
+      CHECK(workspace.mRefusedInTouch == 0);
+    }
+  }
+}
+
 TEST_CASE("A lower limit holds after a window, a higher one at once")
 {
   auto options = HotFleet(3);
--- a/packages/entry/src/WorkspaceGate.cpp
+++ b/packages/entry/src/WorkspaceGate.cpp
@@ -36,7 +36,7 @@
 WorkspaceGate::OnReply(std::uint64_t aQuestion, bool aReplied)
 {
   const std::lock_guard lock(mMutex);
-  mReporter.OnReply(aQuestion, aReplied, mGate, Now());
+  mReporter.OnReply(aQuestion, aReplied, Now());
 }
 
 void
--- a/packages/policy/include/porttiller/policy/LimitGate.h
+++ b/packages/policy/include/porttiller/policy/LimitGate.h
@@ -61,8 +61,6 @@
 
   // What has not been told yet; it counts as told from now on.
   WorkspaceUses TakeUse(TimePoint aNow);
-  // It was not taken in after all.
-  void PutBack(const WorkspaceUses& aUses);
 
   // From a collector: workspaces that it does not name pass. One that warms
   // up lowers shares only.
--- a/packages/policy/include/porttiller/policy/UseReporter.h
+++ b/packages/policy/include/porttiller/policy/UseReporter.h
@@ -1,7 +1,9 @@
 // When an entry tells what of its counts to which collector. Counts go out
 // every tick without a reply; every few ticks a reply is asked for, which shows
-// that the collector has them all. Those that it may not have go to the other
-// collector of the zone: counted twice is better than not at all.
+// that the collector has them all. Those that it may not have are told once
+// more, to the other collector of the zone: counted twice is better than not at
+// all. Never more often: where only replies are lost, a collector has counted
+// what it does not confirm.
 #pragma once
 
 #include "porttiller/policy/LimitGate.h"
@@ -17,8 +19,10 @@
   // An entry that has seen no request of a limited workspace for so long asks
   // for no grants.
   Millis mRestAfter{ 5000 };
-  // A collector that did not reply is passed over for so long.
+  // The first collector is passed over for so long after it did not reply;
+  // doubles with each time, until it replies again.
   Millis mAvoidFor{ 3000 };
+  Millis mMaxAvoidFor{ 24'000 };
 };
 
 // One message to a collector.
@@ -29,7 +33,7 @@
   WorkspaceUses mUses;
 };
 
-// Not thread-safe: its owner holds the lock, also of the gate.
+// Not thread-safe: its owner holds the lock, also that of the gate.
 class UseReporter
 {
 public:
@@ -41,23 +45,24 @@
                                 const std::vector<BoxName>& aCollectors,
                                 TimePoint aNow);
   // To UseReport::mQuestion. Not aReplied: no reply came in time.
-  void OnReply(std::uint64_t aQuestion,
-               bool aReplied,
-               LimitGate& aGate,
-               TimePoint aNow);
+  void OnReply(std::uint64_t aQuestion, bool aReplied, TimePoint aNow);
 
 private:
-  void MoveTo(const BoxName& aCollector, LimitGate& aGate);
+  void TellAgain();
+  void MoveTo(const BoxName& aCollector);
 
   const UseReporterOptions mOptions;
   BoxName mCollector;      // that has been told the following
   WorkspaceUses mAskedFor; // told with or before the open question
   WorkspaceUses mSince;    // told after it
+  WorkspaceUses mAgain;    // to be told once more
   bool mAsked = false;
   std::optional<TimePoint> mAskedAt;
   std::optional<TimePoint> mUsedAt;
   TimePoint mAvoidUntil; // the first collector
+  Millis mAvoidNext;     // for so long, when it does not reply
   std::uint64_t mQuestions = 0;
+  int mFailures = 0; // in a row
 };
 
 } // namespace porttiller
--- a/packages/policy/src/LimitGate.cpp
+++ b/packages/policy/src/LimitGate.cpp
@@ -190,22 +190,6 @@
   return uses;
 }
 
-void
-LimitGate::PutBack(const WorkspaceUses& aUses)
-{
-  for (const auto& use : aUses) {
-    const auto it = mStates.find(use.mWorkspace.Value());
-    if (it == mStates.end()) {
-      continue;
-    }
-    auto& untold = it->second.mUntold;
-    for (std::size_t i = 0; i < kPriorityCount; ++i) {
-      untold.mOffered.at(i) += use.mOffered.at(i);
-    }
-    untold.mAdmitted += use.mAdmitted;
-  }
-}
-
 void
 LimitGate::OnGrants(const WorkspaceGrants& aGrants,
                     bool aWarming,
--- a/packages/policy/tests/WorkspaceLimitTest.cpp
+++ b/packages/policy/tests/WorkspaceLimitTest.cpp
@@ -34,6 +34,16 @@
   return admitted;
 }
 
+int
+AdmittedIn(const WorkspaceUses& aUses)
+{
+  int sum = 0;
+  for (const auto& use : aUses) {
+    sum += use.mAdmitted;
+  }
+  return sum;
+}
+
 // Offers aPerSecond and admits them all, as told every tick.
 WorkspaceGrants
 Feed(UsageCollector& aCollector,
@@ -65,8 +75,6 @@
   CHECK(gate.TakeUse(kStart).empty());
   gate.GiveBack(kName);
   CHECK(gate.TakeUse(kStart).at(0).mAdmitted == -1);
-  gate.PutBack(uses);
-  CHECK(gate.TakeUse(kStart) == uses);
 }
 
 TEST_CASE("LimitGate keeps to its share, also of few requests")
@@ -188,15 +196,19 @@
   REQUIRE(told);
   CHECK(told->mQuestion == 0);
   // No reply: all five go to the second one.
-  reporter.OnReply(asked->mQuestion, false, gate, kStart + Millis(400));
+  reporter.OnReply(asked->mQuestion, false, kStart + Millis(400));
   const auto again = reporter.Next(gate, kCollectors, kStart + Millis(500));
   REQUIRE(again);
   CHECK(again->mCollector == kCollectors[1]);
-  CHECK(again->mUses.at(0).mAdmitted == 5);
-  reporter.OnReply(again->mQuestion, true, gate, kStart + Millis(510));
-  CHECK(gate.TakeUse(kStart).empty());
+  CHECK(AdmittedIn(again->mUses) == 5);
   // A late reply of the first one confirms nothing.
-  reporter.OnReply(asked->mQuestion, true, gate, kStart + Millis(520));
+  reporter.OnReply(asked->mQuestion, true, kStart + Millis(510));
+  // No reply again: they are not told a third time, new ones are.
+  reporter.OnReply(again->mQuestion, false, kStart + Millis(900));
+  AdmittedOf(gate, 1, kStart);
+  const auto third = reporter.Next(gate, kCollectors, kStart + Millis(1000));
+  REQUIRE(third);
+  CHECK(AdmittedIn(third->mUses) == 1);
 }
 
 TEST_CASE("UseReporter moves what is unconfirmed to a new first collector")
@@ -210,5 +222,5 @@
     reporter.Next(gate, { BoxName("third") }, kStart + Millis(250));
   REQUIRE(moved);
   CHECK(moved->mCollector == BoxName("third"));
-  CHECK(moved->mUses.at(0).mAdmitted == 3);
+  CHECK(AdmittedIn(moved->mUses) == 3);
 }
