--- a/packages/http/src/SocketsPriv.h
+++ b/packages/http/src/SocketsPriv.h
@@ -13,9 +13,9 @@
 Poco::Timespan
 ToTimespan(Micros aTime);
 
-// True once there is something to read, or reading tells what is wrong; waits up
-// to aTime. One system call: POCO's own poll makes and closes a descriptor each
-// time.
+// True once there is something to read, or reading tells what is wrong; waits
+// up to aTime. One system call: POCO's own poll makes and closes a descriptor
+// each time.
 bool
 AwaitReadable(const Poco::Net::Socket& aSocket, Micros aTime);
 
