Log refused deltas, unanswered control requests, the age of the store's answer

configuration_in_force names its peer and the age of the store's last answer; configuration_delta_refused tells a gap with both revisions, as a stale one is usual and only counted; control_unanswered tells how long the link had been silent; /state has the store's cursor beside the revision.

--- a/packages/config/include/porttiller/config/ObjectSet.h
+++ b/packages/config/include/porttiller/config/ObjectSet.h
@@ -61,6 +61,11 @@
   kGap    // changes between the set and the delta are missing
 };
 
+inline constexpr std::size_t kApplyErrorCount = 2;
+
+const char*
+ToText(ApplyError aError);
+
 struct ObjectSetOptions
 {
   // Tombstones kept for deltas; older nodes get the full set instead.
--- a/packages/config/src/ObjectSet.cpp
+++ b/packages/config/src/ObjectSet.cpp
@@ -20,6 +20,12 @@
 
 } // namespace
 
+const char*
+ToText(ApplyError aError)
+{
+  return aError == ApplyError::kStale ? "stale" : "gap";
+}
+
 ObjectSet::ObjectSet(ObjectSetOptions aOptions)
   : mOptions(aOptions)
 {
--- a/packages/control/include/porttiller/control/ConfigController.h
+++ b/packages/control/include/porttiller/control/ConfigController.h
@@ -33,6 +33,20 @@
   std::function<std::vector<BoxSpec>(const SpreadOptions&)> mSpreadPeers;
 };
 
+// Where a delta came from, for the log.
+struct ConfigSource
+{
+  const char* mKind = ""; // "platform", "seed" or "peer"
+  std::string mPeer;      // the control address of a seed or peer
+};
+
+// What this node knows of the store.
+struct StoreKnowledge
+{
+  std::uint64_t mCursor = 0;              // where the next watch goes on
+  std::optional<Millis> mSinceLastAnswer; // null before the first one
+};
+
 // Owned by the node. Thread-safe.
 class ConfigController
 {
@@ -61,6 +75,7 @@
   // This node's revision and digest; the address is left empty.
   PeerRevision Own() const;
   bool PlatformReachable() const { return mPlatformReachable; }
+  StoreKnowledge Store() const;
   bool IsWatcher() const { return WatcherRank().has_value(); }
   // The one of its zone that looks most often.
   bool IsFirstWatcher() const { return WatcherRank() == std::size_t{ 0 }; }
@@ -72,8 +87,9 @@
   wire::Envelope OnDeltaRequest(const wire::DeltaRequest& aRequest) const;
   void OnAnnounce(const wire::Envelope& aRequest);
 
-  // Takes over a delta if it is newer; true when the set moved forward.
-  bool Apply(const ObjectDelta& aDelta, const char* aSource);
+  // Takes over a delta if it is newer and joins what is held.
+  tl::expected<void, ApplyError> Apply(const ObjectDelta& aDelta,
+                                       const ConfigSource& aSource);
 
 private:
   // The place among the watchers of the zone; null for all other boxes.
@@ -89,6 +105,12 @@
   void EndPull(const std::string& aAddress);
   void Announce(std::uint64_t aRevision, const SpreadOptions& aSpread);
   void NotePlatform(bool aReachable, const std::string& aDetail);
+  void LogRefused(const ObjectDelta& aDelta,
+                  ApplyError aError,
+                  const ConfigSource& aSource);
+  void LogInForce(const Snapshot& aSnapshot,
+                  std::size_t aChanges,
+                  const ConfigSource& aSource) const;
   void Sleep(Millis aTime);
 
   const Settings& mSettings;
@@ -99,11 +121,12 @@
   std::vector<SnapshotListener> mListeners;
   std::mutex mApplyMutex; // one switch at a time, listeners included
   mutable std::mutex mMutex;
-  ObjectSet mObjects;                // under mMutex
-  SnapshotBuilder mBuilder;          // under mApplyMutex
-  std::vector<BoxRecord> mDirectory; // under mMutex
-  SnapshotPtr mCurrent;              // under mMutex
-  std::uint64_t mCursor = 0;         // of mThread: where the next watch goes on
+  ObjectSet mObjects;                      // under mMutex
+  SnapshotBuilder mBuilder;                // under mApplyMutex
+  std::vector<BoxRecord> mDirectory;       // under mMutex
+  SnapshotPtr mCurrent;                    // under mMutex
+  std::atomic<std::uint64_t> mCursor{ 0 }; // written by mThread
+  std::atomic<TimePoint> mStoreAnswered{ TimePoint{} };
   std::atomic<bool> mPlatformReachable{ false };
   std::atomic<TimePoint> mHeardPeer{ TimePoint{} }; // of a revision
   std::set<std::string> mPulls; // addresses asked; under mMutex
--- a/packages/control/src/ConfigController.cpp
+++ b/packages/control/src/ConfigController.cpp
@@ -42,6 +42,7 @@
 // watchers cannot; who was told tells its zone.
 constexpr SpreadOptions kFirstHand{ .mOwnZone = 4, .mPerOtherZone = 1 };
 constexpr SpreadOptions kOnwards{ .mOwnZone = 4 };
+constexpr Millis::rep kNoAnswerYet = -1; // in log lines
 
 Millis
 Jittered(Millis aTime)
@@ -121,35 +122,78 @@
   return { .mRevision = mObjects.Revision(), .mDigest = mObjects.Digest() };
 }
 
-bool
-ConfigController::Apply(const ObjectDelta& aDelta, const char* aSource)
+tl::expected<void, ApplyError>
+ConfigController::Apply(const ObjectDelta& aDelta, const ConfigSource& aSource)
 {
   const std::lock_guard applyLock(mApplyMutex);
   SnapshotPtr snapshot;
-  std::size_t changes = 0;
+  tl::expected<std::vector<ObjectKey>, ApplyError> changed;
   {
     const std::lock_guard lock(mMutex);
-    const auto changed = mObjects.Apply(aDelta);
-    if (!changed) {
-      return false;
+    changed = mObjects.Apply(aDelta);
+    if (changed) {
+      snapshot = mBuilder.Build(mObjects, *changed, mDirectory);
+      mCurrent = snapshot;
     }
-    changes = changed->size();
-    snapshot = mBuilder.Build(mObjects, *changed, mDirectory);
-    mCurrent = snapshot;
+  }
+  if (!changed) {
+    LogRefused(aDelta, changed.error(), aSource);
+    return tl::make_unexpected(changed.error());
   }
   Switch(snapshot);
   mMetrics.ConfigRevision().Set(static_cast<double>(snapshot->mRevision));
-  if (changes > 0) {
-    LogLine(LogLevel::kInfo, "configuration_in_force")
-      .With("revision", static_cast<std::int64_t>(snapshot->mRevision))
-      .With("source", aSource)
-      .With("changes", static_cast<std::int64_t>(changes))
-      .With("rejected",
-            static_cast<std::int64_t>(snapshot->mRejections.size()));
+  if (!changed->empty()) {
+    LogInForce(*snapshot, changed->size(), aSource);
     Announce(snapshot->mRevision,
-             std::string_view(aSource) == "peer" ? kOnwards : kFirstHand);
+             std::string_view(aSource.mKind) == "peer" ? kOnwards : kFirstHand);
+  }
+  return {};
+}
+
+void
+ConfigController::LogInForce(const Snapshot& aSnapshot,
+                             std::size_t aChanges,
+                             const ConfigSource& aSource) const
+{
+  const auto age = Store().mSinceLastAnswer;
+  LogLine(LogLevel::kInfo, "configuration_in_force")
+    .With("revision", static_cast<std::int64_t>(aSnapshot.mRevision))
+    .With("source", aSource.mKind)
+    .With("peer", aSource.mPeer)
+    .With("changes", static_cast<std::int64_t>(aChanges))
+    .With("rejected", static_cast<std::int64_t>(aSnapshot.mRejections.size()))
+    .With("store_answer_age_ms", age ? age->count() : kNoAnswerYet);
+}
+
+// What peers send twice is stale and usual: only a gap has a line.
+void
+ConfigController::LogRefused(const ObjectDelta& aDelta,
+                             ApplyError aError,
+                             const ConfigSource& aSource)
+{
+  mMetrics.CountRefusedDelta(aError);
+  if (aError == ApplyError::kStale) {
+    return;
+  }
+  LogLine(LogLevel::kWarning, "configuration_delta_refused")
+    .With("reason", ToText(aError))
+    .With("source", aSource.mKind)
+    .With("peer", aSource.mPeer)
+    .With("from", static_cast<std::int64_t>(aDelta.mFrom))
+    .With("to", static_cast<std::int64_t>(aDelta.mTo))
+    .With("revision", static_cast<std::int64_t>(Own().mRevision));
+}
+
+StoreKnowledge
+ConfigController::Store() const
+{
+  StoreKnowledge knowledge{ .mCursor = mCursor };
+  const auto answered = mStoreAnswered.load();
+  if (answered != TimePoint{}) {
+    knowledge.mSinceLastAnswer =
+      std::chrono::duration_cast<Millis>(Now() - answered);
   }
-  return true;
+  return knowledge;
 }
 
 void
@@ -261,7 +305,7 @@
 ConfigController::FollowPlatform()
 {
   const auto own = Own().mRevision;
-  const auto from = std::max(own, mCursor);
+  const auto from = std::max(own, mCursor.load());
   const auto rank = WatcherRank();
   const auto wait = !rank        ? Millis(0)
                     : *rank == 0 ? kWatchWait
@@ -284,10 +328,11 @@
     Sleep(Jittered(kRetryWait));
     return;
   }
+  mStoreAnswered = Now();
   mOnUnreadable(delta->mUnreadable);
-  mCursor = std::max(mCursor, delta->mCursor);
+  mCursor = std::max(mCursor.load(), delta->mCursor);
   if (!delta->mObjects.empty() || delta->mFull) {
-    Apply(*delta, "platform");
+    static_cast<void>(Apply(*delta, { .mKind = "platform" }));
   }
   if (delta->mFull && delta->mTo == 0) {
     Sleep(kRetryWait); // nothing is configured yet
@@ -308,7 +353,8 @@
     const auto reply =
       mTransport.Call(seed, std::move(request), kAnnounceTimeout);
     if (reply && reply->has_delta()) {
-      Apply(DecodeDelta(reply->delta()), "seed");
+      static_cast<void>(
+        Apply(DecodeDelta(reply->delta()), { .mKind = "seed", .mPeer = seed }));
     }
   }
 }
@@ -352,18 +398,19 @@
   }
   wire::Envelope request;
   request.mutable_delta_request()->set_from(Own().mRevision);
-  mTransport.Send(aAddress,
-                  std::move(request),
-                  kPullTimeout,
-                  [this, aAddress](const PeerResult& aResult) {
-                    EndPull(aAddress);
-                    if (!aResult || !aResult->has_delta()) {
-                      return;
-                    }
-                    mWorker.Post([this, delta = DecodeDelta(aResult->delta())] {
-                      Apply(delta, "peer");
-                    });
-                  });
+  mTransport.Send(
+    aAddress,
+    std::move(request),
+    kPullTimeout,
+    [this, aAddress](const PeerResult& aResult) {
+      EndPull(aAddress);
+      if (!aResult || !aResult->has_delta()) {
+        return;
+      }
+      mWorker.Post([this, aAddress, delta = DecodeDelta(aResult->delta())] {
+        static_cast<void>(Apply(delta, { .mKind = "peer", .mPeer = aAddress }));
+      });
+    });
 }
 
 wire::Envelope
--- a/packages/node/src/Node.cpp
+++ b/packages/node/src/Node.cpp
@@ -28,6 +28,18 @@
   return Incarnation((micros << kRandomBits) | (Random() & kRandomMask));
 }
 
+void
+LogUnanswered(const UnansweredRequest& aRequest)
+{
+  constexpr Millis::rep kNeverHeard = -1;
+  LogLine(LogLevel::kInfo, "control_unanswered")
+    .With("to", aRequest.mAddress)
+    .With("kind", ToText(aRequest.mKind))
+    .With("waited_ms", aRequest.mWaited.count())
+    .With("link_heard_ms",
+          aRequest.mLinkHeard ? aRequest.mLinkHeard->count() : kNeverHeard);
+}
+
 } // namespace
 
 Node::Parts::Parts(Settings aSettings)
@@ -80,7 +92,8 @@
   auto transport = PeerTransport::Make(
     { .mBindAddress = mSettings.mPeers.mControlAddress,
       .mBox = mSettings.mBox,
-      .mIncarnation = mIncarnation },
+      .mIncarnation = mIncarnation,
+      .mOnUnanswered = LogUnanswered },
     [this](const wire::Envelope& aRequest, const PeerReplier& aReply) {
       HandlePeer(aRequest, aReply);
     });
--- a/packages/node/src/NodeReport.cpp
+++ b/packages/node/src/NodeReport.cpp
@@ -24,6 +24,7 @@
   }
   mMetrics.UnreadableMessages().Set(static_cast<double>(traffic.mUnreadable));
   mMetrics.LateReplies().Set(static_cast<double>(traffic.mLateReplies));
+  mMetrics.UnansweredRequests().Set(static_cast<double>(traffic.mUnanswered));
 }
 
 // Servers that this box's entry may send to, as far as they have told.
@@ -53,6 +54,11 @@
   state.set("revision", mConfig->Own().mRevision);
   state.set("platform_reachable", mConfig->PlatformReachable());
   state.set("watcher", mConfig->IsWatcher());
+  const auto store = mConfig->Store();
+  state.set("store_cursor", store.mCursor);
+  if (store.mSinceLastAnswer) {
+    state.set("store_answer_age_ms", store.mSinceLastAnswer->count());
+  }
   state.set("servers_in_use", ServersInUse());
   Poco::JSON::Array servers;
   for (const auto& server : mHome.Servers()) {
--- a/packages/peer/include/porttiller/peer/PeerTransport.h
+++ b/packages/peer/include/porttiller/peer/PeerTransport.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <tl/expected.hpp>
 
@@ -32,6 +33,21 @@
   std::string mDetail;
 };
 
+// Of a kind of message, as metrics name it.
+const char*
+ToText(wire::Envelope::BodyCase aKind);
+
+// A request that got no reply in time.
+struct UnansweredRequest
+{
+  std::string mAddress;
+  wire::Envelope::BodyCase mKind = wire::Envelope::BODY_NOT_SET;
+  Millis mWaited{ 0 };
+  // Since anything came over the link that it was sent on; null when nothing
+  // ever has.
+  std::optional<Millis> mLinkHeard;
+};
+
 struct PeerTransportOptions
 {
   std::string mBindAddress; // "ip:port"
@@ -39,18 +55,17 @@
   Incarnation mIncarnation;
   Millis mIdleClose{ 30'000 };
   std::size_t mMaxPending = 4096; // requests without a reply yet
+  // Called on the transport's thread; must not block.
+  std::function<void(const UnansweredRequest&)> mOnUnanswered;
 };
 
-// Of a kind of message, as metrics name it.
-const char*
-ToText(wire::Envelope::BodyCase aKind);
-
 struct PeerTraffic
 {
   std::uint64_t mBytesSent = 0;
   std::uint64_t mBytesReceived = 0;
   std::uint64_t mLateReplies = 0; // dropped: nobody waits for them any more
   std::uint64_t mUnreadable = 0;  // messages that were no envelopes
+  std::uint64_t mUnanswered = 0;  // requests whose time-out passed
   std::uint64_t mLinks = 0;
   std::map<wire::Envelope::BodyCase, std::uint64_t> mSentByKind; // bytes
 };
--- a/packages/peer/src/PeerLoopPriv.cpp
+++ b/packages/peer/src/PeerLoopPriv.cpp
@@ -236,8 +236,11 @@
 PeerLoop::SendRequest(PeerCommand aCommand)
 {
   auto& link = LinkTo(aCommand.mAddress);
-  mPending[aCommand.mCorrelation] = { std::move(aCommand.mCallback),
-                                      aCommand.mAddress };
+  mPending[aCommand.mCorrelation] = { .mCallback =
+                                        std::move(aCommand.mCallback),
+                                      .mAddress = aCommand.mAddress,
+                                      .mKind = aCommand.mKind,
+                                      .mSent = Now() };
   mDeadlines.emplace(aCommand.mDeadline, aCommand.mCorrelation);
   SendOver(mCaller, link.mRoute, aCommand);
 }
@@ -316,6 +319,7 @@
       continue;
     }
     const auto callback = std::move(it->second.mCallback);
+    NoteHeard(it->second.mAddress);
     mPending.erase(it);
     --mPendingCount;
     callback(std::move(*reply));
@@ -336,11 +340,40 @@
     const auto pending = std::move(it->second);
     mPending.erase(it);
     --mPendingCount;
+    NoteUnanswered(pending);
     pending.mCallback(tl::make_unexpected(
       MakeError(PeerErrorKind::kTimeout, pending.mAddress)));
   }
 }
 
+void
+PeerLoop::NoteHeard(const std::string& aAddress)
+{
+  if (const auto link = mLinks.find(aAddress); link != mLinks.end()) {
+    link->second.mHeard = Now();
+  }
+}
+
+void
+PeerLoop::NoteUnanswered(const PeerPending& aPending)
+{
+  ++mUnanswered;
+  if (!mOptions.mOnUnanswered) {
+    return;
+  }
+  const auto now = Now();
+  UnansweredRequest request{ .mAddress = aPending.mAddress,
+                             .mKind = aPending.mKind,
+                             .mWaited = std::chrono::duration_cast<Millis>(
+                               now - aPending.mSent) };
+  const auto link = mLinks.find(aPending.mAddress);
+  if (link != mLinks.end() && link->second.mHeard) {
+    request.mLinkHeard =
+      std::chrono::duration_cast<Millis>(now - *link->second.mHeard);
+  }
+  mOptions.mOnUnanswered(request);
+}
+
 void
 PeerLoop::CloseIdle()
 {
@@ -379,6 +412,7 @@
                        .mBytesReceived = mReceived,
                        .mLateReplies = mLate,
                        .mUnreadable = mUnreadable,
+                       .mUnanswered = mUnanswered,
                        .mLinks = mLinkCount };
   for (std::size_t kind = 0; kind < mSentByKind.size(); ++kind) {
     if (mSentByKind.at(kind) > 0) {
--- a/packages/peer/src/PeerLoopPriv.h
+++ b/packages/peer/src/PeerLoopPriv.h
@@ -33,6 +33,7 @@
 {
   std::string mRoute; // names it within that socket; never used again
   TimePoint mLastUse;
+  std::optional<TimePoint> mHeard; // a reply came over it
 };
 
 // A request that waits for its reply.
@@ -40,6 +41,8 @@
 {
   PeerCallback mCallback;
   std::string mAddress;
+  wire::Envelope::BodyCase mKind = wire::Envelope::BODY_NOT_SET;
+  TimePoint mSent;
 };
 
 // Owned by its PeerTransport. Only its own thread touches the sockets; what
@@ -83,6 +86,8 @@
   void ReceiveReplies();
   void Expire();
   void CloseIdle();
+  void NoteHeard(const std::string& aAddress);
+  void NoteUnanswered(const PeerPending& aPending);
   PeerLink& LinkTo(const std::string& aAddress);
   void FailAll();
 
@@ -110,6 +115,7 @@
   std::atomic<std::uint64_t> mReceived{ 0 };
   std::atomic<std::uint64_t> mUnreadable{ 0 };
   std::atomic<std::uint64_t> mLate{ 0 };
+  std::atomic<std::uint64_t> mUnanswered{ 0 };
   std::atomic<std::uint64_t> mLinkCount{ 0 };
   std::atomic<std::size_t> mPendingCount{ 0 };
   std::thread mThread;
--- a/packages/peer/tests/PeerTransportTest.cpp
+++ b/packages/peer/tests/PeerTransportTest.cpp
@@ -122,6 +122,18 @@
   CHECK(IsReached(*first, kSecond));
 }
 
+TEST_CASE("A link that went silent is replaced")
+{
+  std::atomic<int> handled{ 0 };
+  const auto first = MakePeer(kFirst, "a", handled);
+  const auto second = MakePeer(kSecond, "b", handled);
+  standin::LinkStandIn link(kSecond);
+  REQUIRE(IsReached(*first, link.Address().c_str()));
+  link.SilenceForward();
+  link.SilenceBackward();
+  CHECK(IsReached(*first, link.Address().c_str()));
+}
+
 TEST_CASE("A link that was idle is closed, and made anew when it is needed")
 {
   std::atomic<int> handled{ 0 };
--- a/packages/telemetry/include/porttiller/telemetry/Metrics.h
+++ b/packages/telemetry/include/porttiller/telemetry/Metrics.h
@@ -1,6 +1,7 @@
 // The daemon's metrics, as /metrics shows them.
 #pragma once
 
+#include "porttiller/config/ObjectSet.h"
 #include "porttiller/config/UnreadableObject.h"
 #include "porttiller/core/Outcome.h"
 #include "porttiller/core/Refusal.h"
@@ -25,6 +26,8 @@
   void CountRefusal(Refusal aRefusal);
   // An object of the store or a peer's record that was left out.
   void CountUnreadable(UnreadableReason aReason);
+  // A delta of the configuration that was not taken over.
+  void CountRefusedDelta(ApplyError aError);
   prometheus::Counter& Retries() { return *mRetries; }
   // Attempts at a second server while the first one takes unusually long.
   prometheus::Counter& Races() { return *mRaces; }
@@ -47,6 +50,7 @@
   prometheus::Gauge& ControlBytesSent() { return *mControlSent; }
   prometheus::Gauge& ControlBytesReceived() { return *mControlReceived; }
   prometheus::Gauge& LateReplies() { return *mLateReplies; }
+  prometheus::Gauge& UnansweredRequests() { return *mUnansweredRequests; }
   prometheus::Gauge& UnreadableMessages() { return *mUnreadableMessages; }
 
   // Prometheus text format.
@@ -57,6 +61,7 @@
   std::array<prometheus::Counter*, 3> mRequests{};
   std::array<prometheus::Counter*, kRefusalCount> mRefusals{};
   std::array<prometheus::Counter*, kUnreadableReasonCount> mUnreadable{};
+  std::array<prometheus::Counter*, kApplyErrorCount> mRefusedDeltas{};
   prometheus::Counter* mRetries;
   prometheus::Counter* mRaces;
   prometheus::Counter* mRevokes;
@@ -72,6 +77,7 @@
   prometheus::Family<prometheus::Gauge>* mControlSentByKind;
   prometheus::Gauge* mControlReceived;
   prometheus::Gauge* mLateReplies;
+  prometheus::Gauge* mUnansweredRequests;
   prometheus::Gauge* mLimitedWorkspaces;
   prometheus::Gauge* mUnreadableMessages;
 };
--- a/packages/telemetry/src/Metrics.cpp
+++ b/packages/telemetry/src/Metrics.cpp
@@ -91,6 +91,9 @@
   , mLateReplies(MakeGauge(*mRegistry,
                            "porttiller_late_replies",
                            "Control replies that nobody waited for"))
+  , mUnansweredRequests(MakeGauge(*mRegistry,
+                                  "porttiller_control_unanswered",
+                                  "Control requests without a reply in time"))
   , mLimitedWorkspaces(
       MakeGauge(*mRegistry,
                 "porttiller_limited_workspaces",
@@ -122,6 +125,14 @@
     mUnreadable.at(i) =
       &unreadable.Add({ { "reason", std::string(ToText(reason)) } });
   }
+  auto& deltas = CounterFamily(*mRegistry,
+                               "porttiller_refused_deltas_total",
+                               "Deltas of the configuration not taken over");
+  for (std::size_t i = 0; i < mRefusedDeltas.size(); ++i) {
+    const auto error = static_cast<ApplyError>(i);
+    mRefusedDeltas.at(i) =
+      &deltas.Add({ { "reason", std::string(ToText(error)) } });
+  }
 }
 
 void
@@ -142,6 +153,12 @@
   mUnreadable.at(static_cast<std::size_t>(aReason))->Increment();
 }
 
+void
+Metrics::CountRefusedDelta(ApplyError aError)
+{
+  mRefusedDeltas.at(static_cast<std::size_t>(aError))->Increment();
+}
+
 prometheus::Gauge&
 Metrics::ControlBytesSentOf(const std::string& aKind)
 {
