Reproduce changes that are not in force; connections that go silent

LinkStandIn drops what is sent over the connections that are open, each way, while later ones work.

The link is never replaced, as the kernel at the other end acknowledges what is sent, and use keeps it from being closed as idle.

--- a/testing/fleet/tests/ConfigFaultsTest.cpp
+++ b/testing/fleet/tests/ConfigFaultsTest.cpp
@@ -67,6 +67,28 @@
   }));
 }
 
+TEST_CASE("A change after a write of another kind is in force")
+{
+  Fleet fleet(Options());
+  const auto other = fleet.Platform().Put({ "Note", "other" }, "{}");
+  const auto watchers = [&](const auto& aHolds) {
+    for (int box = 0; box < 5; ++box) {
+      const auto state = ParseJsonObject(fleet.State(box));
+      if (!state || ((*state)->optValue("watcher", false) && !aHolds(*state))) {
+        return false;
+      }
+    }
+    return true;
+  };
+  REQUIRE(WaitUntil(kLong, [&] {
+    return watchers([&](const auto& aState) {
+      return aState->template optValue<std::uint64_t>("store_cursor", 0) >=
+             other;
+    });
+  }));
+  CHECK(WaitAll(fleet, PutService(fleet, R"({"floor_slots": 1})")));
+}
+
 TEST_CASE("Announcements spread a change without waiting for probes")
 {
   // Found by tools/measure capacity: changes came by probes alone, 1 to 3 s.
--- a/testing/standin/LinkStandIn.cpp
+++ b/testing/standin/LinkStandIn.cpp
@@ -10,11 +10,13 @@
 namespace {
 
 constexpr int kPollMicros = 1000;
+constexpr Millis kSilentPoll{ 20 };
 constexpr int kBacklog = 64;
 
-// Moves what is there from one socket to the other; false when it ended.
+// Moves what is there from one socket to the other, or drops it; false when it
+// ended.
 bool
-Pump(Poco::Net::StreamSocket& aFrom, Poco::Net::StreamSocket& aTo)
+Pump(Poco::Net::StreamSocket& aFrom, Poco::Net::StreamSocket& aTo, bool aDrop)
 {
   if (!aFrom.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ)) {
     return true;
@@ -24,7 +26,7 @@
   if (size <= 0) {
     return false;
   }
-  int sent = 0;
+  int sent = aDrop ? size : 0;
   while (sent < size) {
     sent += aTo.sendBytes(buffer.data() + sent, size - sent);
   }
@@ -65,44 +67,59 @@
       continue;
     }
     auto client = mListener.acceptConnection();
-    mRelays.emplace_back([this, client] { Relay(client); });
+    const int number = ++mOpened;
+    mRelays.emplace_back([this, client, number] { Relay(client, number); });
   }
 }
 
+bool
+LinkStandIn::IsSilent(int aNumber) const
+{
+  return aNumber <= mSilentForward || aNumber <= mSilentBackward;
+}
+
 void
-LinkStandIn::Relay(Poco::Net::StreamSocket aClient)
+LinkStandIn::Relay(Poco::Net::StreamSocket aClient, int aNumber)
 {
-  const int generation = mGeneration;
   try {
-    Poco::Net::StreamSocket server(mTarget);
-    server.setNoDelay(true);
-    aClient.setNoDelay(true);
-    while (!mStop && generation == mGeneration) {
-      Poco::Net::Socket::SocketList readable;
-      if (!mForwardCut) {
-        readable.push_back(aClient);
-      }
-      if (!mBackwardCut) {
-        readable.push_back(server);
-      }
-      Poco::Net::Socket::SocketList none;
-      if (readable.empty()) {
-        std::this_thread::sleep_for(Micros(kPollMicros));
-        continue;
-      }
-      Poco::Net::Socket::select(
-        readable, none, none, Poco::Timespan(kPollMicros));
-      if (!mForwardCut && !Pump(aClient, server)) {
-        break;
-      }
-      if (!mBackwardCut && !Pump(server, aClient)) {
-        break;
-      }
-    }
+    RelayUntilEnd(aClient, aNumber);
   } catch (const Poco::Exception&) {
     // Either end went away: so does the relayed connection.
     return;
   }
 }
 
+void
+LinkStandIn::RelayUntilEnd(Poco::Net::StreamSocket& aClient, int aNumber)
+{
+  const int generation = mGeneration;
+  Poco::Net::StreamSocket server(mTarget);
+  server.setNoDelay(true);
+  aClient.setNoDelay(true);
+  bool open = true;
+  while (!mStop && generation == mGeneration && open) {
+    Poco::Net::Socket::SocketList readable;
+    if (!mForwardCut) {
+      readable.push_back(aClient);
+    }
+    if (!mBackwardCut) {
+      readable.push_back(server);
+    }
+    Poco::Net::Socket::SocketList none;
+    if (readable.empty()) {
+      std::this_thread::sleep_for(Micros(kPollMicros));
+      continue;
+    }
+    Poco::Net::Socket::select(
+      readable, none, none, Poco::Timespan(kPollMicros));
+    open = mForwardCut || Pump(aClient, server, aNumber <= mSilentForward);
+    open = open &&
+           (mBackwardCut || Pump(server, aClient, aNumber <= mSilentBackward));
+  }
+  // The other end of a silent connection is not told of its end.
+  while (!mStop && generation == mGeneration && IsSilent(aNumber)) {
+    std::this_thread::sleep_for(kSilentPoll);
+  }
+}
+
 } // namespace porttiller::standin
