Follow on what is held when the store's changes are read

Callers saw: a change of the configuration in force on no box, for ever, with the store reachable (native dialect; every change after the first quiet watch).

Cause: the place where the next watch goes on and the revision that is held were two numbers. An answer without objects of the configuration moved the first alone. The next delta began there, ObjectSet::Apply found a gap to what is held and refused it, and the cursor went past it all the same. The result was dropped.

Why it works: StoreCursor holds the one place. Between what is held and that place lie only changes of other kinds, so a delta is taken as one from the held revision on; and what was refused for a gap does not count as read: the whole is read next. A whole that is older than what is held is asked for again after a pause, not at once.

--- /dev/null
+++ b/packages/config/src/StoreCursor.cpp
@@ -0,0 +1,34 @@
+#include "porttiller/config/StoreCursor.h"
+
+#include <algorithm>
+
+namespace porttiller {
+
+std::optional<std::uint64_t>
+StoreCursor::From(std::uint64_t aHeld) const
+{
+  if (aHeld == 0 || mLost) {
+    return std::nullopt;
+  }
+  return std::max(aHeld, mRead);
+}
+
+ObjectDelta
+StoreCursor::FollowingOn(std::uint64_t aHeld, ObjectDelta aDelta)
+{
+  aDelta.mFrom = std::min(aDelta.mFrom, aHeld);
+  return aDelta;
+}
+
+void
+StoreCursor::OnRead(const ObjectDelta& aDelta,
+                    const tl::expected<void, ApplyError>& aResult)
+{
+  // What is stale is held already.
+  mLost = !aResult && aResult.error() == ApplyError::kGap;
+  if (!mLost) {
+    mRead = std::max(mRead, aDelta.mCursor);
+  }
+}
+
+} // namespace porttiller
--- a/packages/control/include/porttiller/control/ConfigController.h
+++ b/packages/control/include/porttiller/control/ConfigController.h
@@ -6,6 +6,7 @@
 #include "porttiller/config/ObjectSet.h"
 #include "porttiller/config/Settings.h"
 #include "porttiller/config/Snapshot.h"
+#include "porttiller/config/StoreCursor.h"
 #include "porttiller/control/MembershipController.h"
 #include "porttiller/control/Worker.h"
 #include "porttiller/peer/PeerTransport.h"
@@ -98,6 +99,7 @@
   void MeetOthers();
   bool HeardPeers() const;
   void FollowPlatform();
+  void TakeFromStore(const ObjectDelta& aDelta);
   void Switch(const SnapshotPtr& aSnapshot);
   void AskSeeds();
   void Pull(const std::string& aAddress);
@@ -121,11 +123,12 @@
   std::vector<SnapshotListener> mListeners;
   std::mutex mApplyMutex; // one switch at a time, listeners included
   mutable std::mutex mMutex;
-  ObjectSet mObjects;                      // under mMutex
-  SnapshotBuilder mBuilder;                // under mApplyMutex
-  std::vector<BoxRecord> mDirectory;       // under mMutex
-  SnapshotPtr mCurrent;                    // under mMutex
-  std::atomic<std::uint64_t> mCursor{ 0 }; // written by mThread
+  ObjectSet mObjects;                    // under mMutex
+  SnapshotBuilder mBuilder;              // under mApplyMutex
+  std::vector<BoxRecord> mDirectory;     // under mMutex
+  SnapshotPtr mCurrent;                  // under mMutex
+  StoreCursor mCursor;                   // of mThread
+  std::atomic<std::uint64_t> mRead{ 0 }; // its place, for other threads
   std::atomic<TimePoint> mStoreAnswered{ TimePoint{} };
   std::atomic<bool> mPlatformReachable{ false };
   std::atomic<TimePoint> mHeardPeer{ TimePoint{} }; // of a revision
--- a/packages/control/src/ConfigController.cpp
+++ b/packages/control/src/ConfigController.cpp
@@ -187,7 +187,7 @@
 StoreKnowledge
 ConfigController::Store() const
 {
-  StoreKnowledge knowledge{ .mCursor = mCursor };
+  StoreKnowledge knowledge{ .mCursor = mRead };
   const auto answered = mStoreAnswered.load();
   if (answered != TimePoint{}) {
     knowledge.mSinceLastAnswer =
@@ -305,14 +305,14 @@
 ConfigController::FollowPlatform()
 {
   const auto own = Own().mRevision;
-  const auto from = std::max(own, mCursor.load());
+  const auto from = mCursor.From(own);
   const auto rank = WatcherRank();
   const auto wait = !rank        ? Millis(0)
                     : *rank == 0 ? kWatchWait
                                  : kStandbyWatchWait;
   mMetrics.PlatformCalls().Increment();
-  auto delta = own == 0 ? mClient.ListConfiguration()
-                        : mClient.WatchConfiguration(from, wait);
+  auto delta = from ? mClient.WatchConfiguration(*from, wait)
+                    : mClient.ListConfiguration();
   const bool lost = !delta && delta.error().mKind == StoreErrorKind::kConflict;
   if (lost) {
     delta =
@@ -328,14 +328,23 @@
     Sleep(Jittered(kRetryWait));
     return;
   }
+  TakeFromStore(StoreCursor::FollowingOn(own, std::move(*delta)));
+}
+
+void
+ConfigController::TakeFromStore(const ObjectDelta& aDelta)
+{
   mStoreAnswered = Now();
-  mOnUnreadable(delta->mUnreadable);
-  mCursor = std::max(mCursor.load(), delta->mCursor);
-  if (!delta->mObjects.empty() || delta->mFull) {
-    static_cast<void>(Apply(*delta, { .mKind = "platform" }));
+  mOnUnreadable(aDelta.mUnreadable);
+  tl::expected<void, ApplyError> result;
+  if (!aDelta.mObjects.empty() || aDelta.mFull) {
+    result = Apply(aDelta, { .mKind = "platform" });
   }
-  if (delta->mFull && delta->mTo == 0) {
-    Sleep(kRetryWait); // nothing is configured yet
+  mCursor.OnRead(aDelta, result);
+  const bool moved = mRead.exchange(mCursor.Read()) != mCursor.Read();
+  const bool unconfigured = aDelta.mTo == 0;
+  if (aDelta.mFull && (unconfigured || !moved)) {
+    Sleep(kRetryWait); // the next answer would be the same
   }
 }
 
