Read the store again over a new connection when a kept one is silent

Callers saw: after a device had forgotten all open connections, a change was in force up to 4 s late in a zone whose first watcher was well, 10 s where it was not.

Cause: a read over a connection that went silent ended at its whole time-out as if the store were away; the watcher then slept 0.5 to 1 s and asked again. The other watchers of the zone stood the same way.

Writes are not sent again ('A write is not sent again over a new connection'), an error that the store gives is the answer.

Why it works: only a kept connection can have gone silent, so its patience is short, 0.5 s beside the wait that was asked for, and a read may be made twice. A new connection has the whole time-out.

--- a/packages/control/src/BoxRecordStore.cpp
+++ b/packages/control/src/BoxRecordStore.cpp
@@ -1,6 +1,6 @@
 #include "porttiller/control/BoxRecordStore.h"
 
-#include "porttiller/hop/Dialects.h"
+#include "porttiller/control/StoreClient.h"
 #include "porttiller/telemetry/Log.h"
 
 namespace porttiller {
@@ -12,14 +12,6 @@
 // peers must fit in.
 constexpr Millis kAckTimeout{ 350 };
 
-ObjectClientOptions
-ClientOptions(const Settings& aSettings, Millis aTimeout)
-{
-  return { .mAddress = aSettings.mPlatformAddress,
-           .mTimeout = aTimeout,
-           .mDialect = StoreDialectOf(aSettings) };
-}
-
 UnreadableObject
 UnreadableOwn(const StoreError& aError)
 {
@@ -34,8 +26,8 @@
                                UnreadableListener aOnUnreadable)
   : mBox(aSettings.mBox)
   , mOnUnreadable(std::move(aOnUnreadable))
-  , mClient(ClientOptions(aSettings, kCallTimeout))
-  , mAckClient(ClientOptions(aSettings, kAckTimeout))
+  , mClient(StoreClientOptions(aSettings, "box-record", kCallTimeout))
+  , mAckClient(StoreClientOptions(aSettings, "acknowledgement", kAckTimeout))
 {
 }
 
--- a/packages/control/src/ConfigController.cpp
+++ b/packages/control/src/ConfigController.cpp
@@ -1,8 +1,8 @@
 #include "porttiller/control/ConfigController.h"
 
 #include "porttiller/control/ControlCodec.h"
+#include "porttiller/control/StoreClient.h"
 #include "porttiller/core/Rendezvous.h"
-#include "porttiller/hop/Dialects.h"
 #include "porttiller/hop/Random.h"
 #include "porttiller/telemetry/Log.h"
 
@@ -63,9 +63,7 @@
   , mMetrics(aMetrics)
   , mPeers(std::move(aPeers))
   , mOnUnreadable(std::move(aOnUnreadable))
-  , mClient({ .mAddress = aSettings.mPlatformAddress,
-              .mTimeout = kCallTimeout,
-              .mDialect = StoreDialectOf(aSettings) })
+  , mClient(StoreClientOptions(aSettings, "configuration", kCallTimeout))
 {
 }
 
--- a/packages/control/src/StatusController.cpp
+++ b/packages/control/src/StatusController.cpp
@@ -1,6 +1,7 @@
 #include "porttiller/control/StatusController.h"
 
 #include "porttiller/config/JsonText.h"
+#include "porttiller/control/StoreClient.h"
 #include "porttiller/core/Rendezvous.h"
 #include "porttiller/store/SettledWrite.h"
 #include "porttiller/telemetry/Log.h"
@@ -11,6 +12,7 @@
 
 namespace {
 
+constexpr Millis kCallTimeout{ 3000 };
 constexpr Millis kInterval{ 2000 }; // also the most frequent write
 constexpr Millis kAskTimeout{ 300 };
 constexpr Millis kFullRound{ 300'000 }; // everyone is asked again
@@ -43,7 +45,7 @@
   , mMembership(aMembership)
   , mTransport(aTransport)
   , mMetrics(aMetrics)
-  , mClient({ .mAddress = aSettings.mPlatformAddress })
+  , mClient(StoreClientOptions(aSettings, "status", kCallTimeout))
 {
 }
 
--- a/packages/store/include/porttiller/store/ObjectClient.h
+++ b/packages/store/include/porttiller/store/ObjectClient.h
@@ -9,6 +9,7 @@
 #include "porttiller/store/StoreError.h"
 
 #include <Poco/Net/HTTPClientSession.h>
+#include <functional>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -24,12 +25,19 @@
 {
   std::string mAddress; // "ip:port"
   Millis mTimeout{ 3000 };
+  // A read over a kept connection that has no answer after this is made again
+  // over a new one. Beside the time that it asks the store to wait.
+  Millis mKeptPatience{ 500 };
   StoreDialect mDialect;
+  // A kept connection failed a read after so long. Called by the thread that
+  // reads.
+  std::function<void(Millis aWaited, const std::string& aDetail)> mOnKeptFailed;
 };
 
-// One connection, kept open; each call may throw away a broken one. Every
-// thread that talks to the platform owns its own; only Abort may be called
-// from another.
+// One connection, kept open; each call may throw away a broken one. A device
+// on the path may forget a connection without an end or a reset: only time
+// tells. Every thread that talks to the platform owns its own client; only
+// Abort may be called from another.
 class ObjectClient
 {
 public:
@@ -65,6 +73,10 @@
   // The answer's body. Waits aExtraWait longer than usual.
   Result<std::string> Send(const StoreCall& aCall,
                            Millis aExtraWait = Millis(0));
+  // Over the connection that is there, or a new one.
+  Result<std::string> SendOnce(const StoreCall& aCall, Millis aAnswerTime);
+  bool IsKept();
+  void Configure(Poco::Net::HTTPClientSession& aSession, Millis aAnswerTime);
   Result<std::uint64_t> Write(const StoreCall& aCall);
   Result<ObjectPage> ReadPage(const std::string& aKind,
                               const std::string& aAfter);
--- a/packages/store/src/ObjectClient.cpp
+++ b/packages/store/src/ObjectClient.cpp
@@ -118,18 +118,53 @@
   }
 }
 
+// Whether an earlier call has opened the connection.
+bool
+ObjectClient::IsKept()
+{
+  const std::lock_guard lock(mMutex);
+  return mSession && mSession->connected();
+}
+
+void
+ObjectClient::Configure(Poco::Net::HTTPClientSession& aSession,
+                        Millis aAnswerTime)
+{
+  const auto limit = ToTimespan(aAnswerTime);
+  const auto own = ToTimespan(mOptions.mTimeout);
+  aSession.setTimeout(own, own, limit);
+  if (aSession.connected()) {
+    // POCO applies its own setting only when it connects.
+    aSession.socket().setReceiveTimeout(limit);
+  }
+}
+
 ObjectClient::Result<std::string>
 ObjectClient::Send(const StoreCall& aCall, Millis aExtraWait)
+{
+  const bool isRead = aCall.mMethod == HTTPRequest::HTTP_GET;
+  if (isRead && IsKept()) {
+    const auto begin = Now();
+    const auto patience = std::min(mOptions.mKeptPatience, mOptions.mTimeout);
+    auto answer = SendOnce(aCall, aExtraWait + patience);
+    if (answer || IsKept()) {
+      return answer; // an error that the store itself gave
+    }
+    if (mOptions.mOnKeptFailed) {
+      mOptions.mOnKeptFailed(std::chrono::duration_cast<Millis>(Now() - begin),
+                             answer.error().mDetail);
+    }
+  }
+  return SendOnce(aCall, aExtraWait + mOptions.mTimeout);
+}
+
+ObjectClient::Result<std::string>
+ObjectClient::SendOnce(const StoreCall& aCall, Millis aAnswerTime)
 {
   bool sent = false;
   try {
     auto& session = Session();
-    const auto limit = ToTimespan(mOptions.mTimeout + aExtraWait);
-    session.setTimeout(limit);
-    if (session.connected()) {
-      // POCO applies its own setting only when it connects.
-      session.socket().setReceiveTimeout(limit);
-    }
+    Configure(session, aAnswerTime);
     HTTPRequest request(
       aCall.mMethod, aCall.mPath, Poco::Net::HTTPMessage::HTTP_1_1);
     if (aCall.mIfVersion != 0) {
--- a/packages/store/tests/SilentConnectionTest.cpp
+++ b/packages/store/tests/SilentConnectionTest.cpp
@@ -40,3 +40,41 @@
   REQUIRE(changes.has_value());
   CHECK(changes->mObjects.size() == 1);
 }
+
+TEST_CASE("A kept connection that fails is reported once")
+{
+  Fixture f;
+  int failures = 0;
+  ObjectClient client(
+    { .mAddress = f.mLink.Address(),
+      .mTimeout = Millis(1000),
+      .mKeptPatience = Millis(50),
+      .mOnKeptFailed = [&](Millis, const std::string&) { ++failures; } });
+  REQUIRE(client.ListConfiguration().has_value());
+  f.mLink.SilenceBackward();
+  CHECK(client.ListConfiguration().has_value());
+  CHECK(client.ListConfiguration().has_value());
+  CHECK(failures == 1);
+}
+
+TEST_CASE("An error that the store gives over a kept connection is the answer")
+{
+  Fixture f;
+  REQUIRE(f.mClient.ListConfiguration().has_value());
+  const auto calls = f.mPlatform.Calls();
+  const auto missing = f.mClient.Get({ "Service", "none" });
+  REQUIRE_FALSE(missing.has_value());
+  CHECK(missing.error().mKind == StoreErrorKind::kNotFound);
+  CHECK(f.mPlatform.Calls() == calls + 1);
+}
+
+TEST_CASE("A write is not sent again over a new connection")
+{
+  Fixture f;
+  REQUIRE(f.mClient.ListConfiguration().has_value());
+  f.mLink.SilenceBackward();
+  const auto created = f.mClient.Create({ "Service", "c" }, "{}");
+  REQUIRE_FALSE(created.has_value());
+  CHECK(created.error().mKind == StoreErrorKind::kAmbiguous);
+  CHECK(f.mPlatform.Writes() == 2);
+}
