Go on after the first page of a list, not after its last

Callers saw: nothing yet; found while looking for the incident's cause, a place that is read past a change that is not held, elsewhere.

Cause: a list of several pages took the revision of its last page.

Evidence: 'A list of several pages goes on where its first page was read' failed before (12 in place of 10) and passes now.

Why it works: every object is at least as new as the first page's revision, and what changed since comes with the next watch.

--- a/packages/store/src/ObjectClient.cpp
+++ b/packages/store/src/ObjectClient.cpp
@@ -217,8 +217,11 @@
     if (!page) {
       return tl::make_unexpected(page.error());
     }
-    whole.mTo = page->mDelta.mTo;
-    whole.mCursor = page->mDelta.mCursor;
+    if (after.empty()) {
+      // An object of this page may change before the next one is read.
+      whole.mTo = page->mDelta.mTo;
+      whole.mCursor = page->mDelta.mCursor;
+    }
     whole.mObjects.insert(whole.mObjects.end(),
                           page->mDelta.mObjects.begin(),
                           page->mDelta.mObjects.end());
