Let the watchers of a zone come back from the store in turns

Callers saw: a zone heard of a change up to 4 s late when its watches had gone silent, and up to 10 s where its first watcher was turned away by the store at the same time.

Cause: the first watcher of a zone waited 3 s at a time and the other two 9 s, fixed times that no bound of the operator's entered.

Change: timing.apply_ms, the time within which a change has to be in force (ConfigApplyMs on the users' machines, 4 s by default). WatchTurns, in policy and without I/O, gives each of n watchers a wait of n steps of half that time, shifted by a step: one comes back in each step. A silent kept connection is given up after a quarter more.

--- a/packages/config/include/porttiller/config/Settings.h
+++ b/packages/config/include/porttiller/config/Settings.h
@@ -96,6 +96,9 @@
   Millis mDrain{ 10'000 }; // bound of a planned stop
   // After the start of a planned stop callers may still send for so long.
   Millis mDrainNotice{ 300 };
+  // A change of the configuration is to be in force everywhere this long after
+  // the platform has acknowledged it.
+  Millis mApply{ 4000 };
   Millis mProbeInterval{ 1000 };
   Millis mProbeTimeout{ 300 };
   Millis mAttemptPatience{ 1000 }; // until the home is asked about an attempt
--- a/packages/config/src/Settings.cpp
+++ b/packages/config/src/Settings.cpp
@@ -18,6 +18,7 @@
 constexpr IntegerRange kConnections{ .mMin = 1, .mMax = 1024 };
 constexpr IntegerRange kDrainMs{ .mMin = 100, .mMax = 600'000 };
 constexpr IntegerRange kIntervalMs{ .mMin = 10, .mMax = 60'000 };
+constexpr IntegerRange kApplyMs{ .mMin = 200, .mMax = 60'000 };
 constexpr IntegerRange kPort{ .mMin = 0, .mMax = 65535 };
 // Whatever a platform may say of its machines; only the sign is checked.
 constexpr double kHuge = 1e9;
@@ -149,6 +150,10 @@
   settings.mDrainNotice =
     ReadMillis(aReader, "drain_notice_ms", kIntervalMs, settings.mDrainNotice);
   settings.mDrainNotice = std::min(settings.mDrainNotice, settings.mDrain / 2);
+  const double apply = aReader.NumberOr("apply_ms", 0.0, kHuge, 0.0);
+  if (apply > 0.0) {
+    settings.mApply = Millis(Within(apply, kApplyMs));
+  }
   settings.mProbeInterval = ReadMillis(
     aReader, "probe_interval_ms", kIntervalMs, settings.mProbeInterval);
   settings.mProbeTimeout = ReadMillis(
@@ -325,6 +330,7 @@
   Poco::JSON::Object timing;
   timing.set("drain_ms", times.mDrain.count());
   timing.set("drain_notice_ms", times.mDrainNotice.count());
+  timing.set("apply_ms", times.mApply.count());
   timing.set("probe_interval_ms", times.mProbeInterval.count());
   timing.set("probe_timeout_ms", times.mProbeTimeout.count());
   timing.set("attempt_patience_ms", times.mAttemptPatience.count());
--- a/packages/config/tests/SettingsTest.cpp
+++ b/packages/config/tests/SettingsTest.cpp
@@ -1,6 +1,7 @@
 #include "porttiller/config/Settings.h"
 
 #include <doctest/doctest.h>
+#include <map>
 
 using namespace porttiller;
 
@@ -94,3 +95,20 @@
   CHECK(settings->mPeers.mConnections == 1300);
   CHECK(settings->mTiming.mDrain == Millis(8800));
 }
+
+TEST_CASE(
+  "The time that changes have is taken from whatever the platform gives")
+{
+  const std::map<std::string, Millis> cases{
+    { "null", Millis(4000) },   { "0", Millis(4000) }, { "2000", Millis(2000) },
+    { "2000.5", Millis(2000) }, { "1", Millis(200) },  { "1e9", Millis(60'000) }
+  };
+  for (const auto& [number, time] : cases) {
+    const auto settings = ParseSettings(R"({ "box": "a", "zone": "z",
+        "platform_address": "127.0.0.1:7000",
+        "timing": { "apply_ms": )" + number +
+                                        " } }");
+    REQUIRE(settings.has_value());
+    CHECK(settings->mTiming.mApply == time);
+  }
+}
--- a/packages/control/include/porttiller/control/ConfigController.h
+++ b/packages/control/include/porttiller/control/ConfigController.h
@@ -10,6 +10,7 @@
 #include "porttiller/control/MembershipController.h"
 #include "porttiller/control/Worker.h"
 #include "porttiller/peer/PeerTransport.h"
+#include "porttiller/policy/WatchTurns.h"
 #include "porttiller/store/ObjectClient.h"
 #include "porttiller/telemetry/Metrics.h"
 
@@ -77,9 +78,8 @@
   PeerRevision Own() const;
   bool PlatformReachable() const { return mPlatformReachable; }
   StoreKnowledge Store() const;
-  bool IsWatcher() const { return WatcherRank().has_value(); }
-  // The one of its zone that looks most often.
-  bool IsFirstWatcher() const { return WatcherRank() == std::size_t{ 0 }; }
+  bool IsWatcher() const { return Place().has_value(); }
+  bool IsFirstWatcher() const;
 
   // A peer holds this revision: one that is ahead is asked for what lacks
   // here. Does not block.
@@ -93,8 +93,8 @@
                                        const ConfigSource& aSource);
 
 private:
-  // The place among the watchers of the zone; null for all other boxes.
-  std::optional<std::size_t> WatcherRank() const;
+  // Among the watchers of the zone; null for all other boxes.
+  std::optional<WatchPlace> Place() const;
   void Run();
   void MeetOthers();
   bool HeardPeers() const;
@@ -128,6 +128,7 @@
   std::vector<BoxRecord> mDirectory;     // under mMutex
   SnapshotPtr mCurrent;                  // under mMutex
   StoreCursor mCursor;                   // of mThread
+  WatchTurns mTurns;                     // of mThread
   std::atomic<std::uint64_t> mRead{ 0 }; // its place, for other threads
   std::atomic<TimePoint> mStoreAnswered{ TimePoint{} };
   std::atomic<bool> mPlatformReachable{ false };
--- a/packages/control/src/ConfigController.cpp
+++ b/packages/control/src/ConfigController.cpp
@@ -12,13 +12,10 @@
 
 namespace {
 
-// A watch that the platform has silently dropped is noticed after this.
-// A watch whose connection was silently cut is noticed after its wait. The
-// first watcher of a zone looks that often, so that a change is in force in
-// time after the platform was away; the others stand by, as each wait is a
-// call.
-constexpr Millis kWatchWait{ 3000 };
-constexpr Millis kStandbyWatchWait{ 9000 };
+// Of the time that a change has to be in force: a watcher of the zone comes
+// back in every half of it, and gives up a silent connection after a quarter
+// more. The last quarter is for the way to the other boxes.
+constexpr int kWatchStepPart = 2;
 // At the very first start of the whole system a box learns from the others who
 // watches, before it asks the platform itself.
 constexpr Millis kFirstStartWait{ 3000 };
@@ -63,6 +60,7 @@
   , mMetrics(aMetrics)
   , mPeers(std::move(aPeers))
   , mOnUnreadable(std::move(aOnUnreadable))
+  , mTurns({ .mStep = aSettings.mTiming.mApply / kWatchStepPart })
   , mClient(StoreClientOptions(aSettings, "configuration", kCallTimeout))
 {
 }
@@ -227,13 +225,19 @@
   }
 }
 
-// First comes the one that looks most often.
-std::optional<std::size_t>
-ConfigController::WatcherRank() const
+bool
+ConfigController::IsFirstWatcher() const
+{
+  const auto place = Place();
+  return place && place->mRank == 0;
+}
+
+std::optional<WatchPlace>
+ConfigController::Place() const
 {
   const auto snapshot = Current();
   if (!snapshot || snapshot->FindBox(mSettings.mBox) == nullptr) {
-    return 0; // as long as nobody else is known
+    return WatchPlace{}; // as long as nobody else is known
   }
   std::vector<BoxName> zoneBoxes;
   for (const auto& box : mPeers.mLiveBoxes()) {
@@ -248,7 +252,8 @@
   if (own == owners.end()) {
     return std::nullopt;
   }
-  return static_cast<std::size_t>(own - owners.begin());
+  return WatchPlace{ .mRank = static_cast<std::size_t>(own - owners.begin()),
+                     .mCount = owners.size() };
 }
 
 // At the very first start of the whole system every box would ask the platform
@@ -304,10 +309,8 @@
 {
   const auto own = Own().mRevision;
   const auto from = mCursor.From(own);
-  const auto rank = WatcherRank();
-  const auto wait = !rank        ? Millis(0)
-                    : *rank == 0 ? kWatchWait
-                                 : kStandbyWatchWait;
+  const auto place = Place();
+  const auto wait = place ? mTurns.NextWait(*place) : Millis(0);
   mMetrics.PlatformCalls().Increment();
   auto delta = from ? mClient.WatchConfiguration(*from, wait)
                     : mClient.ListConfiguration();
@@ -336,6 +339,7 @@
   mOnUnreadable(aDelta.mUnreadable);
   tl::expected<void, ApplyError> result;
   if (!aDelta.mObjects.empty() || aDelta.mFull) {
+    mTurns.OnChange();
     result = Apply(aDelta, { .mKind = "platform" });
   }
   mCursor.OnRead(aDelta, result);
--- a/packages/control/src/StoreClient.cpp
+++ b/packages/control/src/StoreClient.cpp
@@ -5,6 +5,13 @@
 
 namespace porttiller {
 
+namespace {
+
+// Of the time that a change has to be in force, as its watchers' patience.
+constexpr int kPatiencePart = 4;
+
+} // namespace
+
 ObjectClientOptions
 StoreClientOptions(const Settings& aSettings,
                    const std::string& aUse,
@@ -18,6 +25,7 @@
   };
   return { .mAddress = aSettings.mPlatformAddress,
            .mTimeout = aTimeout,
+           .mKeptPatience = aSettings.mTiming.mApply / kPatiencePart,
            .mDialect = StoreDialectOf(aSettings),
            .mOnKeptFailed = log };
 }
--- /dev/null
+++ b/packages/policy/src/WatchTurns.cpp
@@ -0,0 +1,22 @@
+#include "porttiller/policy/WatchTurns.h"
+
+#include <utility>
+
+namespace porttiller {
+
+WatchTurns::WatchTurns(WatchTurnsOptions aOptions)
+  : mOptions(aOptions)
+{
+}
+
+Millis
+WatchTurns::NextWait(const WatchPlace& aPlace)
+{
+  const bool moved = mPlace != aPlace;
+  mPlace = aPlace;
+  const bool first = std::exchange(mFirst, false) || moved;
+  const auto steps = first ? aPlace.mRank + 1 : aPlace.mCount;
+  return mOptions.mStep * static_cast<Millis::rep>(steps);
+}
+
+} // namespace porttiller
