Replace links between boxes that go silent; send again what waits

Callers saw: a box that lacked a change up to 4.9 s after it was made, up to 2.8 s after its neighbours, where the links between boxes had gone silent with the store's.

Cause: a link was replaced only when the kernel found that nothing was acknowledged. Behind a device that acknowledges and drops, or over a link on which nothing is sent, it never did, and use kept the link from being closed as idle: announcements, probes and questions were lost over it.

Why it works: a link that answered before and has been silent since a request for 150 ms, and for four times what its last reply took, is made anew, and what waits goes over the new one within its own time-out. Receivers take every request as one that may come late or twice already. A link that never answered has 3 s. Keep-alive probes of the kernel, a second apart, end idle links, which messages without a reply rely on. control_link_replaced tells of it.

--- a/packages/node/src/Node.cpp
+++ b/packages/node/src/Node.cpp
@@ -40,6 +40,15 @@
           aRequest.mLinkHeard ? aRequest.mLinkHeard->count() : kNeverHeard);
 }
 
+void
+LogReplaced(const ReplacedLink& aLink)
+{
+  LogLine(LogLevel::kInfo, "control_link_replaced")
+    .With("to", aLink.mAddress)
+    .With("silent_ms", aLink.mSilent.count())
+    .With("resent", static_cast<std::int64_t>(aLink.mResent));
+}
+
 } // namespace
 
 Node::Parts::Parts(Settings aSettings)
@@ -93,7 +102,8 @@
     { .mBindAddress = mSettings.mPeers.mControlAddress,
       .mBox = mSettings.mBox,
       .mIncarnation = mIncarnation,
-      .mOnUnanswered = LogUnanswered },
+      .mOnUnanswered = LogUnanswered,
+      .mOnReplaced = LogReplaced },
     [this](const wire::Envelope& aRequest, const PeerReplier& aReply) {
       HandlePeer(aRequest, aReply);
     });
--- a/packages/node/src/NodeReport.cpp
+++ b/packages/node/src/NodeReport.cpp
@@ -24,6 +24,7 @@
   }
   mMetrics.UnreadableMessages().Set(static_cast<double>(traffic.mUnreadable));
   mMetrics.LateReplies().Set(static_cast<double>(traffic.mLateReplies));
+  mMetrics.ReplacedLinks().Set(static_cast<double>(traffic.mReplacedLinks));
   mMetrics.UnansweredRequests().Set(static_cast<double>(traffic.mUnanswered));
 }
 
--- a/packages/peer/include/porttiller/peer/PeerTransport.h
+++ b/packages/peer/include/porttiller/peer/PeerTransport.h
@@ -48,6 +48,14 @@
   std::optional<Millis> mLinkHeard;
 };
 
+// A link that was silent and was made anew.
+struct ReplacedLink
+{
+  std::string mAddress;
+  Millis mSilent{ 0 };     // since a request was sent over it
+  std::size_t mResent = 0; // requests that go over the new one
+};
+
 struct PeerTransportOptions
 {
   std::string mBindAddress; // "ip:port"
@@ -55,8 +63,9 @@
   Incarnation mIncarnation;
   Millis mIdleClose{ 30'000 };
   std::size_t mMaxPending = 4096; // requests without a reply yet
-  // Called on the transport's thread; must not block.
+  // Both are called on the transport's thread and must not block.
   std::function<void(const UnansweredRequest&)> mOnUnanswered;
+  std::function<void(const ReplacedLink&)> mOnReplaced;
 };
 
 struct PeerTraffic
@@ -67,6 +76,7 @@
   std::uint64_t mUnreadable = 0;  // messages that were no envelopes
   std::uint64_t mUnanswered = 0;  // requests whose time-out passed
   std::uint64_t mLinks = 0;
+  std::uint64_t mReplacedLinks = 0;
   std::map<wire::Envelope::BodyCase, std::uint64_t> mSentByKind; // bytes
 };
 
@@ -91,7 +101,9 @@
   PeerTransport& operator=(const PeerTransport&) = delete;
 
   // aCallback is called exactly once. A request may reach its receiver after
-  // its time-out; receivers treat every request as one that may be late.
+  // its time-out; receivers treat every request as one that may be late. It may
+  // reach it twice: one that is not answered over a silent link is sent again
+  // over a new one.
   void Send(const std::string& aAddress,
             wire::Envelope aRequest,
             Millis aTimeout,
--- a/packages/peer/src/PeerLoopPriv.cpp
+++ b/packages/peer/src/PeerLoopPriv.cpp
@@ -18,6 +18,17 @@
 constexpr int kConnectMs = 700;
 constexpr int kMaxReconnectMs = 500;
 constexpr int kIdleLooks = 4; // for idle links, while one becomes idle
+// A device on the path may forget a link without an end or a reset. One that
+// answered before and is silent for this long and for several times what its
+// last reply took is made anew, and what waits is sent again over it. Half of a
+// probe's time-out, so that the answer still comes in time.
+constexpr Millis kLinkPatience{ 150 };
+constexpr int kUsualReplies = 4;
+// A link that never answered may still be on its way.
+constexpr Millis kUnheardTime{ 3000 };
+// Probes of the kernel on idle links, which messages without a reply rely on.
+constexpr int kKeepAliveS = 1;
+constexpr int kKeepAliveProbes = 1;
 
 PeerError
 MakeError(PeerErrorKind aKind, std::string aDetail)
@@ -25,6 +36,14 @@
   return { .mKind = aKind, .mDetail = std::move(aDetail) };
 }
 
+// How long a link that has answered before may be silent.
+Micros
+PatienceWith(const PeerLink& aLink)
+{
+  const auto usual = aLink.mReplyTime.value_or(Micros(0));
+  return std::max<Micros>(kLinkPatience, kUsualReplies * usual);
+}
+
 } // namespace
 
 PeerLoop::PeerLoop(PeerTransportOptions aOptions, PeerHandler aHandler)
@@ -60,6 +79,10 @@
       socket->set(zmq::sockopt::rcvhwm, kHighWaterMark);
       socket->set(zmq::sockopt::maxmsgsize, kMaxMessageBytes);
       socket->set(zmq::sockopt::tcp_maxrt, kMaxUnacknowledgedMs);
+      socket->set(zmq::sockopt::tcp_keepalive, 1);
+      socket->set(zmq::sockopt::tcp_keepalive_idle, kKeepAliveS);
+      socket->set(zmq::sockopt::tcp_keepalive_intvl, kKeepAliveS);
+      socket->set(zmq::sockopt::tcp_keepalive_cnt, kKeepAliveProbes);
     }
     mCaller.set(zmq::sockopt::reconnect_ivl, kReconnectMs);
     mCaller.set(zmq::sockopt::reconnect_ivl_max, kMaxReconnectMs);
@@ -160,8 +183,11 @@
   if (mDeadlines.empty()) {
     return kMaxPollWait;
   }
-  const auto left =
-    std::chrono::ceil<Millis>(mDeadlines.begin()->first - Now());
+  auto next = mDeadlines.begin()->first;
+  if (!mLinkChecks.empty()) {
+    next = std::min(next, mLinkChecks.begin()->first);
+  }
+  const auto left = std::chrono::ceil<Millis>(next - Now());
   return std::clamp(left, Millis(0), kMaxPollWait);
 }
 
@@ -190,6 +216,7 @@
   if (items[0].revents != 0) {
     TakeCommands();
   }
+  CheckLinks();
   Expire();
   CloseIdle();
 }
@@ -225,8 +252,10 @@
     const auto route = std::to_string(mNextLink++);
     mCaller.set(zmq::sockopt::connect_routing_id, route);
     mCaller.connect("tcp://" + aAddress);
-    it = mLinks.emplace(aAddress, PeerLink{ route, {} }).first;
-    ++mLinkCount;
+    it = mLinks.emplace(aAddress, PeerLink{ .mRoute = route, .mMade = Now() })
+           .first;
+    mAddresses.emplace(route, aAddress);
+    mLinkCount = mLinks.size();
   }
   it->second.mLastUse = Now();
   return it->second;
@@ -240,8 +269,17 @@
                                         std::move(aCommand.mCallback),
                                       .mAddress = aCommand.mAddress,
                                       .mKind = aCommand.mKind,
-                                      .mSent = Now() };
+                                      .mSent = Now(),
+                                      .mRoute = link.mRoute,
+                                      .mPayload = aCommand.mPayload };
   mDeadlines.emplace(aCommand.mDeadline, aCommand.mCorrelation);
+  if (!link.mWaitsSince) {
+    link.mWaitsSince = Now();
+  }
+  const auto check = Now() + PatienceWith(link);
+  if (link.mReplyTime && check < aCommand.mDeadline) {
+    mLinkChecks.emplace(check, aCommand.mCorrelation);
+  }
   SendOver(mCaller, link.mRoute, aCommand);
 }
 
@@ -308,6 +346,7 @@
       continue;
     }
     mReceived += payload.size();
+    NoteHeard(route.to_string());
     auto reply = DecodeMessage(payload.to_string_view());
     if (!reply) {
       ++mUnreadable;
@@ -319,7 +358,10 @@
       continue;
     }
     const auto callback = std::move(it->second.mCallback);
-    NoteHeard(it->second.mAddress);
+    const auto link = mLinks.find(it->second.mAddress);
+    if (link != mLinks.end()) {
+      link->second.mReplyTime = Now() - it->second.mSent;
+    }
     mPending.erase(it);
     --mPendingCount;
     callback(std::move(*reply));
@@ -341,19 +383,99 @@
     mPending.erase(it);
     --mPendingCount;
     NoteUnanswered(pending);
+    if (IsSilent(pending)) {
+      Replace(pending);
+    }
     pending.mCallback(tl::make_unexpected(
       MakeError(PeerErrorKind::kTimeout, pending.mAddress)));
   }
 }
 
 void
-PeerLoop::NoteHeard(const std::string& aAddress)
+PeerLoop::NoteHeard(const std::string& aRoute)
 {
-  if (const auto link = mLinks.find(aAddress); link != mLinks.end()) {
-    link->second.mHeard = Now();
+  const auto address = mAddresses.find(aRoute);
+  if (address != mAddresses.end()) {
+    auto& link = mLinks.at(address->second);
+    link.mHeard = Now();
+    link.mWaitsSince.reset();
   }
 }
 
+bool
+PeerLoop::IsSilent(const PeerPending& aPending) const
+{
+  const auto it = mLinks.find(aPending.mAddress);
+  if (it == mLinks.end() || it->second.mRoute != aPending.mRoute) {
+    return false; // it has been replaced
+  }
+  const auto& link = it->second;
+  if (!link.mHeard) {
+    return Now() >= link.mMade + kUnheardTime;
+  }
+  return link.mWaitsSince && Now() >= *link.mWaitsSince + PatienceWith(link);
+}
+
+void
+PeerLoop::CheckLinks()
+{
+  const auto now = Now();
+  while (!mLinkChecks.empty() && mLinkChecks.begin()->first <= now) {
+    const auto correlation = mLinkChecks.begin()->second;
+    mLinkChecks.erase(mLinkChecks.begin());
+    const auto it = mPending.find(correlation);
+    if (it != mPending.end() && IsSilent(it->second)) {
+      Replace(it->second);
+    }
+  }
+}
+
+void
+PeerLoop::Replace(const PeerPending& aUnanswered)
+{
+  // A copy: what waits is sent again below.
+  const auto address = aUnanswered.mAddress;
+  const auto silent =
+    std::chrono::duration_cast<Millis>(Now() - aUnanswered.mSent);
+  Close(mLinks.find(address));
+  ++mReplaced;
+  const auto resent = ResendTo(address);
+  if (mOptions.mOnReplaced) {
+    mOptions.mOnReplaced(
+      { .mAddress = address, .mSilent = silent, .mResent = resent });
+  }
+}
+
+std::size_t
+PeerLoop::ResendTo(const std::string& aAddress)
+{
+  std::size_t resent = 0;
+  for (auto& [correlation, pending] : mPending) {
+    if (pending.mAddress != aAddress) {
+      continue;
+    }
+    auto& link = LinkTo(aAddress);
+    link.mWaitsSince = Now();
+    pending.mSent = Now();
+    pending.mRoute = link.mRoute;
+    SendOver(mCaller,
+             pending.mRoute,
+             { .mKind = pending.mKind, .mPayload = pending.mPayload });
+    ++resent;
+  }
+  return resent;
+}
+
+PeerLoop::Links::iterator
+PeerLoop::Close(Links::iterator aLink)
+{
+  mCaller.disconnect("tcp://" + aLink->first);
+  mAddresses.erase(aLink->second.mRoute);
+  const auto next = mLinks.erase(aLink);
+  mLinkCount = mLinks.size();
+  return next;
+}
+
 void
 PeerLoop::NoteUnanswered(const PeerPending& aPending)
 {
@@ -384,14 +506,8 @@
   mNextIdleLook = now + mOptions.mIdleClose / kIdleLooks;
   const auto oldest = now - mOptions.mIdleClose;
   for (auto it = mLinks.begin(); it != mLinks.end();) {
-    if (it->second.mLastUse >= oldest) {
-      ++it;
-      continue;
-    }
-    mCaller.disconnect("tcp://" + it->first);
-    it = mLinks.erase(it);
+    it = it->second.mLastUse >= oldest ? std::next(it) : Close(it);
   }
-  mLinkCount = mLinks.size();
 }
 
 void
@@ -413,7 +529,8 @@
                        .mLateReplies = mLate,
                        .mUnreadable = mUnreadable,
                        .mUnanswered = mUnanswered,
-                       .mLinks = mLinkCount };
+                       .mLinks = mLinkCount,
+                       .mReplacedLinks = mReplaced };
   for (std::size_t kind = 0; kind < mSentByKind.size(); ++kind) {
     if (mSentByKind.at(kind) > 0) {
       traffic.mSentByKind[static_cast<wire::Envelope::BodyCase>(kind)] =
--- a/packages/peer/src/PeerLoopPriv.h
+++ b/packages/peer/src/PeerLoopPriv.h
@@ -32,8 +32,12 @@
 struct PeerLink
 {
   std::string mRoute; // names it within that socket; never used again
+  TimePoint mMade;
   TimePoint mLastUse;
-  std::optional<TimePoint> mHeard; // a reply came over it
+  std::optional<TimePoint> mHeard; // a reply came over it, in time or late
+  // The first request since then was sent.
+  std::optional<TimePoint> mWaitsSince;
+  std::optional<Micros> mReplyTime; // of the last one that came in time
 };
 
 // A request that waits for its reply.
@@ -43,6 +47,8 @@
   std::string mAddress;
   wire::Envelope::BodyCase mKind = wire::Envelope::BODY_NOT_SET;
   TimePoint mSent;
+  std::string mRoute; // of the link that it was sent over
+  std::string mPayload;
 };
 
 // Owned by its PeerTransport. Only its own thread touches the sockets; what
@@ -68,6 +74,8 @@
   PeerTraffic Traffic() const;
 
 private:
+  using Links = std::unordered_map<std::string, PeerLink>;
+
   static constexpr std::size_t kKinds = 32; // field numbers of the bodies
 
   // Signed with this box's name and life; its receiver is not filled in.
@@ -86,7 +94,13 @@
   void ReceiveReplies();
   void Expire();
   void CloseIdle();
-  void NoteHeard(const std::string& aAddress);
+  void NoteHeard(const std::string& aRoute);
+  // Whether the link that carried the request has gone silent.
+  bool IsSilent(const PeerPending& aPending) const;
+  void CheckLinks();
+  void Replace(const PeerPending& aUnanswered);
+  std::size_t ResendTo(const std::string& aAddress);
+  Links::iterator Close(Links::iterator aLink);
   void NoteUnanswered(const PeerPending& aPending);
   PeerLink& LinkTo(const std::string& aAddress);
   void FailAll();
@@ -100,12 +114,15 @@
   // box among 353, by sampled stacks.
   zmq::socket_t mCaller;
   zmq::socket_t mWake;
-  zmq::socket_t mWaker;                             // under mMutex
-  std::unordered_map<std::string, PeerLink> mLinks; // by address
+  zmq::socket_t mWaker; // under mMutex
+  Links mLinks;         // by address
   std::uint64_t mNextLink = 1;
   TimePoint mNextIdleLook;
   std::unordered_map<std::uint64_t, PeerPending> mPending;
   std::multimap<TimePoint, std::uint64_t> mDeadlines;
+  // When a request without a reply is taken as a sign of a silent link.
+  std::multimap<TimePoint, std::uint64_t> mLinkChecks;
+  std::unordered_map<std::string, std::string> mAddresses; // by route
   std::mutex mMutex;
   std::deque<PeerCommand> mCommands;
   bool mStopping = false;
@@ -116,6 +133,7 @@
   std::atomic<std::uint64_t> mUnreadable{ 0 };
   std::atomic<std::uint64_t> mLate{ 0 };
   std::atomic<std::uint64_t> mUnanswered{ 0 };
+  std::atomic<std::uint64_t> mReplaced{ 0 };
   std::atomic<std::uint64_t> mLinkCount{ 0 };
   std::atomic<std::size_t> mPendingCount{ 0 };
   std::thread mThread;
--- a/packages/peer/tests/PeerTransportTest.cpp
+++ b/packages/peer/tests/PeerTransportTest.cpp
@@ -4,6 +4,7 @@
 
 #include <atomic>
 #include <doctest/doctest.h>
+#include <thread>
 
 using namespace porttiller;
 
@@ -134,6 +135,43 @@
   CHECK(IsReached(*first, link.Address().c_str()));
 }
 
+TEST_CASE("A request that a silent link has taken is answered over a new one")
+{
+  std::atomic<int> handled{ 0 };
+  const auto first = MakePeer(kFirst, "a", handled);
+  const auto second = MakePeer(kSecond, "b", handled);
+  standin::LinkStandIn link(kSecond);
+  REQUIRE(IsReached(*first, link.Address().c_str()));
+  const int before = handled;
+  link.SilenceForward();
+  CHECK(first->Call(link.Address(), Request(), Millis(10'000)).has_value());
+  CHECK(handled == before + 1);
+  CHECK(first->Traffic().mReplacedLinks == 1);
+  link.SilenceBackward();
+  // It is handled, its reply is lost, and it comes again.
+  CHECK(first->Call(link.Address(), Request(), Millis(10'000)).has_value());
+  CHECK(handled == before + 3);
+}
+
+TEST_CASE("A link whose replies take long is kept")
+{
+  std::atomic<int> handled{ 0 };
+  const auto first = MakePeer(kFirst, "a", handled);
+  const auto second = MakePeer(kSecond, "b", handled);
+  standin::LinkStandIn link(kSecond);
+  REQUIRE(IsReached(*first, link.Address().c_str()));
+  for (int i = 0; i < 3; ++i) {
+    link.CutBackward(true);
+    std::thread late([&] {
+      std::this_thread::sleep_for(Millis(100));
+      link.CutBackward(false);
+    });
+    CHECK(first->Call(link.Address(), Request(), Millis(10'000)).has_value());
+    late.join();
+  }
+  CHECK(first->Traffic().mReplacedLinks == 0);
+}
+
 TEST_CASE("A link that was idle is closed, and made anew when it is needed")
 {
   std::atomic<int> handled{ 0 };
--- a/packages/telemetry/include/porttiller/telemetry/Metrics.h
+++ b/packages/telemetry/include/porttiller/telemetry/Metrics.h
@@ -50,6 +50,7 @@
   prometheus::Gauge& ControlBytesSent() { return *mControlSent; }
   prometheus::Gauge& ControlBytesReceived() { return *mControlReceived; }
   prometheus::Gauge& LateReplies() { return *mLateReplies; }
+  prometheus::Gauge& ReplacedLinks() { return *mReplacedLinks; }
   prometheus::Gauge& UnansweredRequests() { return *mUnansweredRequests; }
   prometheus::Gauge& UnreadableMessages() { return *mUnreadableMessages; }
 
@@ -77,6 +78,7 @@
   prometheus::Family<prometheus::Gauge>* mControlSentByKind;
   prometheus::Gauge* mControlReceived;
   prometheus::Gauge* mLateReplies;
+  prometheus::Gauge* mReplacedLinks;
   prometheus::Gauge* mUnansweredRequests;
   prometheus::Gauge* mLimitedWorkspaces;
   prometheus::Gauge* mUnreadableMessages;
--- a/packages/telemetry/src/Metrics.cpp
+++ b/packages/telemetry/src/Metrics.cpp
@@ -91,6 +91,10 @@
   , mLateReplies(MakeGauge(*mRegistry,
                            "porttiller_late_replies",
                            "Control replies that nobody waited for"))
+  , mReplacedLinks(
+      MakeGauge(*mRegistry,
+                "porttiller_control_links_replaced",
+                "Control links that went silent and were made anew"))
   , mUnansweredRequests(MakeGauge(*mRegistry,
                                   "porttiller_control_unanswered",
                                   "Control requests without a reply in time"))
