Remember which peers are ahead until what they hold is held here

Callers saw: nothing that we can tell from the rest; one box late by up to a probe or two while changes follow each other.

Cause: an announcement by a peer that was being asked, or while three were, was forgotten; a delta that another one had overtaken was refused as a gap, without a line, and not asked for again before the next probe. A delta that found the worker's queue full was dropped.

--- a/packages/control/include/porttiller/control/ConfigController.h
+++ b/packages/control/include/porttiller/control/ConfigController.h
@@ -10,6 +10,7 @@
 #include "porttiller/control/MembershipController.h"
 #include "porttiller/control/Worker.h"
 #include "porttiller/peer/PeerTransport.h"
+#include "porttiller/policy/CatchUp.h"
 #include "porttiller/policy/WatchTurns.h"
 #include "porttiller/store/ObjectClient.h"
 #include "porttiller/telemetry/Metrics.h"
@@ -19,7 +20,6 @@
 #include <functional>
 #include <mutex>
 #include <optional>
-#include <set>
 #include <thread>
 #include <vector>
 
@@ -103,8 +103,10 @@
   void Switch(const SnapshotPtr& aSnapshot);
   void AskSeeds();
   void Pull(const std::string& aAddress);
-  bool BeginPull(const std::string& aAddress);
-  void EndPull(const std::string& aAddress);
+  void EndPull(const std::string& aAddress, bool aAnswered);
+  void TakeFromPeer(const std::string& aAddress, const wire::Envelope& aAnswer);
+  // Asks the peers that are known to be ahead.
+  void AskPeers();
   void Announce(std::uint64_t aRevision, const SpreadOptions& aSpread);
   void NotePlatform(bool aReachable, const std::string& aDetail);
   void LogRefused(const ObjectDelta& aDelta,
@@ -133,7 +135,7 @@
   std::atomic<TimePoint> mStoreAnswered{ TimePoint{} };
   std::atomic<bool> mPlatformReachable{ false };
   std::atomic<TimePoint> mHeardPeer{ TimePoint{} }; // of a revision
-  std::set<std::string> mPulls; // addresses asked; under mMutex
+  CatchUp mCatchUp;                                 // under mMutex
   std::atomic<bool> mStop{ false };
   std::condition_variable mWake;
   ObjectClient mClient; // of mThread
--- a/packages/control/src/ConfigController.cpp
+++ b/packages/control/src/ConfigController.cpp
@@ -31,8 +31,6 @@
 constexpr Millis kPeersHeard{ 5000 };
 constexpr Millis kRoleCheck{ 1000 };
 constexpr Millis kPullTimeout{ 1000 };
-// Peers asked at a time; a second one makes up for one that is silent.
-constexpr std::size_t kMaxPulls = 3;
 constexpr Millis kAnnounceTimeout{ 1000 };
 constexpr std::size_t kWatchersPerZone = 3;
 // Who reads the platform tells its zone, and one box of each other in case its
@@ -382,46 +380,63 @@
       .With("revision", static_cast<std::int64_t>(own.mRevision));
   }
   if (aPeer.mRevision > own.mRevision) {
-    Pull(aPeer.mAddress);
+    {
+      const std::lock_guard lock(mMutex);
+      mCatchUp.OnHeard(aPeer.mAddress, aPeer.mRevision);
+    }
+    AskPeers();
   }
 }
 
-// A peer that does not answer must not keep the others from being asked.
-bool
-ConfigController::BeginPull(const std::string& aAddress)
+void
+ConfigController::AskPeers()
 {
-  const std::lock_guard lock(mMutex);
-  return mPulls.size() < kMaxPulls && mPulls.insert(aAddress).second;
+  std::vector<std::string> peers;
+  {
+    const std::lock_guard lock(mMutex);
+    peers = mCatchUp.Next(mObjects.Revision());
+  }
+  for (const auto& peer : peers) {
+    Pull(peer);
+  }
 }
 
 void
-ConfigController::EndPull(const std::string& aAddress)
+ConfigController::EndPull(const std::string& aAddress, bool aAnswered)
 {
-  const std::lock_guard lock(mMutex);
-  mPulls.erase(aAddress);
+  {
+    const std::lock_guard lock(mMutex);
+    mCatchUp.OnEnded(aAddress, aAnswered, mObjects.Revision());
+  }
+  AskPeers();
 }
 
 void
 ConfigController::Pull(const std::string& aAddress)
 {
-  if (!BeginPull(aAddress)) {
-    return;
-  }
   wire::Envelope request;
   request.mutable_delta_request()->set_from(Own().mRevision);
-  mTransport.Send(
-    aAddress,
-    std::move(request),
-    kPullTimeout,
-    [this, aAddress](const PeerResult& aResult) {
-      EndPull(aAddress);
-      if (!aResult || !aResult->has_delta()) {
-        return;
-      }
-      mWorker.Post([this, aAddress, delta = DecodeDelta(aResult->delta())] {
-        static_cast<void>(Apply(delta, { .mKind = "peer", .mPeer = aAddress }));
-      });
-    });
+  mTransport.Send(aAddress,
+                  std::move(request),
+                  kPullTimeout,
+                  [this, aAddress](const PeerResult& aResult) {
+                    const auto take = [this, aAddress, result = aResult] {
+                      TakeFromPeer(aAddress, *result);
+                    };
+                    const bool answered = aResult && aResult->has_delta();
+                    if (!answered || !mWorker.Post(take)) {
+                      EndPull(aAddress, false);
+                    }
+                  });
+}
+
+void
+ConfigController::TakeFromPeer(const std::string& aAddress,
+                               const wire::Envelope& aAnswer)
+{
+  static_cast<void>(Apply(DecodeDelta(aAnswer.delta()),
+                          { .mKind = "peer", .mPeer = aAddress }));
+  EndPull(aAddress, true);
 }
 
 wire::Envelope
--- a/packages/control/tests/ConfigControllerTest.cpp
+++ b/packages/control/tests/ConfigControllerTest.cpp
@@ -21,6 +21,20 @@
   .mSpreadPeers = [](const SpreadOptions&) { return std::vector<BoxSpec>{}; }
 };
 
+// A peer's answer that holds the whole configuration at a revision.
+wire::Envelope
+WholeAt(std::uint64_t aRevision)
+{
+  const ObjectDelta delta{ .mTo = aRevision,
+                           .mFull = true,
+                           .mObjects = { { .mKey = { "Service", "s" },
+                                           .mVersion = aRevision,
+                                           .mSpecJson = "{}" } } };
+  wire::Envelope reply;
+  *reply.mutable_delta() = EncodeDelta(delta);
+  return reply;
+}
+
 std::unique_ptr<PeerTransport>
 MakePeer(const std::string& aAddress, const std::string& aBox, bool aAnswers)
 {
@@ -30,14 +44,7 @@
       if (!aAnswers || !aRequest.has_delta_request()) {
         return;
       }
-      const ObjectDelta delta{ .mTo = 5,
-                               .mFull = true,
-                               .mObjects = { { .mKey = { "Service", "s" },
-                                               .mVersion = 5,
-                                               .mSpecJson = "{}" } } };
-      wire::Envelope reply;
-      *reply.mutable_delta() = EncodeDelta(delta);
-      aReply(reply);
+      aReply(WholeAt(5));
     });
   REQUIRE(made);
   return std::move(*made);
@@ -100,6 +107,33 @@
   CHECK(WaitRevision(controller, 5));
 }
 
+TEST_CASE("A change announced while its announcer is asked is in force")
+{
+  std::atomic<bool> announced{ false };
+  std::atomic<std::uint64_t> revision{ 5 };
+  auto made = PeerTransport::Make(
+    { .mBindAddress = kAnsweringAddress, .mBox = BoxName("answering") },
+    [&](const wire::Envelope& aRequest, const PeerReplier& aReply) {
+      const auto answer = WholeAt(revision);
+      while (!announced) {
+        std::this_thread::sleep_for(Millis(1));
+      }
+      if (aRequest.has_delta_request()) {
+        aReply(answer);
+      }
+    });
+  REQUIRE(made);
+  OwnBox own;
+  auto& controller = own.mController;
+  controller.Start();
+  controller.OnPeerRevision({ .mAddress = kAnsweringAddress, .mRevision = 5 });
+  std::this_thread::sleep_for(Millis(50)); // the question is on its way
+  revision = 6;
+  controller.OnPeerRevision({ .mAddress = kAnsweringAddress, .mRevision = 6 });
+  announced = true;
+  CHECK(WaitRevision(controller, 6));
+}
+
 TEST_CASE("What a peer tells before the start is in force, and heard of later")
 {
   // Found by a fleet test: a box that started among running ones ended with
