Ask for a reply to announcements, so that silent links do not lose them

Cause: an announcement asked for no reply, so nothing noticed that its link had gone silent, and the change waited for the probes of the next second or two, each over another link of the same state.

Change: an announcement is a request; its link is replaced and it is sent again within its second. The other end answered it with an empty message already.

--- a/packages/control/src/ConfigController.cpp
+++ b/packages/control/src/ConfigController.cpp
@@ -458,9 +458,13 @@
 {
   wire::Envelope request;
   request.mutable_announce()->set_revision(aRevision);
-  // A lost one is made up for by the next probes.
+  // Asked for a reply, so that one that a silent link loses is sent again. Any
+  // other that is lost is made up for by the next probes.
   for (const auto& peer : mPeers.mSpreadPeers(aSpread)) {
-    mTransport.Tell(peer.mControlAddress, request);
+    mTransport.Send(peer.mControlAddress,
+                    request,
+                    kAnnounceTimeout,
+                    [](const PeerResult&) {});
   }
 }
 
--- a/testing/fleet/Fleet.cpp
+++ b/testing/fleet/Fleet.cpp
@@ -31,6 +31,13 @@
   return "127.0.0.1:" + std::to_string(aPort);
 }
 
+void
+Silence(standin::LinkStandIn& aLink)
+{
+  aLink.SilenceForward();
+  aLink.SilenceBackward();
+}
+
 } // namespace
 
 Reply
@@ -70,6 +77,9 @@
 {
   std::filesystem::create_directories(mDirectory);
   StartStandIns();
+  if (mOptions.mLinks) {
+    StartLinks();
+  }
   PutConfiguration();
   mBoxes.resize(static_cast<std::size_t>(mOptions.mBoxes));
   for (int box = 0; box < mOptions.mBoxes; ++box) {
@@ -87,6 +97,9 @@
 Fleet::~Fleet()
 {
   mBoxes.clear();
+  mHomeLinks.clear();
+  mControlLinks.clear();
+  mPlatformLink.reset();
   mStandIns.clear();
   mServers.clear();
   mPlatform.reset();
@@ -187,6 +200,33 @@
   }
 }
 
+void
+Fleet::StartLinks()
+{
+  mPlatformLink = std::make_unique<standin::LinkStandIn>(PlatformAddress());
+  for (int box = 0; box < mOptions.mBoxes; ++box) {
+    mHomeLinks.push_back(
+      std::make_unique<standin::LinkStandIn>(HomeAddress(box)));
+    mControlLinks.push_back(
+      std::make_unique<standin::LinkStandIn>(ControlAddress(box)));
+  }
+}
+
+void
+Fleet::SilencePlatformLinks()
+{
+  Silence(*mPlatformLink);
+}
+
+void
+Fleet::SilenceBoxLinks()
+{
+  for (int box = 0; box < mOptions.mBoxes; ++box) {
+    Silence(*mHomeLinks.at(static_cast<std::size_t>(box)));
+    Silence(*mControlLinks.at(static_cast<std::size_t>(box)));
+  }
+}
+
 void
 Fleet::Put(const std::string& aKind,
            const std::string& aName,
@@ -226,7 +266,11 @@
         std::to_string(mOptions.mDefaultDeadline.count()) + "}");
   Put("Route", "all", R"({"path_prefix":"/","service":"ledger"})");
   for (int box = 0; box < mOptions.mBoxes; ++box) {
-    PutBox(box, HomeAddress(box), ControlAddress(box));
+    const auto index = static_cast<std::size_t>(box);
+    PutBox(box,
+           mOptions.mLinks ? mHomeLinks.at(index)->Address() : HomeAddress(box),
+           mOptions.mLinks ? mControlLinks.at(index)->Address()
+                           : ControlAddress(box));
   }
   for (int i = 0; i < Servers(); ++i) {
     Put("BackendServer",
@@ -254,7 +298,9 @@
                       << HomeAddress(aBox) << R"(", "control_address": ")"
                       << ControlAddress(aBox) << R"(", "seeds": [)" << seeds
                       << R"(] }, "admin_address": ")" << AdminAddress(aBox)
-                      << R"(", "platform_address": ")" << PlatformAddress()
+                      << R"(", "platform_address": ")"
+                      << (mPlatformLink ? mPlatformLink->Address()
+                                        : PlatformAddress())
                       << "\"" << mOptions.mExtraSettings << " }\n";
   return file;
 }
--- a/testing/fleet/Fleet.h
+++ b/testing/fleet/Fleet.h
@@ -4,6 +4,7 @@
 
 #include "porttiller/http/HttpPool.h"
 #include "standin/ChildProcess.h"
+#include "standin/LinkStandIn.h"
 #include "standin/PlatformStandIn.h"
 #include "standin/ServerStandIn.h"
 
@@ -25,6 +26,8 @@
   std::string mDetection = "fast";
   int mPortBase = 22000;      // four ports for each box from here
   bool mOwnProcesses = false; // stand-ins as processes of their own too
+  // Relays before the platform and before each box's home and control address.
+  bool mLinks = false;
   std::string mExtraSettings; // more keys, starting with a comma
   Millis mDefaultDeadline{ 5000 };
 };
@@ -63,6 +66,10 @@
   bool WaitInForce(int aBox, Millis aTime);
   std::string State(int aBox) const;
   std::string Metrics(int aBox) const;
+  // With mLinks: drops what is sent over the connections that are open, to the
+  // platform and between boxes. Later ones work.
+  void SilencePlatformLinks();
+  void SilenceBoxLinks();
   // The phase of a server as its home has it, e.g. "ejected".
   std::string Phase(int aServer) const;
   // A metric without labels; 0 when it is not there.
@@ -102,6 +109,7 @@
   std::string ZoneName(int aBox) const;
   void StartStandIns();
   void PutConfiguration();
+  void StartLinks();
   std::string Admin(int aBox, const std::string& aPath) const;
 
   FleetOptions mOptions;
@@ -111,6 +119,10 @@
   std::vector<std::unique_ptr<standin::ChildProcess>> mStandIns;
   std::vector<std::unique_ptr<standin::ChildProcess>> mBoxes;
   std::vector<std::unique_ptr<HttpPool>> mCallers; // by box
+  // With mLinks.
+  std::unique_ptr<standin::LinkStandIn> mPlatformLink;
+  std::vector<std::unique_ptr<standin::LinkStandIn>> mHomeLinks;    // by box
+  std::vector<std::unique_ptr<standin::LinkStandIn>> mControlLinks; // by box
 };
 
 // Sends one request to an address; status 0 without an answer.
--- a/testing/fleet/tests/ConfigFaultsTest.cpp
+++ b/testing/fleet/tests/ConfigFaultsTest.cpp
@@ -102,6 +102,23 @@
   }
 }
 
+TEST_CASE("Changes are in force after all open connections have gone silent")
+{
+  // No probes: what brings the change is announced.
+  auto options = Options();
+  options.mLinks = true;
+  options.mExtraSettings = R"(, "timing": { "probe_interval_ms": 60000 })";
+  Fleet fleet(options);
+  for (int i = 1; i <= 3; ++i) {
+    fleet.SilencePlatformLinks();
+    fleet.SilenceBoxLinks();
+    CHECK(WaitAll(
+      fleet,
+      PutService(fleet, "{\"floor_slots\": " + std::to_string(i) + "}")));
+    CHECK(fleet.Send(0, "GET", "/x", "").mStatus == 200);
+  }
+}
+
 TEST_CASE("Traffic flows and boxes restart while the platform is away")
 {
   Fleet fleet(Options());
