Check quiet links behind records and probes; send no report twice

Callers saw: nothing yet; found by asking which messages of ours a silent link loses.

Cause: records of boxes and urgent news of members are told without a reply. Over a link that had gone silent they were lost until digests or the next probes found it, and the link stayed. On the other side, sending again over a new link would have counted a report of workspaces' use twice.

Change: a record or probe over a link that has carried nothing for a second asks for a reply, as its receivers give one already. Reports replace a silent link, but go over it once.

Evidence: 'A message over a link that went silent while quiet arrives', 'A report that may have arrived is not sent again'.

--- a/packages/peer/include/porttiller/peer/PeerTransport.h
+++ b/packages/peer/include/porttiller/peer/PeerTransport.h
@@ -103,13 +103,14 @@
   // aCallback is called exactly once. A request may reach its receiver after
   // its time-out; receivers treat every request as one that may be late. It may
   // reach it twice: one that is not answered over a silent link is sent again
-  // over a new one.
+  // over a new one, except for reports of workspaces' use, which add up.
   void Send(const std::string& aAddress,
             wire::Envelope aRequest,
             Millis aTimeout,
             PeerCallback aCallback);
 
-  // Sends what needs no reply; it may get lost.
+  // Sends what needs no reply; it may get lost. The link of a box record or a
+  // probe is checked if nothing has come over it for a second.
   void Tell(const std::string& aAddress, wire::Envelope aMessage);
 
   // As Send, but waits. Never call it on the transport's own thread.
--- a/packages/peer/src/PeerLoopPriv.cpp
+++ b/packages/peer/src/PeerLoopPriv.cpp
@@ -26,9 +26,10 @@
 constexpr int kUsualReplies = 4;
 // A link that never answered may still be on its way.
 constexpr Millis kUnheardTime{ 3000 };
-// Probes of the kernel on idle links, which messages without a reply rely on.
-constexpr int kKeepAliveS = 1;
-constexpr int kKeepAliveProbes = 1;
+// A message without a reply over a link that has carried none for this long
+// asks for one.
+constexpr Millis kQuietTime{ 1000 };
+constexpr Millis kCheckTimeout{ 1000 };
 
 PeerError
 MakeError(PeerErrorKind aKind, std::string aDetail)
@@ -44,6 +45,27 @@
   return std::max<Micros>(kLinkPatience, kUsualReplies * usual);
 }
 
+// Receivers add up what reports count.
+bool
+MayRepeat(wire::Envelope::BodyCase aKind)
+{
+  return aKind != wire::Envelope::kWorkspaceReport;
+}
+
+// What others rely on even if it is told once, and answer without harm.
+bool
+MustArrive(wire::Envelope::BodyCase aKind)
+{
+  return aKind == wire::Envelope::kBoxRecords ||
+         aKind == wire::Envelope::kProbe;
+}
+
+bool
+IsQuiet(const PeerLink& aLink)
+{
+  return aLink.mHeard && *aLink.mHeard + kQuietTime < Now();
+}
+
 } // namespace
 
 PeerLoop::PeerLoop(PeerTransportOptions aOptions, PeerHandler aHandler)
@@ -79,10 +101,6 @@
       socket->set(zmq::sockopt::rcvhwm, kHighWaterMark);
       socket->set(zmq::sockopt::maxmsgsize, kMaxMessageBytes);
       socket->set(zmq::sockopt::tcp_maxrt, kMaxUnacknowledgedMs);
-      socket->set(zmq::sockopt::tcp_keepalive, 1);
-      socket->set(zmq::sockopt::tcp_keepalive_idle, kKeepAliveS);
-      socket->set(zmq::sockopt::tcp_keepalive_intvl, kKeepAliveS);
-      socket->set(zmq::sockopt::tcp_keepalive_cnt, kKeepAliveProbes);
     }
     mCaller.set(zmq::sockopt::reconnect_ivl, kReconnectMs);
     mCaller.set(zmq::sockopt::reconnect_ivl_max, kMaxReconnectMs);
@@ -159,8 +177,7 @@
 void
 PeerLoop::PostMessage(const std::string& aAddress, wire::Envelope aMessage)
 {
-  auto command = MakeCommand(std::move(aMessage), 0);
-  command.mAddress = aAddress;
+  PeerCommand command{ .mAddress = aAddress, .mMessage = std::move(aMessage) };
   static_cast<void>(Post(command)); // lost when stopping, as any may be
 }
 
@@ -235,14 +252,36 @@
   for (auto& command : commands) {
     if (command.mCallback) {
       SendRequest(std::move(command));
-    } else if (!command.mAddress.empty()) {
-      SendOver(mCaller, LinkTo(command.mAddress).mRoute, command);
+    } else if (command.mMessage) {
+      SendMessage(std::move(command));
     } else {
       SendOver(mRouter, command.mRoute, command);
     }
   }
 }
 
+void
+PeerLoop::SendMessage(PeerCommand aCommand)
+{
+  const auto& link = LinkTo(aCommand.mAddress);
+  if (!IsQuiet(link) || !MustArrive(aCommand.mMessage->body_case())) {
+    SendOver(
+      mCaller, link.mRoute, MakeCommand(std::move(*aCommand.mMessage), 0));
+    return;
+  }
+  std::uint64_t correlation = 0;
+  {
+    const std::lock_guard lock(mMutex);
+    correlation = mNextCorrelation++;
+  }
+  auto request = MakeCommand(std::move(*aCommand.mMessage), correlation);
+  request.mAddress = aCommand.mAddress;
+  request.mDeadline = Now() + kCheckTimeout;
+  request.mCallback = [](const PeerResult&) {};
+  ++mPendingCount;
+  SendRequest(std::move(request));
+}
+
 PeerLink&
 PeerLoop::LinkTo(const std::string& aAddress)
 {
@@ -451,7 +490,7 @@
 {
   std::size_t resent = 0;
   for (auto& [correlation, pending] : mPending) {
-    if (pending.mAddress != aAddress) {
+    if (pending.mAddress != aAddress || !MayRepeat(pending.mKind)) {
       continue;
     }
     auto& link = LinkTo(aAddress);
--- a/packages/peer/src/PeerLoopPriv.h
+++ b/packages/peer/src/PeerLoopPriv.h
@@ -16,7 +16,8 @@
 
 inline constexpr std::int64_t kMaxMessageBytes = 8 << 20; // unpacked, too
 
-// What other threads ask of the loop: a request to send, or a reply.
+// What other threads ask of the loop: a request or a message to send, or a
+// reply.
 struct PeerCommand
 {
   std::string mAddress; // of a request or message
@@ -25,7 +26,8 @@
   std::string mPayload;
   std::uint64_t mCorrelation = 0; // zero: no reply is waited for
   TimePoint mDeadline;
-  PeerCallback mCallback; // null when no reply is waited for
+  PeerCallback mCallback;                 // null when no reply is waited for
+  std::optional<wire::Envelope> mMessage; // one that needs no reply
 };
 
 // An outgoing connection of the one socket that makes them all.
@@ -86,6 +88,8 @@
   void PollOnce();
   void TakeCommands();
   void SendRequest(PeerCommand aCommand);
+  // Asks for a reply where the link has to be checked.
+  void SendMessage(PeerCommand aCommand);
   void SendOver(zmq::socket_t& aSocket,
                 const std::string& aRoute,
                 const PeerCommand& aCommand);
--- a/packages/peer/tests/PeerTransportTest.cpp
+++ b/packages/peer/tests/PeerTransportTest.cpp
@@ -108,6 +108,16 @@
   return false;
 }
 
+bool
+IsHandled(const std::atomic<int>& aHandled, int aCount)
+{
+  constexpr int kLooks = 1000;
+  for (int i = 0; i < kLooks && aHandled < aCount; ++i) {
+    std::this_thread::sleep_for(Millis(10));
+  }
+  return aHandled == aCount;
+}
+
 } // namespace
 
 TEST_CASE("A peer is reached though it starts late, or starts anew")
@@ -153,6 +163,36 @@
   CHECK(handled == before + 3);
 }
 
+TEST_CASE("A message over a link that went silent while quiet arrives")
+{
+  std::atomic<int> handled{ 0 };
+  const auto first = MakePeer(kFirst, "a", handled);
+  const auto second = MakePeer(kSecond, "b", handled);
+  standin::LinkStandIn link(kSecond);
+  REQUIRE(IsReached(*first, link.Address().c_str()));
+  const int before = handled;
+  link.SilenceForward();
+  std::this_thread::sleep_for(Millis(1100)); // the link is quiet by then
+  first->Tell(link.Address(), Request());
+  CHECK(IsHandled(handled, before + 1));
+}
+
+TEST_CASE("A report that may have arrived is not sent again")
+{
+  std::atomic<int> handled{ 0 };
+  const auto first = MakePeer(kFirst, "a", handled);
+  const auto second = MakePeer(kSecond, "b", handled);
+  standin::LinkStandIn link(kSecond);
+  REQUIRE(IsReached(*first, link.Address().c_str()));
+  const int before = handled;
+  link.SilenceBackward();
+  wire::Envelope report;
+  report.mutable_workspace_report();
+  CHECK_FALSE(first->Call(link.Address(), report, Millis(500)).has_value());
+  CHECK(first->Traffic().mReplacedLinks == 1);
+  CHECK(handled == before + 1);
+}
+
 TEST_CASE("A link whose replies take long is kept")
 {
   std::atomic<int> handled{ 0 };
