Use no idle connection again beside one that went silent

Callers saw: after open connections had gone silent, a request over each idle hop to a box waited for its patience, one after the other, and one over an idle connection to a server was lost to what may run once.

Cause: a pool forgot the connection that failed and kept the others that had been idle beside it.

Change: a hop whose request the home does not have, or whose answer does not come, closes the idle ones of its pool.

Evidence: HttpPoolTest for the pool. That the kernel ends a silent connection is not shown by a test: loopback loses no packets.

--- a/packages/entry/src/Dispatcher.cpp
+++ b/packages/entry/src/Dispatcher.cpp
@@ -190,6 +190,7 @@
      Query(aBox, aRequest.mHomeIncarnation, aRequest.mAttempt, "").mState ==
        AttemptState::kRunning);
   if (!homeHasIt) {
+    PoolOf(aBox).DropIdle();
     auto settled = Settle(aBox, aRequest, "slow");
     if (!std::holds_alternative<AttemptUnknown>(settled)) {
       return settled;
@@ -219,6 +220,7 @@
   }
   if (!http) {
     mMetrics.DroppedAnswers().Increment();
+    PoolOf(aBox).DropIdle();
     mView.OnPathFailure(aBox.mName, Now());
     return Settle(aBox, aRequest, std::string("home-") + ToText(http.error()));
   }
--- a/packages/home/src/ServerCall.cpp
+++ b/packages/home/src/ServerCall.cpp
@@ -35,7 +35,8 @@
   , mCutoff(aCutoff)
   , mPool({ .mAddress = aSpec.mAddress,
             .mMaxConnections = std::min(aSpec.mConnections, aSpec.mSlots),
-            .mIdleClose = kIdleClose })
+            .mIdleClose = kIdleClose,
+            .mProbeIdle = true })
 {
 }
 
--- a/packages/http/include/porttiller/http/HttpPool.h
+++ b/packages/http/include/porttiller/http/HttpPool.h
@@ -25,6 +25,10 @@
   Millis mConnectTimeout{ 1000 };
   // Sent bytes may stay unacknowledged for so long; see SetUserTimeout.
   Millis mUserTimeout{ 3000 };
+  // The kernel probes connections on which nothing is sent, so that one that
+  // went silent is not used. For other processes of this box: on links between
+  // boxes it would cost more than control may.
+  bool mProbeIdle = false;
   MessageLimits mLimits;
 };
 
@@ -41,6 +45,10 @@
     const HttpRequestData& aRequest,
     TimePoint aDeadline);
 
+  // Closes the idle connections: one of the pool went silent, and a device on
+  // the path that forgot it may have forgotten them, too.
+  void DropIdle();
+
   const HttpPoolOptions& Options() const { return mOptions; }
   // Connections made since the start.
   std::uint64_t Opened() const;
--- a/packages/http/src/HttpPool.cpp
+++ b/packages/http/src/HttpPool.cpp
@@ -66,6 +66,14 @@
   return mOpened;
 }
 
+void
+HttpPool::DropIdle()
+{
+  std::deque<std::unique_ptr<ClientConnection>> idle; // closed without the lock
+  const std::lock_guard lock(mMutex);
+  idle.swap(mIdle);
+}
+
 bool
 HttpPool::Reserve()
 {
@@ -114,6 +122,9 @@
                                 ToTimespan(limit));
     connection->mSocket.setNoDelay(true);
     SetUserTimeout(connection->mSocket, mOptions.mUserTimeout);
+    if (mOptions.mProbeIdle) {
+      ProbeIdle(connection->mSocket);
+    }
   } catch (const Poco::Exception&) {
     return tl::make_unexpected(ExchangeError::kNotSent);
   }
--- /dev/null
+++ b/packages/http/tests/HttpPoolTest.cpp
@@ -0,0 +1,38 @@
+#include "porttiller/http/HttpPool.h"
+#include "porttiller/http/HttpListener.h"
+
+#include <doctest/doctest.h>
+
+using namespace porttiller;
+
+namespace {
+
+constexpr const char* kAddress = "127.0.0.1:22951";
+constexpr Millis kTime{ 5000 };
+
+bool
+IsAnswered(HttpPool& aPool)
+{
+  const auto until = Now() + kTime;
+  const auto exchange =
+    aPool.Begin({ .mMethod = "GET", .mTarget = "/" }, until);
+  return exchange && (*exchange)->ReadAnswer(until, {}).has_value();
+}
+
+} // namespace
+
+TEST_CASE("A pool uses no connection again that was idle when one went silent")
+{
+  const auto listener =
+    HttpListener::Make({ .mAddress = kAddress }, [](HttpCall&) {
+      return HttpReply{ .mAnswer = { .mStatus = 200 } };
+    });
+  REQUIRE(listener.has_value());
+  HttpPool pool({ .mAddress = kAddress, .mProbeIdle = true });
+  CHECK(IsAnswered(pool));
+  CHECK(IsAnswered(pool));
+  CHECK(pool.Opened() == 1);
+  pool.DropIdle();
+  CHECK(IsAnswered(pool));
+  CHECK(pool.Opened() == 2);
+}
