Take no lost packet between boxes for a silent link

Change: 350 ms, counted from the first request since the link was last heard, by a look at the link itself instead of at each request's time-out.

Evidence: PeerTransportTest as before.

--- a/packages/peer/src/PeerLoopPriv.cpp
+++ b/packages/peer/src/PeerLoopPriv.cpp
@@ -20,9 +20,10 @@
 constexpr int kIdleLooks = 4; // for idle links, while one becomes idle
 // A device on the path may forget a link without an end or a reset. One that
 // answered before and is silent for this long and for several times what its
-// last reply took is made anew, and what waits is sent again over it. Half of a
-// probe's time-out, so that the answer still comes in time.
-constexpr Millis kLinkPatience{ 150 };
+// last reply took is made anew, and what waits is sent again over it. More than
+// TCP's least retransmission time-out of 200 ms, so that a lost packet is not
+// taken for silence.
+constexpr Millis kLinkPatience{ 350 };
 constexpr int kUsualReplies = 4;
 // A link that never answered may still be on its way.
 constexpr Millis kUnheardTime{ 3000 };
@@ -37,12 +38,14 @@
   return { .mKind = aKind, .mDetail = std::move(aDetail) };
 }
 
-// How long a link that has answered before may be silent.
-Micros
-PatienceWith(const PeerLink& aLink)
+// When a link on which a request waits has been silent for too long.
+TimePoint
+SilentAt(const PeerLink& aLink)
 {
   const auto usual = aLink.mReplyTime.value_or(Micros(0));
-  return std::max<Micros>(kLinkPatience, kUsualReplies * usual);
+  const auto at =
+    *aLink.mWaitsSince + std::max<Micros>(kLinkPatience, kUsualReplies * usual);
+  return aLink.mHeard ? at : std::max(at, aLink.mMade + kUnheardTime);
 }
 
 // Receivers add up what reports count.
@@ -197,15 +200,14 @@
 Millis
 PeerLoop::PollWait() const
 {
-  if (mDeadlines.empty()) {
-    return kMaxPollWait;
+  auto next = Now() + kMaxPollWait;
+  if (!mDeadlines.empty()) {
+    next = std::min(next, mDeadlines.begin()->first);
   }
-  auto next = mDeadlines.begin()->first;
   if (!mLinkChecks.empty()) {
     next = std::min(next, mLinkChecks.begin()->first);
   }
-  const auto left = std::chrono::ceil<Millis>(next - Now());
-  return std::clamp(left, Millis(0), kMaxPollWait);
+  return std::max(Millis(0), std::chrono::ceil<Millis>(next - Now()));
 }
 
 void
@@ -312,13 +314,7 @@
                                       .mRoute = link.mRoute,
                                       .mPayload = aCommand.mPayload };
   mDeadlines.emplace(aCommand.mDeadline, aCommand.mCorrelation);
-  if (!link.mWaitsSince) {
-    link.mWaitsSince = Now();
-  }
-  const auto check = Now() + PatienceWith(link);
-  if (link.mReplyTime && check < aCommand.mDeadline) {
-    mLinkChecks.emplace(check, aCommand.mCorrelation);
-  }
+  AwaitReply(link, aCommand.mAddress);
   SendOver(mCaller, link.mRoute, aCommand);
 }
 
@@ -422,9 +418,6 @@
     mPending.erase(it);
     --mPendingCount;
     NoteUnanswered(pending);
-    if (IsSilent(pending)) {
-      Replace(pending);
-    }
     pending.mCallback(tl::make_unexpected(
       MakeError(PeerErrorKind::kTimeout, pending.mAddress)));
   }
@@ -441,18 +434,14 @@
   }
 }
 
-bool
-PeerLoop::IsSilent(const PeerPending& aPending) const
+// A request waits on the link: plans the look whether a reply has come.
+void
+PeerLoop::AwaitReply(PeerLink& aLink, const std::string& aAddress)
 {
-  const auto it = mLinks.find(aPending.mAddress);
-  if (it == mLinks.end() || it->second.mRoute != aPending.mRoute) {
-    return false; // it has been replaced
+  if (!aLink.mWaitsSince) {
+    aLink.mWaitsSince = Now();
+    mLinkChecks.emplace(SilentAt(aLink), LinkCheck{ aAddress, aLink.mRoute });
   }
-  const auto& link = it->second;
-  if (!link.mHeard) {
-    return Now() >= link.mMade + kUnheardTime;
-  }
-  return link.mWaitsSince && Now() >= *link.mWaitsSince + PatienceWith(link);
 }
 
 void
@@ -460,23 +449,29 @@
 {
   const auto now = Now();
   while (!mLinkChecks.empty() && mLinkChecks.begin()->first <= now) {
-    const auto correlation = mLinkChecks.begin()->second;
+    const auto check = mLinkChecks.begin()->second;
     mLinkChecks.erase(mLinkChecks.begin());
-    const auto it = mPending.find(correlation);
-    if (it != mPending.end() && IsSilent(it->second)) {
-      Replace(it->second);
+    const auto link = mLinks.find(check.mAddress);
+    if (link == mLinks.end() || link->second.mRoute != check.mRoute ||
+        !link->second.mWaitsSince) {
+      continue;
+    }
+    const auto silentAt = SilentAt(link->second);
+    if (silentAt <= now) {
+      Replace(link);
+    } else {
+      mLinkChecks.emplace(silentAt, check);
     }
   }
 }
 
 void
-PeerLoop::Replace(const PeerPending& aUnanswered)
+PeerLoop::Replace(Links::iterator aLink)
 {
-  // A copy: what waits is sent again below.
-  const auto address = aUnanswered.mAddress;
+  const auto address = aLink->first;
   const auto silent =
-    std::chrono::duration_cast<Millis>(Now() - aUnanswered.mSent);
-  Close(mLinks.find(address));
+    std::chrono::duration_cast<Millis>(Now() - *aLink->second.mWaitsSince);
+  Close(aLink);
   ++mReplaced;
   const auto resent = ResendTo(address);
   if (mOptions.mOnReplaced) {
@@ -494,7 +489,7 @@
       continue;
     }
     auto& link = LinkTo(aAddress);
-    link.mWaitsSince = Now();
+    AwaitReply(link, aAddress);
     pending.mSent = Now();
     pending.mRoute = link.mRoute;
     SendOver(mCaller,
--- a/packages/peer/src/PeerLoopPriv.h
+++ b/packages/peer/src/PeerLoopPriv.h
@@ -42,6 +42,13 @@
   std::optional<Micros> mReplyTime; // of the last one that came in time
 };
 
+// The link that a look was planned for; it may have been replaced since.
+struct LinkCheck
+{
+  std::string mAddress;
+  std::string mRoute;
+};
+
 // A request that waits for its reply.
 struct PeerPending
 {
@@ -99,10 +106,9 @@
   void Expire();
   void CloseIdle();
   void NoteHeard(const std::string& aRoute);
-  // Whether the link that carried the request has gone silent.
-  bool IsSilent(const PeerPending& aPending) const;
+  void AwaitReply(PeerLink& aLink, const std::string& aAddress);
   void CheckLinks();
-  void Replace(const PeerPending& aUnanswered);
+  void Replace(Links::iterator aLink);
   std::size_t ResendTo(const std::string& aAddress);
   Links::iterator Close(Links::iterator aLink);
   void NoteUnanswered(const PeerPending& aPending);
@@ -124,8 +130,8 @@
   TimePoint mNextIdleLook;
   std::unordered_map<std::uint64_t, PeerPending> mPending;
   std::multimap<TimePoint, std::uint64_t> mDeadlines;
-  // When a request without a reply is taken as a sign of a silent link.
-  std::multimap<TimePoint, std::uint64_t> mLinkChecks;
+  // Looks at links on which a request waits.
+  std::multimap<TimePoint, LinkCheck> mLinkChecks;
   std::unordered_map<std::string, std::string> mAddresses; // by route
   std::mutex mMutex;
   std::deque<PeerCommand> mCommands;
