--- a/packages/home/src/ServerCall.cpp
+++ b/packages/home/src/ServerCall.cpp
@@ -35,8 +35,7 @@
   , mCutoff(aCutoff)
   , mPool({ .mAddress = aSpec.mAddress,
             .mMaxConnections = std::min(aSpec.mConnections, aSpec.mSlots),
-            .mIdleClose = kIdleClose,
-            .mProbeIdle = true })
+            .mIdleClose = kIdleClose })
 {
 }
 
--- a/packages/http/include/porttiller/http/HttpPool.h
+++ b/packages/http/include/porttiller/http/HttpPool.h
@@ -25,10 +25,6 @@
   Millis mConnectTimeout{ 1000 };
   // Sent bytes may stay unacknowledged for so long; see SetUserTimeout.
   Millis mUserTimeout{ 3000 };
-  // The kernel probes connections on which nothing is sent, so that one that
-  // went silent is not used. For other processes of this box: on links between
-  // boxes it would cost more than control may.
-  bool mProbeIdle = false;
   MessageLimits mLimits;
 };
 
--- a/packages/http/src/HttpPool.cpp
+++ b/packages/http/src/HttpPool.cpp
@@ -122,9 +122,6 @@
                                 ToTimespan(limit));
     connection->mSocket.setNoDelay(true);
     SetUserTimeout(connection->mSocket, mOptions.mUserTimeout);
-    if (mOptions.mProbeIdle) {
-      ProbeIdle(connection->mSocket);
-    }
   } catch (const Poco::Exception&) {
     return tl::make_unexpected(ExchangeError::kNotSent);
   }
--- a/packages/http/src/SocketsPriv.cpp
+++ b/packages/http/src/SocketsPriv.cpp
@@ -48,15 +48,6 @@
     IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(aTime.count()));
 }
 
-void
-ProbeIdle(Poco::Net::StreamSocket& aSocket)
-{
-  constexpr int kSecond = 1;
-  aSocket.setKeepAlive(true);
-  aSocket.setOption(IPPROTO_TCP, TCP_KEEPIDLE, kSecond);
-  aSocket.setOption(IPPROTO_TCP, TCP_KEEPINTVL, kSecond);
-}
-
 WakeUp::WakeUp()
   : mSocket(Poco::Net::SocketAddress("127.0.0.1", 0))
 {
--- a/packages/http/src/SocketsPriv.h
+++ b/packages/http/src/SocketsPriv.h
@@ -24,11 +24,6 @@
 void
 SetUserTimeout(Poco::Net::StreamSocket& aSocket, Millis aTime);
 
-// Has the kernel probe the other side each second while nothing is sent, and
-// end the connection at its user time-out.
-void
-ProbeIdle(Poco::Net::StreamSocket& aSocket);
-
 // Wakes a thread that polls: a datagram socket that is sent to by itself.
 class WakeUp
 {
