--- a/packages/peer/tests/PeerTransportTest.cpp
+++ b/packages/peer/tests/PeerTransportTest.cpp
@@ -140,8 +140,7 @@
   const auto second = MakePeer(kSecond, "b", handled);
   standin::LinkStandIn link(kSecond);
   REQUIRE(IsReached(*first, link.Address().c_str()));
-  link.SilenceForward();
-  link.SilenceBackward();
+  link.Silence();
   CHECK(IsReached(*first, link.Address().c_str()));
 }
 
--- a/packages/store/tests/SilentConnectionTest.cpp
+++ b/packages/store/tests/SilentConnectionTest.cpp
@@ -33,8 +33,7 @@
   Fixture f;
   const auto list = f.mClient.ListConfiguration();
   REQUIRE(list.has_value());
-  f.mLink.SilenceForward();
-  f.mLink.SilenceBackward();
+  f.mLink.Silence();
   f.mPlatform.Put({ "Service", "b" }, "{}");
   const auto changes = f.mClient.WatchConfiguration(list->mTo, Millis(100));
   REQUIRE(changes.has_value());
--- a/testing/fleet/Fleet.cpp
+++ b/testing/fleet/Fleet.cpp
@@ -31,13 +31,6 @@
   return "127.0.0.1:" + std::to_string(aPort);
 }
 
-void
-Silence(standin::LinkStandIn& aLink)
-{
-  aLink.SilenceForward();
-  aLink.SilenceBackward();
-}
-
 } // namespace
 
 Reply
@@ -215,15 +208,15 @@
 void
 Fleet::SilencePlatformLinks()
 {
-  Silence(*mPlatformLink);
+  mPlatformLink->Silence();
 }
 
 void
 Fleet::SilenceBoxLinks()
 {
   for (int box = 0; box < mOptions.mBoxes; ++box) {
-    Silence(*mHomeLinks.at(static_cast<std::size_t>(box)));
-    Silence(*mControlLinks.at(static_cast<std::size_t>(box)));
+    mHomeLinks.at(static_cast<std::size_t>(box))->Silence();
+    mControlLinks.at(static_cast<std::size_t>(box))->Silence();
   }
 }
 
--- a/testing/soak/Schedule.cpp
+++ b/testing/soak/Schedule.cpp
@@ -74,9 +74,13 @@
     case FaultKind::kRestartServer:
       return "restart-server";
     case FaultKind::kForeignWriter:
+      return "foreign-writer";
+    case FaultKind::kStoreSilent:
+      return "store-silent";
+    case FaultKind::kServerSilent:
       break;
   }
-  return "foreign-writer";
+  return "server-silent";
 }
 
 std::vector<Fault>
--- a/testing/soak/Schedule.h
+++ b/testing/soak/Schedule.h
@@ -30,11 +30,13 @@
   kReplaceServer,   // drains, leaves, and another has its address
   kConfigure,       // a new version of the configuration
   kRestartServer,   // ends at once and starts again under its id
-  kForeignWriter    // writes objects and a heartbeat that are none of ours
+  kForeignWriter,   // writes objects and a heartbeat that are none of ours
+  kStoreSilent,     // a box's open connections to the store carry nothing more
+  kServerSilent     // nor do those between a box and its server
 };
 
 inline constexpr int kFaultKinds =
-  static_cast<int>(FaultKind::kForeignWriter) + 1;
+  static_cast<int>(FaultKind::kServerSilent) + 1;
 
 const char*
 ToText(FaultKind aKind);
--- a/testing/soak/Soak.cpp
+++ b/testing/soak/Soak.cpp
@@ -130,6 +130,12 @@
     case FaultKind::kStoreReset:
       mFleet.StoreLink(box).Reset();
       break;
+    case FaultKind::kStoreSilent:
+      mFleet.StoreLink(box).Silence();
+      break;
+    case FaultKind::kServerSilent:
+      mFleet.ServerLink(box).Silence();
+      break;
     case FaultKind::kStoreForgets:
       mFleet.Store().ForgetHistory();
       break;
--- a/testing/standin/LinkStandIn.cpp
+++ b/testing/standin/LinkStandIn.cpp
@@ -58,6 +58,13 @@
   ++mGeneration;
 }
 
+void
+LinkStandIn::Silence()
+{
+  SilenceForward();
+  SilenceBackward();
+}
+
 void
 LinkStandIn::Accept()
 {
--- a/testing/standin/LinkStandIn.h
+++ b/testing/standin/LinkStandIn.h
@@ -34,6 +34,7 @@
   // without an end or a reset. Later ones work.
   void SilenceForward() { mSilentForward = mOpened.load(); }
   void SilenceBackward() { mSilentBackward = mOpened.load(); }
+  void Silence(); // both ways
 
 private:
   void Accept();
