Decide apart from the sockets which links are silent

Change: LinkSilence, without I/O and clock, keeps when each link was made, asked and heard, and names those that are silent; the loop replaces them. Behaviour as before, but for one thing: a look that was planned for a new link, 3 s ahead, no longer delays an earlier one.

Evidence: LinkSilenceTest replays a request a second over links that lose every fifth packet (215 ms), that answer after 330 ms, and that become slower bit by bit: never taken for silent in 200 s; 60 links that go silent at one moment are all found within 350 ms.

--- a/packages/peer/src/PeerLoopPriv.cpp
+++ b/packages/peer/src/PeerLoopPriv.cpp
@@ -18,18 +18,7 @@
 constexpr int kConnectMs = 700;
 constexpr int kMaxReconnectMs = 500;
 constexpr int kIdleLooks = 4; // for idle links, while one becomes idle
-// A device on the path may forget a link without an end or a reset. One that
-// answered before and is silent for this long and for several times what its
-// last reply took is made anew, and what waits is sent again over it. More than
-// TCP's least retransmission time-out of 200 ms, so that a lost packet is not
-// taken for silence.
-constexpr Millis kLinkPatience{ 350 };
-constexpr int kUsualReplies = 4;
-// A link that never answered may still be on its way.
-constexpr Millis kUnheardTime{ 3000 };
-// A message without a reply over a link that has carried none for this long
-// asks for one.
-constexpr Millis kQuietTime{ 1000 };
+// Of a message that has to ask for a reply.
 constexpr Millis kCheckTimeout{ 1000 };
 
 PeerError
@@ -38,16 +27,6 @@
   return { .mKind = aKind, .mDetail = std::move(aDetail) };
 }
 
-// When a link on which a request waits has been silent for too long.
-TimePoint
-SilentAt(const PeerLink& aLink)
-{
-  const auto usual = aLink.mReplyTime.value_or(Micros(0));
-  const auto at =
-    *aLink.mWaitsSince + std::max<Micros>(kLinkPatience, kUsualReplies * usual);
-  return aLink.mHeard ? at : std::max(at, aLink.mMade + kUnheardTime);
-}
-
 // Receivers add up what reports count.
 bool
 MayRepeat(wire::Envelope::BodyCase aKind)
@@ -63,12 +42,6 @@
          aKind == wire::Envelope::kProbe;
 }
 
-bool
-IsQuiet(const PeerLink& aLink)
-{
-  return aLink.mHeard && *aLink.mHeard + kQuietTime < Now();
-}
-
 } // namespace
 
 PeerLoop::PeerLoop(PeerTransportOptions aOptions, PeerHandler aHandler)
@@ -204,8 +177,8 @@
   if (!mDeadlines.empty()) {
     next = std::min(next, mDeadlines.begin()->first);
   }
-  if (!mLinkChecks.empty()) {
-    next = std::min(next, mLinkChecks.begin()->first);
+  if (const auto look = mSilence.NextLook()) {
+    next = std::min(next, *look);
   }
   return std::max(Millis(0), std::chrono::ceil<Millis>(next - Now()));
 }
@@ -235,7 +208,7 @@
   if (items[0].revents != 0) {
     TakeCommands();
   }
-  CheckLinks();
+  ReplaceSilent();
   Expire();
   CloseIdle();
 }
@@ -266,7 +239,8 @@
 PeerLoop::SendMessage(PeerCommand aCommand)
 {
   const auto& link = LinkTo(aCommand.mAddress);
-  if (!IsQuiet(link) || !MustArrive(aCommand.mMessage->body_case())) {
+  if (!mSilence.IsQuiet(link.mRoute, Now()) ||
+      !MustArrive(aCommand.mMessage->body_case())) {
     SendOver(
       mCaller, link.mRoute, MakeCommand(std::move(*aCommand.mMessage), 0));
     return;
@@ -293,9 +267,9 @@
     const auto route = std::to_string(mNextLink++);
     mCaller.set(zmq::sockopt::connect_routing_id, route);
     mCaller.connect("tcp://" + aAddress);
-    it = mLinks.emplace(aAddress, PeerLink{ .mRoute = route, .mMade = Now() })
-           .first;
+    it = mLinks.emplace(aAddress, PeerLink{ .mRoute = route }).first;
     mAddresses.emplace(route, aAddress);
+    mSilence.OnMade(route, Now());
     mLinkCount = mLinks.size();
   }
   it->second.mLastUse = Now();
@@ -314,7 +288,7 @@
                                       .mRoute = link.mRoute,
                                       .mPayload = aCommand.mPayload };
   mDeadlines.emplace(aCommand.mDeadline, aCommand.mCorrelation);
-  AwaitReply(link, aCommand.mAddress);
+  mSilence.OnRequest(link.mRoute, Now());
   SendOver(mCaller, link.mRoute, aCommand);
 }
 
@@ -381,7 +355,7 @@
       continue;
     }
     mReceived += payload.size();
-    NoteHeard(route.to_string());
+    mSilence.OnHeard(route.to_string(), Now());
     auto reply = DecodeMessage(payload.to_string_view());
     if (!reply) {
       ++mUnreadable;
@@ -393,10 +367,7 @@
       continue;
     }
     const auto callback = std::move(it->second.mCallback);
-    const auto link = mLinks.find(it->second.mAddress);
-    if (link != mLinks.end()) {
-      link->second.mReplyTime = Now() - it->second.mSent;
-    }
+    mSilence.OnReplyTime(it->second.mRoute, Now() - it->second.mSent);
     mPending.erase(it);
     --mPendingCount;
     callback(std::move(*reply));
@@ -424,62 +395,20 @@
 }
 
 void
-PeerLoop::NoteHeard(const std::string& aRoute)
-{
-  const auto address = mAddresses.find(aRoute);
-  if (address != mAddresses.end()) {
-    auto& link = mLinks.at(address->second);
-    link.mHeard = Now();
-    link.mWaitsSince.reset();
-  }
-}
-
-// A request waits on the link: plans the look whether a reply has come.
-void
-PeerLoop::AwaitReply(PeerLink& aLink, const std::string& aAddress)
-{
-  if (!aLink.mWaitsSince) {
-    aLink.mWaitsSince = Now();
-    mLinkChecks.emplace(SilentAt(aLink), LinkCheck{ aAddress, aLink.mRoute });
-  }
-}
-
-void
-PeerLoop::CheckLinks()
-{
-  const auto now = Now();
-  while (!mLinkChecks.empty() && mLinkChecks.begin()->first <= now) {
-    const auto check = mLinkChecks.begin()->second;
-    mLinkChecks.erase(mLinkChecks.begin());
-    const auto link = mLinks.find(check.mAddress);
-    if (link == mLinks.end() || link->second.mRoute != check.mRoute ||
-        !link->second.mWaitsSince) {
-      continue;
-    }
-    const auto silentAt = SilentAt(link->second);
-    if (silentAt <= now) {
-      Replace(link);
-    } else {
-      mLinkChecks.emplace(silentAt, check);
+PeerLoop::ReplaceSilent()
+{
+  for (const auto& [route, silent] : mSilence.TakeSilent(Now())) {
+    const auto address = mAddresses.at(route);
+    Close(mLinks.find(address));
+    ++mReplaced;
+    const auto resent = ResendTo(address);
+    if (mOptions.mOnReplaced) {
+      mOptions.mOnReplaced(
+        { .mAddress = address, .mSilent = silent, .mResent = resent });
     }
   }
 }
 
-void
-PeerLoop::Replace(Links::iterator aLink)
-{
-  const auto address = aLink->first;
-  const auto silent =
-    std::chrono::duration_cast<Millis>(Now() - *aLink->second.mWaitsSince);
-  Close(aLink);
-  ++mReplaced;
-  const auto resent = ResendTo(address);
-  if (mOptions.mOnReplaced) {
-    mOptions.mOnReplaced(
-      { .mAddress = address, .mSilent = silent, .mResent = resent });
-  }
-}
-
 std::size_t
 PeerLoop::ResendTo(const std::string& aAddress)
 {
@@ -489,7 +418,7 @@
       continue;
     }
     auto& link = LinkTo(aAddress);
-    AwaitReply(link, aAddress);
+    mSilence.OnRequest(link.mRoute, Now());
     pending.mSent = Now();
     pending.mRoute = link.mRoute;
     SendOver(mCaller,
@@ -505,6 +434,7 @@
 {
   mCaller.disconnect("tcp://" + aLink->first);
   mAddresses.erase(aLink->second.mRoute);
+  mSilence.OnClosed(aLink->second.mRoute);
   const auto next = mLinks.erase(aLink);
   mLinkCount = mLinks.size();
   return next;
@@ -522,11 +452,6 @@
                              .mKind = aPending.mKind,
                              .mWaited = std::chrono::duration_cast<Millis>(
                                now - aPending.mSent) };
-  const auto link = mLinks.find(aPending.mAddress);
-  if (link != mLinks.end() && link->second.mHeard) {
-    request.mLinkHeard =
-      std::chrono::duration_cast<Millis>(now - *link->second.mHeard);
-  }
   mOptions.mOnUnanswered(request);
 }
 
--- a/packages/peer/src/PeerLoopPriv.h
+++ b/packages/peer/src/PeerLoopPriv.h
@@ -1,6 +1,7 @@
 // The thread and the sockets behind a PeerTransport.
 #pragma once
 
+#include "LinkSilencePriv.h"
 #include "porttiller/peer/PeerTransport.h"
 
 #include <array>
@@ -34,19 +35,7 @@
 struct PeerLink
 {
   std::string mRoute; // names it within that socket; never used again
-  TimePoint mMade;
   TimePoint mLastUse;
-  std::optional<TimePoint> mHeard; // a reply came over it, in time or late
-  // The first request since then was sent.
-  std::optional<TimePoint> mWaitsSince;
-  std::optional<Micros> mReplyTime; // of the last one that came in time
-};
-
-// The link that a look was planned for; it may have been replaced since.
-struct LinkCheck
-{
-  std::string mAddress;
-  std::string mRoute;
 };
 
 // A request that waits for its reply.
@@ -105,10 +94,8 @@
   void ReceiveReplies();
   void Expire();
   void CloseIdle();
-  void NoteHeard(const std::string& aRoute);
-  void AwaitReply(PeerLink& aLink, const std::string& aAddress);
-  void CheckLinks();
-  void Replace(Links::iterator aLink);
+  // Makes silent links anew and sends what waits over the new ones.
+  void ReplaceSilent();
   std::size_t ResendTo(const std::string& aAddress);
   Links::iterator Close(Links::iterator aLink);
   void NoteUnanswered(const PeerPending& aPending);
@@ -130,9 +117,8 @@
   TimePoint mNextIdleLook;
   std::unordered_map<std::uint64_t, PeerPending> mPending;
   std::multimap<TimePoint, std::uint64_t> mDeadlines;
-  // Looks at links on which a request waits.
-  std::multimap<TimePoint, LinkCheck> mLinkChecks;
   std::unordered_map<std::string, std::string> mAddresses; // by route
+  LinkSilence mSilence;
   std::mutex mMutex;
   std::deque<PeerCommand> mCommands;
   bool mStopping = false;
