--- a/testing/soak/Checks.h
+++ b/testing/soak/Checks.h
@@ -12,6 +12,7 @@
   int mBox = 0;
   TimePoint mBegin;
   TimePoint mEnd;
+  Millis mPlanned{ 0 }; // of its fault, from the start of the soak
 };
 
 // A server's word that it drains, acknowledged by its box.
--- a/testing/soak/Soak.cpp
+++ b/testing/soak/Soak.cpp
@@ -216,7 +216,8 @@
     return; // it is about to start again anyway
   }
   if (aFault.mKind != FaultKind::kReloadBox) {
-    mEvidence.mDisturbances.push_back({ box, Now(), Now() + aFault.mLength });
+    mEvidence.mDisturbances.push_back(
+      { box, Now(), Now() + aFault.mLength, aFault.mBegin });
   }
   switch (aFault.mKind) {
     case FaultKind::kKillBox:
@@ -243,6 +244,7 @@
   const int box = aFault.mBox;
   if (aFault.mKind == FaultKind::kPauseBox && mPaused.erase(box) > 0) {
     mFleet.SignalBox(box, SIGCONT);
+    NoteEnd(aFault);
   }
   const bool ends =
     aFault.mKind == FaultKind::kKillBox || aFault.mKind == FaultKind::kStopBox;
@@ -255,6 +257,20 @@
   mFleet.WaitForBoxExit(box, kExitWait);
   mFleet.StartBox(box);
   mDown.erase(box);
+  NoteEnd(aFault);
+}
+
+// A disturbance may last longer than planned: other faults of the soak wait for
+// boxes that do not answer.
+void
+Soak::NoteEnd(const Fault& aFault)
+{
+  for (auto& disturbance : mEvidence.mDisturbances) {
+    if (disturbance.mBox == aFault.mBox &&
+        disturbance.mPlanned == aFault.mBegin) {
+      disturbance.mEnd = std::max(disturbance.mEnd, Now());
+    }
+  }
 }
 
 void
--- a/testing/soak/Soak.h
+++ b/testing/soak/Soak.h
@@ -39,6 +39,7 @@
   void End(const Fault& aFault);
   void BeginOnBox(const Fault& aFault);
   void EndOnBox(const Fault& aFault);
+  void NoteEnd(const Fault& aFault);
   void SetServer(int aBox, const standin::MeshServerFaults& aFaults);
   void RestartServer(int aBox);
   void WriteForeignObjects(int aBox);
