Test lists of several pages with the store stand-in, not with its text

Change: ObjectStoreStandIn calls a hook behind each page; the test changes an object of the first page there, and the watch from the list has to bring it, which the old test did not ask.

--- a/packages/store/tests/ListPagesTest.cpp
+++ b/packages/store/tests/ListPagesTest.cpp
@@ -1,29 +1,39 @@
 // Lists of the store that come in several pages.
 #include "porttiller/store/ObjectClient.h"
 
-#include "standin/HttpStandIn.h"
+#include "standin/ObjectStoreStandIn.h"
 
 #include <doctest/doctest.h>
 
 using namespace porttiller;
 
+namespace {
+
+constexpr const char* kAddress = "127.0.0.1:22952";
+constexpr const char* kKind = "things";
+
+} // namespace
+
 TEST_CASE("A list of several pages goes on where its first page was read")
 {
-  int pages = 0;
-  standin::HttpStandIn store("127.0.0.1:0", [&](auto&, auto& aResponse) {
-    standin::SendText(
-      aResponse,
-      200,
-      ++pages == 1
-        ? R"({"items":[{"Metadata":{"Name":"a","Rev":10},"Spec":{}}],)"
-          R"("MorePages":true,"StoreRevision":10})"
-        : R"({"items":[{"Metadata":{"Name":"b","Rev":9},"Spec":{}}],)"
-          R"("MorePages":false,"StoreRevision":12})");
+  standin::ObjectStoreStandIn store(kAddress);
+  for (const char* name : { "a", "b", "c", "d" }) {
+    store.Put({ kKind, name }, "{}");
+  }
+  std::uint64_t changed = 0;
+  store.OnPage([&] {
+    if (changed == 0) {
+      changed = store.Put({ kKind, "a" }, R"({"is":"changed"})");
+    }
   });
-  ObjectClient client({ .mAddress = store.Address(),
-                        .mDialect = platform::ObjectStoreDialect() });
-  const auto list = client.List("box-records");
+  ObjectClient client(
+    { .mAddress = kAddress, .mDialect = platform::ObjectStoreDialect() });
+  const auto list = client.List(kKind);
   REQUIRE(list.has_value());
-  CHECK(list->mObjects.size() == 2);
-  CHECK(list->mCursor == 10);
+  CHECK(list->mObjects.size() == 4);
+  CHECK(list->mCursor < changed);
+  const auto changes = client.Watch(kKind, list->mCursor, Millis(100));
+  REQUIRE(changes.has_value());
+  REQUIRE(changes->mObjects.size() == 1);
+  CHECK(changes->mObjects.front().mVersion == changed);
 }
--- a/testing/standin/ObjectStoreStandIn.cpp
+++ b/testing/standin/ObjectStoreStandIn.cpp
@@ -183,6 +183,17 @@
 ObjectStoreStandIn::Reply
 ObjectStoreStandIn::List(const std::string& aKind,
                          const std::string& aAfter) const
+{
+  auto page = ListPage(aKind, aAfter);
+  if (mOnPage) {
+    mOnPage();
+  }
+  return page;
+}
+
+ObjectStoreStandIn::Reply
+ObjectStoreStandIn::ListPage(const std::string& aKind,
+                             const std::string& aAfter) const
 {
   const std::lock_guard lock(mMutex);
   std::vector<std::string> items;
--- a/testing/standin/ObjectStoreStandIn.h
+++ b/testing/standin/ObjectStoreStandIn.h
@@ -10,6 +10,7 @@
 #include <Poco/URI.h>
 #include <atomic>
 #include <condition_variable>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -29,6 +30,8 @@
   void SetDown(bool aDown);
   // The next aCount writes take effect and lose their answer.
   void LoseWriteAnswers(int aCount) { mLoseAnswers = aCount; }
+  // Called behind each page of a list, before it is sent.
+  void OnPage(std::function<void()> aHook) { mOnPage = std::move(aHook); }
   // Watches from before now get 410.
   void ForgetHistory();
 
@@ -53,6 +56,7 @@
                const std::string& aBody);
   Reply Read(const ObjectKey& aKey) const;
   Reply List(const std::string& aKind, const std::string& aAfter) const;
+  Reply ListPage(const std::string& aKind, const std::string& aAfter) const;
   Reply Watch(const std::string& aKind, std::uint64_t aFrom, Millis aWait);
   Reply Create(const std::string& aKind, const std::string& aBody);
   Reply Replace(const ObjectKey& aKey, const std::string& aBody);
@@ -67,6 +71,7 @@
   std::uint64_t mRevision = 0;
   std::uint64_t mForgotten = 0; // changes up to here are not told any more
   std::map<ObjectKey, Object> mObjects;
+  std::function<void()> mOnPage;
   std::unique_ptr<HttpStandIn> mServer;
 };
 
