home: name the requests that ran when a backend server crashed

RequestDigest identifies equal requests: method, host, target, body, caller and workspace, hashed with XXH3. attempt_failed and request_failed carry it. When a connection closes without an answer, the home tries the address once; if it refuses, server_crashed names the digests that ran there (CrashAttribution).

No decision depends on it yet.

--- a/packages/entry/include/porttiller/entry/RequestContext.h
+++ b/packages/entry/include/porttiller/entry/RequestContext.h
@@ -5,6 +5,7 @@
 #include "porttiller/config/Settings.h"
 #include "porttiller/config/Snapshot.h"
 #include "porttiller/core/Outcome.h"
+#include "porttiller/core/RequestDigest.h"
 #include "porttiller/core/Time.h"
 #include "porttiller/http/HttpListener.h"
 #include "porttiller/http/HttpTypes.h"
@@ -53,6 +54,7 @@
   bool mRepeatable = false;
   std::string mRequestKey;
   std::string mToken;
+  RequestDigest mDigest; // empty until the request is sent to a home
   Micros mHomeTime{ 0 }; // waiting for homes; not counted as added latency
 };
 
--- a/packages/entry/src/AttemptRunPriv.cpp
+++ b/packages/entry/src/AttemptRunPriv.cpp
@@ -3,6 +3,7 @@
 #include "porttiller/entry/AttemptPool.h"
 #include "porttiller/hop/HopHeaders.h"
 #include "porttiller/hop/Random.h"
+#include "porttiller/hop/RequestDigests.h"
 #include "porttiller/telemetry/Log.h"
 
 #include <algorithm>
@@ -102,7 +103,9 @@
   , mResults(std::make_shared<AttemptResults>())
   , mCallerWatch(OnCancel(aContext.mCancelled,
                           [results = mResults] { results->Interrupt(); }))
+  , mHeaders(ServerHeaders())
 {
+  mContext.mDigest = DigestOf(mContext.mHttp, mHeaders, mContext.mNames);
 }
 
 CallerAnswer
@@ -271,8 +274,9 @@
                        .mRoute = mContext.mRoute->mName,
                        .mRequestId = mContext.mRequestId,
                        .mCancelled = aAttempt.mCancelled };
+  request.mDigest = mContext.mDigest;
   request.mHttp = mContext.mHttp;
-  request.mHttp.mHeaders = ServerHeaders();
+  request.mHttp.mHeaders = mHeaders;
   return request;
 }
 
@@ -363,6 +367,7 @@
     .With("number", mPlan.Attempts())
     .With("server", mEnded.mServer->mName.Value())
     .With("home", mEnded.mServer->mBox.Value())
+    .With("digest", mContext.mDigest.ToString())
     .With("reason", aResult)
     .With("repeatable", mContext.mRepeatable ? "yes" : "no")
     .With("left_ms", left.count());
--- a/packages/entry/src/AttemptRunPriv.h
+++ b/packages/entry/src/AttemptRunPriv.h
@@ -83,7 +83,8 @@
   std::vector<RunningAttempt> mRunning;
   std::shared_ptr<AttemptResults> mResults;
   Cancellation::Watch mCallerWatch;
-  RunningAttempt mEnded; // the one whose result is being processed
+  const HttpHeaders mHeaders; // for the server
+  RunningAttempt mEnded;      // the one whose result is being processed
   TimePoint mHedgeAt = TimePoint::max();
   bool mDone = false;
   std::string mReason = "no-server";
--- a/packages/entry/src/EntryServer.cpp
+++ b/packages/entry/src/EntryServer.cpp
@@ -152,6 +152,7 @@
   LogLine(LogLevel::kInfo, "request_failed")
     .With("request", aContext.mRequestId)
     .With("route", aContext.mRoute == nullptr ? "" : aContext.mRoute->mName)
+    .With("digest", aContext.mDigest.Empty() ? "" : aContext.mDigest.ToString())
     .With("workspace",
           aContext.mWorkspace ? aContext.mWorkspace->mName.Value() : "")
     .With("status", aAnswer.mStatus)
--- a/packages/home/include/porttiller/home/LocalServer.h
+++ b/packages/home/include/porttiller/home/LocalServer.h
@@ -11,6 +11,7 @@
 #include "porttiller/home/ServerStateUpdate.h"
 #include "porttiller/hop/HomeTypes.h"
 #include "porttiller/hop/ShutdownDeadline.h"
+#include "porttiller/policy/CrashAttribution.h"
 #include "porttiller/policy/EjectionMachine.h"
 #include "porttiller/policy/RetryBudget.h"
 #include "porttiller/policy/RouteTimes.h"
@@ -115,6 +116,9 @@
   void RecordEvidence(const HomeRequest& aRequest,
                       const HomeAnswer& aAnswer,
                       Micros aTime);
+  void RecordCrashEvidence(const HomeRequest& aRequest,
+                           const HomeAnswer& aAnswer);
+  std::vector<CrashSuspect> SuspectsOfCrash();
   void FreeSlot(std::optional<Micros> aServiceTime);
   void SetWaitState(Ticket aTicket, WaitState aState);
   void RejectWaiter(Ticket aTicket,
@@ -142,6 +146,7 @@
   bool mReportedDemoted = false;
   std::optional<TimePoint> mUnreportedSince; // a change not yet reported
   ServerBreaker mBreaker; // receives outcomes only with kBreak
+  CrashAttribution mCrashes;
   bool mReplaced = false;
   Ticket mNextTicket = 1;
   bool mLeaving = false;
--- a/packages/home/include/porttiller/home/ServerCall.h
+++ b/packages/home/include/porttiller/home/ServerCall.h
@@ -23,6 +23,10 @@
   // server answers at the address.
   HomeAnswer Run(const HomeRequest& aRequest);
 
+  // Whether the server's address refuses new connections, so that no process
+  // listens there. Opens one connection, which a later request uses.
+  bool RefusesConnections() { return mPool.Probe() == ListenerState::kRefuses; }
+
 private:
   HttpRequestData MakeRequest(const HomeRequest& aRequest) const;
   HomeAnswer ToHomeAnswer(const HomeRequest& aRequest, HttpAnswer aHttp);
--- a/packages/home/src/HomeServer.cpp
+++ b/packages/home/src/HomeServer.cpp
@@ -2,6 +2,7 @@
 
 #include "porttiller/hop/Dialects.h"
 #include "porttiller/hop/HopCodec.h"
+#include "porttiller/hop/RequestDigests.h"
 #include "porttiller/telemetry/Log.h"
 
 namespace porttiller {
@@ -75,6 +76,7 @@
     request->mRequestId =
       HeaderValue(request->mHttp.mHeaders, mNames.mRequestId);
   }
+  request->mDigest = DigestOf(request->mHttp, request->mHttp.mHeaders, mNames);
   request->mCancelled = aCall.mCancelled;
   auto answer = mHome.Handle(*request);
   HttpReply reply{ .mAnswer = { .mStatus = StatusOf(answer) } };
--- a/packages/home/src/LocalServer.cpp
+++ b/packages/home/src/LocalServer.cpp
@@ -42,6 +42,21 @@
            .mMinServiceShare = 0.6 };
 }
 
+void
+LogCrash(const ServerIncarnation& aServer,
+         const std::vector<CrashSuspect>& aSuspects)
+{
+  constexpr std::size_t kMaxDigests = 16; // in one line
+  std::string digests;
+  for (std::size_t i = 0; i < std::min(kMaxDigests, aSuspects.size()); ++i) {
+    digests += (i == 0 ? "" : ",") + aSuspects[i].mDigest.ToString();
+  }
+  LogLine(LogLevel::kWarning, "server_crashed")
+    .With("server", aServer.ToString())
+    .With("running", static_cast<std::int64_t>(aSuspects.size()))
+    .With("digests", digests);
+}
+
 } // namespace
 
 LocalServer::LocalServer(const BackendServerSpec& aSpec,
@@ -147,6 +162,7 @@
     OnServerRejection(answer);
   }
   RecordEvidence(aRequest, answer, time);
+  RecordCrashEvidence(aRequest, answer);
   const bool ran = answer.mOutcome != Outcome::kNotRun;
   FreeSlot(ran ? std::optional<Micros>(time) : std::nullopt);
   const std::lock_guard lock(mMutex);
@@ -219,6 +235,39 @@
   mMachine.OnEvidence(evidence, Now());
 }
 
+// A server that closed a connection and accepts no new one has crashed, unless
+// it was leaving.
+void
+LocalServer::RecordCrashEvidence(const HomeRequest& aRequest,
+                                 const HomeAnswer& aAnswer)
+{
+  {
+    const std::lock_guard lock(mMutex);
+    if (aAnswer.mOutcome != Outcome::kUnknown) {
+      mCrashes.OnAnswered(aRequest.mAttempt);
+      return;
+    }
+    mCrashes.OnBroken(aRequest.mAttempt, Now());
+    if (!aAnswer.mServerClosed || mLeaving || Now() < mServerLeavingUntil) {
+      return;
+    }
+  }
+  if (!mCall.RefusesConnections()) {
+    return;
+  }
+  const auto suspects = SuspectsOfCrash();
+  if (!suspects.empty()) {
+    LogCrash(mSpec.Incarnation(), suspects);
+  }
+}
+
+std::vector<CrashSuspect>
+LocalServer::SuspectsOfCrash()
+{
+  const std::lock_guard lock(mMutex);
+  return mCrashes.OnConnectionRefused(Now());
+}
+
 bool
 LocalServer::Replaced() const
 {
@@ -358,6 +407,7 @@
 LocalServer::OnStarted(const HomeRequest& aRequest)
 {
   mBreaker.OnStarted(aRequest, Now());
+  mCrashes.OnStarted(aRequest.mAttempt, { .mDigest = aRequest.mDigest });
   if (aRequest.mIsRetry) {
     mRetries.Spend();
   } else {
--- a/packages/home/src/ServerCall.cpp
+++ b/packages/home/src/ServerCall.cpp
@@ -25,7 +25,9 @@
 Unknown(ExchangeError aError)
 {
   return { .mOutcome = Outcome::kUnknown,
-           .mReason = std::string("server-") + ToText(aError) };
+           .mReason = std::string("server-") + ToText(aError),
+           .mServerClosed = aError == ExchangeError::kClosed ||
+                            aError == ExchangeError::kTruncated };
 }
 
 } // namespace
--- a/packages/hop/include/porttiller/hop/HomeTypes.h
+++ b/packages/hop/include/porttiller/hop/HomeTypes.h
@@ -4,6 +4,7 @@
 #include "porttiller/core/Ids.h"
 #include "porttiller/core/Outcome.h"
 #include "porttiller/core/RejectReason.h"
+#include "porttiller/core/RequestDigest.h"
 #include "porttiller/core/Time.h"
 #include "porttiller/http/HttpListener.h"
 #include "porttiller/http/HttpTypes.h"
@@ -32,6 +33,7 @@
   std::string mRequestKey;
   std::string mRoute;     // class of requests whose latencies are compared
   std::string mRequestId; // from the caller, for logs; may be empty
+  RequestDigest mDigest;  // never encoded; each side computes it
   CancelFlag mCancelled;  // never encoded; may be null
   HttpRequestData mHttp;
 };
@@ -71,6 +73,9 @@
   Micros mLatencyP90{ 0 };
   HttpAnswer mHttp;    // with kRun
   std::string mReason; // with kUnknown
+  // The server ended the connection before its answer was complete. Never
+  // encoded.
+  bool mServerClosed = false;
 };
 
 } // namespace porttiller
--- a/packages/http/include/porttiller/http/HttpPool.h
+++ b/packages/http/include/porttiller/http/HttpPool.h
@@ -28,6 +28,13 @@
   MessageLimits mLimits;
 };
 
+enum class ListenerState
+{
+  kAccepts,
+  kRefuses, // the peer's system answered that nothing listens there
+  kUnknown  // no answer in time, or another error
+};
+
 // Must outlive its exchanges. Thread-safe.
 class HttpPool
 {
@@ -41,6 +48,10 @@
     const HttpRequestData& aRequest,
     TimePoint aDeadline);
 
+  // Opens a connection, to learn whether the peer listens, and keeps it for a
+  // later request.
+  ListenerState Probe();
+
   // Closes all idle connections. Used when one connection of the pool is
   // unresponsive: a NAT or firewall on the path that dropped its state may have
   // dropped the state of the others, too.
@@ -54,7 +65,7 @@
   friend class HttpExchange;
 
   std::unique_ptr<ClientConnection> TakeIdle();
-  tl::expected<std::unique_ptr<ClientConnection>, ExchangeError> Connect(
+  tl::expected<std::unique_ptr<ClientConnection>, ListenerState> Connect(
     TimePoint aDeadline);
   bool Reserve();
   void Return(std::unique_ptr<ClientConnection> aConnection);
--- a/packages/http/src/HttpPool.cpp
+++ b/packages/http/src/HttpPool.cpp
@@ -4,6 +4,7 @@
 #include "SocketsPriv.h"
 
 #include <Poco/Exception.h>
+#include <Poco/Net/NetException.h>
 #include <Poco/Net/SocketAddress.h>
 #include <algorithm>
 
@@ -113,7 +114,7 @@
   return taken;
 }
 
-tl::expected<std::unique_ptr<ClientConnection>, ExchangeError>
+tl::expected<std::unique_ptr<ClientConnection>, ListenerState>
 HttpPool::Connect(TimePoint aDeadline)
 {
   const auto limit =
@@ -125,14 +126,29 @@
                                 ToTimespan(limit));
     connection->mSocket.setNoDelay(true);
     SetUserTimeout(connection->mSocket, mOptions.mUserTimeout);
+  } catch (const Poco::Net::ConnectionRefusedException&) {
+    return tl::make_unexpected(ListenerState::kRefuses);
   } catch (const Poco::Exception&) {
-    return tl::make_unexpected(ExchangeError::kNotSent);
+    return tl::make_unexpected(ListenerState::kUnknown);
   }
   const std::lock_guard lock(mMutex);
   ++mOpened;
   return connection;
 }
 
+ListenerState
+HttpPool::Probe()
+{
+  auto made = Connect(Now() + mOptions.mConnectTimeout);
+  if (!made) {
+    return made.error();
+  }
+  if (Reserve()) {
+    Return(std::move(*made));
+  }
+  return ListenerState::kAccepts;
+}
+
 void
 HttpPool::Return(std::unique_ptr<ClientConnection> aConnection)
 {
@@ -163,7 +179,7 @@
       auto made = Connect(aDeadline);
       if (!made) {
         Drop();
-        return tl::make_unexpected(made.error());
+        return tl::make_unexpected(ExchangeError::kNotSent);
       }
       connection = std::move(*made);
     }
