testing: a failing test for a request that crashes each server that runs it

Six boxes in the users' dialect, one server each; a request whose target holds a marker crashes its server after 80 ms, and the server is back after 2 s under another id.

--- a/testing/fleet/MeshFleet.cpp
+++ b/testing/fleet/MeshFleet.cpp
@@ -6,6 +6,7 @@
 #include <Poco/TemporaryFile.h>
 #include <filesystem>
 #include <fstream>
+#include <set>
 #include <sstream>
 #include <stdexcept>
 
@@ -19,6 +20,7 @@
 constexpr int kStorePortOffset = 900; // from the first port of the fleet
 constexpr Millis kStartWait{ 15'000 };
 constexpr Millis kAnswerWait{ 2000 };
+constexpr Millis kCrashPoll{ 20 };
 
 Reply
 SendOnNewConnection(const std::string& aAddress,
@@ -68,6 +70,9 @@
   if (!WaitServers(mOptions.mBoxes)) {
     throw std::runtime_error("the boxes did not learn of all servers in time");
   }
+  if (!mOptions.mCrashMarker.empty()) {
+    mCrashThread = std::thread([this] { RestartCrashedServers(); });
+  }
 }
 
 std::unique_ptr<standin::MeshServerStandIn>
@@ -84,6 +89,20 @@
       .mAddress = Address(aBox, kServerPortOffset),
       .mAdvertised = mOptions.mLinks ? ServerLink(aBox).Address() : "",
       .mRegistration = Address(aBox, 4),
+      .mCrashMarker = mOptions.mCrashMarker,
+      .mOnCrashArrival =
+        [this](const std::string& aTarget) {
+          const std::lock_guard lock(mCrashMutex);
+          mCrashRecords[aTarget].mArrivals.push_back(Now());
+        },
+      .mOnCrash =
+        [this, aBox](const std::string& aTarget) {
+          {
+            const std::lock_guard lock(mCrashMutex);
+            mCrashRecords[aTarget].mCrashes.push_back(Now());
+          }
+          CrashServer(aBox);
+        },
       .mStartMs = mOptions.mStartTimes
                     ? std::optional(kFirstStartMs + ++mStarts)
                     : std::nullopt });
@@ -115,8 +134,64 @@
   mRetired.push_back(std::move(server));
 }
 
+void
+MeshFleet::CrashServer(int aBox)
+{
+  const std::lock_guard lock(mCrashMutex);
+  mDown.try_emplace(aBox, Now());
+  mCrashChanged.notify_all();
+}
+
+std::map<std::string, CrashRecord>
+MeshFleet::EndCrashes()
+{
+  {
+    const std::lock_guard lock(mCrashMutex);
+    mEndCrashes = true;
+    mCrashChanged.notify_all();
+  }
+  if (mCrashThread.joinable()) {
+    mCrashThread.join();
+  }
+  const std::lock_guard lock(mCrashMutex);
+  return mCrashRecords;
+}
+
+// Stops servers that have crashed, which closes their connections and makes
+// their addresses refuse new ones, and starts them again.
+void
+MeshFleet::RestartCrashedServers()
+{
+  std::set<int> stopped;
+  std::unique_lock lock(mCrashMutex);
+  while (!mEndCrashes) {
+    const auto down = mDown;
+    lock.unlock();
+    for (const auto& [box, at] : down) {
+      if (stopped.insert(box).second) {
+        Server(box).Stop();
+      }
+    }
+    std::vector<int> started;
+    for (const auto& [box, at] : down) {
+      if (Now() >= at + mOptions.mCrashDownTime) {
+        ReplaceServer(box);
+        Server(box).SendHeartbeat();
+        stopped.erase(box);
+        started.push_back(box);
+      }
+    }
+    lock.lock();
+    for (const int box : started) {
+      mDown.erase(box);
+    }
+    mCrashChanged.wait_for(lock, kCrashPoll);
+  }
+}
+
 MeshFleet::~MeshFleet()
 {
+  EndCrashes();
   mBoxes.clear();
   mServers.clear();
   mRetired.clear();
--- a/testing/fleet/MeshFleet.h
+++ b/testing/fleet/MeshFleet.h
@@ -7,8 +7,12 @@
 #include "standin/MeshServerStandIn.h"
 #include "standin/ObjectStoreStandIn.h"
 
+#include <condition_variable>
+#include <map>
 #include <memory>
+#include <mutex>
 #include <string>
+#include <thread>
 #include <vector>
 
 namespace porttiller::fleet {
@@ -26,6 +30,17 @@
   bool mStartTimes = false;
   Millis mDrainNotice{ 2000 };
   Millis mDrain{ 12'000 };
+  // A request whose target contains this crashes each server that runs it.
+  // After mCrashDownTime the server is back under another id.
+  std::string mCrashMarker;
+  Millis mCrashDownTime{ 2000 };
+};
+
+// What one target did to the servers that ran it.
+struct CrashRecord
+{
+  std::vector<TimePoint> mArrivals; // at servers
+  std::vector<TimePoint> mCrashes;
 };
 
 // A request that a caller sends.
@@ -80,6 +95,12 @@
   // empty for none.
   void SetWorkspaces(const std::string& aTenants);
 
+  // Crashes the server of a box, as the system's own fault would.
+  void CrashServer(int aBox);
+  // Stops restarting crashed servers and returns the records by target. Other
+  // functions that use servers must not be called before.
+  std::map<std::string, CrashRecord> EndCrashes();
+
   Reply Send(const MeshRequest& aRequest);
   Reply Send(int aBox,
              const std::string& aMethod,
@@ -103,6 +124,7 @@
   std::string SettingsFile(int aBox, bool aFirstStart) const;
   std::unique_ptr<standin::MeshServerStandIn> MakeServer(int aBox);
   void RetireServer(int aBox);
+  void RestartCrashedServers();
 
   const MeshFleetOptions mOptions;
   std::string mDirectory;
@@ -117,6 +139,12 @@
   std::vector<std::unique_ptr<standin::MeshServerStandIn>> mServers;
   // Stopped servers, kept because RunsOf counts their requests, too.
   std::vector<std::unique_ptr<standin::MeshServerStandIn>> mRetired;
+  std::mutex mCrashMutex;
+  std::condition_variable mCrashChanged;
+  std::map<std::string, CrashRecord> mCrashRecords; // under mCrashMutex
+  std::map<int, TimePoint> mDown; // box to its crash; under mCrashMutex
+  bool mEndCrashes = false;       // under mCrashMutex
+  std::thread mCrashThread;       // only with mCrashMarker
 };
 
 } // namespace porttiller::fleet
--- /dev/null
+++ b/testing/fleet/tests/CrashingRequestTest.cpp
@@ -0,0 +1,157 @@
+// Requests that crash each backend server that runs them.
+#include "fleet/MeshFleet.h"
+
+#include <algorithm>
+#include <atomic>
+#include <doctest/doctest.h>
+#include <thread>
+
+using namespace porttiller;
+using namespace porttiller::fleet;
+
+namespace {
+
+constexpr int kBoxes = 6;
+constexpr const char* kMarker = "crash";
+// The users' bounds: after a request has crashed three servers and this time
+// has passed, at most three further arrivals.
+constexpr std::size_t kCrashes = 3;
+constexpr Millis kContactTime{ 3000 };
+constexpr std::ptrdiff_t kMaxLateArrivals = 3;
+constexpr int kClients = 6;
+constexpr Millis kClientGap{ 60 };
+constexpr Millis kCrashingGap{ 500 };
+constexpr double kMinServedShare = 0.95;
+
+struct CrashingRequest
+{
+  std::string mMethod;
+  std::string mTarget;
+  std::string mBody;
+};
+
+struct ServedCount
+{
+  std::atomic<int> mSent{ 0 };
+  std::atomic<int> mServed{ 0 };
+
+  double Share() const
+  {
+    return mSent == 0 ? 1.0 : static_cast<double>(mServed) / mSent;
+  }
+};
+
+// Sends the crashing requests in turn to all boxes, and other requests beside
+// them, until aLength has passed.
+class CrashTraffic
+{
+public:
+  CrashTraffic(MeshFleet& aFleet, std::vector<CrashingRequest> aRequests)
+    : mFleet(aFleet)
+    , mRequests(std::move(aRequests))
+  {
+  }
+
+  // Counts other requests that are sent aSettled after the start or later.
+  void Run(Millis aLength, Millis aSettled)
+  {
+    const auto start = Now();
+    const auto end = start + aLength;
+    std::vector<std::thread> threads;
+    for (std::size_t i = 0; i < mRequests.size(); ++i) {
+      threads.emplace_back([this, i, end] {
+        for (int n = 0; Now() < end; ++n) {
+          const auto& request = mRequests[i];
+          mFleet.Send(
+            { .mBox = static_cast<int>(i + n) % kBoxes,
+              .mMethod = request.mMethod,
+              .mTarget = request.mTarget,
+              .mId = "x" + std::to_string(i) + "-" + std::to_string(n),
+              .mBody = request.mBody,
+              .mTimeout = Millis(1500) });
+          std::this_thread::sleep_for(kCrashingGap);
+        }
+      });
+    }
+    for (int client = 0; client < kClients; ++client) {
+      threads.emplace_back([this, client, end, from = start + aSettled] {
+        for (int n = 0; Now() < end; ++n) {
+          SendOther(client, n, from);
+          std::this_thread::sleep_for(kClientGap);
+        }
+      });
+    }
+    for (auto& thread : threads) {
+      thread.join();
+    }
+  }
+
+  const ServedCount& Others() const { return mOthers; }
+
+private:
+  void SendOther(int aClient, int aNumber, TimePoint aFrom)
+  {
+    const auto id = std::to_string(aClient) + "-" + std::to_string(aNumber);
+    const bool once = aNumber % 2 == 0;
+    const bool counted = Now() >= aFrom;
+    const auto reply =
+      mFleet.Send({ .mBox = (aClient + aNumber) % kBoxes,
+                    .mMethod = once ? "POST" : "GET",
+                    .mTarget = (once ? "/once/" : "/safe/") + id,
+                    .mId = "o" + id,
+                    .mBody = once ? "body " + id : "",
+                    .mTimeout = Millis(1500) });
+    if (counted) {
+      ++mOthers.mSent;
+      mOthers.mServed += reply.mStatus == 200 ? 1 : 0;
+    }
+  }
+
+  MeshFleet& mFleet;
+  const std::vector<CrashingRequest> mRequests;
+  ServedCount mOthers;
+};
+
+std::ptrdiff_t
+LateArrivals(const CrashRecord& aRecord)
+{
+  if (aRecord.mCrashes.size() < kCrashes) {
+    return 0;
+  }
+  const auto bound = aRecord.mCrashes[kCrashes - 1] + kContactTime;
+  return std::count_if(aRecord.mArrivals.begin(),
+                       aRecord.mArrivals.end(),
+                       [&](TimePoint aAt) { return aAt > bound; });
+}
+
+// Checks the bound on late arrivals of each target.
+void
+CheckLateArrivals(MeshFleet& aFleet, std::size_t aTargets)
+{
+  const auto records = aFleet.EndCrashes();
+  CHECK(records.size() == aTargets);
+  for (const auto& [target, record] : records) {
+    MESSAGE(target << ": " << record.mArrivals.size() << " arrivals, "
+                   << record.mCrashes.size() << " crashes, "
+                   << LateArrivals(record) << " late");
+    CHECK(record.mCrashes.size() >= kCrashes);
+    CHECK(LateArrivals(record) <= kMaxLateArrivals);
+  }
+}
+
+} // namespace
+
+TEST_CASE("A request that crashed three servers is not sent to further ones")
+{
+  for (const auto& request :
+       { CrashingRequest{ "GET", "/safe/crash", "" },
+         CrashingRequest{ "POST", "/once/crash", "the same body" } }) {
+    MeshFleet fleet(
+      { .mBoxes = kBoxes, .mPortBase = 28'000, .mCrashMarker = kMarker });
+    CrashTraffic traffic(fleet, { request });
+    traffic.Run(Millis(14'000), Millis(8000));
+    MESSAGE("served beside it: " << traffic.Others().Share());
+    CheckLateArrivals(fleet, 1);
+    CHECK(traffic.Others().Share() >= kMinServedShare);
+  }
+}
--- a/testing/standin/MeshServerStandIn.cpp
+++ b/testing/standin/MeshServerStandIn.cpp
@@ -9,6 +9,21 @@
 
 constexpr Millis kRpcTimeout{ 3000 };
 constexpr Millis kCancelPoll{ 10 };
+constexpr Millis kTimeToCrash{ 80 };
+
+// False when the connection was closed before aTime had passed.
+bool
+RunFor(Millis aTime, const HttpCall& aCall)
+{
+  const auto end = Now() + aTime;
+  while (Now() < end) {
+    if (aCall.mCancelled->IsCancelled()) {
+      return false;
+    }
+    std::this_thread::sleep_for(kCancelPoll);
+  }
+  return true;
+}
 
 } // namespace
 
@@ -89,13 +104,20 @@
                                         { "Request-Id", id } } } };
   }
   ++mRuns;
-  const auto end = Now() + faults.mWork;
-  while (Now() < end) {
-    if (aCall.mCancelled->IsCancelled()) {
-      ++mCancelled;
-      return { .mClose = true };
-    }
-    std::this_thread::sleep_for(kCancelPoll);
+  const auto& target = aCall.mHttp.mTarget;
+  const bool crashes = !mOptions.mCrashMarker.empty() &&
+                       target.find(mOptions.mCrashMarker) != std::string::npos;
+  if (crashes) {
+    mOptions.mOnCrashArrival(target);
+  }
+  if (!RunFor(crashes ? kTimeToCrash : faults.mWork, aCall)) {
+    ++mCancelled;
+    return { .mClose = true };
+  }
+  if (crashes) {
+    mOptions.mOnCrash(target);
+    RunFor(kRpcTimeout, aCall); // until Stop ends the connection
+    return { .mClose = true };
   }
   HttpReply reply{ .mAnswer = { .mStatus = 200,
                                 .mBody = mOptions.mId + "|" + id + "|" +
--- a/testing/standin/MeshServerStandIn.h
+++ b/testing/standin/MeshServerStandIn.h
@@ -7,6 +7,7 @@
 #include "porttiller/http/HttpPool.h"
 
 #include <atomic>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -23,6 +24,13 @@
   std::string mAdvertised;   // address sent in heartbeats; empty: mAddress
   std::string mRegistration; // the daemon's registration endpoint
   int mSlots = 4;
+  // A request whose target contains this crashes the server; empty: none does.
+  std::string mCrashMarker;
+  // Called with the request's target when such a request arrives, and again
+  // when the process ends under it. The owner then calls Stop from another
+  // thread.
+  std::function<void(const std::string& aTarget)> mOnCrashArrival;
+  std::function<void(const std::string& aTarget)> mOnCrash;
   // Start time in ms, sent with each message; null: not sent.
   std::optional<std::int64_t> mStartMs;
 };
