--- a/packages/control/include/porttiller/control/ControlCodec.h
+++ b/packages/control/include/porttiller/control/ControlCodec.h
@@ -3,6 +3,7 @@
 
 #include "porttiller/config/Directory.h"
 #include "porttiller/config/ObjectSet.h"
+#include "porttiller/policy/CrashTable.h"
 #include "porttiller/policy/Membership.h"
 #include "porttiller/policy/RequestLimit.h"
 
@@ -55,4 +56,11 @@
 WorkspaceGrants
 DecodeGrants(const wire::WorkspaceGrants& aMessage);
 
+wire::CrashReport
+EncodeCrashRecords(const std::vector<CrashRecord>& aRecords, TimePoint aNow);
+
+// Skips records without a digest or with too many events.
+std::vector<CrashRecord>
+DecodeCrashRecords(const wire::CrashReport& aReport, TimePoint aNow);
+
 } // namespace porttiller
--- /dev/null
+++ b/packages/control/include/porttiller/control/CrashController.h
@@ -0,0 +1,68 @@
+// Exchanges crash records with other boxes. A home reports each crash to a few
+// boxes that the request's digest selects, which join the crashes of a request;
+// a record with two crashes or more is spread to all boxes. Probes carry a
+// digest of the records, so that boxes that missed some ask for them.
+#pragma once
+
+#include "porttiller/config/Settings.h"
+#include "porttiller/config/Snapshot.h"
+#include "porttiller/control/MembershipController.h"
+#include "porttiller/control/Worker.h"
+#include "porttiller/hop/CrashMonitor.h"
+#include "porttiller/peer/PeerTransport.h"
+#include "porttiller/policy/GossipFanout.h"
+
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace porttiller {
+
+struct CrashPeers
+{
+  std::function<std::vector<BoxName>()> mLiveBoxes;
+  std::function<std::vector<BoxSpec>(const GossipFanout&)> mSpreadPeers;
+  std::function<SnapshotPtr()> mSnapshot;
+  std::function<void()> mRecheckServers; // see LocalServer::RecheckCrash
+};
+
+// Owned by the node. Thread-safe.
+class CrashController
+{
+public:
+  CrashController(const Settings& aSettings,
+                  PeerTransport& aTransport,
+                  CrashMonitor& aMonitor,
+                  CrashPeers aPeers);
+
+  void Start();
+  void Stop();
+
+  // Handlers of peers' messages.
+  void OnReport(const wire::CrashReport& aReport);
+  wire::Envelope OnRequest() const;
+  // From a peer's probe or its reply.
+  void OnPeerRevision(const PeerRevision& aPeer);
+
+private:
+  void Tick();
+  void SendReports();
+  void SpreadChanges();
+  void Request(const std::string& aAddress);
+
+  const Settings& mSettings;
+  PeerTransport& mTransport;
+  CrashMonitor& mMonitor;
+  const CrashPeers mPeers;
+  std::mutex mMutex;
+  TimePoint mNextSpread;     // under mMutex
+  TimePoint mNextRequest;    // under mMutex
+  TimePoint mNextDrop;       // under mMutex
+  TimePoint mDifferingSince; // from all peers' digests; under mMutex
+  bool mDiffers = false;     // under mMutex
+  std::unique_ptr<Ticker> mTicker;
+};
+
+} // namespace porttiller
--- a/packages/control/include/porttiller/control/MembershipController.h
+++ b/packages/control/include/porttiller/control/MembershipController.h
@@ -24,6 +24,7 @@
   std::uint64_t mRevision = 0;
   std::uint64_t mDigest = 0;
   std::uint64_t mDirectory = 0; // digest of all box records
+  std::uint64_t mCrashes = 0;   // digest of its crash records
 };
 
 struct MembershipHooks
--- a/packages/control/src/ControlCodec.cpp
+++ b/packages/control/src/ControlCodec.cpp
@@ -10,6 +10,9 @@
 // Plausible number of requests of one workspace between two reports.
 constexpr std::int64_t kMaxUses = 1'000'000;
 constexpr double kPermille = 1000.0;
+constexpr int kMaxCrashEvents = 64; // of one record
+// Events are forgotten sooner.
+constexpr std::uint64_t kMaxCrashAgeMs = 7 * 24 * 3'600'000ULL;
 
 } // namespace
 
@@ -190,4 +193,48 @@
   return grants;
 }
 
+wire::CrashReport
+EncodeCrashRecords(const std::vector<CrashRecord>& aRecords, TimePoint aNow)
+{
+  wire::CrashReport report;
+  for (const auto& record : aRecords) {
+    auto* item = report.add_records();
+    item->set_digest_high(record.mDigest.High());
+    item->set_digest_low(record.mDigest.Low());
+    for (const auto& event : record.mEvents) {
+      const auto age =
+        std::chrono::duration_cast<Millis>(aNow - event.mAt).count();
+      auto* crash = item->add_events();
+      crash->set_id(event.mId);
+      crash->set_age_ms(
+        static_cast<std::uint64_t>(std::max<Millis::rep>(0, age)));
+      crash->set_after_crash(event.mAfterCrash);
+      crash->set_cleared(event.mCleared);
+    }
+  }
+  return report;
+}
+
+std::vector<CrashRecord>
+DecodeCrashRecords(const wire::CrashReport& aReport, TimePoint aNow)
+{
+  std::vector<CrashRecord> records;
+  for (const auto& item : aReport.records()) {
+    CrashRecord record{ .mDigest = RequestDigest(item.digest_high(),
+                                                 item.digest_low()) };
+    if (record.mDigest.Empty() || item.events_size() > kMaxCrashEvents) {
+      continue;
+    }
+    for (const auto& event : item.events()) {
+      const auto age = std::min<std::uint64_t>(event.age_ms(), kMaxCrashAgeMs);
+      record.mEvents.push_back({ .mId = event.id(),
+                                 .mAt = aNow - Millis(age),
+                                 .mAfterCrash = event.after_crash(),
+                                 .mCleared = event.cleared() });
+    }
+    records.push_back(std::move(record));
+  }
+  return records;
+}
+
 } // namespace porttiller
--- /dev/null
+++ b/packages/control/src/CrashController.cpp
@@ -0,0 +1,180 @@
+#include "porttiller/control/CrashController.h"
+
+#include "porttiller/control/ControlCodec.h"
+#include "porttiller/core/Rendezvous.h"
+
+#include <map>
+
+namespace porttiller {
+
+namespace {
+
+constexpr Millis kTick{ 100 };
+// Boxes that join the crashes of one request.
+constexpr std::size_t kOwners = 3;
+constexpr Millis kReportTimeout{ 1000 };
+constexpr GossipFanout kSpreadFanout{ .mOwnZone = 3, .mPerOtherZone = 1 };
+constexpr Millis kMinSpreadInterval{ 200 };
+constexpr std::size_t kMaxRecordsInMessage = 32;
+// A digest difference that lasts longer is not due to a record in flight.
+constexpr Millis kDifferenceTime{ 300 };
+constexpr Millis kMinRequestInterval{ 1000 };
+constexpr Millis kDropInterval{ 10'000 };
+
+} // namespace
+
+CrashController::CrashController(const Settings& aSettings,
+                                 PeerTransport& aTransport,
+                                 CrashMonitor& aMonitor,
+                                 CrashPeers aPeers)
+  : mSettings(aSettings)
+  , mTransport(aTransport)
+  , mMonitor(aMonitor)
+  , mPeers(std::move(aPeers))
+{
+}
+
+void
+CrashController::Start()
+{
+  mTicker = std::make_unique<Ticker>(kTick, [this] { Tick(); });
+}
+
+void
+CrashController::Stop()
+{
+  mTicker.reset();
+}
+
+void
+CrashController::Tick()
+{
+  mPeers.mRecheckServers();
+  SendReports();
+  SpreadChanges();
+  const auto now = Now();
+  {
+    const std::lock_guard lock(mMutex);
+    if (now < mNextDrop) {
+      return;
+    }
+    mNextDrop = now + kDropInterval;
+  }
+  mMonitor.DropOld();
+}
+
+void
+CrashController::SendReports()
+{
+  const auto reports = mMonitor.TakeReports(kMaxRecordsInMessage);
+  const auto snapshot = mPeers.mSnapshot();
+  if (reports.empty() || !snapshot) {
+    return;
+  }
+  const auto boxes = mPeers.mLiveBoxes();
+  std::map<BoxName, std::vector<CrashRecord>> byOwner;
+  for (const auto& record : reports) {
+    for (const auto& owner :
+         RendezvousOwners(record.mDigest.ToString(), boxes, kOwners)) {
+      byOwner[owner].push_back(record);
+    }
+  }
+  byOwner.erase(mSettings.mBox);
+  const auto now = Now();
+  for (const auto& [owner, records] : byOwner) {
+    const auto* box = snapshot->FindBox(owner);
+    if (box == nullptr) {
+      continue;
+    }
+    wire::Envelope message;
+    *message.mutable_crash_report() = EncodeCrashRecords(records, now);
+    // The reply shows that the link works; reports are sent again anyway.
+    mTransport.Send(box->mControlAddress,
+                    std::move(message),
+                    kReportTimeout,
+                    [](const PeerResult&) {});
+  }
+}
+
+void
+CrashController::SpreadChanges()
+{
+  const auto now = Now();
+  {
+    const std::lock_guard lock(mMutex);
+    if (now < mNextSpread) {
+      return;
+    }
+  }
+  const auto records = mMonitor.TakeChanged(kMaxRecordsInMessage);
+  if (records.empty()) {
+    return;
+  }
+  {
+    const std::lock_guard lock(mMutex);
+    mNextSpread = now + kMinSpreadInterval;
+  }
+  wire::Envelope message;
+  *message.mutable_crash_report() = EncodeCrashRecords(records, now);
+  for (const auto& peer : mPeers.mSpreadPeers(kSpreadFanout)) {
+    mTransport.SendOneWay(peer.mControlAddress, message);
+  }
+}
+
+void
+CrashController::OnReport(const wire::CrashReport& aReport)
+{
+  for (const auto& record : DecodeCrashRecords(aReport, Now())) {
+    mMonitor.Learn(record, CrashMonitor::Source::kPeer);
+  }
+}
+
+wire::Envelope
+CrashController::OnRequest() const
+{
+  wire::Envelope reply;
+  *reply.mutable_crash_report() =
+    EncodeCrashRecords(mMonitor.SharedRecords(kMaxRecordsInMessage), Now());
+  return reply;
+}
+
+void
+CrashController::OnPeerRevision(const PeerRevision& aPeer)
+{
+  const auto own = mMonitor.SharedDigest();
+  const auto now = Now();
+  {
+    const std::lock_guard lock(mMutex);
+    if (aPeer.mCrashes == own || aPeer.mCrashes == 0) {
+      mDiffers = mDiffers && aPeer.mCrashes != own;
+      return;
+    }
+    if (!mDiffers) {
+      mDiffers = true;
+      mDifferingSince = now;
+    }
+    const bool lasting = own == 0 || now >= mDifferingSince + kDifferenceTime;
+    if (!lasting || now < mNextRequest) {
+      return;
+    }
+    mNextRequest = now + kMinRequestInterval;
+  }
+  Request(aPeer.mAddress);
+}
+
+void
+CrashController::Request(const std::string& aAddress)
+{
+  wire::Envelope request;
+  request.mutable_crash_request();
+  mTransport.Send(aAddress,
+                  std::move(request),
+                  kReportTimeout,
+                  [this](const PeerResult& aResult) {
+                    if (aResult && aResult->has_crash_report()) {
+                      OnReport(aResult->crash_report());
+                    }
+                  });
+}
+
+} // namespace porttiller
--- a/packages/control/src/MembershipController.cpp
+++ b/packages/control/src/MembershipController.cpp
@@ -36,7 +36,8 @@
 {
   return { .mRevision = aMessage.revision(),
            .mDigest = aMessage.digest(),
-           .mDirectory = aMessage.directory() };
+           .mDirectory = aMessage.directory(),
+           .mCrashes = aMessage.crashes() };
 }
 
 template<typename Message>
@@ -46,6 +47,7 @@
   aMessage.set_revision(aOwn.mRevision);
   aMessage.set_digest(aOwn.mDigest);
   aMessage.set_directory(aOwn.mDirectory);
+  aMessage.set_crashes(aOwn.mCrashes);
 }
 
 } // namespace
--- a/packages/core/include/porttiller/core/RejectReason.h
+++ b/packages/core/include/porttiller/core/RejectReason.h
@@ -22,10 +22,11 @@
   kRevoked,     // its revocation arrived first
   kDuplicate,   // this attempt was received before
   kStale,       // too old to know whether it was received before
-  kUnreachable  // set by the entry: it could not reach the home
+  kUnreachable, // set by the entry: it could not reach the home
+  kQuarantined  // the request has crashed several servers
 };
 
-inline constexpr std::size_t kRejectReasonCount = 14;
+inline constexpr std::size_t kRejectReasonCount = 15;
 
 std::string_view
 ToText(RejectReason aRejectReason);
--- a/packages/entry/include/porttiller/entry/AttemptFilter.h
+++ b/packages/entry/include/porttiller/entry/AttemptFilter.h
@@ -34,6 +34,7 @@
   AttemptIdGenerator& mAttemptIdGenerator;
   AttemptPool& mPool;
   WorkspaceGate& mGate;
+  CrashMonitor& mCrashes;
 };
 
 // Handles a caller that retries with the token of an "unknown" outcome: the
--- a/packages/entry/include/porttiller/entry/Dispatcher.h
+++ b/packages/entry/include/porttiller/entry/Dispatcher.h
@@ -35,6 +35,7 @@
 struct AttemptUnknown
 {
   std::string mReason;
+  std::optional<CrashEvent> mCrash{}; // the server crashed while it ran
 };
 
 using AttemptResult =
--- a/packages/entry/src/AttemptRunPriv.cpp
+++ b/packages/entry/src/AttemptRunPriv.cpp
@@ -21,6 +21,9 @@
 constexpr int kMaxAttempts = 12;
 constexpr Millis kDefaultRetryAfter{ 500 };
 constexpr Millis kUnknownRetryAfter{ 1000 };
+// A request that ran at this many crashes is not sent to another server at
+// once: its caller learns that the outcome is unknown.
+constexpr int kMaxCrashesForRetry = 2;
 // One in this many of the requests that can fail over is sent as a trial to a
 // demoted server whose trial is due. More would cost too many retries, as most
 // trials fail. Fewer find a recovered server too late: such requests are rare
@@ -112,7 +115,7 @@
 AttemptRun::Run()
 {
   while (!mDone && MayContinue()) {
-    if (mRunning.empty() && !SendNext()) {
+    if (mRunning.empty() && (mStopped || !SendNext())) {
       break;
     }
     AwaitResult();
@@ -127,10 +130,45 @@
   return Now() < mContext.mDeadline && !mContext.mCancelled->IsCancelled();
 }
 
+// Whether no attempt may be sent because of the servers that crashed while they
+// ran the request.
+bool
+AttemptRun::StopsForCrashes()
+{
+  const auto state = mDependencies.mCrashes.StateOf(mContext.mDigest);
+  const bool reached = mPlan.MayHaveReachedServer();
+  switch (state.mVerdict) {
+    case CrashVerdict::kClear:
+      return false;
+    case CrashVerdict::kSuspect:
+      if (!reached || state.mCrashes < kMaxCrashesForRetry) {
+        return false;
+      }
+      break;
+    case CrashVerdict::kTrial:
+      if (!reached) {
+        LogCrashDecision("trial", state);
+        return false;
+      }
+      break;
+    case CrashVerdict::kQuarantined:
+      if (!reached) {
+        mReason = std::string(ToText(RejectReason::kQuarantined));
+      }
+      mRetryAfter = state.mRetryAfter;
+      break;
+  }
+  LogCrashDecision("withheld", state);
+  return true;
+}
+
 // Returns false when no server is left to try.
 bool
 AttemptRun::SendNext()
 {
+  if (StopsForCrashes()) {
+    return false;
+  }
   while (mPlan.MayAttempt()) {
     const bool canFailOver =
       mPlan.MayFailOverNext() && Random() % kTrialOneIn == 0;
@@ -200,7 +238,9 @@
 AttemptRun::Hedge()
 {
   mHedgeAt = Now() + HedgeDelay();
-  if (!mPlan.MayHedge(kUnlimitedRetries)) {
+  const auto crashes = mDependencies.mCrashes.StateOf(mContext.mDigest);
+  if (crashes.mVerdict != CrashVerdict::kClear ||
+      !mPlan.MayHedge(kUnlimitedRetries)) {
     return;
   }
   const auto* server = mDependencies.mView
@@ -273,8 +313,10 @@
                        .mRequestKey = mContext.mRequestKey,
                        .mRoute = mContext.mRoute->mName,
                        .mRequestId = mContext.mRequestId,
+                       .mDigest = mContext.mDigest,
+                       .mCrashes =
+                         mDependencies.mCrashes.EventsOf(mContext.mDigest),
                        .mCancelled = aAttempt.mCancelled };
-  request.mDigest = mContext.mDigest;
   request.mHttp = mContext.mHttp;
   request.mHttp.mHeaders = mHeaders;
   return request;
@@ -327,6 +369,11 @@
                                  Now());
   mReason = std::string(ToText(aNotRun.mRejectReason));
   LogFailedAttempt(mReason);
+  if (aNotRun.mRejectReason == RejectReason::kQuarantined) {
+    // The home knows of a crash that this entry has not learned of.
+    mStopped = true;
+    mRetryAfter = aNotRun.mRetryAfter;
+  }
   if (aNotRun.mRejectReason == RejectReason::kOverloaded) {
     mRetryAfter =
       std::min(mRetryAfter.value_or(aNotRun.mRetryAfter), aNotRun.mRetryAfter);
@@ -345,6 +392,11 @@
   mReason = aUnknown.mReason;
   LogFailedAttempt(mReason);
   mToken = TokenOf(mEnded);
+  if (aUnknown.mCrash) {
+    mDependencies.mCrashes.Learn(
+      { .mDigest = mContext.mDigest, .mEvents = { *aUnknown.mCrash } },
+      CrashMonitor::Source::kHop);
+  }
   mPlan.OnUnknown(kUnlimitedRetries);
 }
 
@@ -373,6 +425,20 @@
     .With("left_ms", left.count());
 }
 
+void
+AttemptRun::LogCrashDecision(const char* aDecision,
+                             const CrashState& aState) const
+{
+  LogLine(LogLevel::kInfo, "suspect_request")
+    .With("request", mContext.mRequestId)
+    .With("digest", mContext.mDigest.ToString())
+    .With("decision", aDecision)
+    .With("verdict", std::string(ToText(aState.mVerdict)))
+    .With("crashes", aState.mCrashes)
+    .With("sent_before", mPlan.MayHaveReachedServer() ? "yes" : "no")
+    .With("retry_after_ms", aState.mRetryAfter.count());
+}
+
 void
 AttemptRun::LogHedge(const BackendServerSpec& aServer) const
 {
--- a/packages/entry/src/AttemptRunPriv.h
+++ b/packages/entry/src/AttemptRunPriv.h
@@ -63,6 +63,7 @@
 
 private:
   bool MayContinue() const;
+  bool StopsForCrashes();
   bool SendNext();
   void SendTo(const BackendServerSpec& aServer, bool aCanFailOver);
   void Hedge();
@@ -73,6 +74,7 @@
   HomeRequest MakeRequest(const RunningAttempt& aAttempt) const;
   HttpHeaders ServerHeaders() const;
   void LogFailedAttempt(const std::string& aResult) const;
+  void LogCrashDecision(const char* aDecision, const CrashState& aState) const;
   void LogHedge(const BackendServerSpec& aServer) const;
   std::string TokenOf(const RunningAttempt& aAttempt) const;
   CallerAnswer MakeFailureAnswer() const;
@@ -87,6 +89,7 @@
   RunningAttempt mEnded;      // the one whose result is being processed
   TimePoint mHedgeAt = TimePoint::max();
   bool mDone = false;
+  bool mStopped = false; // no further attempt may be sent
   std::string mReason = "no-server";
   std::string mToken;
   std::optional<Millis> mRetryAfter;
--- a/packages/entry/src/Dispatcher.cpp
+++ b/packages/entry/src/Dispatcher.cpp
@@ -25,7 +25,7 @@
     case Outcome::kUnknown:
       break;
   }
-  return AttemptUnknown{ aAnswer.mReason };
+  return AttemptUnknown{ aAnswer.mReason, aAnswer.mCrash };
 }
 
 AttemptStatus
@@ -232,7 +232,7 @@
     return ResolveOutcome(
       aBox, aRequest, std::string("home-") + ToText(http.error()));
   }
-  auto decoded = DecodeHomeAnswer(std::move(*http), aRequest.mAttempt);
+  auto decoded = DecodeHomeAnswer(std::move(*http), aRequest.mAttempt, Now());
   if (!decoded) {
     mMetrics.DroppedAnswers().Increment();
     return ResolveOutcome(aBox, aRequest, "foreign-answer");
--- a/packages/home/include/porttiller/home/Home.h
+++ b/packages/home/include/porttiller/home/Home.h
@@ -24,7 +24,8 @@
        Incarnation aIncarnation,
        LocalServerOptions aServerOptions,
        RetrySettings aRetries,
-       const ShutdownDeadline& aShutdownDeadline);
+       const ShutdownDeadline& aShutdownDeadline,
+       CrashMonitor& aCrashMonitor);
 
   Incarnation OwnIncarnation() const { return mIncarnation; }
 
@@ -73,6 +74,7 @@
   const LocalServerOptions mServerOptions; // mDetection is set per service
   const RetrySettings mRetries;
   const ShutdownDeadline& mShutdownDeadline;
+  CrashMonitor& mCrashMonitor;
   mutable std::array<Shard, kShards> mShards;
   mutable std::mutex mServersMutex;
   std::map<BackendServerName, LocalServerPtr> mServers;
--- a/packages/home/include/porttiller/home/LocalServer.h
+++ b/packages/home/include/porttiller/home/LocalServer.h
@@ -9,6 +9,7 @@
 #include "porttiller/home/ServerBreaker.h"
 #include "porttiller/home/ServerCall.h"
 #include "porttiller/home/ServerStateUpdate.h"
+#include "porttiller/hop/CrashMonitor.h"
 #include "porttiller/hop/HomeTypes.h"
 #include "porttiller/hop/ShutdownDeadline.h"
 #include "porttiller/policy/CrashAttribution.h"
@@ -42,7 +43,8 @@
 public:
   LocalServer(const BackendServerSpec& aSpec,
               LocalServerOptions aOptions,
-              const ShutdownDeadline& aShutdownDeadline);
+              const ShutdownDeadline& aShutdownDeadline,
+              CrashMonitor& aCrashMonitor);
 
   const BackendServerSpec& Spec() const { return mSpec; }
 
@@ -66,6 +68,11 @@
   // change of the breaker.
   std::optional<ServerStateUpdate> TakeStateUpdate(TimePoint aNow);
 
+  // Looks once more whether the server crashed when it last closed a
+  // connection: its address may refuse connections only a moment later. To be
+  // called every tenth of a second.
+  void RecheckCrash();
+
   // Forwarded to EjectionMachine.
   std::vector<EjectionAction> Tick(TimePoint aNow);
   void OnPeers(const std::vector<PeerHealth>& aPeers, int aOthers);
@@ -112,13 +119,16 @@
   // Each returns null when the request is admitted, otherwise the rejection.
   std::optional<HomeAnswer> RejectIfEjected(const HomeRequest& aRequest);
   std::optional<HomeAnswer> RejectIfBroken(const HomeRequest& aRequest);
+  std::optional<HomeAnswer> RejectIfQuarantined(
+    const HomeRequest& aRequest) const;
   void OnServerRejection(HomeAnswer& aAnswer);
   void RecordEvidence(const HomeRequest& aRequest,
                       const HomeAnswer& aAnswer,
                       Micros aTime);
-  void RecordCrashEvidence(const HomeRequest& aRequest,
-                           const HomeAnswer& aAnswer);
-  std::vector<CrashSuspect> SuspectsOfCrash();
+  void RecordCrashEvidence(const HomeRequest& aRequest, HomeAnswer& aAnswer);
+  bool EndedWithoutNotice(const HomeRequest& aRequest,
+                          const HomeAnswer& aAnswer);
+  void ReportCrash();
   void FreeSlot(std::optional<Micros> aServiceTime);
   void SetWaitState(Ticket aTicket, WaitState aState);
   void RejectWaiter(Ticket aTicket,
@@ -135,6 +145,7 @@
   const BackendServerSpec mSpec;
   const LocalServerOptions mOptions;
   const ShutdownDeadline& mShutdownDeadline;
+  CrashMonitor& mCrashMonitor;
   ServerCall mCall;
   mutable std::mutex mMutex;
   SlotQueue mQueue;
@@ -147,6 +158,7 @@
   std::optional<TimePoint> mUnreportedSince; // a change not yet reported
   ServerBreaker mBreaker; // receives outcomes only with kBreak
   CrashAttribution mCrashes;
+  std::optional<TimePoint> mRecheckCrashAt;
   bool mReplaced = false;
   Ticket mNextTicket = 1;
   bool mLeaving = false;
--- a/packages/home/include/porttiller/home/ServerCall.h
+++ b/packages/home/include/porttiller/home/ServerCall.h
@@ -23,9 +23,13 @@
   // server answers at the address.
   HomeAnswer Run(const HomeRequest& aRequest);
 
+  // Connections opened to the server so far.
+  std::uint64_t Opened() const { return mPool.Opened(); }
   // Whether the server's address refuses new connections, so that no process
   // listens there. Opens one connection, which a later request uses.
   bool RefusesConnections() { return mPool.Probe() == ListenerState::kRefuses; }
+  // Whether an idle connection shows that the server's process still runs.
+  bool HasOpenIdle() const { return mPool.HasOpenIdle(); }
 
 private:
   HttpRequestData MakeRequest(const HomeRequest& aRequest) const;
--- a/packages/home/src/Home.cpp
+++ b/packages/home/src/Home.cpp
@@ -61,12 +61,14 @@
            Incarnation aIncarnation,
            LocalServerOptions aServerOptions,
            RetrySettings aRetries,
-           const ShutdownDeadline& aShutdownDeadline)
+           const ShutdownDeadline& aShutdownDeadline,
+           CrashMonitor& aCrashMonitor)
   : mBox(std::move(aBox))
   , mIncarnation(aIncarnation)
   , mServerOptions(std::move(aServerOptions))
   , mRetries(aRetries)
   , mShutdownDeadline(aShutdownDeadline)
+  , mCrashMonitor(aCrashMonitor)
 {
 }
 
@@ -105,6 +107,11 @@
 HomeAnswer
 Home::RunAdmitted(const HomeRequest& aRequest, Shard& aShard)
 {
+  if (!aRequest.mCrashes.empty()) {
+    mCrashMonitor.Learn(
+      { .mDigest = aRequest.mDigest, .mEvents = aRequest.mCrashes },
+      CrashMonitor::Source::kHop);
+  }
   const auto server = Find(aRequest.mServer);
   HomeAnswer answer;
   if (aRequest.mDeadline <= Now() || IsCancelled(aRequest)) {
@@ -222,9 +229,9 @@
   const bool same = it != mServers.end() && !returned &&
                     SameServer(it->second->Spec(), aSpec) &&
                     it->second->Options() == aOptions;
-  return same
-           ? it->second
-           : std::make_shared<LocalServer>(aSpec, aOptions, mShutdownDeadline);
+  return same ? it->second
+              : std::make_shared<LocalServer>(
+                  aSpec, aOptions, mShutdownDeadline, mCrashMonitor);
 }
 
 std::set<ServiceName>
--- a/packages/home/src/LocalServer.cpp
+++ b/packages/home/src/LocalServer.cpp
@@ -1,5 +1,6 @@
 #include "porttiller/home/LocalServer.h"
 
+#include "porttiller/hop/Random.h"
 #include "porttiller/telemetry/Log.h"
 
 #include <algorithm>
@@ -20,6 +21,8 @@
 // A timeout counts against the server if the request ran for this long, or if
 // the detector finds its time slow.
 constexpr Millis kMinTimeoutEvidence{ 500 };
+// Well within CrashAttribution::kCrashSpan.
+constexpr Millis kCrashRecheckDelay{ 100 };
 
 EjectionOptions
 OptionsFor(DetectionSetting aSetting)
@@ -42,29 +45,16 @@
            .mMinServiceShare = 0.6 };
 }
 
-void
-LogCrash(const ServerIncarnation& aServer,
-         const std::vector<CrashSuspect>& aSuspects)
-{
-  constexpr std::size_t kMaxDigests = 16; // in one line
-  std::string digests;
-  for (std::size_t i = 0; i < std::min(kMaxDigests, aSuspects.size()); ++i) {
-    digests += (i == 0 ? "" : ",") + aSuspects[i].mDigest.ToString();
-  }
-  LogLine(LogLevel::kWarning, "server_crashed")
-    .With("server", aServer.ToString())
-    .With("running", static_cast<std::int64_t>(aSuspects.size()))
-    .With("digests", digests);
-}
-
 } // namespace
 
 LocalServer::LocalServer(const BackendServerSpec& aSpec,
                          LocalServerOptions aOptions,
-                         const ShutdownDeadline& aShutdownDeadline)
+                         const ShutdownDeadline& aShutdownDeadline,
+                         CrashMonitor& aCrashMonitor)
   : mSpec(aSpec)
   , mOptions(std::move(aOptions))
   , mShutdownDeadline(aShutdownDeadline)
+  , mCrashMonitor(aCrashMonitor)
   , mCall(aSpec, mOptions.mHeaders, aShutdownDeadline)
   , mQueue(QueueOptionsFor(aSpec, mOptions.mFailingServers))
   , mMachine(OptionsFor(mOptions.mDetection), Now())
@@ -239,33 +229,71 @@
 // it was leaving.
 void
 LocalServer::RecordCrashEvidence(const HomeRequest& aRequest,
-                                 const HomeAnswer& aAnswer)
+                                 HomeAnswer& aAnswer)
+{
+  if (aAnswer.mOutcome == Outcome::kRun) {
+    mCrashMonitor.OnAnswered(aRequest.mDigest);
+  }
+  if (!EndedWithoutNotice(aRequest, aAnswer)) {
+    return;
+  }
+  const bool refuses = mCall.RefusesConnections();
+  if (refuses) {
+    ReportCrash();
+  }
+  const std::lock_guard lock(mMutex);
+  if (!refuses) {
+    mRecheckCrashAt = Now() + kCrashRecheckDelay;
+  }
+  if (const auto blame = mCrashes.TakeBlame(aRequest.mAttempt)) {
+    aAnswer.mCrash = CrashEvent{ .mId = blame->mCrash,
+                                 .mAt = Now(),
+                                 .mAfterCrash = blame->mAfterCrash };
+  }
+}
+
+// Whether the server closed the connection without an answer and was not
+// leaving.
+bool
+LocalServer::EndedWithoutNotice(const HomeRequest& aRequest,
+                                const HomeAnswer& aAnswer)
+{
+  const std::lock_guard lock(mMutex);
+  if (aAnswer.mOutcome != Outcome::kUnknown) {
+    mCrashes.OnAnswered(aRequest.mAttempt);
+    return false;
+  }
+  mCrashes.OnBroken(aRequest.mAttempt, Now());
+  return aAnswer.mServerClosed && !mLeaving && Now() >= mServerLeavingUntil;
+}
+
+void
+LocalServer::RecheckCrash()
 {
   {
     const std::lock_guard lock(mMutex);
-    if (aAnswer.mOutcome != Outcome::kUnknown) {
-      mCrashes.OnAnswered(aRequest.mAttempt);
+    if (mLeaving || !mRecheckCrashAt || Now() < *mRecheckCrashAt) {
       return;
     }
-    mCrashes.OnBroken(aRequest.mAttempt, Now());
-    if (!aAnswer.mServerClosed || mLeaving || Now() < mServerLeavingUntil) {
-      return;
-    }
-  }
-  if (!mCall.RefusesConnections()) {
-    return;
+    mRecheckCrashAt.reset();
   }
-  const auto suspects = SuspectsOfCrash();
-  if (!suspects.empty()) {
-    LogCrash(mSpec.Incarnation(), suspects);
+  if (!mCall.HasOpenIdle() && mCall.RefusesConnections()) {
+    ReportCrash();
   }
 }
 
-std::vector<CrashSuspect>
-LocalServer::SuspectsOfCrash()
+void
+LocalServer::ReportCrash()
 {
-  const std::lock_guard lock(mMutex);
-  return mCrashes.OnConnectionRefused(Now());
+  const auto crash = Random();
+  std::vector<CrashSuspect> suspects;
+  {
+    const std::lock_guard lock(mMutex);
+    suspects = mCrashes.OnConnectionRefused(crash, mCall.Opened(), Now());
+  }
+  if (!suspects.empty()) {
+    mCrashMonitor.OnServerCrash(crash, mSpec.Incarnation(), suspects);
+  }
 }
 
 bool
@@ -370,9 +398,12 @@
   if (mReplaced) {
     return RejectLocked(RejectReason::kNoServer, kLeavingRetryAfter);
   }
-  auto rejected = mOptions.mFailingServers == FailingServers::kBreak
-                    ? RejectIfBroken(aRequest)
-                    : RejectIfEjected(aRequest);
+  auto rejected = RejectIfQuarantined(aRequest);
+  if (!rejected) {
+    rejected = mOptions.mFailingServers == FailingServers::kBreak
+                 ? RejectIfBroken(aRequest)
+                 : RejectIfEjected(aRequest);
+  }
   if (!rejected) {
     rejected = RejectIfRetriesSpent(aRequest);
   }
@@ -397,17 +428,39 @@
   waiter.mAttempt = aRequest.mAttempt;
   waiter.mLastResort = aRequest.mLastResort;
   auto notStarted = WaitForSlot(lock, ticket, aRequest);
-  if (!notStarted) {
-    OnStarted(aRequest);
+  if (notStarted) {
+    return notStarted;
+  }
+  rejected = RejectIfQuarantined(aRequest);
+  if (rejected) {
+    lock.unlock();
+    FreeSlot(std::nullopt);
+    return rejected;
+  }
+  OnStarted(aRequest);
+  return std::nullopt;
+}
+
+std::optional<HomeAnswer>
+LocalServer::RejectIfQuarantined(const HomeRequest& aRequest) const
+{
+  const auto state = mCrashMonitor.StateOf(aRequest.mDigest);
+  const bool retryOfTrial =
+    state.mVerdict == CrashVerdict::kTrial && aRequest.mIsRetry;
+  if (state.mVerdict != CrashVerdict::kQuarantined && !retryOfTrial) {
+    return std::nullopt;
   }
-  return notStarted;
+  return RejectLocked(RejectReason::kQuarantined, state.mRetryAfter);
 }
 
 void
 LocalServer::OnStarted(const HomeRequest& aRequest)
 {
   mBreaker.OnStarted(aRequest, Now());
-  mCrashes.OnStarted(aRequest.mAttempt, { .mDigest = aRequest.mDigest });
+  const auto crashes = mCrashMonitor.StateOf(aRequest.mDigest).mCrashes;
+  mCrashes.OnStarted(
+    aRequest.mAttempt,
+    { .mDigest = aRequest.mDigest, .mAfterCrash = crashes > 0 });
   if (aRequest.mIsRetry) {
     mRetries.Spend();
   } else {
--- a/packages/home/tests/HomeTest.cpp
+++ b/packages/home/tests/HomeTest.cpp
@@ -27,7 +27,9 @@
 struct Fixture
 {
   ShutdownDeadline mShutdownDeadline;
-  Home mHome{ BoxName("box"), Incarnation(1), {}, {}, mShutdownDeadline };
+  CrashMonitor mCrashes;
+  Home mHome{ BoxName("box"),    Incarnation(1), {}, {},
+              mShutdownDeadline, mCrashes };
 
   bool IsLeaving() const
   {
--- a/packages/home/tests/LocalServerTest.cpp
+++ b/packages/home/tests/LocalServerTest.cpp
@@ -29,7 +29,8 @@
                 .mAddress = kAddress },
               { .mFailingServers = FailingServers::kBreak,
                 .mHeaders = { .mServerDeadline = "X-Deadline" } },
-              mShutdownDeadline)
+              mShutdownDeadline,
+              mCrashes)
   {
   }
 
@@ -52,6 +53,7 @@
   }
 
   ShutdownDeadline mShutdownDeadline;
+  CrashMonitor mCrashes;
   std::atomic<bool> mRelease{ false };
 
 private:
--- a/packages/hop/include/porttiller/hop/HomeTypes.h
+++ b/packages/hop/include/porttiller/hop/HomeTypes.h
@@ -8,8 +8,11 @@
 #include "porttiller/core/Time.h"
 #include "porttiller/http/HttpListener.h"
 #include "porttiller/http/HttpTypes.h"
+#include "porttiller/policy/CrashTable.h"
 
+#include <optional>
 #include <string>
+#include <vector>
 
 namespace porttiller {
 
@@ -34,7 +37,8 @@
   std::string mRoute;     // class of requests whose latencies are compared
   std::string mRequestId; // from the caller, for logs; may be empty
   RequestDigest mDigest;  // never encoded; each side computes it
-  CancelFlag mCancelled;  // never encoded; may be null
+  std::vector<CrashEvent> mCrashes; // that the entry knows of the request
+  CancelFlag mCancelled;            // never encoded; may be null
   HttpRequestData mHttp;
 };
 
@@ -73,6 +77,8 @@
   Micros mLatencyP90{ 0 };
   HttpAnswer mHttp;    // with kRun
   std::string mReason; // with kUnknown
+  // With kUnknown: the server crashed while it ran the request.
+  std::optional<CrashEvent> mCrash;
   // The server ended the connection before its answer was complete. Never
   // encoded.
   bool mServerClosed = false;
--- a/packages/hop/include/porttiller/hop/HopCodec.h
+++ b/packages/hop/include/porttiller/hop/HopCodec.h
@@ -35,6 +35,6 @@
 
 // Returns null when aHttp answers another attempt or is not from a home.
 std::optional<DecodedHomeAnswer>
-DecodeHomeAnswer(HttpAnswer aHttp, const AttemptId& aAttempt);
+DecodeHomeAnswer(HttpAnswer aHttp, const AttemptId& aAttempt, TimePoint aNow);
 
 } // namespace porttiller
--- a/packages/hop/src/HopCodec.cpp
+++ b/packages/hop/src/HopCodec.cpp
@@ -1,5 +1,6 @@
 #include "porttiller/hop/HopCodec.h"
 
+#include "porttiller/hop/CrashText.h"
 #include "porttiller/hop/HopHeaders.h"
 
 #include <Poco/StringTokenizer.h>
@@ -84,7 +85,8 @@
   kHomeDeadlineMs,
   kFlags,
   kRoute,
-  kErrorPercent
+  kErrorPercent,
+  kCrashes
 };
 } // namespace request_field
 
@@ -99,7 +101,8 @@
   kLoadPermille,
   kRetryAfterMs,
   kReason,
-  kLatencyP90Ms
+  kLatencyP90Ms,
+  kCrash
 };
 } // namespace answer_field
 
@@ -147,6 +150,9 @@
   }
   fields.Add(FlagsOf(aRequest)).Add(aRequest.mRoute);
   fields.Add(static_cast<std::int64_t>(aRequest.mServiceErrorRate * kPercent));
+  if (!aRequest.mCrashes.empty()) {
+    fields.Add(EncodeCrashes(aRequest.mCrashes, aNow));
+  }
   http.mHeaders.push_back({ hop::kRequestHop, fields.Take() });
   if (!aRequest.mRequestKey.empty()) {
     http.mHeaders.push_back({ hop::kRequestKey, aRequest.mRequestKey });
@@ -184,6 +190,7 @@
   request.mRoute = fields.Text(kRoute);
   request.mServiceErrorRate =
     static_cast<double>(fields.Number(kErrorPercent).value_or(0)) / kPercent;
+  request.mCrashes = DecodeCrashes(fields.Text(kCrashes), aNow);
   request.mRequestKey = HeaderValue(aHttp.mHeaders, hop::kRequestKey);
   aHttp.mHeaders = WithoutHopHeaders(aHttp.mHeaders);
   request.mHttp = std::move(aHttp);
@@ -207,12 +214,14 @@
     .Add(aAnswer.mReason);
   if (aAnswer.mLatencyP90 > Micros(0)) {
     fields.Add(std::chrono::ceil<Millis>(aAnswer.mLatencyP90).count());
+  } else if (aAnswer.mCrash) {
+    fields.Add("").Add(EncodeCrashes({ *aAnswer.mCrash }, aNow));
   }
   return { { hop::kAnswerHop, fields.Take() } };
 }
 
 std::optional<DecodedHomeAnswer>
-DecodeHomeAnswer(HttpAnswer aHttp, const AttemptId& aAttempt)
+DecodeHomeAnswer(HttpAnswer aHttp, const AttemptId& aAttempt, TimePoint aNow)
 {
   using namespace answer_field;
   const HopFieldReader fields(HeaderValue(aHttp.mHeaders, hop::kAnswerHop));
@@ -236,6 +245,10 @@
   answer.mRetryAfter = Millis(fields.Number(kRetryAfterMs).value_or(0));
   answer.mReason = fields.Text(kReason);
   answer.mLatencyP90 = Millis(fields.Number(kLatencyP90Ms).value_or(0));
+  const auto crashes = DecodeCrashes(fields.Text(kCrash), aNow);
+  if (!crashes.empty()) {
+    answer.mCrash = crashes.front();
+  }
   answer.mHttp = std::move(aHttp);
   return decoded;
 }
--- a/packages/hop/tests/HopCodecTest.cpp
+++ b/packages/hop/tests/HopCodecTest.cpp
@@ -73,7 +73,7 @@
   const HttpAnswer http{ .mStatus = 503,
                          .mHeaders = EncodeHomeAnswer(
                            answer, request.mAttempt, Incarnation(8), kNow) };
-  const auto decoded = DecodeHomeAnswer(http, request.mAttempt);
+  const auto decoded = DecodeHomeAnswer(http, request.mAttempt, Now());
   REQUIRE(decoded);
   CHECK(decoded->mIncarnation == Incarnation(8));
   CHECK(decoded->mHomeClock == Millis(50'000));
@@ -83,7 +83,7 @@
   CHECK(decoded->mAnswer.mLoad == doctest::Approx(0.75));
   CHECK(decoded->mAnswer.mReason == "because");
   const AttemptId other(BoxName("b"), Incarnation(7), 10);
-  CHECK_FALSE(DecodeHomeAnswer(http, other));
+  CHECK_FALSE(DecodeHomeAnswer(http, other, Now()));
 }
 
 TEST_CASE("Requests with missing or malformed fields are not decoded")
--- a/packages/http/include/porttiller/http/HttpPool.h
+++ b/packages/http/include/porttiller/http/HttpPool.h
@@ -52,6 +52,9 @@
   // later request.
   ListenerState Probe();
 
+  // Whether the peer keeps an idle connection of the pool open.
+  bool HasOpenIdle() const;
+
   // Closes all idle connections. Used when one connection of the pool is
   // unresponsive: a NAT or firewall on the path that dropped its state may have
   // dropped the state of the others, too.
--- a/packages/http/src/HttpPool.cpp
+++ b/packages/http/src/HttpPool.cpp
@@ -77,6 +77,15 @@
   idle.swap(mIdle);
 }
 
+bool
+HttpPool::HasOpenIdle() const
+{
+  const std::lock_guard lock(mMutex);
+  return std::any_of(mIdle.begin(), mIdle.end(), [](const auto& aConnection) {
+    return HasNoInput(*aConnection);
+  });
+}
+
 bool
 HttpPool::Reserve()
 {
--- a/packages/node/src/Node.cpp
+++ b/packages/node/src/Node.cpp
@@ -60,7 +60,8 @@
           { .mFailingServers = mSettings.mFailingServers,
             .mHeaders = EdgeHeadersOf(mSettings) },
           mSettings.mRetries,
-          mShutdownDeadline)
+          mShutdownDeadline,
+          mCrashMonitor)
   , mView(mSettings.mBox, mSettings.mZone, {})
   , mAttemptIdGenerator(mSettings.mBox, mIncarnation)
   , mGate(LimitBoundsOf(mSettings))
@@ -141,6 +142,22 @@
     mSettings, *mTransport, mGate, mMetrics, [this] {
       return mMembership->LiveBoxes();
     });
+  mCrashes = std::make_unique<CrashController>(
+    mSettings,
+    *mTransport,
+    mCrashMonitor,
+    CrashPeers{ .mLiveBoxes = [this] { return mMembership->LiveBoxes(); },
+                .mSpreadPeers =
+                  [this](const GossipFanout& aFanout) {
+                    return mMembership->SpreadPeers(aFanout);
+                  },
+                .mSnapshot = [this] { return mConfig->Current(); },
+                .mRecheckServers =
+                  [this] {
+                    for (const auto& server : mHome.Servers()) {
+                      server->RecheckCrash();
+                    }
+                  } });
   if (mSettings.mFailingServers == FailingServers::kEject) {
     mEjection = std::make_unique<EjectionController>(mSettings,
                                                      mIncarnation,
@@ -194,7 +211,8 @@
                                    mMetrics,
                                    mAttemptIdGenerator,
                                    mAttemptPool,
-                                   mGate });
+                                   mGate,
+                                   mCrashMonitor });
   if (!entry) {
     return tl::make_unexpected(entry.error());
   }
@@ -237,6 +255,7 @@
 {
   auto own = mConfig->Own();
   own.mDirectory = mDirectory ? mDirectory->Digest() : 0;
+  own.mCrashes = mCrashMonitor.SharedDigest();
   return own;
 }
 
@@ -244,6 +263,7 @@
 Node::Parts::OnPeerRevision(const PeerRevision& aPeer)
 {
   mConfig->OnPeerRevision(aPeer);
+  mCrashes->OnPeerRevision(aPeer);
   if (mDirectory) {
     mDirectory->OnPeerDigest(aPeer);
   }
@@ -298,6 +318,7 @@
     [this](const SnapshotPtr& aSnapshot) { mLimits->Apply(aSnapshot); });
   mConfig->Start();
   mMembership->Start();
+  mCrashes->Start();
   if (mDirectory) {
     mDirectory->Start();
   }
@@ -328,6 +349,7 @@
     if (mDirectory) {
       mDirectory->Stop();
     }
+    mCrashes->Stop();
     mMembership->Stop();
     mConfig->Stop();
     mLimits->Stop();
--- a/packages/node/src/NodePartsPriv.h
+++ b/packages/node/src/NodePartsPriv.h
@@ -4,6 +4,7 @@
 #include "porttiller/node/Node.h"
 
 #include "porttiller/control/ConfigController.h"
+#include "porttiller/control/CrashController.h"
 #include "porttiller/control/DirectoryController.h"
 #include "porttiller/control/EjectionController.h"
 #include "porttiller/control/LimitController.h"
@@ -66,6 +67,7 @@
   Metrics mMetrics;
   UnreadableObjects mUnreadable{ mMetrics };
   ShutdownDeadline mShutdownDeadline;
+  CrashMonitor mCrashMonitor;
   Home mHome;
   EntryView mView;
   AttemptIdGenerator mAttemptIdGenerator;
@@ -78,6 +80,7 @@
   std::unique_ptr<EjectionController> mEjection;
   std::unique_ptr<StatusController> mStatus; // only with Dialect::kNative
   std::unique_ptr<LimitController> mLimits;
+  std::unique_ptr<CrashController> mCrashes;
   std::unique_ptr<ServerUpdateController>
     mServerUpdates; // only with FailingServers::kBreak
   std::unique_ptr<Dispatcher> mDispatcher;
--- a/packages/node/src/NodePeers.cpp
+++ b/packages/node/src/NodePeers.cpp
@@ -83,6 +83,11 @@
         mServerUpdates->OnServerUpdate(aRequest.server_news());
       }
       return std::nullopt; // a one-way message
+    case wire::Envelope::kCrashReport:
+      mCrashes->OnReport(aRequest.crash_report());
+      return MakeAck();
+    case wire::Envelope::kCrashRequest:
+      return mCrashes->OnRequest();
     case wire::Envelope::kWorkspaceReport:
       return mLimits->OnReport(aRequest);
     case wire::Envelope::kWorkspaceGrants:
--- a/packages/node/src/NodeReport.cpp
+++ b/packages/node/src/NodeReport.cpp
@@ -25,6 +25,9 @@
   mMetrics.UnreadableMessages().Set(static_cast<double>(traffic.mUnreadable));
   mMetrics.LateReplies().Set(static_cast<double>(traffic.mLateReplies));
   mMetrics.ReplacedLinks().Set(static_cast<double>(traffic.mReplacedLinks));
+  mMetrics.CrashRecords().Set(static_cast<double>(mCrashMonitor.Size()));
+  mMetrics.QuarantinedRequests().Set(
+    static_cast<double>(mCrashMonitor.Quarantined()));
   mMetrics.UnansweredRequests().Set(static_cast<double>(traffic.mUnanswered));
 }
 
@@ -78,6 +81,8 @@
             mConfig->Current() ? mConfig->Current()->mWorkspaces->Size() : 0);
   state.set("limits_here", mGate.Dump());
   state.set("limits_collected", mLimits->Dump());
+  constexpr std::size_t kMaxCrashRecords = 64;
+  state.set("crashing_requests", mCrashMonitor.Dump(kMaxCrashRecords));
   return ToJsonText(state) + "\n";
 }
 
--- a/packages/peer/src/PeerLoopPriv.cpp
+++ b/packages/peer/src/PeerLoopPriv.cpp
@@ -42,7 +42,8 @@
 NeedsDeliveryCheck(wire::Envelope::BodyCase aKind)
 {
   return aKind == wire::Envelope::kBoxRecords ||
-         aKind == wire::Envelope::kProbe;
+         aKind == wire::Envelope::kProbe ||
+         aKind == wire::Envelope::kCrashReport;
 }
 
 } // namespace
--- a/packages/peer/src/PeerTransport.cpp
+++ b/packages/peer/src/PeerTransport.cpp
@@ -33,6 +33,9 @@
     case Body::kWorkspaceReport:
     case Body::kWorkspaceGrants:
       return "workspaces";
+    case Body::kCrashReport:
+    case Body::kCrashRequest:
+      return "crashes";
     case Body::kAck:
     case Body::BODY_NOT_SET:
       break;
--- a/packages/policy/src/CrashAttribution.cpp
+++ b/packages/policy/src/CrashAttribution.cpp
@@ -23,7 +23,7 @@
   DropOld(aNow);
   const auto it = mRunning.find(aAttempt);
   if (it != mRunning.end()) {
-    mBroken.push_back({ it->second, aNow });
+    mBroken.push_back({ aAttempt, it->second, aNow });
     mRunning.erase(it);
   }
 }
@@ -37,15 +37,31 @@
 }
 
 std::vector<CrashSuspect>
-CrashAttribution::OnConnectionRefused(TimePoint aNow)
+CrashAttribution::OnConnectionRefused(std::uint64_t aCrash,
+                                      std::uint64_t aOpened,
+                                      TimePoint aNow)
 {
   DropOld(aNow);
+  if (mOpenedAtCrash == aOpened) {
+    mBroken.clear();
+    mRunning.clear();
+  }
+  if (mBroken.empty() && mRunning.empty()) {
+    return {};
+  }
+  mOpenedAtCrash = aOpened;
+  mBlamed.clear();
   std::map<RequestDigest, bool> found;
+  const auto blame = [&](const AttemptId& aAttempt,
+                         const CrashSuspect& aRequest) {
+    found[aRequest.mDigest] |= aRequest.mAfterCrash;
+    mBlamed[aAttempt] = { aCrash, aRequest.mAfterCrash };
+  };
   for (const auto& broken : std::exchange(mBroken, {})) {
-    found[broken.mRequest.mDigest] |= broken.mRequest.mAfterCrash;
+    blame(broken.mAttempt, broken.mRequest);
   }
   for (const auto& [attempt, request] : std::exchange(mRunning, {})) {
-    found[request.mDigest] |= request.mAfterCrash;
+    blame(attempt, request);
   }
   std::vector<CrashSuspect> suspects;
   suspects.reserve(found.size());
@@ -55,4 +71,16 @@
   return suspects;
 }
 
+std::optional<CrashBlame>
+CrashAttribution::TakeBlame(const AttemptId& aAttempt)
+{
+  const auto it = mBlamed.find(aAttempt);
+  if (it == mBlamed.end()) {
+    return std::nullopt;
+  }
+  const auto blame = it->second;
+  mBlamed.erase(it);
+  return blame;
+}
+
 } // namespace porttiller
--- a/packages/telemetry/include/porttiller/telemetry/Metrics.h
+++ b/packages/telemetry/include/porttiller/telemetry/Metrics.h
@@ -54,6 +54,11 @@
   prometheus::Gauge& UnansweredRequests() { return *mUnansweredRequests; }
   prometheus::Gauge& UnreadableMessages() { return *mUnreadableMessages; }
 
+  // Requests that ran at a crash of a backend server, and those of them that
+  // are quarantined.
+  prometheus::Gauge& CrashRecords() { return *mCrashRecords; }
+  prometheus::Gauge& QuarantinedRequests() { return *mQuarantinedRequests; }
+
   // Prometheus text format.
   std::string Text() const;
 
@@ -82,6 +87,8 @@
   prometheus::Gauge* mUnansweredRequests;
   prometheus::Gauge* mLimitedWorkspaces;
   prometheus::Gauge* mUnreadableMessages;
+  prometheus::Gauge* mCrashRecords;
+  prometheus::Gauge* mQuarantinedRequests;
 };
 
 } // namespace porttiller
--- a/packages/telemetry/src/Metrics.cpp
+++ b/packages/telemetry/src/Metrics.cpp
@@ -105,6 +105,13 @@
   , mUnreadableMessages(MakeGauge(*mRegistry,
                                   "porttiller_control_unreadable",
                                   "Control messages that could not be read"))
+  , mCrashRecords(MakeGauge(*mRegistry,
+                            "porttiller_crash_records",
+                            "Requests that ran at a crash of a server"))
+  , mQuarantinedRequests(
+      MakeGauge(*mRegistry,
+                "porttiller_quarantined_requests",
+                "Requests rejected because they crashed servers"))
 {
   auto& requests = CounterFamily(
     *mRegistry, "porttiller_requests_total", "Requests answered to callers");
--- a/testing/fleet/MeshFleet.cpp
+++ b/testing/fleet/MeshFleet.cpp
@@ -4,9 +4,9 @@
 
 #include <Poco/JSON/Array.h>
 #include <Poco/TemporaryFile.h>
+#include <algorithm>
 #include <filesystem>
 #include <fstream>
-#include <set>
 #include <sstream>
 #include <stdexcept>
 
@@ -82,8 +82,8 @@
   if (mReplacements > 0) {
     id += "." + std::to_string(mReplacements);
   }
-  return std::make_unique<standin::MeshServerStandIn>(
-    standin::MeshServerOptions{
+  auto server =
+    std::make_unique<standin::MeshServerStandIn>(standin::MeshServerOptions{
       .mId = id,
       .mService = "ledger",
       .mAddress = Address(aBox, kServerPortOffset),
@@ -106,6 +106,8 @@
       .mStartMs = mOptions.mStartTimes
                     ? std::optional(kFirstStartMs + ++mStarts)
                     : std::nullopt });
+  server->Set({ .mWork = mOptions.mWork });
+  return server;
 }
 
 void
@@ -137,6 +139,7 @@
 void
 MeshFleet::CrashServer(int aBox)
 {
+  ServerLink(aBox).Refuse(true);
   const std::lock_guard lock(mCrashMutex);
   mDown.try_emplace(aBox, Now());
   mCrashChanged.notify_all();
@@ -157,35 +160,26 @@
   return mCrashRecords;
 }
 
-// Stops servers that have crashed, which closes their connections and makes
-// their addresses refuse new ones, and starts them again.
 void
 MeshFleet::RestartCrashedServers()
 {
-  std::set<int> stopped;
   std::unique_lock lock(mCrashMutex);
   while (!mEndCrashes) {
-    const auto down = mDown;
-    lock.unlock();
-    for (const auto& [box, at] : down) {
-      if (stopped.insert(box).second) {
-        Server(box).Stop();
-      }
-    }
-    std::vector<int> started;
-    for (const auto& [box, at] : down) {
-      if (Now() >= at + mOptions.mCrashDownTime) {
-        ReplaceServer(box);
-        Server(box).SendHeartbeat();
-        stopped.erase(box);
-        started.push_back(box);
-      }
+    const auto due =
+      std::find_if(mDown.begin(), mDown.end(), [this](const auto& aDown) {
+        return Now() >= aDown.second + mOptions.mCrashDownTime;
+      });
+    if (due == mDown.end()) {
+      mCrashChanged.wait_for(lock, kCrashPoll);
+      continue;
     }
+    const int box = due->first;
+    mDown.erase(due);
+    lock.unlock();
+    ReplaceServer(box);
+    ServerLink(box).Refuse(false);
+    Server(box).SendHeartbeat();
     lock.lock();
-    for (const int box : started) {
-      mDown.erase(box);
-    }
-    mCrashChanged.wait_for(lock, kCrashPoll);
   }
 }
 
--- a/testing/fleet/MeshFleet.h
+++ b/testing/fleet/MeshFleet.h
@@ -31,9 +31,10 @@
   Millis mDrainNotice{ 2000 };
   Millis mDrain{ 12'000 };
   // A request whose target contains this crashes each server that runs it.
-  // After mCrashDownTime the server is back under another id.
+  // After mCrashDownTime the server is back under another id. Requires mLinks.
   std::string mCrashMarker;
   Millis mCrashDownTime{ 2000 };
+  Millis mWork{ 0 }; // processing time of a request at a server
 };
 
 // What one target did to the servers that ran it.
@@ -95,7 +96,8 @@
   // empty for none.
   void SetWorkspaces(const std::string& aTenants);
 
-  // Crashes the server of a box, as the system's own fault would.
+  // Crashes the server of a box: its connections end and its address refuses
+  // new ones. Requires mCrashMarker.
   void CrashServer(int aBox);
   // Stops restarting crashed servers and returns the records by target. Other
   // functions that use servers must not be called before.
--- a/testing/fleet/tests/CrashingRequestTest.cpp
+++ b/testing/fleet/tests/CrashingRequestTest.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <csignal>
 #include <doctest/doctest.h>
 #include <thread>
 
@@ -23,6 +24,16 @@
 constexpr Millis kCrashingGap{ 500 };
 constexpr double kMinServedShare = 0.95;
 
+MeshFleetOptions
+Options()
+{
+  return { .mBoxes = kBoxes,
+           .mPortBase = 28'000,
+           .mLinks = true,
+           .mCrashMarker = kMarker,
+           .mWork = Millis(50) };
+}
+
 struct CrashingRequest
 {
   std::string mMethod;
@@ -92,12 +103,14 @@
   void SendOther(int aClient, int aNumber, TimePoint aFrom)
   {
     const auto id = std::to_string(aClient) + "-" + std::to_string(aNumber);
-    const bool once = aNumber % 2 == 0;
+    const bool once = aNumber % 3 == 0;
+    const bool popular = aNumber % 3 == 1;
     const bool counted = Now() >= aFrom;
     const auto reply =
       mFleet.Send({ .mBox = (aClient + aNumber) % kBoxes,
                     .mMethod = once ? "POST" : "GET",
-                    .mTarget = (once ? "/once/" : "/safe/") + id,
+                    .mTarget = (once ? "/once/" : "/safe/") +
+                               (popular ? std::string("popular") : id),
                     .mId = "o" + id,
                     .mBody = once ? "body " + id : "",
                     .mTimeout = Millis(1500) });
@@ -146,8 +159,7 @@
   for (const auto& request :
        { CrashingRequest{ "GET", "/safe/crash", "" },
          CrashingRequest{ "POST", "/once/crash", "the same body" } }) {
-    MeshFleet fleet(
-      { .mBoxes = kBoxes, .mPortBase = 28'000, .mCrashMarker = kMarker });
+    MeshFleet fleet(Options());
     CrashTraffic traffic(fleet, { request });
     traffic.Run(Millis(14'000), Millis(8000));
     MESSAGE("served beside it: " << traffic.Others().Share());
@@ -155,3 +167,82 @@
     CHECK(traffic.Others().Share() >= kMinServedShare);
   }
 }
+
+TEST_CASE("Eight requests that crash servers at the same time")
+{
+  std::vector<CrashingRequest> requests;
+  for (int i = 0; i < 8; ++i) {
+    const auto number = std::to_string(i);
+    requests.push_back(
+      i % 2 == 0 ? CrashingRequest{ "GET", "/safe/crash" + number, "" }
+                 : CrashingRequest{ "POST", "/once/crash" + number, "body" });
+  }
+  MeshFleet fleet(Options());
+  CrashTraffic traffic(fleet, requests);
+  traffic.Run(Millis(25'000), Millis(18'000));
+  MESSAGE("served beside them: " << traffic.Others().Share());
+  CheckLateArrivals(fleet, requests.size());
+  CHECK(traffic.Others().Share() >= kMinServedShare);
+}
+
+TEST_CASE("Boxes that were paused or restarted learn of a crashing request")
+{
+  constexpr Millis kLong{ 20'000 };
+  constexpr int kPaused = 4; // this box and all after it
+  constexpr int kRestarted = 3;
+  MeshFleet fleet(Options());
+  for (int box = kPaused; box < kBoxes; ++box) {
+    fleet.SignalBox(box, SIGSTOP);
+  }
+  const auto quarantined = [&](int aBox) {
+    return fleet.State(aBox).find("=quarantined/") != std::string::npos;
+  };
+  int sent = 0;
+  CHECK(WaitUntil(kLong, [&] {
+    ++sent;
+    fleet.Send(
+      sent % kRestarted, "GET", "/safe/crash", "x" + std::to_string(sent));
+    return quarantined(0);
+  }));
+  fleet.SignalBox(kRestarted, SIGKILL);
+  fleet.WaitForBoxExit(kRestarted, kLong);
+  fleet.StartBox(kRestarted);
+  for (int box = kPaused; box < kBoxes; ++box) {
+    fleet.SignalBox(box, SIGCONT);
+  }
+  for (int box = 0; box < kBoxes; ++box) {
+    CAPTURE(box);
+    CHECK(WaitUntil(kLong, [&] { return quarantined(box); }));
+    const auto reply =
+      fleet.Send(box, "GET", "/safe/crash", "late" + std::to_string(box));
+    CHECK(reply.mStatus == 503);
+    CHECK(!HeaderValue(reply.mHeaders, "Retry-After").empty());
+  }
+  for (const auto& [target, record] : fleet.EndCrashes()) {
+    CHECK(record.mCrashes.size() == kCrashes);
+  }
+}
+
+TEST_CASE("Servers that crash by themselves quarantine no request")
+{
+  MeshFleet fleet(Options());
+  std::atomic<bool> stop{ false };
+  std::thread crashes([&] {
+    for (int n = 0; !stop; ++n) {
+      // Two of six at a time, in turn; each is back when its turn comes again.
+      fleet.CrashServer(2 * n % kBoxes);
+      fleet.CrashServer((2 * n + 1) % kBoxes);
+      std::this_thread::sleep_for(Millis(900));
+    }
+  });
+  CrashTraffic traffic(fleet, {});
+  traffic.Run(Millis(10'000), Millis(0));
+  stop = true;
+  crashes.join();
+  MESSAGE("served meanwhile: " << traffic.Others().Share());
+  fleet.EndCrashes();
+  for (int box = 0; box < kBoxes; ++box) {
+    CHECK(fleet.LogOf(box).find("\"verdict\":\"quarantined\"") ==
+          std::string::npos);
+  }
+}
--- a/testing/standin/LinkStandIn.cpp
+++ b/testing/standin/LinkStandIn.cpp
@@ -40,8 +40,9 @@
 LinkStandIn::LinkStandIn(const std::string& aTarget)
   : mTarget(aTarget)
 {
-  mListener.bind(Poco::Net::SocketAddress("127.0.0.1:0"), true);
-  mListener.listen(kBacklog);
+  mAddress = Poco::Net::SocketAddress("127.0.0.1:0");
+  Listen();
+  mAddress = mListener.address();
   mAcceptor = std::thread([this] { Accept(); });
 }
 
@@ -67,18 +68,47 @@
   SilenceBackward();
 }
 
+void
+LinkStandIn::Listen()
+{
+  mListener = Poco::Net::ServerSocket();
+  mListener.bind(mAddress, true);
+  mListener.listen(kBacklog);
+}
+
+// Only this thread uses mListener.
 void
 LinkStandIn::Accept()
 {
+  bool listening = true;
   while (!mStop) {
-    if (!mListener.poll(Poco::Timespan(kPollMicros),
-                        Poco::Net::Socket::SELECT_READ)) {
-      continue;
+    if (listening == mRefuses) {
+      if (mRefuses) {
+        mListener.close();
+        Reset();
+      } else {
+        Listen();
+      }
+      listening = !listening;
     }
-    auto client = mListener.acceptConnection();
-    const int number = ++mOpened;
-    mRelays.emplace_back([this, client, number] { Relay(client, number); });
+    if (listening) {
+      AcceptOne();
+    } else {
+      std::this_thread::sleep_for(Micros(kPollMicros));
+    }
+  }
+}
+
+void
+LinkStandIn::AcceptOne()
+{
+  if (!mListener.poll(Poco::Timespan(kPollMicros),
+                      Poco::Net::Socket::SELECT_READ)) {
+    return;
   }
+  auto client = mListener.acceptConnection();
+  const int number = ++mOpened;
+  mRelays.emplace_back([this, client, number] { Relay(client, number); });
 }
 
 bool
--- a/testing/standin/LinkStandIn.h
+++ b/testing/standin/LinkStandIn.h
@@ -23,13 +23,16 @@
   LinkStandIn(const LinkStandIn&) = delete;
   LinkStandIn& operator=(const LinkStandIn&) = delete;
 
-  std::string Address() const { return mListener.address().toString(); }
+  std::string Address() const { return mAddress.toString(); }
   // While a direction is cut, its bytes are buffered and no connection is
   // closed; the bytes are delivered when the cut ends.
   void CutForward(bool aCut) { mForwardCut = aCut; }
   void CutBackward(bool aCut) { mBackwardCut = aCut; }
   // Closes every open connection.
   void Reset();
+  // While set, the address refuses connections, as after the end of a process.
+  // Setting it also closes every open connection.
+  void Refuse(bool aRefuse) { mRefuses = aRefuse; }
   // Drops from now on all data of the connections that are open at the time of
   // the call, without a FIN or RST. Connections opened later work.
   void SilenceForward() { mSilentForward = mOpened.load(); }
@@ -38,12 +41,16 @@
 
 private:
   void Accept();
+  void AcceptOne();
+  void Listen();
   void Relay(Poco::Net::StreamSocket aClient, int aNumber);
   void RelayUntilEnd(Poco::Net::StreamSocket& aClient, int aNumber);
   bool IsSilent(int aNumber) const;
 
   Poco::Net::SocketAddress mTarget;
+  Poco::Net::SocketAddress mAddress;
   Poco::Net::ServerSocket mListener;
+  std::atomic<bool> mRefuses{ false };
   std::atomic<bool> mForwardCut{ false };
   std::atomic<bool> mBackwardCut{ false };
   std::atomic<int> mGeneration{ 0 };
--- a/testing/standin/MeshServerStandIn.cpp
+++ b/testing/standin/MeshServerStandIn.cpp
@@ -112,6 +112,9 @@
   }
   if (!RunFor(crashes ? kTimeToCrash : faults.mWork, aCall)) {
     ++mCancelled;
+    if (crashes) {
+      mOptions.mOnCrash(target); // the process ends all the same
+    }
     return { .mClose = true };
   }
   if (crashes) {
--- a/testing/standin/MeshServerStandIn.h
+++ b/testing/standin/MeshServerStandIn.h
@@ -27,8 +27,7 @@
   // A request whose target contains this crashes the server; empty: none does.
   std::string mCrashMarker;
   // Called with the request's target when such a request arrives, and again
-  // when the process ends under it. The owner then calls Stop from another
-  // thread.
+  // when the process ends under it. The owner must then close all connections.
   std::function<void(const std::string& aTarget)> mOnCrashArrival;
   std::function<void(const std::string& aTarget)> mOnCrash;
   // Start time in ms, sent with each message; null: not sent.
