core: a clock that counts the time of a suspension

A machine may be suspended for seconds while the steady clock stands still. Leases, expiries and deadlines then outlived what other boxes took for their end.

Waits do not count a suspension, so those of the worker and of an attempt's result end after 1 s and 400 ms and look at the clock again; the others did already.

--- a/packages/control/include/porttiller/control/Worker.h
+++ b/packages/control/include/porttiller/control/Worker.h
@@ -1,6 +1,8 @@
 // One thread that runs jobs in order, optionally after a delay.
 #pragma once
 
+#include "porttiller/core/Time.h"
+
 #include <chrono>
 #include <condition_variable>
 #include <deque>
@@ -35,8 +37,7 @@
   std::mutex mMutex;
   std::condition_variable mWake;
   std::deque<std::function<void()>> mJobs;
-  std::multimap<std::chrono::steady_clock::time_point, std::function<void()>>
-    mDelayed;
+  std::multimap<TimePoint, std::function<void()>> mDelayed;
   bool mStopping = false;
   std::thread mThread;
 };
--- a/packages/control/src/Worker.cpp
+++ b/packages/control/src/Worker.cpp
@@ -1,7 +1,17 @@
 #include "porttiller/control/Worker.h"
 
+#include <algorithm>
+
 namespace porttiller {
 
+namespace {
+
+// A suspension of the machine delays a job that became due in it by this at
+// most.
+constexpr std::chrono::seconds kMaxWait{ 1 };
+
+} // namespace
+
 Worker::Worker(std::size_t aMaxWaiting)
   : mMaxWaiting(aMaxWaiting)
 {
@@ -53,7 +63,7 @@
   if (!HasRoom()) {
     return false;
   }
-  mDelayed.emplace(std::chrono::steady_clock::now() + aDelay, std::move(aJob));
+  mDelayed.emplace(Now() + aDelay, std::move(aJob));
   mWake.notify_all();
   return true;
 }
@@ -62,7 +72,7 @@
 void
 Worker::MoveDueJobs()
 {
-  const auto now = std::chrono::steady_clock::now();
+  const auto now = Now();
   while (!mDelayed.empty() && mDelayed.begin()->first <= now) {
     mJobs.push_back(std::move(mDelayed.begin()->second));
     mDelayed.erase(mDelayed.begin());
@@ -82,7 +92,8 @@
       if (mDelayed.empty()) {
         mWake.wait(lock);
       } else {
-        mWake.wait_until(lock, mDelayed.begin()->first);
+        mWake.wait_until(
+          lock, std::min<TimePoint>(mDelayed.begin()->first, Now() + kMaxWait));
       }
       continue;
     }
--- a/packages/entry/src/AttemptRunPriv.cpp
+++ b/packages/entry/src/AttemptRunPriv.cpp
@@ -263,8 +263,9 @@
 void
 AttemptRun::AwaitResult()
 {
-  const auto until = std::min(mContext.mDeadline, mHedgeAt);
   const auto start = Now();
+  const auto until = std::min<TimePoint>(
+    { mContext.mDeadline, mHedgeAt, start + ShutdownDeadline::kCheckInterval });
   auto ended = mResults->Await(until);
   mContext.mHomeTime += Now() - start;
   if (ended) {
