peer: report how long a link has been without a reply

The line control_unanswered had link_heard_ms -1 in every case: the field was never set, so on-call could not distinguish a link that went silent from a peer that was never reached. PeerTransportTest "An unanswered request is reported ..." failed before.

--- a/packages/peer/src/PeerLoopPriv.cpp
+++ b/packages/peer/src/PeerLoopPriv.cpp
@@ -453,10 +453,12 @@
     return;
   }
   const auto now = Now();
-  UnansweredRequest request{ .mAddress = aPending.mAddress,
-                             .mKind = aPending.mKind,
-                             .mWaited = std::chrono::duration_cast<Millis>(
-                               now - aPending.mSent) };
+  UnansweredRequest request{
+    .mAddress = aPending.mAddress,
+    .mKind = aPending.mKind,
+    .mWaited = std::chrono::duration_cast<Millis>(now - aPending.mSent),
+    .mSinceLinkReply = mSilenceDetector.TimeSinceReply(aPending.mRoute, now)
+  };
   mOptions.mOnUnanswered(request);
 }
 
--- a/packages/peer/tests/PeerTransportTest.cpp
+++ b/packages/peer/tests/PeerTransportTest.cpp
@@ -4,7 +4,9 @@
 
 #include <atomic>
 #include <doctest/doctest.h>
+#include <mutex>
 #include <thread>
+#include <vector>
 
 using namespace porttiller;
 
@@ -120,6 +122,34 @@
 
 } // namespace
 
+TEST_CASE("An unanswered request is reported with the age of the last reply")
+{
+  std::atomic<int> handled{ 0 };
+  std::mutex mutex;
+  std::vector<UnansweredRequest> unanswered;
+  const auto first =
+    PeerTransport::Make({ .mBindAddress = kFirst,
+                          .mBox = BoxName("a"),
+                          .mIncarnation = Incarnation(9),
+                          .mOnUnanswered =
+                            [&](const UnansweredRequest& aRequest) {
+                              const std::lock_guard lock(mutex);
+                              unanswered.push_back(aRequest);
+                            } },
+                        [](const wire::Envelope&, const PeerReplier&) {});
+  REQUIRE(first.has_value());
+  CHECK_FALSE((*first)->Call(kSecond, Request(), Millis(50)).has_value());
+  auto second = MakePeer(kSecond, "b", handled);
+  CHECK(IsReached(**first, kSecond));
+  second.reset();
+  CHECK_FALSE((*first)->Call(kSecond, Request(), Millis(50)).has_value());
+  const std::lock_guard lock(mutex);
+  REQUIRE(unanswered.size() >= 2);
+  CHECK(!unanswered.front().mSinceLinkReply);
+  REQUIRE(unanswered.back().mSinceLinkReply.has_value());
+  CHECK(*unanswered.back().mSinceLinkReply >= Millis(50));
+}
+
 TEST_CASE("A peer is reached after a late start and after a restart")
 {
   std::atomic<int> handled{ 0 };
