porttillerctl clear: end the quarantine of a request by hand

POST /requests/DIGEST/clear at any daemon's admin address; the records spread it to the other boxes.

--- a/apps/porttillerctl/Commands.cpp
+++ b/apps/porttillerctl/Commands.cpp
@@ -2,6 +2,7 @@
 
 #include "porttiller/config/JsonText.h"
 #include "porttiller/config/Resources.h"
+#include "porttiller/core/RequestDigest.h"
 #include "porttiller/http/HttpPool.h"
 #include "porttiller/store/WriteWithReadBack.h"
 
@@ -16,7 +17,8 @@
 namespace {
 
 constexpr Millis kWatchTimeout{ 10'000 }; // of one long poll
-constexpr Millis kDumpTimeout{ 3000 };
+constexpr Millis kDaemonTimeout{ 3000 };
+constexpr int kHttpOk = 200;
 
 ExitCode
 Usage(const std::string& aText)
@@ -219,19 +221,15 @@
   return ExitCode::kOk;
 }
 
+// Sends a request to a daemon's admin address and prints the answer's body.
 ExitCode
-Dump(const Arguments& aArguments)
+CallDaemon(const std::string& aAddress, const HttpRequestData& aRequest)
 {
-  if (aArguments.mOperands.size() != 1) {
-    return Usage("dump ADMIN-IP:PORT");
-  }
-  HttpPool pool({ .mAddress = aArguments.mOperands[0] });
-  const auto deadline = Now() + kDumpTimeout;
-  const auto exchange =
-    pool.Begin({ .mMethod = "GET", .mTarget = "/state" }, deadline);
+  HttpPool pool({ .mAddress = aAddress });
+  const auto deadline = Now() + kDaemonTimeout;
+  const auto exchange = pool.Begin(aRequest, deadline);
   if (!exchange || !(*exchange)->WaitReadable(deadline)) {
-    std::cerr << "porttillerctl: no answer from " << aArguments.mOperands[0]
-              << "\n";
+    std::cerr << "porttillerctl: no answer from " << aAddress << "\n";
     return ExitCode::kUnavailable;
   }
   const auto answer = (*exchange)->ReadAnswer(deadline);
@@ -241,7 +239,30 @@
     return ExitCode::kFailed;
   }
   std::cout << answer->mBody;
-  return ExitCode::kOk;
+  return answer->mStatus == kHttpOk ? ExitCode::kOk : ExitCode::kFailed;
+}
+
+ExitCode
+Dump(const Arguments& aArguments)
+{
+  if (aArguments.mOperands.size() != 1) {
+    return Usage("dump ADMIN-IP:PORT");
+  }
+  return CallDaemon(aArguments.mOperands[0],
+                    { .mMethod = "GET", .mTarget = "/state" });
+}
+
+ExitCode
+Clear(const Arguments& aArguments)
+{
+  if (aArguments.mOperands.size() != 2 ||
+      !RequestDigest::Parse(aArguments.mOperands[1])) {
+    return Usage("clear ADMIN-IP:PORT DIGEST");
+  }
+  return CallDaemon(
+    aArguments.mOperands[0],
+    { .mMethod = "POST",
+      .mTarget = "/requests/" + aArguments.mOperands[1] + "/clear" });
 }
 
 } // namespace
@@ -271,7 +292,10 @@
   if (command == "dump") {
     return Dump(aArguments);
   }
-  return Usage("get | list | apply | delete | watch | status | dump");
+  if (command == "clear") {
+    return Clear(aArguments);
+  }
+  return Usage("get | list | apply | delete | watch | status | dump | clear");
 }
 
 } // namespace porttiller::ctl
--- a/apps/porttillerctl/main.cpp
+++ b/apps/porttillerctl/main.cpp
@@ -1,5 +1,5 @@
 // Command-line tool for operators. Uses the platform's object API; only `dump`
-// connects to a daemon.
+// and `clear` connect to a daemon.
 #include "Commands.h"
 
 #include <cxxopts.hpp>
@@ -20,7 +20,8 @@
   options.custom_help("[--platform IP:PORT] [-o table|json]");
   options.positional_help(
     "get KIND NAME | list KIND | apply -f FILE | delete KIND NAME | "
-    "watch KIND | status [SERVICE] | dump ADMIN-IP:PORT");
+    "watch KIND | status [SERVICE] | dump ADMIN-IP:PORT | "
+    "clear ADMIN-IP:PORT DIGEST");
   auto add = options.add_options();
   add("platform",
       "address of the object API",
--- a/packages/node/include/porttiller/node/AdminServer.h
+++ b/packages/node/include/porttiller/node/AdminServer.h
@@ -1,6 +1,8 @@
-// HTTP server for operators: /metrics, /state and /health of this daemon.
+// HTTP server for operators: /metrics, /state and /health of this daemon, and
+// POST /requests/DIGEST/clear.
 #pragma once
 
+#include "porttiller/core/RequestDigest.h"
 #include "porttiller/http/HttpListener.h"
 #include "porttiller/telemetry/Metrics.h"
 
@@ -14,6 +16,8 @@
   std::function<void()> mRefresh;      // updates the gauges for /metrics
   std::function<std::string()> mState; // JSON
   std::function<bool()> mDraining;
+  // Ends the quarantine of a request; false if nothing counts against it.
+  std::function<bool(const RequestDigest&)> mClearRequest;
 };
 
 // Owned by the node.
--- a/packages/node/src/AdminServer.cpp
+++ b/packages/node/src/AdminServer.cpp
@@ -10,6 +10,8 @@
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
 constexpr const char* kJson = "application/json";
+constexpr std::string_view kClearPrefix = "/requests/";
+constexpr std::string_view kClearSuffix = "/clear";
 
 HttpReply
 Reply(int aStatus, const char* aType, std::string aBody)
@@ -19,6 +21,19 @@
                         .mBody = std::move(aBody) } };
 }
 
+// The digest in "/requests/DIGEST/clear"; null for other paths.
+std::optional<RequestDigest>
+DigestToClear(std::string_view aPath)
+{
+  if (!aPath.starts_with(kClearPrefix) || !aPath.ends_with(kClearSuffix) ||
+      aPath.size() < kClearPrefix.size() + kClearSuffix.size()) {
+    return std::nullopt;
+  }
+  aPath.remove_prefix(kClearPrefix.size());
+  aPath.remove_suffix(kClearSuffix.size());
+  return RequestDigest::Parse(aPath);
+}
+
 HttpReply
 Serve(const Metrics& aMetrics,
       const AdminSources& aSources,
@@ -39,6 +54,12 @@
                  draining ? "{\"status\":\"draining\"}\n"
                           : "{\"status\":\"ready\"}\n");
   }
+  const auto digest = DigestToClear(path);
+  if (digest && aCall.mHttp.mMethod == "POST") {
+    return aSources.mClearRequest(*digest)
+             ? Reply(kOk, kJson, "{\"status\":\"cleared\"}\n")
+             : Reply(kNotFound, kJson, "{\"status\":\"unknown\"}\n");
+  }
   return Reply(kNotFound, kJson, "{}\n");
 }
 
--- a/packages/node/src/Node.cpp
+++ b/packages/node/src/Node.cpp
@@ -199,7 +199,11 @@
                       mMetrics,
                       { .mRefresh = [this] { RefreshGauges(); },
                         .mState = [this] { return StateText(); },
-                        .mDraining = [this] { return mDraining.load(); } });
+                        .mDraining = [this] { return mDraining.load(); },
+                        .mClearRequest =
+                          [this](const RequestDigest& aDigest) {
+                            return mCrashMonitor.Clear(aDigest);
+                          } });
   if (!admin) {
     return tl::make_unexpected(admin.error());
   }
--- a/testing/fleet/MeshFleet.cpp
+++ b/testing/fleet/MeshFleet.cpp
@@ -145,6 +145,17 @@
   mCrashChanged.notify_all();
 }
 
+std::size_t
+MeshFleet::CrashArrivals()
+{
+  const std::lock_guard lock(mCrashMutex);
+  std::size_t arrivals = 0;
+  for (const auto& [target, record] : mCrashRecords) {
+    arrivals += record.mArrivals.size();
+  }
+  return arrivals;
+}
+
 std::map<std::string, CrashRecord>
 MeshFleet::EndCrashes()
 {
@@ -308,6 +319,16 @@
     .mBody;
 }
 
+bool
+MeshFleet::ClearRequest(int aBox, const std::string& aDigest)
+{
+  return SendOnNewConnection(
+           Address(aBox, 3),
+           { .mMethod = "POST", .mTarget = "/requests/" + aDigest + "/clear" },
+           kAnswerWait)
+           .mStatus == 200;
+}
+
 std::string
 MeshFleet::MetricsOf(int aBox) const
 {
--- a/testing/fleet/MeshFleet.h
+++ b/testing/fleet/MeshFleet.h
@@ -99,6 +99,8 @@
   // Crashes the server of a box: its connections end and its address refuses
   // new ones. Requires mCrashMarker.
   void CrashServer(int aBox);
+  // Requests that crash servers, as they arrived at servers so far.
+  std::size_t CrashArrivals();
   // Stops restarting crashed servers and returns the records by target. Other
   // functions that use servers must not be called before.
   std::map<std::string, CrashRecord> EndCrashes();
@@ -118,6 +120,8 @@
   std::string HeadersSeenByServers() const;
   std::string State(int aBox) const;
   std::string MetricsOf(int aBox) const;
+  // Ends the quarantine of a request at a box; true if it had one.
+  bool ClearRequest(int aBox, const std::string& aDigest);
   std::string CallerAddress(int aBox) const { return Address(aBox, 0); }
   std::string LogOf(int aBox) const;
 
--- a/testing/fleet/tests/CommandLineTest.cpp
+++ b/testing/fleet/tests/CommandLineTest.cpp
@@ -127,6 +127,14 @@
   CHECK(ctl({ "get", "Service", "ledger" }).mExitCode == 6);
 }
 
+TEST_CASE("porttillerctl clear checks the digest and needs a daemon")
+{
+  const Ctl ctl;
+  CHECK(ctl({ "clear", "127.0.0.1:1", "abc" }).mExitCode == 2);
+  const auto result = ctl({ "clear", "127.0.0.1:1", std::string(32, 'a') });
+  CHECK(result.mText.find("no answer") != std::string::npos);
+}
+
 TEST_CASE("porttillerctl shows server start times, leaving servers and "
           "unreadable records")
 {
