control: keep quarantined requests in the platform's store

After a restart of all boxes at once nothing knew of a crashing request, which then took three more servers. The first of the boxes that join a request's crashes writes its record to the store when it is quarantined and removes it when it is cleared; each box reads the records at its start. One read for a start, one write for a crash of a quarantined request.

Tests: "A crashing request stays quarantined when all boxes restart at once", and the store is empty again after an operator clears one. The stand-in of the store now removes objects; it took DELETE for a write and crashed.

--- a/packages/control/include/porttiller/control/CrashController.h
+++ b/packages/control/include/porttiller/control/CrashController.h
@@ -1,11 +1,13 @@
 // Exchanges crash records with other boxes. A home reports each crash to a few
 // boxes that the request's digest selects, which join the crashes of a request;
 // a record with two crashes or more is spread to all boxes. Probes carry a
-// digest of the records, so that boxes that missed some ask for them.
+// digest of the records, so that boxes that missed some ask for them. The first
+// of the joining boxes keeps a quarantined request in the platform's store.
 #pragma once
 
 #include "porttiller/config/Settings.h"
 #include "porttiller/config/Snapshot.h"
+#include "porttiller/control/CrashStore.h"
 #include "porttiller/control/MembershipController.h"
 #include "porttiller/control/Worker.h"
 #include "porttiller/hop/CrashMonitor.h"
@@ -51,6 +53,8 @@
   void SendReports();
   void SpreadChanges();
   void Request(const std::string& aAddress);
+  void ReadStored(int aTriesLeft);
+  void StoreOwned(const std::vector<CrashRecord>& aRecords);
 
   const Settings& mSettings;
   PeerTransport& mTransport;
@@ -62,6 +66,8 @@
   TimePoint mNextDrop;       // under mMutex
   TimePoint mDifferingSince; // from all peers' digests; under mMutex
   bool mDiffers = false;     // under mMutex
+  CrashStore mStore;         // used by mWorker alone
+  Worker mWorker;
   std::unique_ptr<Ticker> mTicker;
 };
 
--- a/packages/control/src/CrashController.cpp
+++ b/packages/control/src/CrashController.cpp
@@ -3,6 +3,7 @@
 #include "porttiller/control/ControlCodec.h"
 #include "porttiller/core/Rendezvous.h"
 
+#include <algorithm>
 #include <map>
 
 namespace porttiller {
@@ -20,6 +21,19 @@
 constexpr Millis kDifferenceTime{ 300 };
 constexpr Millis kMinRequestInterval{ 1000 };
 constexpr Millis kDropInterval{ 10'000 };
+constexpr int kReadTries = 30; // of the store, at start
+constexpr Millis kReadRetryWait{ 1000 };
+
+// Whether the record may have been quarantined before it was cleared.
+bool
+WasCleared(const CrashRecord& aRecord)
+{
+  return static_cast<int>(aRecord.mEvents.size()) >=
+           CrashTableOptions().mQuarantineCrashes &&
+         std::any_of(aRecord.mEvents.begin(),
+                     aRecord.mEvents.end(),
+                     [](const CrashEvent& aEvent) { return aEvent.mCleared; });
+}
 
 } // namespace
 
@@ -31,12 +45,14 @@
   , mTransport(aTransport)
   , mMonitor(aMonitor)
   , mPeers(std::move(aPeers))
+  , mStore(aSettings)
 {
 }
 
 void
 CrashController::Start()
 {
+  mWorker.Post([this] { ReadStored(kReadTries); });
   mTicker = std::make_unique<Ticker>(kTick, [this] { Tick(); });
 }
 
@@ -44,6 +60,44 @@
 CrashController::Stop()
 {
   mTicker.reset();
+  mStore.Abort();
+  mWorker.Stop();
+}
+
+// Peers have the records, too, unless all boxes start at once.
+void
+CrashController::ReadStored(int aTriesLeft)
+{
+  const auto records = mStore.ReadAll();
+  if (!records && aTriesLeft > 1) {
+    mWorker.PostAfter(kReadRetryWait,
+                      [this, aTriesLeft] { ReadStored(aTriesLeft - 1); });
+  }
+  if (!records) {
+    return;
+  }
+  for (const auto& record : *records) {
+    mMonitor.Learn(record, CrashMonitor::Source::kStore);
+  }
+}
+
+void
+CrashController::StoreOwned(const std::vector<CrashRecord>& aRecords)
+{
+  const auto boxes = mPeers.mLiveBoxes();
+  for (const auto& record : aRecords) {
+    const auto owners = RendezvousOwners(record.mDigest.ToString(), boxes, 1);
+    if (owners.empty() || owners.front() != mSettings.mBox) {
+      continue;
+    }
+    const auto verdict = mMonitor.StateOf(record.mDigest).mVerdict;
+    if (verdict == CrashVerdict::kQuarantined ||
+        verdict == CrashVerdict::kTrial) {
+      mWorker.Post([this, record] { mStore.Write(record); });
+    } else if (WasCleared(record)) {
+      mWorker.Post([this, record] { mStore.Remove(record.mDigest); });
+    }
+  }
 }
 
 void
@@ -114,6 +168,7 @@
     const std::lock_guard lock(mMutex);
     mNextSpread = now + kMinSpreadInterval;
   }
+  StoreOwned(records);
   wire::Envelope message;
   *message.mutable_crash_report() = EncodeCrashRecords(records, now);
   for (const auto& peer : mPeers.mSpreadPeers(kSpreadFanout)) {
--- a/testing/fleet/tests/CrashingRequestTest.cpp
+++ b/testing/fleet/tests/CrashingRequestTest.cpp
@@ -223,6 +223,39 @@
   CHECK(fleet.CrashArrivals() == arrivals);
 }
 
+TEST_CASE("A crashing request stays quarantined when all boxes restart at once")
+{
+  constexpr Millis kLong{ 20'000 };
+  MeshFleet fleet(Options());
+  const auto quarantined = [&](int aBox) {
+    return fleet.State(aBox).find("=quarantined/") != std::string::npos;
+  };
+  int sent = 0;
+  CHECK(WaitUntil(kLong, [&] {
+    ++sent;
+    fleet.Send(
+      sent % kBoxes, "POST", "/once/crash", "x" + std::to_string(sent), "same");
+    return quarantined(0);
+  }));
+  CHECK(
+    WaitUntil(kLong, [&] { return fleet.Store().Count("crash-records") > 0; }));
+  for (int box = 0; box < kBoxes; ++box) {
+    fleet.SignalBox(box, SIGKILL);
+    fleet.WaitForBoxExit(box, kLong);
+  }
+  const auto arrivals = fleet.CrashArrivals();
+  for (int box = 0; box < kBoxes; ++box) {
+    fleet.StartBox(box);
+  }
+  for (int box = 0; box < kBoxes; ++box) {
+    CHECK(WaitUntil(kLong, [&] { return quarantined(box); }));
+    CHECK(
+      fleet.Send(box, "POST", "/once/crash", "y" + std::to_string(box), "same")
+        .mStatus == 503);
+  }
+  CHECK(fleet.CrashArrivals() == arrivals);
+}
+
 TEST_CASE("An operator clears a crashing request on all boxes")
 {
   constexpr Millis kLong{ 20'000 };
@@ -247,6 +280,8 @@
   for (int box = 0; box < kBoxes; ++box) {
     CHECK(WaitUntil(kLong, [&] { return !quarantined(box); }));
   }
+  CHECK(WaitUntil(kLong,
+                  [&] { return fleet.Store().Count("crash-records") == 0; }));
 }
 
 TEST_CASE("Servers that crash by themselves quarantine no request")
--- a/testing/standin/ObjectStoreStandIn.cpp
+++ b/testing/standin/ObjectStoreStandIn.cpp
@@ -157,6 +157,9 @@
   const auto& kind = segments[2];
   if (segments.size() > 3) {
     const ObjectKey key{ kind, segments[3] };
+    if (aMethod == "DELETE") {
+      return Remove(key, ParseUnsigned(Parameter(uri, "Rev")).value_or(0));
+    }
     return aMethod == "GET" ? Read(key) : Replace(key, aBody);
   }
   if (aMethod == "POST") {
@@ -265,4 +268,21 @@
   return { .mBody = ObjectJson(mObjects[aKey]) };
 }
 
+ObjectStoreStandIn::Reply
+ObjectStoreStandIn::Remove(const ObjectKey& aKey, std::uint64_t aVersion)
+{
+  const std::lock_guard lock(mMutex);
+  const auto it = mObjects.find(aKey);
+  if (it == mObjects.end()) {
+    return { .mStatus = 404, .mBody = "{}" };
+  }
+  const Reply reply{ .mBody = ObjectJson(it->second) };
+  if (aVersion != 0 && aVersion != it->second.mVersion) {
+    return { .mStatus = 409, .mBody = reply.mBody };
+  }
+  ++mRevision;
+  mObjects.erase(it);
+  return reply;
+}
+
 } // namespace porttiller::standin
--- a/testing/standin/ObjectStoreStandIn.h
+++ b/testing/standin/ObjectStoreStandIn.h
@@ -62,6 +62,8 @@
   Reply Watch(const std::string& aKind, std::uint64_t aFrom, Millis aWait);
   Reply Create(const std::string& aKind, const std::string& aBody);
   Reply Replace(const ObjectKey& aKey, const std::string& aBody);
+  // Watches do not report it.
+  Reply Remove(const ObjectKey& aKey, std::uint64_t aVersion);
   std::uint64_t PutLocked(const ObjectKey& aKey, const std::string& aSpec);
   std::string ObjectJson(const Object& aObject) const;
 
