--- a/testing/fleet/MeshFleet.cpp
+++ b/testing/fleet/MeshFleet.cpp
@@ -70,7 +70,7 @@
   if (!WaitServers(mOptions.mBoxes)) {
     throw std::runtime_error("the boxes did not learn of all servers in time");
   }
-  if (!mOptions.mCrashMarker.empty()) {
+  if (!mOptions.mCrashMarker.empty() && mOptions.mRestartCrashed) {
     mCrashThread = std::thread([this] { RestartCrashedServers(); });
   }
 }
@@ -141,7 +141,9 @@
 {
   ServerLink(aBox).Refuse(true);
   const std::lock_guard lock(mCrashMutex);
-  mDown.try_emplace(aBox, Now());
+  if (!mRestarting.contains(aBox)) {
+    mDown.try_emplace(aBox, Now());
+  }
   mCrashChanged.notify_all();
 }
 
@@ -171,26 +173,51 @@
   return mCrashRecords;
 }
 
+bool
+MeshFleet::IsDown(int aBox)
+{
+  const std::lock_guard lock(mCrashMutex);
+  return mDown.contains(aBox) || mRestarting.contains(aBox);
+}
+
+std::vector<int>
+MeshFleet::TakeRestartable()
+{
+  std::vector<int> boxes;
+  const std::lock_guard lock(mCrashMutex);
+  for (const auto& [box, at] : mDown) {
+    if (Now() >= at + mOptions.mCrashDownTime) {
+      boxes.push_back(box);
+    }
+  }
+  for (const int box : boxes) {
+    mDown.erase(box);
+    mRestarting.insert(box);
+  }
+  return boxes;
+}
+
+void
+MeshFleet::StartCrashed(int aBox)
+{
+  ReplaceServer(aBox);
+  ServerLink(aBox).Refuse(false);
+  const std::lock_guard lock(mCrashMutex);
+  mRestarting.erase(aBox);
+}
+
 void
 MeshFleet::RestartCrashedServers()
 {
   std::unique_lock lock(mCrashMutex);
   while (!mEndCrashes) {
-    const auto due =
-      std::find_if(mDown.begin(), mDown.end(), [this](const auto& aDown) {
-        return Now() >= aDown.second + mOptions.mCrashDownTime;
-      });
-    if (due == mDown.end()) {
-      mCrashChanged.wait_for(lock, kCrashPoll);
-      continue;
-    }
-    const int box = due->first;
-    mDown.erase(due);
     lock.unlock();
-    ReplaceServer(box);
-    ServerLink(box).Refuse(false);
-    Server(box).SendHeartbeat();
+    for (const int box : TakeRestartable()) {
+      StartCrashed(box);
+      Server(box).SendHeartbeat();
+    }
     lock.lock();
+    mCrashChanged.wait_for(lock, kCrashPoll);
   }
 }
 
--- a/testing/fleet/MeshFleet.h
+++ b/testing/fleet/MeshFleet.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -34,6 +35,8 @@
   // After mCrashDownTime the server is back under another id. Requires mLinks.
   std::string mCrashMarker;
   Millis mCrashDownTime{ 2000 };
+  // False: the owner restarts crashed servers; see TakeRestartable.
+  bool mRestartCrashed = true;
   Millis mWork{ 0 }; // processing time of a request at a server
 };
 
@@ -99,6 +102,12 @@
   // Crashes the server of a box: its connections end and its address refuses
   // new ones. Requires mCrashMarker.
   void CrashServer(int aBox);
+  // Whether the server of a box has crashed and was not started again.
+  bool IsDown(int aBox);
+  // Boxes whose crashed servers are due to start again; each is returned once.
+  // The caller must call StartCrashed for them.
+  std::vector<int> TakeRestartable();
+  void StartCrashed(int aBox);
   // Requests that crash servers, as they arrived at servers so far.
   std::size_t CrashArrivals();
   // Stops restarting crashed servers and returns the records by target. Other
@@ -149,6 +158,7 @@
   std::condition_variable mCrashChanged;
   std::map<std::string, CrashRecord> mCrashRecords; // under mCrashMutex
   std::map<int, TimePoint> mDown; // box to its crash; under mCrashMutex
+  std::set<int> mRestarting;      // taken by TakeRestartable; under mCrashMutex
   bool mEndCrashes = false;       // under mCrashMutex
   std::thread mCrashThread;       // only with mCrashMarker
 };
--- a/testing/soak/Checks.cpp
+++ b/testing/soak/Checks.cpp
@@ -13,6 +13,10 @@
 // How long after an outage a box may take to start and its callers to
 // reconnect.
 constexpr Millis kRestartSlack{ 1500 };
+// The users' bounds on a request that crashes servers.
+constexpr std::size_t kCrashes = 3;
+constexpr Millis kContactTime{ 3000 };
+constexpr std::ptrdiff_t kMaxLateArrivals = 3;
 
 // Whether a status means that the request did not run and never will.
 bool
@@ -49,6 +53,7 @@
       CheckDrains(request);
     }
     CheckRoutes();
+    CheckCrashes();
     return std::move(mViolations);
   }
 
@@ -125,6 +130,26 @@
     }
   }
 
+  // After a request has crashed three servers and kContactTime has passed, few
+  // of its repeats reach servers.
+  void CheckCrashes()
+  {
+    for (const auto& [target, record] : mObservations.mCrashes) {
+      if (record.mCrashes.size() < kCrashes) {
+        continue;
+      }
+      const auto bound = record.mCrashes[kCrashes - 1] + kContactTime;
+      const auto late =
+        std::count_if(record.mArrivals.begin(),
+                      record.mArrivals.end(),
+                      [&](TimePoint aAt) { return aAt > bound; });
+      if (late > kMaxLateArrivals) {
+        mViolations.push_back("crashing request: " + target + " reached " +
+                              std::to_string(late) + " servers late");
+      }
+    }
+  }
+
   bool HadOutageBetween(int aBox, TimePoint aFrom, TimePoint aUntil) const
   {
     const auto& outages = mObservations.mOutages;
--- a/testing/soak/Checks.h
+++ b/testing/soak/Checks.h
@@ -29,6 +29,7 @@
   std::vector<SentRequest> mRequests;
   std::vector<BoxOutage> mOutages;
   std::vector<DrainAck> mAcks;
+  std::map<std::string, fleet::CrashRecord> mCrashes; // by target
 };
 
 // Returns a line for each violated guarantee.
--- a/testing/soak/Schedule.cpp
+++ b/testing/soak/Schedule.cpp
@@ -17,6 +17,7 @@
 // One fault in four hits the same box as the previous one, so that faults of a
 // box overlap.
 constexpr int kSameBoxOneIn = 4;
+constexpr std::uint64_t kMaxCrashingRequests = 3;
 
 Millis
 LengthOf(FaultKind aKind, int aDrawn)
@@ -31,6 +32,58 @@
   }
 }
 
+// From a generator of their own, so that a seed keeps its other faults.
+void
+AddCrashingRequests(const ScheduleOptions& aOptions,
+                    std::vector<Fault>& aFaults)
+{
+  std::mt19937_64 random(~aOptions.mSeed);
+  const auto span = aOptions.mLength.count();
+  const auto count = 1 + random() % kMaxCrashingRequests;
+  for (std::uint64_t i = 0; i < count; ++i) {
+    const auto begin =
+      static_cast<Millis::rep>(random() % static_cast<std::uint64_t>(span / 2));
+    const auto length = static_cast<Millis::rep>(
+      random() % static_cast<std::uint64_t>(span - begin));
+    aFaults.push_back({ Millis(begin),
+                        Millis(length),
+                        FaultKind::kCrashingRequest,
+                        static_cast<int>(i) });
+  }
+  std::stable_sort(aFaults.begin(),
+                   aFaults.end(),
+                   [](const Fault& aLeft, const Fault& aRight) {
+                     return aLeft.mBegin < aRight.mBegin;
+                   });
+}
+
+std::vector<Fault>
+DrawFaults(const ScheduleOptions& aOptions)
+{
+  // The standard fixes the engine's numbers, but not those of distributions,
+  // which could differ between platforms.
+  std::mt19937_64 random(aOptions.mSeed);
+  const auto draw = [&](int aBelow) {
+    return static_cast<int>(random() % static_cast<std::uint64_t>(aBelow));
+  };
+  std::vector<Fault> faults;
+  int box = 0;
+  Millis at{ 0 };
+  for (;;) {
+    at += Millis(1 + draw(2 * static_cast<int>(aOptions.mMeanGap.count())));
+    const auto kind = static_cast<FaultKind>(draw(kFaultKinds));
+    box = draw(kSameBoxOneIn) == 0 ? box : draw(aOptions.mBoxes);
+    const auto length =
+      LengthOf(kind, kMinLengthMs + draw(kMaxLengthMs - kMinLengthMs));
+    if (at >= aOptions.mLength) {
+      return faults;
+    }
+    if (at + length <= aOptions.mLength) {
+      faults.push_back({ at, length, kind, box });
+    }
+  }
+}
+
 } // namespace
 
 const char*
@@ -80,36 +133,19 @@
     case FaultKind::kStoreSilent:
       return "store-silent";
     case FaultKind::kServerSilent:
+      return "server-silent";
+    case FaultKind::kCrashingRequest:
       break;
   }
-  return "server-silent";
+  return "crashing-request";
 }
 
 std::vector<Fault>
 MakeSchedule(const ScheduleOptions& aOptions)
 {
-  // The standard fixes the engine's numbers, but not those of distributions,
-  // which could differ between platforms.
-  std::mt19937_64 random(aOptions.mSeed);
-  const auto draw = [&](int aBelow) {
-    return static_cast<int>(random() % static_cast<std::uint64_t>(aBelow));
-  };
-  std::vector<Fault> faults;
-  int box = 0;
-  Millis at{ 0 };
-  for (;;) {
-    at += Millis(1 + draw(2 * static_cast<int>(aOptions.mMeanGap.count())));
-    const auto kind = static_cast<FaultKind>(draw(kFaultKinds));
-    box = draw(kSameBoxOneIn) == 0 ? box : draw(aOptions.mBoxes);
-    const auto length =
-      LengthOf(kind, kMinLengthMs + draw(kMaxLengthMs - kMinLengthMs));
-    if (at >= aOptions.mLength) {
-      return faults;
-    }
-    if (at + length <= aOptions.mLength) {
-      faults.push_back({ at, length, kind, box });
-    }
-  }
+  auto faults = DrawFaults(aOptions);
+  AddCrashingRequests(aOptions, faults);
+  return faults;
 }
 
 } // namespace porttiller::soak
--- a/testing/soak/Schedule.h
+++ b/testing/soak/Schedule.h
@@ -33,9 +33,11 @@
   kRestartServer,   // stops and starts again under its id
   kForeignWriter,   // writes foreign objects and an invalid heartbeat
   kStoreSilent,     // a box's open connections to the store drop all data
-  kServerSilent     // the same between a box and its server
+  kServerSilent,    // the same between a box and its server
+  kCrashingRequest  // repeats of a request that crashes each server
 };
 
+// Kinds that are drawn with equal probability; the last one is drawn apart.
 inline constexpr int kFaultKinds =
   static_cast<int>(FaultKind::kServerSilent) + 1;
 
@@ -47,7 +49,7 @@
   Millis mBegin{ 0 }; // from the start of the soak
   Millis mLength{ 0 };
   FaultKind mKind = FaultKind::kKillBox;
-  int mBox = 0;
+  int mBox = 0; // of kCrashingRequest: the number of the request
 
   friend bool operator==(const Fault&, const Fault&) = default;
 };
--- a/testing/soak/Soak.cpp
+++ b/testing/soak/Soak.cpp
@@ -12,6 +12,8 @@
 constexpr Millis kRecoveryWait{ 20'000 };
 constexpr Millis kSlowWork{ 700 };
 constexpr Millis kPollInterval{ 5 };
+constexpr Millis kCrashingGap{ 250 };
+constexpr Millis kCrashingTimeout{ 1500 };
 
 bool
 IsBoxFault(FaultKind aKind)
@@ -29,7 +31,9 @@
              .mLinks = true,
              .mStartTimes = true,
              .mDrainNotice = Millis(500),
-             .mDrain = Millis(4000) })
+             .mDrain = Millis(4000),
+             .mCrashMarker = "crash",
+             .mRestartCrashed = false })
   , mServerMutexes(static_cast<std::size_t>(aOptions.mSchedule.mBoxes))
   , mDraining(static_cast<std::size_t>(aOptions.mSchedule.mBoxes), false)
 {
@@ -38,7 +42,7 @@
       while (!mStop) {
         {
           const std::lock_guard lock(mServerMutexes.at(box));
-          if (!mDraining.at(box)) {
+          if (!mDraining.at(box) && !mFleet.IsDown(box)) {
             mFleet.Server(box).SendHeartbeat();
           }
         }
@@ -83,12 +87,18 @@
       }
     }
     std::erase_if(active, isOver);
+    StartCrashedServers();
     std::this_thread::sleep_for(kPollInterval);
   }
+  for (auto& thread : mCrashers) {
+    thread.join();
+  }
+  mCrashers.clear();
   ClearFaults();
   SoakResult result;
   CheckRecovery(result);
   mObservations.mRequests = mClients->Stop();
+  mObservations.mCrashes = mFleet.EndCrashes();
   result.mRequests = mObservations.mRequests.size();
   result.mServed = static_cast<std::size_t>(
     std::count_if(mObservations.mRequests.begin(),
@@ -169,6 +179,9 @@
     case FaultKind::kForeignWriter:
       WriteForeignObjects(box);
       break;
+    case FaultKind::kCrashingRequest:
+      mCrashers.emplace_back([this, aFault] { RepeatCrashingRequest(aFault); });
+      break;
     default:
       mFleet.Configure("/extra/");
       mClients->AddRoute("/extra/");
@@ -272,11 +285,39 @@
   }
 }
 
+// Sends the request to all boxes in turn, also to those that are down.
+void
+Soak::RepeatCrashingRequest(const Fault& aFault)
+{
+  const auto number = std::to_string(aFault.mBox);
+  const bool once = aFault.mBox % 2 == 1;
+  const auto end = Now() + aFault.mLength;
+  for (int i = 0; Now() < end; ++i) {
+    mFleet.Send({ .mBox = (aFault.mBox + i) % mOptions.mSchedule.mBoxes,
+                  .mMethod = once ? "POST" : "GET",
+                  .mTarget = (once ? "/once/crash" : "/safe/crash") + number,
+                  .mId = "x" + number + "-" + std::to_string(i),
+                  .mBody = once ? "the same body" : "",
+                  .mTimeout = kCrashingTimeout });
+    std::this_thread::sleep_for(kCrashingGap);
+  }
+}
+
+void
+Soak::StartCrashedServers()
+{
+  for (const int box : mFleet.TakeRestartable()) {
+    const std::lock_guard lock(mServerMutexes.at(box));
+    mFleet.StartCrashed(box);
+    mDraining.at(box) = false; // another server; its heartbeats begin
+  }
+}
+
 void
 Soak::RestartServer(int aBox)
 {
   const std::lock_guard lock(mServerMutexes.at(aBox));
-  if (!mDraining.at(aBox)) {
+  if (!mDraining.at(aBox) && !mFleet.IsDown(aBox)) {
     mFleet.RestartServer(aBox); // the next heartbeat reports the new start
   }
 }
@@ -300,7 +341,7 @@
 Soak::BeginReplacement(int aBox)
 {
   const std::lock_guard lock(mServerMutexes.at(aBox));
-  if (mDraining.at(aBox)) {
+  if (mDraining.at(aBox) || mFleet.IsDown(aBox)) {
     return;
   }
   mDraining.at(aBox) = true;
@@ -314,7 +355,7 @@
 Soak::EndReplacement(int aBox)
 {
   const std::lock_guard lock(mServerMutexes.at(aBox));
-  if (!mDraining.at(aBox)) {
+  if (!mDraining.at(aBox) || mFleet.IsDown(aBox)) {
     return;
   }
   mDraining.at(aBox) = false;
@@ -343,6 +384,18 @@
 void
 Soak::CheckRecovery(SoakResult& aResult)
 {
+  const bool restarted = fleet::WaitUntil(kRecoveryWait, [&] {
+    StartCrashedServers();
+    for (int box = 0; box < mOptions.mSchedule.mBoxes; ++box) {
+      if (mFleet.IsDown(box)) {
+        return false;
+      }
+    }
+    return true;
+  });
+  if (!restarted) {
+    aResult.mViolations.push_back("recovery: crashed servers did not start");
+  }
   for (int box = 0; box < mOptions.mSchedule.mBoxes; ++box) {
     for (const std::string prefix : { "/once/", "/safe/", "/extra/" }) {
       int attempts = 0;
--- a/testing/soak/Soak.h
+++ b/testing/soak/Soak.h
@@ -45,6 +45,8 @@
   void SetServer(int aBox, const standin::MeshServerFaults& aFaults);
   void RestartServer(int aBox);
   void WriteForeignObjects(int aBox);
+  void RepeatCrashingRequest(const Fault& aFault);
+  void StartCrashedServers();
   void BeginReplacement(int aBox);
   void EndReplacement(int aBox);
   void ClearFaults();
@@ -62,6 +64,7 @@
   std::atomic<bool> mStop{ false };
   std::unique_ptr<Clients> mClients;
   std::vector<std::thread> mHeartbeats; // one thread for each box
+  std::vector<std::thread> mCrashers;   // one for each crashing request
 };
 
 } // namespace porttiller::soak
