--- a/packages/control/src/ControlCodec.cpp
+++ b/packages/control/src/ControlCodec.cpp
@@ -12,7 +12,7 @@
 constexpr double kPermille = 1000.0;
 constexpr int kMaxCrashEvents = 64; // of one record
 // Events are forgotten sooner.
-constexpr std::uint64_t kMaxCrashAgeMs = 7 * 24 * 3'600'000ULL;
+constexpr std::uint64_t kMaxCrashAgeMs = 7ULL * 24 * 3'600'000;
 
 } // namespace
 
--- a/packages/hop/src/CrashText.cpp
+++ b/packages/hop/src/CrashText.cpp
@@ -15,7 +15,7 @@
 constexpr char kClearedFlag = 'c';
 constexpr std::size_t kFields = 3;
 // Events are forgotten sooner; bounds what a peer may claim.
-constexpr std::uint64_t kMaxAgeMs = 7 * 24 * 3'600'000ULL;
+constexpr std::uint64_t kMaxAgeMs = 7ULL * 24 * 3'600'000;
 
 std::optional<CrashEvent>
 DecodeCrash(const std::string& aText, TimePoint aNow)
--- a/testing/fleet/MeshFleet.cpp
+++ b/testing/fleet/MeshFleet.cpp
@@ -43,7 +43,7 @@
 } // namespace
 
 MeshFleet::MeshFleet(MeshFleetOptions aOptions)
-  : mOptions(aOptions)
+  : mOptions(std::move(aOptions))
   , mDirectory(Poco::TemporaryFile::tempName())
 {
   std::filesystem::create_directories(mDirectory);
