Crash records: sum up a record once, and drop locks and a copy of a bound

StateOf, SharedRecords and SharedDigest summed up the events of a record twice, once for its age and once for its state; IsOld and RankOf now take the sum. The times of the ticker in CrashController were under a lock that no other thread needed. The oldest age that a message may claim stood in two codecs.

--- a/packages/control/include/porttiller/control/CrashController.h
+++ b/packages/control/include/porttiller/control/CrashController.h
@@ -60,10 +60,10 @@
   PeerTransport& mTransport;
   CrashMonitor& mMonitor;
   const CrashPeers mPeers;
+  TimePoint mNextSpread; // used by mTicker alone
+  TimePoint mNextDrop;   // used by mTicker alone
   std::mutex mMutex;
-  TimePoint mNextSpread;     // under mMutex
   TimePoint mNextRequest;    // under mMutex
-  TimePoint mNextDrop;       // under mMutex
   TimePoint mDifferingSince; // from all peers' digests; under mMutex
   bool mDiffers = false;     // under mMutex
   CrashStore mStore;         // used by mWorker alone
--- a/packages/control/src/ControlCodec.cpp
+++ b/packages/control/src/ControlCodec.cpp
@@ -11,8 +11,6 @@
 constexpr std::int64_t kMaxUses = 1'000'000;
 constexpr double kPermille = 1000.0;
 constexpr int kMaxCrashEvents = 64; // of one record
-// Events are forgotten sooner.
-constexpr std::uint64_t kMaxCrashAgeMs = 7ULL * 24 * 3'600'000;
 
 } // namespace
 
@@ -226,7 +224,8 @@
       continue;
     }
     for (const auto& event : item.events()) {
-      const auto age = std::min<std::uint64_t>(event.age_ms(), kMaxCrashAgeMs);
+      const auto age = std::min<std::uint64_t>(
+        event.age_ms(), static_cast<std::uint64_t>(kMaxCrashAge.count()));
       record.mEvents.push_back({ .mId = event.id(),
                                  .mAt = aNow - Millis(age),
                                  .mAfterCrash = event.after_crash(),
--- a/packages/control/src/CrashController.cpp
+++ b/packages/control/src/CrashController.cpp
@@ -107,14 +107,10 @@
   SendReports();
   SpreadChanges();
   const auto now = Now();
-  {
-    const std::lock_guard lock(mMutex);
-    if (now < mNextDrop) {
-      return;
-    }
+  if (now >= mNextDrop) {
     mNextDrop = now + kDropInterval;
+    mMonitor.DropOld();
   }
-  mMonitor.DropOld();
 }
 
 void
@@ -154,20 +150,14 @@
 CrashController::SpreadChanges()
 {
   const auto now = Now();
-  {
-    const std::lock_guard lock(mMutex);
-    if (now < mNextSpread) {
-      return;
-    }
+  if (now < mNextSpread) {
+    return;
   }
   const auto records = mMonitor.TakeChanged(kMaxRecordsInMessage);
   if (records.empty()) {
     return;
   }
-  {
-    const std::lock_guard lock(mMutex);
-    mNextSpread = now + kMinSpreadInterval;
-  }
+  mNextSpread = now + kMinSpreadInterval;
   StoreOwned(records);
   wire::Envelope message;
   *message.mutable_crash_report() = EncodeCrashRecords(records, now);
--- a/packages/hop/src/CrashText.cpp
+++ b/packages/hop/src/CrashText.cpp
@@ -14,8 +14,6 @@
 constexpr char kAfterCrashFlag = 'a';
 constexpr char kClearedFlag = 'c';
 constexpr std::size_t kFields = 3;
-// Events are forgotten sooner; bounds what a peer may claim.
-constexpr std::uint64_t kMaxAgeMs = 7ULL * 24 * 3'600'000;
 
 std::optional<CrashEvent>
 DecodeCrash(const std::string& aText, TimePoint aNow)
@@ -27,7 +25,7 @@
     return std::nullopt;
   }
   const auto age = ParseUnsigned(fields[1]);
-  if (!age || *age > kMaxAgeMs) {
+  if (!age || *age > static_cast<std::uint64_t>(kMaxCrashAge.count())) {
     return std::nullopt;
   }
   const auto has = [&](char aFlag) {
--- a/packages/policy/include/porttiller/policy/CrashTable.h
+++ b/packages/policy/include/porttiller/policy/CrashTable.h
@@ -42,6 +42,10 @@
   friend auto operator<=>(const CrashRecord&, const CrashRecord&) = default;
 };
 
+// An event of a message that claims to be older is not taken as it stands:
+// events are forgotten sooner.
+inline constexpr Millis kMaxCrashAge = std::chrono::hours(7 * 24);
+
 enum class CrashVerdict
 {
   kClear,       // ran at no crash that still counts
@@ -136,10 +140,10 @@
   };
 
   Counted Count(const CrashRecord& aRecord) const;
-  Rank RankOf(const CrashRecord& aRecord) const;
+  static Rank RankOf(const Counted& aCounted);
   CrashState StateOf(const CrashRecord& aRecord, TimePoint aNow) const;
   bool IsShared(const CrashRecord& aRecord) const;
-  bool IsOld(const CrashRecord& aRecord, TimePoint aNow) const;
+  bool IsOld(const Counted& aCounted, TimePoint aNow) const;
   bool MakeRoom(const CrashRecord& aRecord);
   bool ClearUntil(const RequestDigest& aDigest, TimePoint aUntil);
   void RememberAnswer(const RequestDigest& aDigest, TimePoint aNow);
--- a/packages/policy/src/CrashTable.cpp
+++ b/packages/policy/src/CrashTable.cpp
@@ -85,17 +85,16 @@
 }
 
 CrashTable::Rank
-CrashTable::RankOf(const CrashRecord& aRecord) const
+CrashTable::RankOf(const Counted& aCounted)
 {
-  const auto counted = Count(aRecord);
-  return { counted.mQuarantined, counted.mCrashes, counted.mLast };
+  return { aCounted.mQuarantined, aCounted.mCrashes, aCounted.mLast };
 }
 
 CrashState
 CrashTable::StateOf(const CrashRecord& aRecord, TimePoint aNow) const
 {
   const auto counted = Count(aRecord);
-  if (counted.mCrashes == 0 || IsOld(aRecord, aNow)) {
+  if (counted.mCrashes == 0 || IsOld(counted, aNow)) {
     return {};
   }
   if (!counted.mQuarantined) {
@@ -135,18 +134,17 @@
 }
 
 bool
-CrashTable::IsOld(const CrashRecord& aRecord, TimePoint aNow) const
+CrashTable::IsOld(const Counted& aCounted, TimePoint aNow) const
 {
-  const auto counted = Count(aRecord);
-  return aNow >= counted.mLast + (counted.mQuarantined
-                                    ? mOptions.mQuarantineMemory
-                                    : mOptions.mSuspectMemory);
+  return aNow >= aCounted.mLast + (aCounted.mQuarantined
+                                     ? mOptions.mQuarantineMemory
+                                     : mOptions.mSuspectMemory);
 }
 
 bool
 CrashTable::Merge(const CrashRecord& aRecord, TimePoint aNow)
 {
-  if (aRecord.mEvents.empty() || IsOld(aRecord, aNow)) {
+  if (aRecord.mEvents.empty() || IsOld(Count(aRecord), aNow)) {
     return false;
   }
   auto it = mRecords.find(aRecord.mDigest);
@@ -175,13 +173,13 @@
   if (mRecords.size() < mOptions.mMaxRecords) {
     return true;
   }
-  const auto least =
-    std::min_element(mRecords.begin(),
-                     mRecords.end(),
-                     [&](const auto& aLeft, const auto& aRight) {
-                       return RankOf(aLeft.second) < RankOf(aRight.second);
-                     });
-  if (RankOf(aRecord) < RankOf(least->second)) {
+  const auto least = std::min_element(
+    mRecords.begin(),
+    mRecords.end(),
+    [&](const auto& aLeft, const auto& aRight) {
+      return RankOf(Count(aLeft.second)) < RankOf(Count(aRight.second));
+    });
+  if (RankOf(Count(aRecord)) < RankOf(Count(least->second))) {
     return false;
   }
   mRecords.erase(least);
@@ -239,8 +237,12 @@
 {
   std::vector<std::pair<Rank, const CrashRecord*>> shared;
   for (const auto& [digest, record] : mRecords) {
-    if (IsShared(record) && !IsOld(record, aNow)) {
-      shared.emplace_back(RankOf(record), &record);
+    if (!IsShared(record)) {
+      continue;
+    }
+    const auto counted = Count(record);
+    if (!IsOld(counted, aNow)) {
+      shared.emplace_back(RankOf(counted), &record);
     }
   }
   const auto count = std::min(aMost, shared.size());
@@ -263,10 +265,13 @@
 {
   std::uint64_t digest = 0;
   for (const auto& [request, record] : mRecords) {
-    if (!IsShared(record) || IsOld(record, aNow)) {
+    if (!IsShared(record)) {
       continue;
     }
     const auto counted = Count(record);
+    if (IsOld(counted, aNow)) {
+      continue;
+    }
     const auto state =
       std::to_string(std::min(counted.mCrashes, mOptions.mQuarantineCrashes)) +
       (counted.mQuarantined ? "q" : "s") +
@@ -288,8 +293,9 @@
 void
 CrashTable::DropOld(TimePoint aNow)
 {
-  std::erase_if(mRecords,
-                [&](const auto& aItem) { return IsOld(aItem.second, aNow); });
+  std::erase_if(mRecords, [&](const auto& aItem) {
+    return IsOld(Count(aItem.second), aNow);
+  });
 }
 
 } // namespace porttiller
