--- a/testing/fleet/tests/CrashingRequestTest.cpp
+++ b/testing/fleet/tests/CrashingRequestTest.cpp
@@ -23,6 +23,8 @@
 constexpr Millis kClientGap{ 60 };
 constexpr Millis kCrashingGap{ 500 };
 constexpr double kMinServedShare = 0.95;
+constexpr Millis kLong{ 20'000 };
+constexpr std::string_view kQuarantinedMark = "=quarantined/"; // in /state
 
 MeshFleetOptions
 Options()
@@ -41,6 +43,34 @@
   std::string mBody;
 };
 
+const CrashingRequest kSafeRequest{ "GET", "/safe/crash", "" };
+const CrashingRequest kOnceRequest{ "POST", "/once/crash", "the same body" };
+
+bool
+IsQuarantined(const MeshFleet& aFleet, int aBox)
+{
+  return aFleet.State(aBox).find(kQuarantinedMark) != std::string::npos;
+}
+
+// Sends the request to the first aBoxes boxes in turn until box 0 has
+// quarantined it; false if it does not.
+bool
+SendUntilQuarantined(MeshFleet& aFleet,
+                     const CrashingRequest& aRequest,
+                     int aBoxes)
+{
+  int sent = 0;
+  return WaitUntil(kLong, [&] {
+    ++sent;
+    aFleet.Send(sent % aBoxes,
+                aRequest.mMethod,
+                aRequest.mTarget,
+                "x" + std::to_string(sent),
+                aRequest.mBody);
+    return IsQuarantined(aFleet, 0);
+  });
+}
+
 struct ServedCount
 {
   std::atomic<int> mSent{ 0 };
@@ -156,9 +186,7 @@
 
 TEST_CASE("A request that crashed three servers is not sent to further ones")
 {
-  for (const auto& request :
-       { CrashingRequest{ "GET", "/safe/crash", "" },
-         CrashingRequest{ "POST", "/once/crash", "the same body" } }) {
+  for (const auto& request : { kSafeRequest, kOnceRequest }) {
     MeshFleet fleet(Options());
     CrashTraffic traffic(fleet, { request });
     traffic.Run(Millis(14'000), Millis(8000));
@@ -187,23 +215,13 @@
 
 TEST_CASE("Boxes that were paused or restarted learn of a crashing request")
 {
-  constexpr Millis kLong{ 20'000 };
   constexpr int kPaused = 4; // this box and all after it
   constexpr int kRestarted = 3;
   MeshFleet fleet(Options());
   for (int box = kPaused; box < kBoxes; ++box) {
     fleet.SignalBox(box, SIGSTOP);
   }
-  const auto quarantined = [&](int aBox) {
-    return fleet.State(aBox).find("=quarantined/") != std::string::npos;
-  };
-  int sent = 0;
-  CHECK(WaitUntil(kLong, [&] {
-    ++sent;
-    fleet.Send(
-      sent % kRestarted, "GET", "/safe/crash", "x" + std::to_string(sent));
-    return quarantined(0);
-  }));
+  CHECK(SendUntilQuarantined(fleet, kSafeRequest, kRestarted));
   fleet.SignalBox(kRestarted, SIGKILL);
   fleet.WaitForBoxExit(kRestarted, kLong);
   fleet.StartBox(kRestarted);
@@ -214,7 +232,7 @@
   CHECK(arrivals >= kCrashes);
   for (int box = 0; box < kBoxes; ++box) {
     CAPTURE(box);
-    CHECK(WaitUntil(kLong, [&] { return quarantined(box); }));
+    CHECK(WaitUntil(kLong, [&] { return IsQuarantined(fleet, box); }));
     const auto reply =
       fleet.Send(box, "GET", "/safe/crash", "late" + std::to_string(box));
     CHECK(reply.mStatus == 503);
@@ -225,18 +243,8 @@
 
 TEST_CASE("A crashing request stays quarantined when all boxes restart at once")
 {
-  constexpr Millis kLong{ 20'000 };
   MeshFleet fleet(Options());
-  const auto quarantined = [&](int aBox) {
-    return fleet.State(aBox).find("=quarantined/") != std::string::npos;
-  };
-  int sent = 0;
-  CHECK(WaitUntil(kLong, [&] {
-    ++sent;
-    fleet.Send(
-      sent % kBoxes, "POST", "/once/crash", "x" + std::to_string(sent), "same");
-    return quarantined(0);
-  }));
+  CHECK(SendUntilQuarantined(fleet, kOnceRequest, kBoxes));
   CHECK(
     WaitUntil(kLong, [&] { return fleet.Store().Count("crash-records") > 0; }));
   for (int box = 0; box < kBoxes; ++box) {
@@ -248,37 +256,31 @@
     fleet.StartBox(box);
   }
   for (int box = 0; box < kBoxes; ++box) {
-    CHECK(WaitUntil(kLong, [&] { return quarantined(box); }));
-    CHECK(
-      fleet.Send(box, "POST", "/once/crash", "y" + std::to_string(box), "same")
-        .mStatus == 503);
+    CHECK(WaitUntil(kLong, [&] { return IsQuarantined(fleet, box); }));
+    CHECK(fleet
+            .Send(box,
+                  "POST",
+                  "/once/crash",
+                  "y" + std::to_string(box),
+                  kOnceRequest.mBody)
+            .mStatus == 503);
   }
   CHECK(fleet.CrashArrivals() == arrivals);
 }
 
 TEST_CASE("An operator clears a crashing request on all boxes")
 {
-  constexpr Millis kLong{ 20'000 };
-  const std::string mark = "=quarantined/";
   MeshFleet fleet(Options());
-  const auto quarantined = [&](int aBox) {
-    return fleet.State(aBox).find(mark) != std::string::npos;
-  };
-  int sent = 0;
-  CHECK(WaitUntil(kLong, [&] {
-    ++sent;
-    fleet.Send(sent % kBoxes, "GET", "/safe/crash", "x" + std::to_string(sent));
-    return quarantined(0);
-  }));
-  CHECK(WaitUntil(kLong, [&] { return quarantined(1); }));
+  CHECK(SendUntilQuarantined(fleet, kSafeRequest, kBoxes));
+  CHECK(WaitUntil(kLong, [&] { return IsQuarantined(fleet, 1); }));
   CHECK(fleet.MetricsOf(0).find("porttiller_quarantined_requests 1") !=
         std::string::npos);
   const auto state = fleet.State(0);
-  const auto digest = state.substr(state.find(mark) - 32, 32);
+  const auto digest = state.substr(state.find(kQuarantinedMark) - 32, 32);
   CHECK_FALSE(fleet.ClearRequest(0, std::string(32, 'f')));
   CHECK(fleet.ClearRequest(0, digest));
   for (int box = 0; box < kBoxes; ++box) {
-    CHECK(WaitUntil(kLong, [&] { return !quarantined(box); }));
+    CHECK(WaitUntil(kLong, [&] { return !IsQuarantined(fleet, box); }));
   }
   CHECK(WaitUntil(kLong,
                   [&] { return fleet.Store().Count("crash-records") == 0; }));
