home: log the limit that a server names and what it was sent

Change: the headers in which a server names a limit and says that it is leaving are decoded once, from answers that are known to be the server's. The home keeps both for one start of the server, outside the LocalServer object that a change of settings replaces. New lines server_limit, server_limit_unreadable and server_leaving; three gauges; both in the dump of the server. The native names are forwarded to callers, as the users' are. Nothing is decided by them yet.

--- a/packages/config/include/porttiller/config/EdgeHeaders.h
+++ b/packages/config/include/porttiller/config/EdgeHeaders.h
@@ -19,9 +19,11 @@
   std::string mExpectedServer; // ID of the only server that may run it
   std::string mWorkspace;      // workspace of the request's API key
   // From backend servers.
-  std::string mNotRun;    // present if the server did not run the request
-  std::string mSignature; // present in each answer that the server completed
-  std::string mLoad;      // value "running,waiting,slots"
+  std::string mNotRun;      // present if the server did not run the request
+  std::string mSignature;   // present in each answer that the server completed
+  std::string mLoad;        // value "running,waiting,slots"
+  std::string mServerLimit; // requests per second that it accepts
+  std::string mServerLeaving; // "1" in each answer while it shuts down
   // Whether answers to callers have headers with the outcome of the request.
   bool mReportOutcome = false;
 
--- a/packages/home/include/porttiller/home/Home.h
+++ b/packages/home/include/porttiller/home/Home.h
@@ -65,7 +65,8 @@
 
   Shard& ShardOf(const AttemptId& aAttempt) const;
   LocalServerPtr ReuseOrCreate(const BackendServerSpec& aSpec,
-                               const LocalServerOptions& aOptions) const;
+                               const LocalServerOptions& aOptions);
+  ServerThrottlePtr ThrottleOf(const BackendServerSpec& aSpec, bool aReturned);
   HomeAnswer RunAdmitted(const HomeRequest& aRequest, Shard& aShard);
   RetryBudgetOptions BudgetOf(const ServiceEntry& aService) const;
 
@@ -78,6 +79,8 @@
   mutable std::array<Shard, kShards> mShards;
   mutable std::mutex mServersMutex;
   std::map<BackendServerName, LocalServerPtr> mServers;
+  // What the servers demand; kept when a LocalServer is made anew.
+  std::map<BackendServerName, ServerThrottlePtr> mThrottles;
   // Servers that are leaving in the last snapshot; under mServersMutex.
   std::set<BackendServerName> mConfiguredLeaving;
   std::set<ServiceName> mReplacedServices; // under mServersMutex
--- a/packages/home/include/porttiller/home/LocalServer.h
+++ b/packages/home/include/porttiller/home/LocalServer.h
@@ -9,6 +9,7 @@
 #include "porttiller/home/ServerBreaker.h"
 #include "porttiller/home/ServerCall.h"
 #include "porttiller/home/ServerStateUpdate.h"
+#include "porttiller/home/ServerThrottle.h"
 #include "porttiller/hop/CrashMonitor.h"
 #include "porttiller/hop/HomeTypes.h"
 #include "porttiller/hop/ShutdownDeadline.h"
@@ -41,12 +42,15 @@
 class LocalServer
 {
 public:
+  // aThrottle belongs to the same start of the server.
   LocalServer(const BackendServerSpec& aSpec,
               LocalServerOptions aOptions,
+              ServerThrottlePtr aThrottle,
               const ShutdownDeadline& aShutdownDeadline,
               CrashMonitor& aCrashMonitor);
 
   const BackendServerSpec& Spec() const { return mSpec; }
+  const ServerThrottle& Throttle() const { return *mThrottle; }
 
   // Waits for a slot, forwards the request and returns the complete answer. The
   // attempt must have been admitted by the registry.
@@ -144,6 +148,7 @@
 
   const BackendServerSpec mSpec;
   const LocalServerOptions mOptions;
+  const ServerThrottlePtr mThrottle;
   const ShutdownDeadline& mShutdownDeadline;
   CrashMonitor& mCrashMonitor;
   ServerCall mCall;
--- a/packages/home/src/Home.cpp
+++ b/packages/home/src/Home.cpp
@@ -11,6 +11,7 @@
 constexpr Millis kNoServerRetryAfter{ 100 };
 constexpr Millis kDuplicateRetryAfter{ 1000 };
 constexpr double kPercent = 100.0;
+constexpr std::size_t kMaxAbsentThrottles = 64;
 
 // Whether a server keeps its state. The leaving flag may differ; any other
 // difference, such as a later start, makes it another server.
@@ -213,6 +214,12 @@
     }
   }
   mServers.swap(kept);
+  // One that is missing for a moment keeps what it demanded.
+  if (mThrottles.size() > mServers.size() + kMaxAbsentThrottles) {
+    std::erase_if(mThrottles, [this](const auto& aThrottle) {
+      return !mServers.contains(aThrottle.first);
+    });
+  }
   mConfiguredLeaving.swap(leaving);
 }
 
@@ -221,7 +228,7 @@
 // as leaving and the next one does not.
 LocalServerPtr
 Home::ReuseOrCreate(const BackendServerSpec& aSpec,
-                    const LocalServerOptions& aOptions) const
+                    const LocalServerOptions& aOptions)
 {
   const auto it = mServers.find(aSpec.mName);
   const bool returned =
@@ -229,9 +236,26 @@
   const bool same = it != mServers.end() && !returned &&
                     SameServer(it->second->Spec(), aSpec) &&
                     it->second->Options() == aOptions;
-  return same ? it->second
-              : std::make_shared<LocalServer>(
-                  aSpec, aOptions, mShutdownDeadline, mCrashMonitor);
+  if (same) {
+    return it->second;
+  }
+  return std::make_shared<LocalServer>(aSpec,
+                                       aOptions,
+                                       ThrottleOf(aSpec, returned),
+                                       mShutdownDeadline,
+                                       mCrashMonitor);
+}
+
+// Called under mServersMutex. aReturned: the server was taken back by hand,
+// which ends what it demanded before.
+ServerThrottlePtr
+Home::ThrottleOf(const BackendServerSpec& aSpec, bool aReturned)
+{
+  auto& throttle = mThrottles[aSpec.mName];
+  if (!throttle || aReturned || throttle->Server() != aSpec.Incarnation()) {
+    throttle = std::make_shared<ServerThrottle>(aSpec.Incarnation());
+  }
+  return throttle;
 }
 
 std::set<ServiceName>
--- a/packages/home/src/LocalServer.cpp
+++ b/packages/home/src/LocalServer.cpp
@@ -49,10 +49,12 @@
 
 LocalServer::LocalServer(const BackendServerSpec& aSpec,
                          LocalServerOptions aOptions,
+                         ServerThrottlePtr aThrottle,
                          const ShutdownDeadline& aShutdownDeadline,
                          CrashMonitor& aCrashMonitor)
   : mSpec(aSpec)
   , mOptions(std::move(aOptions))
+  , mThrottle(std::move(aThrottle))
   , mShutdownDeadline(aShutdownDeadline)
   , mCrashMonitor(aCrashMonitor)
   , mCall(aSpec, mOptions.mHeaders, aShutdownDeadline)
@@ -127,7 +129,7 @@
 {
   const std::lock_guard lock(mMutex);
   return mMachine.Dump() + " " + mBreaker.Dump() + " " + mQueue.Dump() +
-         " leaving=" + (mLeaving ? "true" : "false");
+         " leaving=" + (mLeaving ? "true" : "false") + " " + mThrottle->Dump();
 }
 
 HomeAnswer
@@ -146,7 +148,11 @@
     return *rejected;
   }
   const auto start = Now();
+  mThrottle->OnSent(start);
   auto answer = mCall.Run(aRequest);
+  if (answer.mSignals) {
+    mThrottle->OnAnswer(*answer.mSignals, aRequest.mRequestId, start, Now());
+  }
   const auto time = Now() - start;
   if (answer.mOutcome == Outcome::kNotRun) {
     OnServerRejection(answer);
--- a/packages/home/src/ServerCall.cpp
+++ b/packages/home/src/ServerCall.cpp
@@ -112,10 +112,15 @@
 HomeAnswer
 ServerCall::ToHomeAnswer(const HomeRequest& aRequest, HttpAnswer aHttp)
 {
+  const auto& names = mNames;
+  const auto signals = ReadServerSignals(aHttp.mHeaders, names);
   if (ReportsNotRun(aHttp)) {
-    return RejectionOf(aHttp);
+    auto rejection = RejectionOf(aHttp);
+    if (rejection.mRejectReason != RejectReason::kNoServer) {
+      rejection.mSignals = signals;
+    }
+    return rejection;
   }
-  const auto& names = mNames;
   const bool unsignedAnswer =
     !names.mSignature.empty() &&
     (HeaderValue(aHttp.mHeaders, names.mSignature).empty() ||
@@ -127,7 +132,9 @@
     return { .mOutcome = Outcome::kUnknown,
              .mReason = "server-spoiled-answer" };
   }
-  return { .mOutcome = Outcome::kRun, .mHttp = std::move(aHttp) };
+  return { .mOutcome = Outcome::kRun,
+           .mHttp = std::move(aHttp),
+           .mSignals = signals };
 }
 
 bool
--- a/packages/home/tests/LocalServerTest.cpp
+++ b/packages/home/tests/LocalServerTest.cpp
@@ -29,6 +29,8 @@
                 .mAddress = kAddress },
               { .mFailingServers = FailingServers::kBreak,
                 .mHeaders = { .mServerDeadline = "X-Deadline" } },
+              std::make_shared<ServerThrottle>(
+                ServerIncarnation(BackendServerName("s"))),
               mShutdownDeadline,
               mCrashes)
   {
--- a/packages/hop/include/porttiller/hop/HomeTypes.h
+++ b/packages/hop/include/porttiller/hop/HomeTypes.h
@@ -6,6 +6,7 @@
 #include "porttiller/core/RejectReason.h"
 #include "porttiller/core/RequestDigest.h"
 #include "porttiller/core/Time.h"
+#include "porttiller/hop/ServerSignals.h"
 #include "porttiller/http/HttpListener.h"
 #include "porttiller/http/HttpTypes.h"
 #include "porttiller/policy/CrashTable.h"
@@ -82,6 +83,8 @@
   // The server ended the connection before its answer was complete. Never
   // encoded.
   bool mServerClosed = false;
+  // Null if the answer is not known to be from the server. Never encoded.
+  std::optional<ServerSignals> mSignals;
 };
 
 } // namespace porttiller
--- a/packages/hop/include/porttiller/hop/HopHeaders.h
+++ b/packages/hop/include/porttiller/hop/HopHeaders.h
@@ -16,6 +16,10 @@
 inline constexpr const char* kToken = "Porttiller-Token";
 inline constexpr const char* kReason = "Porttiller-Reason";
 inline constexpr const char* kRetryAfterMs = "Porttiller-Retry-After-Ms";
+// From backend servers, about themselves. Unlike other headers with the prefix,
+// they are passed on to callers.
+inline constexpr const char* kServerLimit = "Porttiller-Server-Limit";
+inline constexpr const char* kServerLeaving = "Porttiller-Server-Leaving";
 // Between entry and home: the fields of an attempt and of its answer. HopCodec
 // defines them.
 inline constexpr const char* kRequestHop = "Porttiller-Try";
--- a/packages/hop/src/Dialects.cpp
+++ b/packages/hop/src/Dialects.cpp
@@ -15,6 +15,8 @@
            .mKey = hop::kKey,
            .mServerDeadline = hop::kDeadlineMs,
            .mWorkspace = hop::kWorkspace,
+           .mServerLimit = hop::kServerLimit,
+           .mServerLeaving = hop::kServerLeaving,
            .mReportOutcome = true };
 }
 
--- a/packages/http/include/porttiller/http/HttpTypes.h
+++ b/packages/http/include/porttiller/http/HttpTypes.h
@@ -54,7 +54,8 @@
 RemoveHeader(HttpHeaders& aHeaders, std::string_view aName);
 
 // Hop-by-hop headers (RFC 9110, 7.6.1), and headers that only the proxy sets:
-// Content-Length, Expect and those with the prefix "porttiller-".
+// Content-Length, Expect and those with the prefix "porttiller-", but not
+// "porttiller-server-".
 bool
 IsHopHeader(std::string_view aName);
 
--- a/packages/http/src/HttpTypes.cpp
+++ b/packages/http/src/HttpTypes.cpp
@@ -23,6 +23,8 @@
                                      "proxy-authorization",
                                      "content-length" };
 constexpr std::string_view kOwnPrefix = "porttiller-";
+// Of headers in which a backend server describes itself, for callers as well.
+constexpr std::string_view kServerPrefix = "porttiller-server-";
 
 bool
 SameName(std::string_view aLeft, std::string_view aRight)
@@ -124,7 +126,7 @@
 IsHopHeader(std::string_view aName)
 {
   const auto name = Poco::toLower(std::string(aName));
-  return name.starts_with(kOwnPrefix) ||
+  return (name.starts_with(kOwnPrefix) && !name.starts_with(kServerPrefix)) ||
          std::find(kHopHeaders.begin(), kHopHeaders.end(), name) !=
            kHopHeaders.end();
 }
--- a/packages/node/src/NodeReport.cpp
+++ b/packages/node/src/NodeReport.cpp
@@ -29,6 +29,20 @@
   mMetrics.QuarantinedRequests().Set(
     static_cast<double>(mCrashMonitor.Quarantined()));
   mMetrics.UnansweredRequests().Set(static_cast<double>(traffic.mUnanswered));
+  const auto now = Now();
+  int limited = 0;
+  double limit = 0.0;
+  int sent = 0;
+  for (const auto& server : mHome.Servers()) {
+    const auto& throttle = server->Throttle();
+    const auto rate = throttle.Limit();
+    limited += rate ? 1 : 0;
+    limit += rate.value_or(0.0);
+    sent += rate ? throttle.RecentlySent(now) : 0;
+  }
+  mMetrics.LimitedServers().Set(limited);
+  mMetrics.ServerLimit().Set(limit);
+  mMetrics.LimitedServersSent().Set(sent);
 }
 
 // Servers in the configuration that have not announced that they are leaving.
--- a/packages/telemetry/include/porttiller/telemetry/Metrics.h
+++ b/packages/telemetry/include/porttiller/telemetry/Metrics.h
@@ -59,6 +59,12 @@
   prometheus::Gauge& CrashRecords() { return *mCrashRecords; }
   prometheus::Gauge& QuarantinedRequests() { return *mQuarantinedRequests; }
 
+  // Of this box's servers: those that name a limit, the sum of their limits in
+  // requests per second, and the requests that they were sent in the last 4 s.
+  prometheus::Gauge& LimitedServers() { return *mLimitedServers; }
+  prometheus::Gauge& ServerLimit() { return *mServerLimit; }
+  prometheus::Gauge& LimitedServersSent() { return *mLimitedServersSent; }
+
   // Prometheus text format.
   std::string Text() const;
 
@@ -89,6 +95,9 @@
   prometheus::Gauge* mUnreadableMessages;
   prometheus::Gauge* mCrashRecords;
   prometheus::Gauge* mQuarantinedRequests;
+  prometheus::Gauge* mLimitedServers;
+  prometheus::Gauge* mServerLimit;
+  prometheus::Gauge* mLimitedServersSent;
 };
 
 } // namespace porttiller
--- a/packages/telemetry/src/Metrics.cpp
+++ b/packages/telemetry/src/Metrics.cpp
@@ -112,6 +112,16 @@
       MakeGauge(*mRegistry,
                 "porttiller_quarantined_requests",
                 "Requests rejected because they crashed servers"))
+  , mLimitedServers(MakeGauge(*mRegistry,
+                              "porttiller_limited_servers",
+                              "Backend servers here that name a limit"))
+  , mServerLimit(MakeGauge(*mRegistry,
+                           "porttiller_server_limit_per_second",
+                           "Sum of the limits that servers here name"))
+  , mLimitedServersSent(
+      MakeGauge(*mRegistry,
+                "porttiller_limited_servers_sent",
+                "Requests sent to servers with a limit in the last 4 s"))
 {
   auto& requests = CounterFamily(
     *mRegistry, "porttiller_requests_total", "Requests answered to callers");
