testing: failing tests for servers that name a limit or leave

Six boxes in three zones, twelve servers, 120 GET a second. Three servers name limits of 1, 1.4 and 3 a second: the worst 4 s have 37, 39 and 37 requests (11, 13 and 23 allowed). Three say that they are leaving: 91, 78 and 73 requests later than 2 s after the box had passed it on. All requests were served.

--- /dev/null
+++ b/testing/fleet/ThrottleLog.cpp
@@ -0,0 +1,106 @@
+#include "fleet/ThrottleLog.h"
+
+#include <algorithm>
+
+namespace porttiller::fleet {
+
+void
+ThrottleLog::OnSent(const std::string& aId, int aBox)
+{
+  const std::lock_guard lock(mMutex);
+  mSent[aId] = { .mBox = aBox, .mAt = Now() };
+}
+
+void
+ThrottleLog::OnArrival(const std::string& aId, int aServer)
+{
+  const std::lock_guard lock(mMutex);
+  const auto now = Now();
+  Arrival arrival{ .mAt = now };
+  if (const auto sent = mSent.find(aId); sent != mSent.end()) {
+    const auto& told = mTold[{ sent->second.mBox, aServer }];
+    arrival.mAfterLimit = told.mLimit && now >= *told.mLimit + kToldDelay;
+    arrival.mAfterLeaving =
+      told.mLeaving && sent->second.mAt > *told.mLeaving + kDrainTime;
+  }
+  mArrivals[aServer].push_back(arrival);
+}
+
+void
+ThrottleLog::OnPassedOn(int aBox, int aServer, bool aLimit, bool aLeaving)
+{
+  const std::lock_guard lock(mMutex);
+  auto& told = mTold[{ aBox, aServer }];
+  if (aLimit && !told.mLimit) {
+    told.mLimit = Now();
+  }
+  if (aLeaving && !told.mLeaving) {
+    told.mLeaving = Now();
+  }
+}
+
+void
+ThrottleLog::Excuse(int aBox)
+{
+  const std::lock_guard lock(mMutex);
+  std::erase_if(mTold,
+                [&](const auto& aTold) { return aTold.first.first == aBox; });
+}
+
+int
+ThrottleLog::WorstWindow(int aServer, TimePoint aNamedAt) const
+{
+  const std::lock_guard lock(mMutex);
+  const auto it = mArrivals.find(aServer);
+  if (it == mArrivals.end()) {
+    return 0;
+  }
+  int worst = 0;
+  const auto& arrivals = it->second;
+  for (auto last = arrivals.begin(); last != arrivals.end(); ++last) {
+    if (last->mAt < aNamedAt + kContactTime) {
+      continue;
+    }
+    const auto count =
+      std::count_if(arrivals.begin(), last + 1, [&](const Arrival& aEach) {
+        return aEach.mAfterLimit && aEach.mAt > last->mAt - kWindow;
+      });
+    worst = std::max(worst, static_cast<int>(count));
+  }
+  return worst;
+}
+
+int
+ThrottleLog::Allowed(double aLimit)
+{
+  constexpr double kWindowS = 4.0;
+  return static_cast<int>(kLimitFactor * aLimit * kWindowS + kLimitSlack);
+}
+
+int
+ThrottleLog::AfterLeaving(int aServer) const
+{
+  const std::lock_guard lock(mMutex);
+  const auto it = mArrivals.find(aServer);
+  return it == mArrivals.end()
+           ? 0
+           : static_cast<int>(std::count_if(
+               it->second.begin(), it->second.end(), [](const Arrival& aEach) {
+                 return aEach.mAfterLeaving;
+               }));
+}
+
+int
+ThrottleLog::Arrivals(int aServer, TimePoint aFrom) const
+{
+  const std::lock_guard lock(mMutex);
+  const auto it = mArrivals.find(aServer);
+  return it == mArrivals.end()
+           ? 0
+           : static_cast<int>(std::count_if(
+               it->second.begin(), it->second.end(), [&](const Arrival& aEach) {
+                 return aEach.mAt >= aFrom;
+               }));
+}
+
+} // namespace porttiller::fleet
--- /dev/null
+++ b/testing/fleet/tests/ServerLimitTest.cpp
@@ -0,0 +1,201 @@
+// Servers that name a limit of requests per second in their answers, or that
+// they are leaving.
+#include "fleet/Fleet.h"
+#include "fleet/ThrottleLog.h"
+
+#include <atomic>
+#include <csignal>
+#include <doctest/doctest.h>
+#include <thread>
+
+using namespace porttiller;
+using namespace porttiller::fleet;
+
+namespace {
+
+constexpr int kBoxes = 6;
+constexpr int kServersPerBox = 2;
+constexpr int kServers = kBoxes * kServersPerBox;
+constexpr int kClients = 12;
+constexpr Millis kClientGap{ 100 }; // 120 requests per second in all
+constexpr Millis kWork{ 20 };
+constexpr Millis kUnlimited{ 1500 }; // traffic before the limits are named
+constexpr Millis kRun{ 12'000 };
+constexpr double kMinServed = 0.99;
+
+FleetOptions
+Options()
+{
+  return { .mBoxes = kBoxes,
+           .mServersPerBox = kServersPerBox,
+           .mZones = 3,
+           .mSlots = 4,
+           .mFloorSlots = 4,
+           .mPortBase = 29'200,
+           .mLinks = true,
+           .mDefaultDeadline = Millis(2000) };
+}
+
+struct Served
+{
+  std::atomic<int> mSent{ 0 };
+  std::atomic<int> mServed{ 0 };
+
+  double Share() const
+  {
+    return mSent == 0 ? 1.0 : static_cast<double>(mServed) / mSent;
+  }
+};
+
+// Sends GET requests to all boxes in turn and records what reaches the servers.
+class LimitedTraffic
+{
+public:
+  explicit LimitedTraffic(Fleet& aFleet)
+    : mFleet(aFleet)
+  {
+    for (int server = 0; server < kServers; ++server) {
+      mFleet.Server(server).Set(
+        { .mServiceMs = static_cast<int>(kWork.count()) });
+      mFleet.Server(server).SetOnArrival(
+        [this, server](const auto& aId) { mLog.OnArrival(aId, server); });
+    }
+    for (int client = 0; client < kClients; ++client) {
+      mClients.emplace_back([this, client] { Send(client); });
+    }
+    std::this_thread::sleep_for(kUnlimited);
+  }
+
+  ~LimitedTraffic() { Stop(); }
+  LimitedTraffic(const LimitedTraffic&) = delete;
+  LimitedTraffic& operator=(const LimitedTraffic&) = delete;
+
+  void Limit(int aServer, const std::string& aLimit, int aRejectPercent = 0)
+  {
+    mNamedAt = Now();
+    mFleet.Server(aServer).Set({ .mServiceMs = static_cast<int>(kWork.count()),
+                                 .mLimit = aLimit,
+                                 .mRejectPercent = aRejectPercent });
+  }
+
+  void Leave(int aServer)
+  {
+    mFleet.Server(aServer).Set(
+      { .mServiceMs = static_cast<int>(kWork.count()), .mLeaving = true });
+  }
+
+  void Stop()
+  {
+    mStop = true;
+    for (auto& client : mClients) {
+      client.join();
+    }
+    mClients.clear();
+    for (int server = 0; server < kServers; ++server) {
+      mFleet.Server(server).SetOnArrival({});
+    }
+  }
+
+  void CheckLimit(int aServer, double aLimit) const
+  {
+    const int worst = mLog.WorstWindow(aServer, mNamedAt);
+    MESSAGE("limit " << aLimit << ": worst 4 s " << worst << ", allowed "
+                     << ThrottleLog::Allowed(aLimit) << "; served "
+                     << mServed.Share());
+    CHECK(worst <= ThrottleLog::Allowed(aLimit));
+  }
+
+  void Excuse(int aBox) { mLog.Excuse(aBox); }
+  const ThrottleLog& Log() const { return mLog; }
+  double ServedShare() const { return mServed.Share(); }
+  int NotServed() const { return mServed.mSent - mServed.mServed; }
+
+private:
+  void Send(int aClient)
+  {
+    for (int n = 0; !mStop; ++n) {
+      const auto id = std::to_string(aClient) + "-" + std::to_string(n);
+      const int box = (aClient + n) % kBoxes;
+      mLog.OnSent(id, box);
+      const auto reply = mFleet.Send(box,
+                                     "GET",
+                                     "/readings/" + id,
+                                     "",
+                                     { { "X-Request-Id", id } },
+                                     Millis(4000));
+      ++mServed.mSent;
+      mServed.mServed += reply.mStatus == 200 ? 1 : 0;
+      NotePassedOn(box, reply);
+      std::this_thread::sleep_for(kClientGap);
+    }
+  }
+
+  void NotePassedOn(int aBox, const Reply& aReply)
+  {
+    const auto name = aReply.mBody.substr(0, aReply.mBody.find('|'));
+    for (int server = 0; server < kServers; ++server) {
+      if (name == Fleet::ServerName(server)) {
+        mLog.OnPassedOn(
+          aBox,
+          server,
+          !HeaderValue(aReply.mHeaders, "Porttiller-Server-Limit").empty(),
+          !HeaderValue(aReply.mHeaders, "Porttiller-Server-Leaving").empty());
+      }
+    }
+  }
+
+  Fleet& mFleet;
+  ThrottleLog mLog;
+  Served mServed;
+  TimePoint mNamedAt;
+  std::atomic<bool> mStop{ false };
+  std::vector<std::thread> mClients;
+};
+
+// Servers 0, 3 and 6 are on boxes of their own.
+constexpr std::array kLimited = { 0, 3, 6 };
+const std::array<std::string, 3> kLimits = { "1", "1.4", "3" };
+
+void
+LimitThree(LimitedTraffic& aTraffic, int aRejectPercent = 0)
+{
+  for (std::size_t i = 0; i < kLimited.size(); ++i) {
+    aTraffic.Limit(kLimited.at(i), kLimits.at(i), aRejectPercent);
+  }
+}
+
+void
+CheckThree(const LimitedTraffic& aTraffic)
+{
+  for (std::size_t i = 0; i < kLimited.size(); ++i) {
+    aTraffic.CheckLimit(kLimited.at(i), std::stod(kLimits.at(i)));
+  }
+}
+
+} // namespace
+
+TEST_CASE("A server that names a limit gets no more than it allows")
+{
+  Fleet fleet(Options());
+  LimitedTraffic traffic(fleet);
+  LimitThree(traffic);
+  std::this_thread::sleep_for(kRun);
+  traffic.Stop();
+  CheckThree(traffic);
+  CHECK(traffic.ServedShare() >= kMinServed);
+}
+
+TEST_CASE("A server that says it is leaving gets no further requests")
+{
+  Fleet fleet(Options());
+  LimitedTraffic traffic(fleet);
+  for (const int server : kLimited) {
+    traffic.Leave(server);
+  }
+  std::this_thread::sleep_for(kRun);
+  traffic.Stop();
+  for (const int server : kLimited) {
+    CHECK(traffic.Log().AfterLeaving(server) == 0);
+  }
+  CHECK(traffic.ServedShare() >= kMinServed);
+}
--- a/testing/standin/MeshServerStandIn.cpp
+++ b/testing/standin/MeshServerStandIn.cpp
@@ -46,6 +46,14 @@
   mFaults = aFaults;
 }
 
+void
+MeshServerStandIn::SetOnArrival(
+  std::function<void(const std::string& aId)> aListener)
+{
+  const std::lock_guard lock(mMutex);
+  mOnArrival = std::move(aListener);
+}
+
 int
 MeshServerStandIn::RunsOf(const std::string& aRequestId) const
 {
@@ -89,6 +97,9 @@
   {
     const std::lock_guard lock(mMutex);
     faults = mFaults;
+    if (mOnArrival) {
+      mOnArrival(id);
+    }
     for (const auto& header : headers) {
       mSeenHeaders += header.mName + ": " + header.mValue + "\n";
     }
@@ -98,10 +109,17 @@
       mWorkspaces[id] = HeaderValue(headers, "Tenant");
     }
   }
+  HttpHeaders signals;
+  if (!faults.mLimit.empty()) {
+    signals.push_back({ "Server-Limit", faults.mLimit });
+  }
+  if (faults.mLeaving) {
+    signals.push_back({ "Server-Leaving", "1" });
+  }
   if (faults.mFull) {
-    return { .mAnswer = { .mStatus = 503,
-                          .mHeaders = { { "Not-Executed", "1" },
-                                        { "Request-Id", id } } } };
+    signals.push_back({ "Not-Executed", "1" });
+    signals.push_back({ "Request-Id", id });
+    return { .mAnswer = { .mStatus = 503, .mHeaders = signals } };
   }
   ++mRuns;
   const auto& target = aCall.mHttp.mTarget;
@@ -123,6 +141,7 @@
     return { .mClose = true };
   }
   HttpReply reply{ .mAnswer = { .mStatus = 200,
+                                .mHeaders = signals,
                                 .mBody = mOptions.mId + "|" + id + "|" +
                                          aCall.mHttp.mBody } };
   auto& answer = reply.mAnswer.mHeaders;
--- a/testing/standin/MeshServerStandIn.h
+++ b/testing/standin/MeshServerStandIn.h
@@ -40,6 +40,8 @@
   bool mUnsigned = false;  // responses lack the server's signature
   bool mForeignId = false; // responses carry the id of another request
   bool mFull = false;      // rejects requests with 503 and Not-Executed
+  std::string mLimit;      // limit header in each answer; empty: none
+  bool mLeaving = false;   // each answer has the leaving header
 };
 
 class MeshServerStandIn
@@ -60,6 +62,9 @@
   // Sends a registration call with this body; true when it was acknowledged.
   bool SendOneWay(const std::string& aCall, const std::string& aBody);
 
+  // Called with the id of each request that arrives, run or not.
+  void SetOnArrival(std::function<void(const std::string& aId)> aListener);
+
   int RunsOf(const std::string& aRequestId) const;
   int Runs() const { return mRuns; }
   // Requests whose connection was closed while they ran.
@@ -78,6 +83,7 @@
   const MeshServerOptions mOptions;
   mutable std::mutex mMutex;
   MeshServerFaults mFaults;
+  std::function<void(const std::string&)> mOnArrival;
   std::map<std::string, int> mRunsById;
   std::string mCallerService;
   std::map<std::string, std::string> mWorkspaces; // by request id
--- a/testing/standin/ServerStandIn.cpp
+++ b/testing/standin/ServerStandIn.cpp
@@ -39,6 +39,24 @@
   mSince = Now();
 }
 
+void
+ServerStandIn::SetOnArrival(
+  std::function<void(const std::string& aId)> aListener)
+{
+  const std::lock_guard lock(mMutex);
+  mOnArrival = std::move(aListener);
+}
+
+std::uint64_t
+ServerStandIn::CountArrival(const std::string& aId)
+{
+  const std::lock_guard lock(mMutex);
+  if (mOnArrival) {
+    mOnArrival(aId);
+  }
+  return ++mArrivals;
+}
+
 int
 ServerStandIn::RunsOf(const std::string& aId) const
 {
@@ -113,6 +131,18 @@
   const auto behaviour = CurrentBehaviour(Now());
   const auto id = aRequest.get("X-Request-Id", "");
   const auto body = ReadBody(aRequest);
+  const auto arrival = CountArrival(id);
+  if (!behaviour.mLimit.empty()) {
+    aResponse.set("Porttiller-Server-Limit", behaviour.mLimit);
+  }
+  if (behaviour.mLeaving) {
+    aResponse.set("Porttiller-Server-Leaving", "1");
+  }
+  if (static_cast<int>(arrival % kPercent) < behaviour.mRejectPercent) {
+    aResponse.set("Porttiller-Outcome", "not-run");
+    SendText(aResponse, 503, "busy");
+    return;
+  }
   if (behaviour.mDraining) {
     aResponse.set("Porttiller-Outcome", "not-run");
     aResponse.set("Porttiller-Reason", "leaving");
@@ -160,7 +190,10 @@
           .mCloseEvery = fields.optValue("close_every", 0),
           .mFlapMs = fields.optValue("flap_ms", 0),
           .mColdMs = fields.optValue("cold_ms", 0),
-          .mDraining = fields.optValue("draining", false) });
+          .mDraining = fields.optValue("draining", false),
+          .mLimit = fields.optValue<std::string>("limit", ""),
+          .mLeaving = fields.optValue("leaving", false),
+          .mRejectPercent = fields.optValue("reject_percent", 0) });
   }
   SendText(aResponse,
            200,
--- a/testing/standin/ServerStandIn.h
+++ b/testing/standin/ServerStandIn.h
@@ -6,6 +6,7 @@
 #include "standin/HttpStandIn.h"
 
 #include <atomic>
+#include <functional>
 #include <map>
 #include <mutex>
 
@@ -21,6 +22,11 @@
   int mFlapMs = 0;        // failures turn on and off at this interval; 0: off
   int mColdMs = 0;        // ten times slower for this long after Set
   bool mDraining = false; // rejects requests as not run, reason "leaving"
+  // Value of the limit header in each answer; empty: none.
+  std::string mLimit;
+  bool mLeaving = false; // each answer has the leaving header
+  // Share of requests that it rejects as not run, with the headers above.
+  int mRejectPercent = 0;
 };
 
 class ServerStandIn
@@ -35,6 +41,8 @@
   std::uint64_t Runs() const { return mTotalRuns; }
   // The highest number of runs of a single request id.
   int MaxRuns() const;
+  // Called with the id of each request that arrives, run or not.
+  void SetOnArrival(std::function<void(const std::string& aId)> aListener);
 
 private:
   void Handle(Poco::Net::HTTPServerRequest& aRequest,
@@ -45,12 +53,15 @@
            Poco::Net::HTTPServerResponse& aResponse);
   ServerBehaviour CurrentBehaviour(TimePoint aNow) const;
   void CountRun(const std::string& aId);
+  std::uint64_t CountArrival(const std::string& aId);
 
   std::string mName;
   mutable std::mutex mMutex;
   ServerBehaviour mBehaviour;
   TimePoint mSince;
   std::map<std::string, int> mRuns;
+  std::function<void(const std::string&)> mOnArrival; // under mMutex
+  std::uint64_t mArrivals = 0;                        // under mMutex
   std::atomic<std::uint64_t> mTotalRuns{ 0 };
   std::atomic<int> mInFlight{ 0 };
   std::unique_ptr<HttpStandIn> mServer;
