home: move crash evidence out of LocalServer

No change of behaviour: LocalServer decides on admission, CrashEvidence finds out whether the server crashed.

--- a/packages/home/include/porttiller/home/LocalServer.h
+++ b/packages/home/include/porttiller/home/LocalServer.h
@@ -5,6 +5,7 @@
 #include "porttiller/config/EdgeHeaders.h"
 #include "porttiller/config/Resources.h"
 #include "porttiller/config/Settings.h"
+#include "porttiller/home/CrashEvidence.h"
 #include "porttiller/home/RecentSenders.h"
 #include "porttiller/home/ServerBreaker.h"
 #include "porttiller/home/ServerCall.h"
@@ -13,7 +14,6 @@
 #include "porttiller/hop/CrashMonitor.h"
 #include "porttiller/hop/HomeTypes.h"
 #include "porttiller/hop/ShutdownDeadline.h"
-#include "porttiller/policy/CrashAttribution.h"
 #include "porttiller/policy/EjectionMachine.h"
 #include "porttiller/policy/RetryBudget.h"
 #include "porttiller/policy/RouteTimes.h"
@@ -129,10 +129,6 @@
   void RecordEvidence(const HomeRequest& aRequest,
                       const HomeAnswer& aAnswer,
                       Micros aTime);
-  void RecordCrashEvidence(const HomeRequest& aRequest, HomeAnswer& aAnswer);
-  bool EndedWithoutNotice(const HomeRequest& aRequest,
-                          const HomeAnswer& aAnswer);
-  void ReportCrash();
   void FreeSlot(std::optional<Micros> aServiceTime);
   void SetWaitState(Ticket aTicket, WaitState aState);
   void RejectWaiter(Ticket aTicket,
@@ -143,6 +139,7 @@
     const HomeRequest& aRequest) const;
   void OnStarted(const HomeRequest& aRequest);
   bool MayBeInterrupted(const HomeRequest& aRequest) const;
+  bool IsLeaving() const;
   double LoadLocked() const;
   HomeAnswer RejectLocked(RejectReason aRejectReason, Millis aRetryAfter) const;
 
@@ -162,8 +159,7 @@
   bool mReportedDemoted = false;
   std::optional<TimePoint> mUnreportedSince; // a change not yet reported
   ServerBreaker mBreaker; // receives outcomes only with kBreak
-  CrashAttribution mCrashes;
-  std::optional<TimePoint> mRecheckCrashAt;
+  CrashEvidence mCrashes;
   bool mReplaced = false;
   Ticket mNextTicket = 1;
   bool mLeaving = false;
--- a/packages/home/src/LocalServer.cpp
+++ b/packages/home/src/LocalServer.cpp
@@ -1,6 +1,5 @@
 #include "porttiller/home/LocalServer.h"
 
-#include "porttiller/hop/Random.h"
 #include "porttiller/telemetry/Log.h"
 
 #include <algorithm>
@@ -21,8 +20,6 @@
 // A timeout counts against the server if the request ran for this long, or if
 // the detector finds its time slow.
 constexpr Millis kMinTimeoutEvidence{ 500 };
-// Well within CrashAttribution::kCrashSpan.
-constexpr Millis kCrashRecheckDelay{ 100 };
 
 EjectionOptions
 OptionsFor(DetectionSetting aSetting)
@@ -61,6 +58,7 @@
   , mQueue(QueueOptionsFor(aSpec, mOptions.mFailingServers))
   , mMachine(OptionsFor(mOptions.mDetection), Now())
   , mBreaker(aSpec.Incarnation(), mRouteTimes)
+  , mCrashes(aSpec.Incarnation(), mCall, aCrashMonitor)
   , mLeaving(aSpec.mLeaving)
 {
 }
@@ -79,6 +77,14 @@
   return LoadLocked();
 }
 
+// As announced to this box, or by the server's last rejection.
+bool
+LocalServer::IsLeaving() const
+{
+  const std::lock_guard lock(mMutex);
+  return mLeaving || Now() < mServerLeavingUntil;
+}
+
 int
 LocalServer::InFlight() const
 {
@@ -158,7 +164,7 @@
     OnServerRejection(answer);
   }
   RecordEvidence(aRequest, answer, time);
-  RecordCrashEvidence(aRequest, answer);
+  mCrashes.OnEnded(aRequest, answer, IsLeaving());
   const bool ran = answer.mOutcome != Outcome::kNotRun;
   FreeSlot(ran ? std::optional<Micros>(time) : std::nullopt);
   const std::lock_guard lock(mMutex);
@@ -231,75 +237,15 @@
   mMachine.OnEvidence(evidence, Now());
 }
 
-// A server that closed a connection and accepts no new one has crashed, unless
-// it was leaving.
-void
-LocalServer::RecordCrashEvidence(const HomeRequest& aRequest,
-                                 HomeAnswer& aAnswer)
-{
-  if (aAnswer.mOutcome == Outcome::kRun) {
-    mCrashMonitor.OnAnswered(aRequest.mDigest);
-  }
-  if (!EndedWithoutNotice(aRequest, aAnswer)) {
-    return;
-  }
-  const bool refuses = mCall.RefusesConnections();
-  if (refuses) {
-    ReportCrash();
-  }
-  const std::lock_guard lock(mMutex);
-  if (!refuses) {
-    mRecheckCrashAt = Now() + kCrashRecheckDelay;
-  }
-  if (const auto blame = mCrashes.TakeBlame(aRequest.mAttempt)) {
-    aAnswer.mCrash = CrashEvent{ .mId = blame->mCrash,
-                                 .mAt = Now(),
-                                 .mAfterCrash = blame->mAfterCrash };
-  }
-}
-
-// Whether the server closed the connection without an answer and was not
-// leaving.
-bool
-LocalServer::EndedWithoutNotice(const HomeRequest& aRequest,
-                                const HomeAnswer& aAnswer)
-{
-  const std::lock_guard lock(mMutex);
-  if (aAnswer.mOutcome != Outcome::kUnknown) {
-    mCrashes.OnAnswered(aRequest.mAttempt);
-    return false;
-  }
-  mCrashes.OnBroken(aRequest.mAttempt, Now());
-  return aAnswer.mServerClosed && !mLeaving && Now() >= mServerLeavingUntil;
-}
-
 void
 LocalServer::RecheckCrash()
 {
+  bool leaving = false;
   {
     const std::lock_guard lock(mMutex);
-    if (mLeaving || !mRecheckCrashAt || Now() < *mRecheckCrashAt) {
-      return;
-    }
-    mRecheckCrashAt.reset();
-  }
-  if (!mCall.HasOpenIdle() && mCall.RefusesConnections()) {
-    ReportCrash();
-  }
-}
-
-void
-LocalServer::ReportCrash()
-{
-  const auto crash = Random();
-  std::vector<CrashSuspect> suspects;
-  {
-    const std::lock_guard lock(mMutex);
-    suspects = mCrashes.OnConnectionRefused(crash, mCall.Opened(), Now());
-  }
-  if (!suspects.empty()) {
-    mCrashMonitor.OnServerCrash(crash, mSpec.Incarnation(), suspects);
+    leaving = mLeaving;
   }
+  mCrashes.Recheck(leaving);
 }
 
 bool
@@ -463,10 +409,7 @@
 LocalServer::OnStarted(const HomeRequest& aRequest)
 {
   mBreaker.OnStarted(aRequest, Now());
-  const auto crashes = mCrashMonitor.StateOf(aRequest.mDigest).mCrashes;
-  mCrashes.OnStarted(
-    aRequest.mAttempt,
-    { .mDigest = aRequest.mDigest, .mAfterCrash = crashes > 0 });
+  mCrashes.OnStarted(aRequest);
   if (aRequest.mIsRetry) {
     mRetries.Spend();
   } else {
