--- a/bench/sim/Simulation.cpp
+++ b/bench/sim/Simulation.cpp
@@ -168,7 +168,7 @@
       },
       mPolicy);
     if (aRequest.mTried[index]) {
-      candidate.mEligibility = Eligibility::kTried;
+      candidate.mEligibility = Eligibility::kExcluded;
     }
     candidates.push_back(candidate);
   }
--- a/packages/control/include/porttiller/control/DirectoryController.h
+++ b/packages/control/include/porttiller/control/DirectoryController.h
@@ -103,6 +103,7 @@
   bool StoreAtPeers(const BoxRecord& aRecord);
   bool StoreDurably(const BoxRecord& aRecord);
   void Sleep(Millis aTime);
+  void Announce(const BoxRecord& aOwn, RegistrarVerdict aVerdict);
   void LogServerMessage(const ServerMessage& aMessage,
                         RegistrarVerdict aVerdict);
 
--- a/packages/control/include/porttiller/control/ServerUpdateController.h
+++ b/packages/control/include/porttiller/control/ServerUpdateController.h
@@ -1,6 +1,6 @@
-// Watches the circuit breakers of this box's servers and notifies the boxes
-// that send to them when one opens or closes; receives the same notifications
-// from other homes.
+// Watches the circuit breakers and the demands of this box's servers, and
+// notifies the boxes that send to them of changes; receives the same
+// notifications from other homes.
 #pragma once
 
 #include "porttiller/config/Snapshot.h"
@@ -14,6 +14,10 @@
 
 namespace porttiller {
 
+// Called when the answers of a server of this box say that it is leaving, once
+// or more often.
+using ServerLeavingListener = std::function<void(const ServerIncarnation&)>;
+
 // Owned by the node. Thread-safe.
 class ServerUpdateController
 {
@@ -22,7 +26,8 @@
                          Home& aHome,
                          EntryView& aView,
                          PeerTransport& aTransport,
-                         std::function<SnapshotPtr()> aSnapshot);
+                         std::function<SnapshotPtr()> aSnapshot,
+                         ServerLeavingListener aOnServerLeaving);
 
   void Start();
   void Stop();
@@ -39,6 +44,7 @@
   EntryView& mView;
   PeerTransport& mTransport;
   const std::function<SnapshotPtr()> mSnapshot;
+  const ServerLeavingListener mOnServerLeaving;
   std::unique_ptr<Ticker> mTicker;
 };
 
--- a/packages/control/src/DirectoryController.cpp
+++ b/packages/control/src/DirectoryController.cpp
@@ -419,17 +419,24 @@
     record = mOwn;
   }
   LogServerMessage(aMessage, verdict);
-  if (verdict == RegistrarVerdict::kLeaving) {
-    mHooks.mOnServerLeaving(record.mServer->mIncarnation);
-  }
-  ScheduleBatch();
-  Push({ record }, kOwnRecordFanout);
+  Announce(record, verdict);
   if (verdict == RegistrarVerdict::kLeaving && !StoreDurably(record)) {
     return tl::make_unexpected(RegistrationError::kNotStored);
   }
   return {};
 }
 
+// Applies a new own record here and sends it to peers.
+void
+DirectoryController::Announce(const BoxRecord& aOwn, RegistrarVerdict aVerdict)
+{
+  if (aVerdict == RegistrarVerdict::kLeaving) {
+    mHooks.mOnServerLeaving(aOwn.mServer->mIncarnation);
+  }
+  ScheduleBatch();
+  Push({ aOwn }, kOwnRecordFanout);
+}
+
 void
 DirectoryController::LogServerMessage(const ServerMessage& aMessage,
                                       RegistrarVerdict aVerdict)
--- a/packages/control/src/ServerUpdateController.cpp
+++ b/packages/control/src/ServerUpdateController.cpp
@@ -1,7 +1,11 @@
 #include "porttiller/control/ServerUpdateController.h"
 
+#include "porttiller/policy/TurnInterval.h"
 #include "porttiller/telemetry/Log.h"
 
+#include <algorithm>
+#include <cmath>
+
 namespace porttiller {
 
 namespace {
@@ -9,6 +13,7 @@
 // Maximum delay until an unresponsive server is detected; a check sums up at
 // most 16 requests.
 constexpr Millis kTick{ 100 };
+constexpr double kPermille = 1000.0; // unit of limits
 
 } // namespace
 
@@ -17,12 +22,14 @@
   Home& aHome,
   EntryView& aView,
   PeerTransport& aTransport,
-  std::function<SnapshotPtr()> aSnapshot)
+  std::function<SnapshotPtr()> aSnapshot,
+  ServerLeavingListener aOnServerLeaving)
   : mSettings(aSettings)
   , mHome(aHome)
   , mView(aView)
   , mTransport(aTransport)
   , mSnapshot(std::move(aSnapshot))
+  , mOnServerLeaving(std::move(aOnServerLeaving))
 {
 }
 
@@ -51,6 +58,9 @@
 void
 ServerUpdateController::Notify(const ServerStateUpdate& aUpdate)
 {
+  if (aUpdate.mDemand.mLeaving) {
+    mOnServerLeaving(aUpdate.mServer);
+  }
   const auto snapshot = mSnapshot();
   if (!snapshot) {
     return;
@@ -65,6 +75,13 @@
   body->set_demoted(aUpdate.mDemoted);
   body->set_retry_after_ms(
     static_cast<std::uint32_t>(aUpdate.mRetryAfter.count()));
+  if (const auto& limit = aUpdate.mDemand.mLimit) {
+    body->set_limit_millis(
+      static_cast<std::uint64_t>(std::llround(limit->mRate * kPermille)));
+    body->set_interval_ms(static_cast<std::uint32_t>(limit->mInterval.count()));
+  }
+  body->set_leaving(aUpdate.mDemand.mLeaving);
+  body->set_leaving_ended(aUpdate.mLeavingEnded);
   for (const auto& receiver : aUpdate.mReceivers) {
     const auto* box = snapshot->FindBox(receiver);
     if (box == nullptr) {
@@ -81,6 +98,8 @@
   LogLine(LogLevel::kInfo, "server_news")
     .With("server", aUpdate.mServer.ToString())
     .With("state", aUpdate.mDemoted ? "demoted" : "open")
+    .With("limit_millis", static_cast<std::int64_t>(body->limit_millis()))
+    .With("leaving", aUpdate.mDemand.mLeaving ? "yes" : "no")
     .With("told", static_cast<std::int64_t>(aUpdate.mReceivers.size()));
 }
 
@@ -91,10 +110,19 @@
                        ? std::optional<std::int64_t>(aMessage.start_ms())
                        : std::nullopt;
   const ServerIncarnation server(BackendServerName(aMessage.server()), start);
+  ServerDemand demand{ .mLeaving = aMessage.leaving() };
+  if (aMessage.has_limit_millis()) {
+    demand.mLimit = { .mRate = static_cast<double>(aMessage.limit_millis()) /
+                               kPermille,
+                      .mInterval = std::min<Millis>(
+                        Millis(aMessage.interval_ms()), TurnInterval::kMax) };
+  }
   mView.OnServerUpdate({ .mServer = server,
                          .mService = ServiceName(aMessage.service()),
                          .mDemoted = aMessage.demoted(),
-                         .mRetryAfter = Millis(aMessage.retry_after_ms()) },
+                         .mRetryAfter = Millis(aMessage.retry_after_ms()),
+                         .mDemand = demand,
+                         .mLeavingEnded = aMessage.leaving_ended() },
                        Now());
 }
 
--- a/packages/core/include/porttiller/core/RejectReason.h
+++ b/packages/core/include/porttiller/core/RejectReason.h
@@ -23,10 +23,11 @@
   kDuplicate,   // this attempt was received before
   kStale,       // too old to know whether it was received before
   kUnreachable, // set by the entry: it could not reach the home
-  kQuarantined  // the request has crashed several servers
+  kQuarantined, // the request has crashed several servers
+  kLimited      // the server names a limit, which is used up
 };
 
-inline constexpr std::size_t kRejectReasonCount = 15;
+inline constexpr std::size_t kRejectReasonCount = 16;
 
 std::string_view
 ToText(RejectReason aRejectReason);
--- a/packages/core/src/RejectReason.cpp
+++ b/packages/core/src/RejectReason.cpp
@@ -8,9 +8,9 @@
 namespace {
 
 constexpr std::array<std::string_view, kRejectReasonCount> kRefusals = {
-  "none",    "incarnation", "no-server",   "leaving",     "ejected",
-  "demoted", "overloaded",  "server-busy", "no-retries",  "expired",
-  "revoked", "duplicate",   "stale",       "unreachable", "quarantined"
+  "none",       "incarnation", "no-server",   "leaving", "ejected", "demoted",
+  "overloaded", "server-busy", "no-retries",  "expired", "revoked", "duplicate",
+  "stale",      "unreachable", "quarantined", "limited"
 };
 
 } // namespace
--- a/packages/entry/include/porttiller/entry/Dispatcher.h
+++ b/packages/entry/include/porttiller/entry/Dispatcher.h
@@ -22,6 +22,8 @@
   HttpAnswer mHttp;
   double mLoad = 0.0;      // of the server, as reported by its home
   Micros mLatencyP90{ 0 }; // 90th percentile of the route; 0: not known
+  // Null if the answer is a recorded one.
+  std::optional<ServerDemand> mDemand{};
 };
 
 // The attempt was not run and never will be.
@@ -29,6 +31,7 @@
 {
   RejectReason mRejectReason = RejectReason::kNone;
   Millis mRetryAfter{ 0 };
+  ServerDemand mDemand{};
 };
 
 // The attempt may have been run or may still be running.
--- a/packages/entry/include/porttiller/entry/EntryView.h
+++ b/packages/entry/include/porttiller/entry/EntryView.h
@@ -26,6 +26,13 @@
   std::optional<Millis> mClockOffset; // the home's clock minus the entry's
 };
 
+// Where a demand of a server was learned.
+enum class DemandSource
+{
+  kAnswer,   // with an answer of the server
+  kRejection // with a rejection by its home, which may not know of a limit
+};
+
 // Limits the servers that the next attempt may be sent to.
 struct ChoiceConstraints
 {
@@ -63,6 +70,14 @@
                   bool aCanFailOver, // of the rejected request
                   TimePoint aNow);
 
+  // What the home of the server tells of the server's demands.
+  void OnDemand(const BackendServerSpec& aServer,
+                const ServerDemand& aDemand,
+                DemandSource aSource,
+                TimePoint aNow);
+  // The limit that the server names, for its home; null if none is known.
+  std::optional<LimitNote> LimitOf(const BackendServerSpec& aServer,
+                                   TimePoint aNow) const;
   // A server update sent by the home of the server.
   void OnServerUpdate(const ServerStateUpdate& aUpdate, TimePoint aNow);
 
@@ -108,6 +123,10 @@
     // until mNoTrialUntil also trial requests.
     TimePoint mDemotedUntil;
     TimePoint mNoTrialUntil;
+    ServerDemand mDemand;
+    TimePoint mLimitAt;   // when the limit of mDemand was heard of
+    TimePoint mNextTurn;  // with a limit: no request before
+    TimePoint mLeavingAt; // with mDemand.mLeaving
   };
 
   struct BoxView
@@ -162,17 +181,22 @@
                          const ServiceEntry& aService);
   ServerOrderPtr MakeOrder(const Snapshot& aSnapshot,
                            const ServiceEntry& aService);
+  static void TakeLimit(ServerView& aView,
+                        const std::optional<LimitNote>& aLimit,
+                        TimePoint aNow);
+  static void TakeLeaving(ServerView& aView, TimePoint aNow);
+  static bool SaysLeaving(const ServerView& aView, TimePoint aNow);
   bool PathAvoided(const ResolvedServer& aResolved, TimePoint aNow) const;
   Candidate MakeCandidate(const ResolvedServer& aResolved,
                           const AttemptPlan& aPlan,
-                          bool aCanFailOver,
+                          const ChoiceConstraints& aConstraints,
                           TimePoint aNow) const;
   // Adds up to aMaxCount servers, in the order of aOrder.
   void AddCandidates(std::vector<Candidate>& aCandidates,
                      const ServerOrder& aOrder,
                      std::size_t aMaxCount,
                      const AttemptPlan& aPlan,
-                     bool aCanFailOver,
+                     const ChoiceConstraints& aConstraints,
                      TimePoint aNow) const;
 
   const BoxName mBox;
--- a/packages/entry/src/AttemptRunPriv.cpp
+++ b/packages/entry/src/AttemptRunPriv.cpp
@@ -56,6 +56,7 @@
       return NotRunReason::kDemoted;
     case RejectReason::kOverloaded:
     case RejectReason::kNoRetries:
+    case RejectReason::kLimited:
       return NotRunReason::kNoCapacity;
     case RejectReason::kServerBusy:
       return NotRunReason::kOverloaded;
@@ -301,23 +302,25 @@
 HomeRequest
 AttemptRun::MakeRequest(const RunningAttempt& aAttempt) const
 {
-  HomeRequest request{ .mAttempt = aAttempt.mId,
-                       .mServer = aAttempt.mServer->mName,
-                       .mPriority = mContext.mPriority,
-                       .mRepeatable = mContext.mRepeatable,
-                       .mCanFailOver = aAttempt.mCanFailOver,
-                       .mLastResort = mPlan.LastResort(),
-                       .mIsRetry = mPlan.MayHaveReachedServer(),
-                       .mServiceErrorRate = mDependencies.mView.ErrorRate(
-                         mContext.mService->mSpec.mName),
-                       .mDeadline = mContext.mDeadline,
-                       .mRequestKey = mContext.mRequestKey,
-                       .mRoute = mContext.mRoute->mName,
-                       .mRequestId = mContext.mRequestId,
-                       .mDigest = mContext.mDigest,
-                       .mCrashes =
-                         mDependencies.mCrashes.EventsOf(mContext.mDigest),
-                       .mCancelled = aAttempt.mCancelled };
+  HomeRequest request{
+    .mAttempt = aAttempt.mId,
+    .mServer = aAttempt.mServer->mName,
+    .mPriority = mContext.mPriority,
+    .mRepeatable = mContext.mRepeatable,
+    .mCanFailOver = aAttempt.mCanFailOver,
+    .mLastResort = mPlan.LastResort(),
+    .mIsRetry = mPlan.MayHaveReachedServer(),
+    .mServiceErrorRate =
+      mDependencies.mView.ErrorRate(mContext.mService->mSpec.mName),
+    .mDeadline = mContext.mDeadline,
+    .mRequestKey = mContext.mRequestKey,
+    .mRoute = mContext.mRoute->mName,
+    .mRequestId = mContext.mRequestId,
+    .mDigest = mContext.mDigest,
+    .mCrashes = mDependencies.mCrashes.EventsOf(mContext.mDigest),
+    .mLimit = mDependencies.mView.LimitOf(*aAttempt.mServer, Now()),
+    .mCancelled = aAttempt.mCancelled
+  };
   request.mHttp = mContext.mHttp;
   request.mHttp.mHeaders = mHeaders;
   return request;
@@ -351,6 +354,10 @@
   const bool failed = aAnswered.mHttp.mStatus >= kFirstServerErrorStatus;
   mDependencies.mView.OnAnswered(mContext.mService->mSpec.mName, failed);
   mDependencies.mView.OnLoad(*mEnded.mServer, aAnswered.mLoad, Now());
+  if (aAnswered.mDemand) {
+    mDependencies.mView.OnDemand(
+      *mEnded.mServer, *aAnswered.mDemand, DemandSource::kAnswer, Now());
+  }
   mDependencies.mView.OnLatencyP90(mContext.mService->mSpec.mName,
                                    mContext.mRoute->mName,
                                    aAnswered.mLatencyP90);
@@ -375,7 +382,10 @@
     mStopped = true;
     mRetryAfter = aNotRun.mRetryAfter;
   }
-  if (aNotRun.mRejectReason == RejectReason::kOverloaded) {
+  mDependencies.mView.OnDemand(
+    *mEnded.mServer, aNotRun.mDemand, DemandSource::kRejection, Now());
+  if (aNotRun.mRejectReason == RejectReason::kOverloaded ||
+      aNotRun.mRejectReason == RejectReason::kLimited) {
     mRetryAfter =
       std::min(mRetryAfter.value_or(aNotRun.mRetryAfter), aNotRun.mRetryAfter);
   }
--- a/packages/entry/src/Dispatcher.cpp
+++ b/packages/entry/src/Dispatcher.cpp
@@ -19,9 +19,12 @@
     case Outcome::kRun:
       return AttemptAnswered{ std::move(aAnswer.mHttp),
                               aAnswer.mLoad,
-                              aAnswer.mLatencyP90 };
+                              aAnswer.mLatencyP90,
+                              aAnswer.mDemand };
     case Outcome::kNotRun:
-      return AttemptNotRun{ aAnswer.mRejectReason, aAnswer.mRetryAfter };
+      return AttemptNotRun{ aAnswer.mRejectReason,
+                            aAnswer.mRetryAfter,
+                            aAnswer.mDemand };
     case Outcome::kUnknown:
       break;
   }
--- a/packages/entry/src/EntryView.cpp
+++ b/packages/entry/src/EntryView.cpp
@@ -27,6 +27,9 @@
 // which are never removed.
 constexpr std::size_t kMaxRoutesInShard = 1000;
 
+// For servers that are not identified by their start.
+constexpr Millis kLeavingMemory{ 60'000 };
+
 // The eligibility of a server after a rejection; null when the rejection does
 // not affect the next request.
 std::optional<Eligibility>
@@ -46,6 +49,17 @@
   }
 }
 
+// Boxes that learned of a limit at the same time must not return together.
+TimePoint
+TurnAfter(const LimitNote& aLimit, TimePoint aNow)
+{
+  constexpr std::uint64_t kSteps = 1000;
+  const auto interval = Micros(aLimit.mInterval);
+  const auto step = static_cast<Micros::rep>(Random() % (kSteps + 1));
+  return aNow + interval / 2 +
+         interval * step / static_cast<Micros::rep>(kSteps);
+}
+
 // Decays linearly to zero within one second.
 double
 DecayedLoad(double aLoad, Micros aAge)
@@ -183,12 +197,12 @@
 Candidate
 EntryView::MakeCandidate(const ResolvedServer& aResolved,
                          const AttemptPlan& aPlan,
-                         bool aCanFailOver,
+                         const ChoiceConstraints& aConstraints,
                          TimePoint aNow) const
 {
   Candidate candidate{ .mSlots = aResolved.mServer->mSlots };
   if (aResolved.mBox == nullptr || !aPlan.MayUse(aResolved.mServer->mName)) {
-    candidate.mEligibility = Eligibility::kTried;
+    candidate.mEligibility = Eligibility::kExcluded;
     return candidate;
   }
   candidate.mSameZone = aResolved.mSameZone;
@@ -200,7 +214,13 @@
   const auto& view = *aResolved.mView;
   candidate.mInFlight = view.mInFlight;
   candidate.mReportedLoad = DecayedLoad(view.mLoad, aNow - view.mLoadAt);
-  const bool trial = aCanFailOver && aNow >= view.mNoTrialUntil;
+  // A hedge would take the place of a request that has no answer yet.
+  const bool due = aNow >= view.mNextTurn && !aConstraints.mOpenOnly;
+  if (view.mDemand.mLimit && !due && !aPlan.LastResort()) {
+    candidate.mEligibility =
+      std::max(candidate.mEligibility, Eligibility::kLimited);
+  }
+  const bool trial = aConstraints.mCanFailOver && aNow >= view.mNoTrialUntil;
   candidate.mTrialDue = trial && aNow < view.mDemotedUntil;
   if (!trial && !aPlan.LastResort() && aNow < view.mDemotedUntil) {
     candidate.mEligibility =
@@ -218,7 +238,7 @@
                          const ServerOrder& aOrder,
                          std::size_t aMaxCount,
                          const AttemptPlan& aPlan,
-                         bool aCanFailOver,
+                         const ChoiceConstraints& aConstraints,
                          TimePoint aNow) const
 {
   const auto begin = aCandidates.size();
@@ -230,7 +250,7 @@
   const std::lock_guard lock(shard.mMutex);
   for (auto i = begin; i < end; ++i) {
     aCandidates.push_back(
-      MakeCandidate(aOrder.mResolvedServers[i], aPlan, aCanFailOver, aNow));
+      MakeCandidate(aOrder.mResolvedServers[i], aPlan, aConstraints, aNow));
   }
 }
 
@@ -249,12 +269,8 @@
   std::optional<std::size_t> chosen;
   bool open = false;
   do {
-    AddCandidates(candidates,
-                  *order,
-                  order->mSubsetSize,
-                  aPlan,
-                  aConstraints.mCanFailOver,
-                  aNow);
+    AddCandidates(
+      candidates, *order, order->mSubsetSize, aPlan, aConstraints, aNow);
     chosen = ChooseTrial(candidates, Random());
     if (!chosen) {
       chosen = ChooseServer(candidates, mOptions, Random(), Random());
@@ -266,14 +282,17 @@
   }
   const bool demotedLeft =
     std::any_of(candidates.begin(), candidates.end(), [](const auto& aEach) {
-      return aEach.mEligibility == Eligibility::kDemoted;
+      return aEach.mEligibility == Eligibility::kDemoted ||
+             aEach.mEligibility == Eligibility::kLimited;
     });
   if (!chosen && !demotedLeft && aPlan.Attempts() == 0) {
     // Every server is unusable by this view, which may be outdated: try one,
     // and let its home decide.
     for (auto& candidate : candidates) {
-      candidate.mEligibility =
-        std::min(candidate.mEligibility, Eligibility::kAvoid);
+      if (candidate.mEligibility != Eligibility::kExcluded) {
+        candidate.mEligibility =
+          std::min(candidate.mEligibility, Eligibility::kAvoid);
+      }
     }
     chosen = ChooseServer(candidates, mOptions, Random(), Random());
   }
@@ -289,6 +308,9 @@
   const std::lock_guard lock(shard.mMutex);
   if (auto* view = ViewOf(shard, aServer.Incarnation())) {
     ++view->mInFlight;
+    if (const auto& limit = view->mDemand.mLimit) {
+      view->mNextTurn = TurnAfter(*limit, Now());
+    }
   }
 }
 
@@ -344,6 +366,66 @@
   view->mEligibilityUntil = until;
 }
 
+void
+EntryView::OnDemand(const BackendServerSpec& aServer,
+                    const ServerDemand& aDemand,
+                    DemandSource aSource,
+                    TimePoint aNow)
+{
+  auto& shard = ShardOf(aServer.mService);
+  const std::lock_guard lock(shard.mMutex);
+  auto* view = ViewOf(shard, aServer.Incarnation());
+  if (view == nullptr) {
+    return;
+  }
+  if (aDemand.mLimit || aSource == DemandSource::kAnswer) {
+    TakeLimit(*view, aDemand.mLimit, aNow);
+  }
+  if (aDemand.mLeaving) {
+    TakeLeaving(*view, aNow);
+  }
+}
+
+void
+EntryView::TakeLimit(ServerView& aView,
+                     const std::optional<LimitNote>& aLimit,
+                     TimePoint aNow)
+{
+  aView.mDemand.mLimit = aLimit;
+  aView.mLimitAt = aNow;
+  aView.mNextTurn = aLimit ? TurnAfter(*aLimit, aNow) : TimePoint();
+}
+
+void
+EntryView::TakeLeaving(ServerView& aView, TimePoint aNow)
+{
+  aView.mDemand.mLeaving = true;
+  aView.mLeavingAt = aNow;
+}
+
+// A server without a start time may have started again under its ID; its home
+// then sends an update, which may be lost.
+bool
+EntryView::SaysLeaving(const ServerView& aView, TimePoint aNow)
+{
+  return aView.mDemand.mLeaving &&
+         (aView.mStartMs || aNow < aView.mLeavingAt + kLeavingMemory);
+}
+
+std::optional<LimitNote>
+EntryView::LimitOf(const BackendServerSpec& aServer, TimePoint aNow) const
+{
+  auto& shard = ShardOf(aServer.mService);
+  const std::lock_guard lock(shard.mMutex);
+  const auto* view = ViewOf(shard, aServer.Incarnation());
+  if (view == nullptr || !view->mDemand.mLimit) {
+    return std::nullopt;
+  }
+  auto limit = *view->mDemand.mLimit;
+  limit.mAge = std::chrono::duration_cast<Millis>(aNow - view->mLimitAt);
+  return limit;
+}
+
 void
 EntryView::OnServerUpdate(const ServerStateUpdate& aUpdate, TimePoint aNow)
 {
@@ -353,6 +435,13 @@
   if (view == nullptr) {
     return;
   }
+  TakeLimit(*view, aUpdate.mDemand.mLimit, aNow);
+  if (aUpdate.mLeavingEnded) {
+    view->mDemand.mLeaving = false;
+  }
+  if (aUpdate.mDemand.mLeaving) {
+    TakeLeaving(*view, aNow);
+  }
   if (!aUpdate.mDemoted) {
     view->mDemotedUntil = {};
     view->mNoTrialUntil = {};
--- a/packages/home/include/porttiller/home/LocalServer.h
+++ b/packages/home/include/porttiller/home/LocalServer.h
@@ -96,6 +96,8 @@
   std::string Dump() const;
 
 private:
+  static constexpr Millis kLeavingRetryAfter{ 1000 };
+
   enum class WaitState
   {
     kWaiting,
@@ -109,6 +111,8 @@
     AttemptId mAttempt;
     bool mLastResort = false;
     WaitState mState = WaitState::kWaiting;
+    // Waits for a start time within the server's limit, not for a slot.
+    bool mPaced = false;
     RejectReason mRejectReason = RejectReason::kNone; // with kRejected
     Millis mRetryAfter{ 0 };
     std::condition_variable mChanged; // of this waiter alone
@@ -120,6 +124,25 @@
                                         Ticket aTicket,
                                         const HomeRequest& aRequest);
   std::optional<HomeAnswer> EndWait(Ticket aTicket);
+  void AwaitChange(std::unique_lock<std::mutex>& aLock,
+                   Waiter& aWaiter,
+                   const HomeRequest& aRequest,
+                   TimePoint aUntil);
+  bool CancelWaiter(Ticket aTicket, const Waiter& aWaiter);
+  // For a server that names a limit; see LocalServerPaced.cpp.
+  std::optional<HomeAnswer> TakePacedSlot(std::unique_lock<std::mutex>& aLock,
+                                          const HomeRequest& aRequest);
+  std::optional<HomeAnswer> WaitForStart(std::unique_lock<std::mutex>& aLock,
+                                         Ticket aTicket,
+                                         const HomeRequest& aRequest,
+                                         TimePoint aStart);
+  void OnLimitReport(const HomeRequest& aRequest);
+  void OnSignals(const HomeRequest& aRequest,
+                 const ServerSignals& aSignals,
+                 TimePoint aSent);
+  HomeAnswer RejectLimited() const;
+  // Returns null if the request that holds a slot may still start.
+  std::optional<HomeAnswer> RejectBeforeStart(const HomeRequest& aRequest);
   // Each returns null when the request is admitted, otherwise the rejection.
   std::optional<HomeAnswer> RejectIfEjected(const HomeRequest& aRequest);
   std::optional<HomeAnswer> RejectIfBroken(const HomeRequest& aRequest);
@@ -140,6 +163,9 @@
   void OnStarted(const HomeRequest& aRequest);
   bool MayBeInterrupted(const HomeRequest& aRequest) const;
   bool IsLeaving() const;
+  bool IsLeavingLocked() const;
+  bool TakeDemotionChange(TimePoint aNow);
+  bool TakeDemandChange(TimePoint aNow);
   double LoadLocked() const;
   HomeAnswer RejectLocked(RejectReason aRejectReason, Millis aRetryAfter) const;
 
@@ -156,7 +182,12 @@
   RouteTimes mRouteTimes;
   RecentSenders mSenders;
   RetryBudget mRetries;
+  // In the last state update.
   bool mReportedDemoted = false;
+  ServerDemand mReportedDemand;
+  TimePoint mNextDemandReport;
+  int mDemandRepeats = 0;
+  bool mLeavingEnded = false; // not reported yet
   std::optional<TimePoint> mUnreportedSince; // a change not yet reported
   ServerBreaker mBreaker; // receives outcomes only with kBreak
   CrashEvidence mCrashes;
--- a/packages/home/include/porttiller/home/ServerStateUpdate.h
+++ b/packages/home/include/porttiller/home/ServerStateUpdate.h
@@ -1,9 +1,11 @@
-// A change of a backend server's breaker. Its home sends it to the boxes that
-// recently sent requests there, so that they need not learn it by a rejection.
+// A change of a backend server's breaker or of what it demands. Its home sends
+// it to the boxes that recently sent requests there, so that they need not
+// learn it by a rejection.
 #pragma once
 
 #include "porttiller/core/ServerIncarnation.h"
 #include "porttiller/core/Time.h"
+#include "porttiller/hop/HomeTypes.h"
 
 #include <vector>
 
@@ -15,6 +17,9 @@
   ServiceName mService;
   bool mDemoted = false; // the breaker is not closed
   Millis mRetryAfter{ 0 };
+  ServerDemand mDemand;
+  // The server that was leaving has ended, and another start may have begun.
+  bool mLeavingEnded = false;
   std::vector<BoxName> mReceivers;
 };
 
--- a/packages/home/src/LocalServer.cpp
+++ b/packages/home/src/LocalServer.cpp
@@ -5,18 +5,23 @@
 #include <algorithm>
 #include <cmath>
 #include <functional>
+#include <utility>
 
 namespace porttiller {
 
 namespace {
 
-constexpr Millis kLeavingRetryAfter{ 1000 };
 constexpr Millis kNoRetriesRetryAfter{ 500 };
 constexpr int kFirstServerErrorStatus = 500;
 // How long a change of the breaker must last before it is reported. Four in
 // five silence alarms end within 0.3 s, half of them within 84 ms, when the
 // missing answer arrives; until the report the home itself rejects requests.
 constexpr Millis kMinReportedDuration{ 150 };
+// A limit that changes by less than this factor is not reported by itself.
+constexpr double kReportedRateChange = 1.25;
+constexpr Millis kMinDemandReportInterval{ 1000 };
+// A lost report of a limit that has ended would leave the server unused.
+constexpr int kDemandRepeats = 1;
 // A timeout counts against the server if the request ran for this long, or if
 // the detector finds its time slow.
 constexpr Millis kMinTimeoutEvidence{ 500 };
@@ -77,11 +82,17 @@
   return LoadLocked();
 }
 
-// As announced to this box, or by the server's last rejection.
 bool
 LocalServer::IsLeaving() const
 {
   const std::lock_guard lock(mMutex);
+  return IsLeavingLocked();
+}
+
+// As announced to this box, or by the server's answers.
+bool
+LocalServer::IsLeavingLocked() const
+{
   return mLeaving || Now() < mServerLeavingUntil;
 }
 
@@ -112,12 +123,20 @@
     const bool stays =
       aRejectReason == RejectReason::kDemoted && waiter.mLastResort;
     if (!stays && waiter.mState == WaitState::kWaiting &&
-        mQueue.Cancel(ticket)) {
+        CancelWaiter(ticket, waiter)) {
       RejectWaiter(ticket, aRejectReason, aRetryAfter);
     }
   }
 }
 
+// Removes a waiter from the queue. False if it was started before.
+bool
+LocalServer::CancelWaiter(Ticket aTicket, const Waiter& aWaiter)
+{
+  return aWaiter.mPaced ? aWaiter.mState == WaitState::kWaiting
+                        : mQueue.Cancel(aTicket);
+}
+
 // The waiter must have been removed from the queue before.
 void
 LocalServer::RejectWaiter(Ticket aTicket,
@@ -144,7 +163,8 @@
   return { .mOutcome = Outcome::kNotRun,
            .mRejectReason = aRejectReason,
            .mRetryAfter = aRetryAfter,
-           .mLoad = LoadLocked() };
+           .mLoad = LoadLocked(),
+           .mDemand = mThrottle->Demand() };
 }
 
 HomeAnswer
@@ -157,7 +177,7 @@
   mThrottle->OnSent(start);
   auto answer = mCall.Run(aRequest);
   if (answer.mSignals) {
-    mThrottle->OnAnswer(*answer.mSignals, aRequest.mRequestId, start, Now());
+    OnSignals(aRequest, *answer.mSignals, start);
   }
   const auto time = Now() - start;
   if (answer.mOutcome == Outcome::kNotRun) {
@@ -169,6 +189,7 @@
   FreeSlot(ran ? std::optional<Micros>(time) : std::nullopt);
   const std::lock_guard lock(mMutex);
   answer.mLoad = LoadLocked();
+  answer.mDemand = mThrottle->Demand();
   answer.mLatencyP90 = mRouteTimes.LatencyP90(aRequest.mRoute);
   return answer;
 }
@@ -318,25 +339,65 @@
 LocalServer::TakeStateUpdate(TimePoint aNow)
 {
   const std::lock_guard lock(mMutex);
+  const bool demotionChanged = TakeDemotionChange(aNow);
+  const bool demandChanged = TakeDemandChange(aNow);
+  if (!demotionChanged && !demandChanged) {
+    return std::nullopt;
+  }
+  const bool leavingEnded = std::exchange(mLeavingEnded, false);
+  return ServerStateUpdate{ .mServer = mSpec.Incarnation(),
+                            .mService = mSpec.mService,
+                            .mDemoted = mReportedDemoted,
+                            .mRetryAfter = mBreaker.RetryAfter(aNow),
+                            .mDemand = mReportedDemand,
+                            .mLeavingEnded = leavingEnded,
+                            .mReceivers = leavingEnded ? mSenders.All()
+                                                       : mSenders.Since(aNow) };
+}
+
+// Whether a change of the breaker has lasted and is to be reported.
+bool
+LocalServer::TakeDemotionChange(TimePoint aNow)
+{
   const bool demoted = mBreaker.IsDemoted(aNow);
   if (demoted == mReportedDemoted) {
     mUnreportedSince.reset();
-    return std::nullopt;
+    return false;
   }
   mUnreportedSince = mUnreportedSince.value_or(aNow);
   if (aNow < *mUnreportedSince + kMinReportedDuration) {
-    return std::nullopt;
+    return false;
   }
   mUnreportedSince.reset();
   mReportedDemoted = demoted;
   if (demoted) {
     RejectWaiters(RejectReason::kDemoted, mBreaker.RetryAfter(aNow));
   }
-  return ServerStateUpdate{ .mServer = mSpec.Incarnation(),
-                            .mService = mSpec.mService,
-                            .mDemoted = demoted,
-                            .mRetryAfter = mBreaker.RetryAfter(aNow),
-                            .mReceivers = mSenders.Since(aNow) };
+  return true;
+}
+
+// Whether a change of the server's demands is to be reported. Small changes of
+// a limit reach entries with answers.
+bool
+LocalServer::TakeDemandChange(TimePoint aNow)
+{
+  auto demand = mThrottle->Demand();
+  const auto& limit = demand.mLimit;
+  const auto& reported = mReportedDemand.mLimit;
+  const bool limitChanged =
+    limit.has_value() != reported.has_value() ||
+    (limit && (limit->mRate > reported->mRate * kReportedRateChange ||
+               limit->mRate * kReportedRateChange < reported->mRate));
+  const bool changed = limitChanged ||
+                       demand.mLeaving != mReportedDemand.mLeaving ||
+                       mLeavingEnded;
+  if (aNow < mNextDemandReport || (!changed && mDemandRepeats == 0)) {
+    return false;
+  }
+  mDemandRepeats = changed ? kDemandRepeats : mDemandRepeats - 1;
+  mNextDemandReport = aNow + kMinDemandReportInterval;
+  mReportedDemand = demand;
+  return true;
 }
 
 std::optional<HomeAnswer>
@@ -344,7 +405,8 @@
 {
   std::unique_lock lock(mMutex);
   mSenders.OnRequest(aRequest.mAttempt.Box(), Now());
-  if (mLeaving || Now() < mServerLeavingUntil) {
+  OnLimitReport(aRequest);
+  if (IsLeavingLocked()) {
     return RejectLocked(RejectReason::kLeaving, kLeavingRetryAfter);
   }
   if (mReplaced) {
@@ -362,6 +424,9 @@
   if (rejected) {
     return rejected;
   }
+  if (mThrottle->Limit()) {
+    return TakePacedSlot(lock, aRequest);
+  }
   const auto ticket = mNextTicket++;
   const auto offer =
     mQueue.Offer(ticket, aRequest.mPriority, aRequest.mDeadline, Now());
@@ -383,7 +448,7 @@
   if (notStarted) {
     return notStarted;
   }
-  rejected = RejectIfQuarantined(aRequest);
+  rejected = RejectBeforeStart(aRequest);
   if (rejected) {
     lock.unlock();
     FreeSlot(std::nullopt);
@@ -393,6 +458,19 @@
   return std::nullopt;
 }
 
+// What changed while the request waited for its slot.
+std::optional<HomeAnswer>
+LocalServer::RejectBeforeStart(const HomeRequest& aRequest)
+{
+  if (auto rejected = RejectIfQuarantined(aRequest)) {
+    return rejected;
+  }
+  if (!mThrottle->Reserve(Micros(0), Now())) {
+    return RejectLimited();
+  }
+  return std::nullopt;
+}
+
 std::optional<HomeAnswer>
 LocalServer::RejectIfQuarantined(const HomeRequest& aRequest) const
 {
@@ -478,28 +556,39 @@
                          Ticket aTicket,
                          const HomeRequest& aRequest)
 {
-  auto& waiter = mWaiters[aTicket];
+  AwaitChange(
+    aLock, mWaiters[aTicket], aRequest, mQueue.LatestStart(aRequest.mDeadline));
+  return EndWait(aTicket);
+}
+
+// Waits until aUntil, or until the waiter's state changes or its request is
+// cancelled.
+void
+LocalServer::AwaitChange(std::unique_lock<std::mutex>& aLock,
+                         Waiter& aWaiter,
+                         const HomeRequest& aRequest,
+                         TimePoint aUntil)
+{
   {
     // The listener locks mMutex, so it is added and removed without the lock.
     aLock.unlock();
-    const auto listener = OnCancel(CancellationOf(aRequest), [this, &waiter] {
+    const auto listener = OnCancel(CancellationOf(aRequest), [this, &aWaiter] {
       const std::lock_guard lock(mMutex);
-      waiter.mChanged.notify_all();
+      aWaiter.mChanged.notify_all();
     });
     aLock.lock();
-    const auto over = [&] { return waiter.mState != WaitState::kWaiting; };
+    const auto over = [&] { return aWaiter.mState != WaitState::kWaiting; };
     mShutdownDeadline.WaitInIntervals(
-      mQueue.LatestStart(aRequest.mDeadline),
+      aUntil,
       [&] { return IsCancelled(aRequest); },
-      [&](TimePoint aUntil) {
-        waiter.mChanged.wait_until(
-          aLock, aUntil, [&] { return over() || IsCancelled(aRequest); });
+      [&](TimePoint aIntervalEnd) {
+        aWaiter.mChanged.wait_until(
+          aLock, aIntervalEnd, [&] { return over() || IsCancelled(aRequest); });
         return over();
       });
     aLock.unlock();
   }
   aLock.lock();
-  return EndWait(aTicket);
 }
 
 // Removes the waiter and returns its rejection; null once a slot is held.
@@ -553,7 +642,7 @@
 {
   const std::lock_guard lock(mMutex);
   for (const auto& [ticket, waiter] : mWaiters) {
-    if (waiter.mAttempt == aAttempt && mQueue.Cancel(ticket)) {
+    if (waiter.mAttempt == aAttempt && CancelWaiter(ticket, waiter)) {
       SetWaitState(ticket, WaitState::kExpired);
       return true;
     }
--- a/packages/home/src/RecentSenders.cpp
+++ b/packages/home/src/RecentSenders.cpp
@@ -23,6 +23,16 @@
   mLast.erase(oldest);
 }
 
+std::vector<BoxName>
+RecentSenders::All() const
+{
+  std::vector<BoxName> boxes;
+  for (const auto& [box, at] : mLast) {
+    boxes.push_back(box);
+  }
+  return boxes;
+}
+
 std::vector<BoxName>
 RecentSenders::Since(TimePoint aNow) const
 {
--- a/packages/hop/include/porttiller/hop/HomeTypes.h
+++ b/packages/hop/include/porttiller/hop/HomeTypes.h
@@ -21,6 +21,25 @@
 // evidence that the server hangs.
 inline constexpr const char* kTimeoutReason = "server-timeout";
 
+// The limit that a server names, as one box tells it to another.
+struct LimitNote
+{
+  double mRate = 0.0;    // requests per second
+  Millis mAge{ 0 };      // since the server last named it; from entries
+  Millis mInterval{ 0 }; // between requests of one box; from homes
+
+  friend auto operator<=>(const LimitNote&, const LimitNote&) = default;
+};
+
+// What a home knows of a server's demands.
+struct ServerDemand
+{
+  std::optional<LimitNote> mLimit;
+  bool mLeaving = false; // the server's answers say that it is shutting down
+
+  friend auto operator<=>(const ServerDemand&, const ServerDemand&) = default;
+};
+
 struct HomeRequest
 {
   AttemptId mAttempt;
@@ -39,6 +58,7 @@
   std::string mRequestId; // from the caller, for logs; may be empty
   RequestDigest mDigest;  // never encoded; each side computes it
   std::vector<CrashEvent> mCrashes; // that the entry knows of the request
+  std::optional<LimitNote> mLimit;  // of the server, that the entry knows
   CancelFlag mCancelled;            // never encoded; may be null
   HttpRequestData mHttp;
 };
@@ -80,6 +100,7 @@
   std::string mReason; // with kUnknown
   // With kUnknown: the server crashed while it ran the request.
   std::optional<CrashEvent> mCrash;
+  ServerDemand mDemand;
   // The server ended the connection before its answer was complete. Never
   // encoded.
   bool mServerClosed = false;
--- a/packages/hop/src/HopCodec.cpp
+++ b/packages/hop/src/HopCodec.cpp
@@ -6,6 +6,7 @@
 #include <Poco/StringTokenizer.h>
 #include <algorithm>
 #include <array>
+#include <cmath>
 
 namespace porttiller {
 
@@ -14,6 +15,9 @@
 constexpr double kPermille = 1000.0; // unit of the load
 constexpr double kPercent = 100.0;   // unit of the service's error rate
 constexpr char kSeparator = ';';
+constexpr char kLimitSeparator = ':';
+constexpr std::uint64_t kMaxLimitMs = 24 * 3'600'000; // of an age or interval
+constexpr const char* kLeavingMark = "l";
 constexpr const char* kNone = "-";
 constexpr char kRepeatableFlag = 'r';
 constexpr char kCanFailOverFlag = 'f';
@@ -29,6 +33,7 @@
   {
     mText += mText.empty() ? "" : std::string(1, kSeparator);
     mText += aText.empty() ? kNone : aText;
+    mUsed = aText.empty() ? mUsed : mText.size();
     return *this;
   }
 
@@ -42,10 +47,12 @@
     return Add(std::to_string(aIncarnation.Value()));
   }
 
-  std::string Take() { return std::move(mText); }
+  // Without the empty fields at the end.
+  std::string Take() { return mText.substr(0, mUsed); }
 
 private:
   std::string mText;
+  std::size_t mUsed = 0;
 };
 
 // Reads the fields of such a header by index. A missing or empty field reads as
@@ -86,7 +93,8 @@
   kFlags,
   kRoute,
   kErrorPercent,
-  kCrashes
+  kCrashes,
+  kLimit
 };
 } // namespace request_field
 
@@ -102,7 +110,9 @@
   kRetryAfterMs,
   kReason,
   kLatencyP90Ms,
-  kCrash
+  kCrash,
+  kLimit,
+  kLeaving
 };
 } // namespace answer_field
 
@@ -123,6 +133,33 @@
   return aFlags.find(aFlag) != std::string::npos;
 }
 
+// "RATE:MS" with the rate in thousandths of a request per second.
+std::string
+EncodeLimit(double aRate, Millis aTime)
+{
+  return std::to_string(std::llround(aRate * kPermille)) + kLimitSeparator +
+         std::to_string(std::max<Millis::rep>(0, aTime.count()));
+}
+
+struct DecodedLimit
+{
+  double mRate = 0.0;
+  Millis mTime{ 0 };
+};
+
+std::optional<DecodedLimit>
+DecodeLimit(const std::string& aText)
+{
+  const Poco::StringTokenizer parts(aText, std::string(1, kLimitSeparator));
+  const auto rate = ParseUnsigned(parts.count() == 2 ? parts[0] : "");
+  const auto time = ParseUnsigned(parts.count() == 2 ? parts[1] : "");
+  if (!rate || !time || *time > kMaxLimitMs) {
+    return std::nullopt;
+  }
+  return DecodedLimit{ .mRate = static_cast<double>(*rate) / kPermille,
+                       .mTime = Millis(*time) };
+}
+
 Millis
 Remaining(TimePoint aDeadline, TimePoint aNow)
 {
@@ -150,8 +187,9 @@
   }
   fields.Add(FlagsOf(aRequest)).Add(aRequest.mRoute);
   fields.Add(static_cast<std::int64_t>(aRequest.mServiceErrorRate * kPercent));
-  if (!aRequest.mCrashes.empty()) {
-    fields.Add(EncodeCrashes(aRequest.mCrashes, aNow));
+  fields.Add(EncodeCrashes(aRequest.mCrashes, aNow));
+  if (const auto& limit = aRequest.mLimit) {
+    fields.Add(EncodeLimit(limit->mRate, limit->mAge));
   }
   http.mHeaders.push_back({ hop::kRequestHop, fields.Take() });
   if (!aRequest.mRequestKey.empty()) {
@@ -191,6 +229,9 @@
   request.mServiceErrorRate =
     static_cast<double>(fields.Number(kErrorPercent).value_or(0)) / kPercent;
   request.mCrashes = DecodeCrashes(fields.Text(kCrashes), aNow);
+  if (const auto limit = DecodeLimit(fields.Text(kLimit))) {
+    request.mLimit = { .mRate = limit->mRate, .mAge = limit->mTime };
+  }
   request.mRequestKey = HeaderValue(aHttp.mHeaders, hop::kRequestKey);
   aHttp.mHeaders = WithoutHopHeaders(aHttp.mHeaders);
   request.mHttp = std::move(aHttp);
@@ -214,9 +255,15 @@
     .Add(aAnswer.mReason);
   if (aAnswer.mLatencyP90 > Micros(0)) {
     fields.Add(std::chrono::ceil<Millis>(aAnswer.mLatencyP90).count());
-  } else if (aAnswer.mCrash) {
-    fields.Add("").Add(EncodeCrashes({ *aAnswer.mCrash }, aNow));
+  } else {
+    fields.Add("");
   }
+  fields.Add(aAnswer.mCrash ? EncodeCrashes({ *aAnswer.mCrash }, aNow) : "");
+  const auto& demand = aAnswer.mDemand;
+  fields.Add(demand.mLimit
+               ? EncodeLimit(demand.mLimit->mRate, demand.mLimit->mInterval)
+               : "");
+  fields.Add(demand.mLeaving ? kLeavingMark : "");
   return { { hop::kAnswerHop, fields.Take() } };
 }
 
@@ -249,6 +296,11 @@
   if (!crashes.empty()) {
     answer.mCrash = crashes.front();
   }
+  if (const auto limit = DecodeLimit(fields.Text(kLimit))) {
+    answer.mDemand.mLimit = { .mRate = limit->mRate,
+                              .mInterval = limit->mTime };
+  }
+  answer.mDemand.mLeaving = fields.Text(kLeaving) == kLeavingMark;
   answer.mHttp = std::move(aHttp);
   return decoded;
 }
--- a/packages/node/src/Node.cpp
+++ b/packages/node/src/Node.cpp
@@ -167,12 +167,13 @@
                                                      *mTransport,
                                                      mMetrics);
   }
-  if (mSettings.mFailingServers == FailingServers::kBreak) {
-    mServerUpdates = std::make_unique<ServerUpdateController>(
-      mSettings, mHome, mView, *mTransport, [this] {
-        return mConfig->Current();
-      });
-  }
+  mServerUpdates = std::make_unique<ServerUpdateController>(
+    mSettings,
+    mHome,
+    mView,
+    *mTransport,
+    [this] { return mConfig->Current(); },
+    [](const ServerIncarnation&) {});
   if (mSettings.mDialect == Dialect::kNative) {
     mStatus = std::make_unique<StatusController>(
       mSettings, *mConfig, *mMembership, *mTransport, mMetrics);
@@ -329,9 +330,7 @@
   if (mEjection) {
     mEjection->Start();
   }
-  if (mServerUpdates) {
-    mServerUpdates->Start();
-  }
+  mServerUpdates->Start();
   if (mStatus) {
     mStatus->Start();
   }
@@ -347,9 +346,7 @@
     if (mEjection) {
       mEjection->Stop();
     }
-    if (mServerUpdates) {
-      mServerUpdates->Stop();
-    }
+    mServerUpdates->Stop();
     if (mDirectory) {
       mDirectory->Stop();
     }
--- a/packages/node/src/NodePartsPriv.h
+++ b/packages/node/src/NodePartsPriv.h
@@ -81,8 +81,7 @@
   std::unique_ptr<StatusController> mStatus; // only with Dialect::kNative
   std::unique_ptr<LimitController> mLimits;
   std::unique_ptr<CrashController> mCrashes;
-  std::unique_ptr<ServerUpdateController>
-    mServerUpdates; // only with FailingServers::kBreak
+  std::unique_ptr<ServerUpdateController> mServerUpdates;
   std::unique_ptr<Dispatcher> mDispatcher;
   AttemptPool mAttemptPool;
   std::unique_ptr<HomeServer> mHomeServer;
--- a/packages/policy/include/porttiller/policy/Balancer.h
+++ b/packages/policy/include/porttiller/policy/Balancer.h
@@ -17,10 +17,11 @@
 {
   kOpen,        // usable without restriction
   kAvoid,       // its home asks to prefer other servers
+  kLimited,     // it names a limit, and the next request to it is not due
   kDemoted,     // its home accepts only last-resort requests
   kUnreachable, // its box does not answer: each attempt costs a timeout
   kClosed,      // its home rejects requests: ejected or leaving
-  kTried        // this request was sent to it before
+  kExcluded     // the request was sent to it before, or it says it is leaving
 };
 
 // What an entry knows about one server.
--- a/packages/policy/include/porttiller/policy/RequestPacer.h
+++ b/packages/policy/include/porttiller/policy/RequestPacer.h
@@ -43,7 +43,7 @@
   Micros Spacing() const;
   Micros SavedTime() const;
 
-  const RequestPacerOptions mOptions;
+  RequestPacerOptions mOptions;
   double mRate = 0.0;
   // When the bucket is full if nothing is sent until then.
   TimePoint mFullAt;
--- a/packages/policy/include/porttiller/policy/SlotQueue.h
+++ b/packages/policy/include/porttiller/policy/SlotQueue.h
@@ -72,6 +72,8 @@
   // Limits the slots while a server warms up; running requests continue.
   void SetSlotLimit(int aLimit);
 
+  // Whether a request offered now would start at once.
+  bool HasFreeSlot() const { return mRunning < mSlotLimit && Waiting() == 0; }
   int Running() const { return mRunning; }
   int Waiting() const;
   int SlotLimit() const { return mSlotLimit; }
--- a/packages/policy/src/SlotQueue.cpp
+++ b/packages/policy/src/SlotQueue.cpp
@@ -73,7 +73,7 @@
                  TimePoint aDeadline,
                  TimePoint aNow)
 {
-  if (mRunning < mSlotLimit && Waiting() == 0) {
+  if (HasFreeSlot()) {
     ++mRunning;
     return { .mVerdict = OfferVerdict::kStart };
   }
--- a/packages/policy/tests/BalancerTest.cpp
+++ b/packages/policy/tests/BalancerTest.cpp
@@ -30,9 +30,9 @@
   servers[1].mEligibility = Eligibility::kClosed;
   servers[2].mEligibility = Eligibility::kOpen;
   CHECK(ChooseServer(servers, {}, 3, 5) == 2U);
-  servers[2].mEligibility = Eligibility::kTried;
+  servers[2].mEligibility = Eligibility::kExcluded;
   CHECK(ChooseServer(servers, {}, 3, 5) == 0U);
-  servers[0].mEligibility = Eligibility::kTried;
+  servers[0].mEligibility = Eligibility::kExcluded;
   CHECK_FALSE(ChooseServer(servers, {}, 3, 5).has_value());
 }
 
@@ -43,10 +43,10 @@
   std::array<Candidate, 3> servers;
   servers[0].mEligibility = Eligibility::kUnreachable;
   servers[1].mEligibility = Eligibility::kAvoid;
-  servers[2].mEligibility = Eligibility::kTried;
+  servers[2].mEligibility = Eligibility::kExcluded;
   for (std::uint64_t draw = 0; draw < 6; ++draw) {
     CHECK(ChooseServer(servers, {}, draw, draw + 1) == 1U);
   }
-  servers[1].mEligibility = Eligibility::kTried;
+  servers[1].mEligibility = Eligibility::kExcluded;
   CHECK_FALSE(ChooseServer(servers, {}, 3, 5).has_value());
 }
--- a/testing/fleet/Fleet.cpp
+++ b/testing/fleet/Fleet.cpp
@@ -166,6 +166,16 @@
   return "server-" + std::to_string(aIndex);
 }
 
+void
+Fleet::RestartServer(int aIndex, Millis aDownTime)
+{
+  auto& server = mServers.at(static_cast<std::size_t>(aIndex));
+  server.reset();
+  std::this_thread::sleep_for(aDownTime);
+  server = std::make_unique<standin::ServerStandIn>(ServerName(aIndex),
+                                                    ServerAddress(aIndex));
+}
+
 void
 Fleet::StartStandIns()
 {
--- a/testing/fleet/Fleet.h
+++ b/testing/fleet/Fleet.h
@@ -54,6 +54,8 @@
   standin::PlatformStandIn& Platform() { return *mPlatform; }
   standin::ServerStandIn& Server(int aIndex) { return *mServers.at(aIndex); }
   int ServerCount() const { return static_cast<int>(mServers.size()); }
+  // Stops a server and starts it again under its name and address.
+  void RestartServer(int aIndex, Millis aDownTime);
   int RunsOf(const std::string& aId) const;
   // Sends requests to an entry until this server answers one; false after
   // aTimeout.
--- a/testing/fleet/tests/ServerLimitTest.cpp
+++ b/testing/fleet/tests/ServerLimitTest.cpp
@@ -199,3 +199,139 @@
   }
   CHECK(traffic.ServedShare() >= kMinServed);
 }
+
+TEST_CASE("A limit is kept while the server rejects most requests")
+{
+  Fleet fleet(Options());
+  LimitedTraffic traffic(fleet);
+  LimitThree(traffic, 90);
+  std::this_thread::sleep_for(kRun);
+  // Callers see few of these answers, so that few boxes are bound.
+  for (std::size_t i = 0; i < kLimited.size(); ++i) {
+    CHECK(traffic.Log().Arrivals(kLimited.at(i),
+                                 Now() - ThrottleLog::kWindow) <=
+          ThrottleLog::Allowed(std::stod(kLimits.at(i))));
+  }
+  traffic.Stop();
+  CheckThree(traffic);
+  CHECK(traffic.ServedShare() >= kMinServed);
+}
+
+TEST_CASE("A limit is kept through restarts of the server's own box")
+{
+  Fleet fleet(Options());
+  LimitedTraffic traffic(fleet);
+  LimitThree(traffic);
+  std::this_thread::sleep_for(ThrottleLog::kContactTime);
+  for (int turn = 0; turn < 6; ++turn) {
+    const int box = fleet.BoxOfServer(kLimited.at(turn % kLimited.size()));
+    fleet.SignalBox(box, SIGKILL);
+    fleet.WaitForBoxExit(box, Millis(5000));
+    traffic.Excuse(box);
+    std::this_thread::sleep_for(Millis(500));
+    fleet.StartBox(box);
+    fleet.WaitInForce(box, Millis(10'000));
+    std::this_thread::sleep_for(Millis(1500));
+  }
+  traffic.Stop();
+  CheckThree(traffic);
+}
+
+TEST_CASE("A limit is kept when the server's own box wakes from a pause")
+{
+  Fleet fleet(Options());
+  LimitedTraffic traffic(fleet);
+  LimitThree(traffic);
+  std::this_thread::sleep_for(ThrottleLog::kContactTime);
+  for (int turn = 0; turn < 3; ++turn) {
+    for (const int server : kLimited) {
+      fleet.SignalBox(fleet.BoxOfServer(server), SIGSTOP);
+    }
+    std::this_thread::sleep_for(Millis(2500));
+    for (const int server : kLimited) {
+      traffic.Excuse(fleet.BoxOfServer(server));
+      fleet.SignalBox(fleet.BoxOfServer(server), SIGCONT);
+    }
+    std::this_thread::sleep_for(Millis(2500));
+  }
+  traffic.Stop();
+  CheckThree(traffic);
+}
+
+TEST_CASE("Limits hold through changes of the configuration")
+{
+  Fleet fleet(Options());
+  LimitedTraffic traffic(fleet);
+  LimitThree(traffic);
+  for (int change = 0; change < 12; ++change) {
+    for (const int server : { kLimited[0], kLimited[1], kLimited[2] }) {
+      fleet.Platform().Put({ "BackendServer", Fleet::ServerName(server) },
+                           R"({"service":"ledger","box":")" +
+                             Fleet::BoxName(fleet.BoxOfServer(server)) +
+                             R"(","address":")" + fleet.ServerAddress(server) +
+                             R"(","slots":)" + std::to_string(4 + change % 2) +
+                             "}");
+    }
+    fleet.Platform().Put({ "Service", "ledger" },
+                         std::string(R"({"floor_slots":4,"detection":")") +
+                           (change % 2 == 0 ? "careful" : "fast") +
+                           R"(","default_deadline_ms":2000})");
+    std::this_thread::sleep_for(Millis(1000));
+  }
+  traffic.Stop();
+  CheckThree(traffic);
+  CHECK(traffic.ServedShare() >= kMinServed);
+}
+
+TEST_CASE("A limit is kept while links between boxes are silent")
+{
+  Fleet fleet(Options());
+  LimitedTraffic traffic(fleet);
+  LimitThree(traffic);
+  std::this_thread::sleep_for(ThrottleLog::kContactTime);
+  fleet.SilenceBoxLinks();
+  std::this_thread::sleep_for(Millis(6000));
+  traffic.Stop();
+  CheckThree(traffic);
+}
+
+TEST_CASE("A server gets its share again when it names no limit any more")
+{
+  Fleet fleet(Options());
+  LimitedTraffic traffic(fleet);
+  LimitThree(traffic);
+  std::this_thread::sleep_for(Millis(6000));
+  for (const int server : kLimited) {
+    traffic.Limit(server, "");
+  }
+  // Of 120 requests per second, each of twelve servers has ten.
+  for (const int server : kLimited) {
+    CHECK(WaitUntil(Millis(10'000), [&] {
+      return traffic.Log().Arrivals(server, Now() - Millis(2000)) >= 10;
+    }));
+  }
+  traffic.Stop();
+  CHECK(traffic.ServedShare() >= kMinServed);
+}
+
+TEST_CASE("A service whose servers are all limited uses what they take")
+{
+  Fleet fleet(Options());
+  LimitedTraffic traffic(fleet);
+  for (int server = 0; server < kServers; ++server) {
+    traffic.Limit(server, "4");
+  }
+  std::this_thread::sleep_for(ThrottleLog::kContactTime);
+  const auto from = Now();
+  std::this_thread::sleep_for(Millis(8000));
+  int arrivals = 0;
+  for (int server = 0; server < kServers; ++server) {
+    arrivals += traffic.Log().Arrivals(server, from);
+  }
+  traffic.Stop();
+  for (int server = 0; server < kServers; ++server) {
+    traffic.CheckLimit(server, 4.0);
+  }
+  MESSAGE("of 48 requests per second, used " << arrivals / 8);
+  CHECK(arrivals >= 48 * 8 / 2);
+}
