Send nothing more to a server whose answers say that it is leaving

Callers saw: a server that says so in its answers, and neither in heartbeats nor in the store, got requests until its end (51 to 91 in 12 s, later than 2 s after their box had passed the answer on; none allowed).

Change: the home rejects new and waiting requests from that answer on, through changes of the server's settings, and tells the boxes that sent to it. An entry that has heard of it never sends there again, whatever the server's own box knows after a restart. Where servers register, the record of the box says so from then on, so that it is in the store and reaches all boxes; heartbeats that still say ready do not end it. It is final for this start: where starts are not identified, a process that no longer accepts connections ends it.

--- a/packages/control/include/porttiller/control/DirectoryController.h
+++ b/packages/control/include/porttiller/control/DirectoryController.h
@@ -69,6 +69,10 @@
   // acknowledged: its effect then survives a restart of this box.
   tl::expected<void, RegistrationError> Take(const ServerMessage& aMessage);
 
+  // The answers of this box's server say that it is leaving, whatever it sends.
+  // Does not block.
+  void OnServerSaysLeaving(const ServerIncarnation& aServer);
+
   // Handlers of peers' messages.
   void OnRecords(const wire::BoxRecords& aMessage);
   wire::Envelope OnDirectoryRequest(const wire::DirectoryRequest& aRequest);
--- a/packages/control/src/DirectoryController.cpp
+++ b/packages/control/src/DirectoryController.cpp
@@ -437,6 +437,29 @@
   Push({ aOwn }, kOwnRecordFanout);
 }
 
+// The store's thread writes the record.
+void
+DirectoryController::OnServerSaysLeaving(const ServerIncarnation& aServer)
+{
+  BoxRecord record;
+  {
+    const std::lock_guard lock(mMutex);
+    const auto& server = mRegistrar.Server();
+    if (!server || server->mIncarnation != aServer) {
+      return;
+    }
+    ServerMessage message{ .mServer = *server };
+    message.mServer.mState = ServerState::kDraining;
+    if (mRegistrar.Take(message) != RegistrarVerdict::kLeaving) {
+      return;
+    }
+    mOwn.mServer = mRegistrar.Server();
+    AdvanceOwnRevision();
+    record = mOwn;
+  }
+  Announce(record, RegistrarVerdict::kLeaving);
+}
+
 void
 DirectoryController::LogServerMessage(const ServerMessage& aMessage,
                                       RegistrarVerdict aVerdict)
--- a/packages/control/src/ServerUpdateController.cpp
+++ b/packages/control/src/ServerUpdateController.cpp
@@ -49,6 +49,7 @@
 ServerUpdateController::Tick()
 {
   for (const auto& server : mHome.Servers()) {
+    server->RecheckLeaving();
     if (const auto update = server->TakeStateUpdate(Now())) {
       Notify(*update);
     }
--- a/packages/entry/src/EntryView.cpp
+++ b/packages/entry/src/EntryView.cpp
@@ -214,6 +214,10 @@
   const auto& view = *aResolved.mView;
   candidate.mInFlight = view.mInFlight;
   candidate.mReportedLoad = DecayedLoad(view.mLoad, aNow - view.mLoadAt);
+  if (SaysLeaving(view, aNow)) {
+    candidate.mEligibility = Eligibility::kExcluded;
+    return candidate;
+  }
   // A hedge would take the place of a request that has no answer yet.
   const bool due = aNow >= view.mNextTurn && !aConstraints.mOpenOnly;
   if (view.mDemand.mLimit && !due && !aPlan.LastResort()) {
--- a/packages/home/include/porttiller/home/LocalServer.h
+++ b/packages/home/include/porttiller/home/LocalServer.h
@@ -51,6 +51,10 @@
 
   const BackendServerSpec& Spec() const { return mSpec; }
   const ServerThrottle& Throttle() const { return *mThrottle; }
+  // Looks whether a server whose answers said that it is leaving has ended,
+  // where another start would have the same name. To be called every tenth of a
+  // second.
+  void RecheckLeaving();
 
   // Waits for a slot, forwards the request and returns the complete answer. The
   // attempt must have been admitted by the registry.
@@ -188,6 +192,7 @@
   TimePoint mNextDemandReport;
   int mDemandRepeats = 0;
   bool mLeavingEnded = false; // not reported yet
+  TimePoint mNextLeavingCheck;
   std::optional<TimePoint> mUnreportedSince; // a change not yet reported
   ServerBreaker mBreaker; // receives outcomes only with kBreak
   CrashEvidence mCrashes;
--- a/packages/home/src/LocalServer.cpp
+++ b/packages/home/src/LocalServer.cpp
@@ -22,6 +22,7 @@
 constexpr Millis kMinDemandReportInterval{ 1000 };
 // A lost report of a limit that has ended would leave the server unused.
 constexpr int kDemandRepeats = 1;
+constexpr Millis kLeavingCheckInterval{ 200 };
 // A timeout counts against the server if the request ran for this long, or if
 // the detector finds its time slow.
 constexpr Millis kMinTimeoutEvidence{ 500 };
@@ -93,7 +94,7 @@
 bool
 LocalServer::IsLeavingLocked() const
 {
-  return mLeaving || Now() < mServerLeavingUntil;
+  return mLeaving || Now() < mServerLeavingUntil || mThrottle->IsLeaving();
 }
 
 int
@@ -400,6 +401,28 @@
   return true;
 }
 
+// A server that registers is identified by each start; one that an operator
+// lists may start again under its name.
+void
+LocalServer::RecheckLeaving()
+{
+  const auto now = Now();
+  {
+    const std::lock_guard lock(mMutex);
+    const bool identified =
+      mSpec.mStartMs || !mOptions.mHeaders.mExpectedServer.empty();
+    if (identified || !mThrottle->IsLeaving() || now < mNextLeavingCheck) {
+      return;
+    }
+    mNextLeavingCheck = now + kLeavingCheckInterval;
+  }
+  if (!mCall.HasOpenIdle() && mCall.RefusesConnections()) {
+    mThrottle->OnEnded();
+    const std::lock_guard lock(mMutex);
+    mLeavingEnded = true;
+  }
+}
+
 std::optional<HomeAnswer>
 LocalServer::TakeSlot(const HomeRequest& aRequest)
 {
@@ -462,6 +485,9 @@
 std::optional<HomeAnswer>
 LocalServer::RejectBeforeStart(const HomeRequest& aRequest)
 {
+  if (mThrottle->IsLeaving()) {
+    return RejectLocked(RejectReason::kLeaving, kLeavingRetryAfter);
+  }
   if (auto rejected = RejectIfQuarantined(aRequest)) {
     return rejected;
   }
--- a/packages/home/src/LocalServerPaced.cpp
+++ b/packages/home/src/LocalServerPaced.cpp
@@ -57,7 +57,9 @@
   const auto now = Now();
   const bool tightened = mThrottle->OnAnswer(
     aSignals, aRequest.mRequestId, mSenders.Since(now).size(), aSent, now);
-  if (tightened) {
+  if (mThrottle->IsLeaving()) {
+    RejectWaiters(RejectReason::kLeaving, kLeavingRetryAfter);
+  } else if (tightened) {
     RejectWaiters(RejectReason::kLimited, mThrottle->RetryAfter(now));
   }
 }
--- a/packages/node/src/Node.cpp
+++ b/packages/node/src/Node.cpp
@@ -173,7 +173,11 @@
     mView,
     *mTransport,
     [this] { return mConfig->Current(); },
-    [](const ServerIncarnation&) {});
+    [this](const ServerIncarnation& aServer) {
+      if (mDirectory) {
+        mDirectory->OnServerSaysLeaving(aServer);
+      }
+    });
   if (mSettings.mDialect == Dialect::kNative) {
     mStatus = std::make_unique<StatusController>(
       mSettings, *mConfig, *mMembership, *mTransport, mMetrics);
--- a/testing/fleet/tests/ServerLimitTest.cpp
+++ b/testing/fleet/tests/ServerLimitTest.cpp
@@ -258,13 +258,15 @@
   CheckThree(traffic);
 }
 
-TEST_CASE("Limits hold through changes of the configuration")
+TEST_CASE("Limits and leaving hold through changes of the configuration")
 {
   Fleet fleet(Options());
   LimitedTraffic traffic(fleet);
   LimitThree(traffic);
+  constexpr int kLeaving = 9;
+  traffic.Leave(kLeaving);
   for (int change = 0; change < 12; ++change) {
-    for (const int server : { kLimited[0], kLimited[1], kLimited[2] }) {
+    for (const int server : { kLimited[0], kLimited[1], kLeaving }) {
       fleet.Platform().Put({ "BackendServer", Fleet::ServerName(server) },
                            R"({"service":"ledger","box":")" +
                              Fleet::BoxName(fleet.BoxOfServer(server)) +
@@ -280,6 +282,7 @@
   }
   traffic.Stop();
   CheckThree(traffic);
+  CHECK(traffic.Log().AfterLeaving(kLeaving) == 0);
   CHECK(traffic.ServedShare() >= kMinServed);
 }
 
@@ -335,3 +338,20 @@
   MESSAGE("of 48 requests per second, used " << arrivals / 8);
   CHECK(arrivals >= 48 * 8 / 2);
 }
+
+TEST_CASE("A server that left and started again under its name is used")
+{
+  Fleet fleet(Options());
+  LimitedTraffic traffic(fleet);
+  constexpr int kServer = 0;
+  traffic.Leave(kServer);
+  std::this_thread::sleep_for(Millis(4000));
+  fleet.RestartServer(kServer, Millis(1500));
+  const auto restarted = Now();
+  CHECK(WaitUntil(Millis(15'000),
+                  [&] { return fleet.Server(kServer).Runs() >= 10; }));
+  MESSAGE("used after "
+          << std::chrono::duration_cast<Millis>(Now() - restarted).count()
+          << " ms");
+  traffic.Stop();
+}
