--- a/packages/entry/tests/EntryViewTest.cpp
+++ b/packages/entry/tests/EntryViewTest.cpp
@@ -234,3 +234,81 @@
   CHECK(view.Dump().find("in_flight=0") != std::string::npos);
   CHECK(view.Dump().find("in_flight=-1") == std::string::npos);
 }
+
+TEST_CASE("A limited server is chosen when its turn has come")
+{
+  const auto snapshot = MakeSnapshot();
+  EntryView view(BoxName("entry"), AvailabilityZone("entry"), {});
+  const auto& first = snapshot.mServices.begin()->second.mServers[0];
+  const ServerDemand demand{ .mLimit = LimitNote{ .mRate = 1.0,
+                                                  .mInterval = Millis(1000) } };
+  view.OnDemand(first, demand, DemandSource::kAnswer, kStart);
+  CHECK(CountFirst(view, snapshot, kStart + Millis(400)) == 0);
+  CHECK(CountFirst(view, snapshot, kStart + Millis(1600)) > 0);
+  CHECK(
+    view.LimitOf(first, kStart + Millis(50)) ==
+    LimitNote{ .mRate = 1.0, .mAge = Millis(50), .mInterval = Millis(1000) });
+  view.OnDemand(first, {}, DemandSource::kRejection, kStart + Millis(100));
+  CHECK(CountFirst(view, snapshot, kStart + Millis(400)) == 0);
+  view.OnDemand(first, {}, DemandSource::kAnswer, kStart + Millis(200));
+  CHECK(CountFirst(view, snapshot, kStart + Millis(400)) > 0);
+  CHECK_FALSE(view.LimitOf(first, kStart));
+}
+
+TEST_CASE("A limited server gets no hedged attempt")
+{
+  const auto snapshot = MakeSnapshot();
+  EntryView view(BoxName("entry"), AvailabilityZone("entry"), {});
+  const auto& service = snapshot.mServices.begin()->second;
+  const ServerDemand demand{ .mLimit = LimitNote{ .mRate = 1.0,
+                                                  .mInterval = Millis(1000) } };
+  view.OnDemand(service.mServers[0], demand, DemandSource::kAnswer, kStart);
+  for (int i = 0; i < kDraws; ++i) {
+    const auto choice = view.Choose(snapshot,
+                                    service,
+                                    AttemptPlan(true),
+                                    { .mOpenOnly = true },
+                                    kStart + Millis(5000));
+    CHECK(choice.mServer == &service.mServers[1]);
+  }
+}
+
+TEST_CASE("When all servers are limited they are the last resort")
+{
+  const auto snapshot = MakeSnapshot();
+  EntryView view(BoxName("entry"), AvailabilityZone("entry"), {});
+  const auto& service = snapshot.mServices.begin()->second;
+  const ServerDemand demand{ .mLimit = LimitNote{ .mRate = 1.0,
+                                                  .mInterval = Millis(1000) } };
+  for (const auto& server : service.mServers) {
+    view.OnDemand(server, demand, DemandSource::kAnswer, kStart);
+  }
+  AttemptPlan plan(true);
+  const auto none = view.Choose(snapshot, service, plan, {}, kStart);
+  CHECK(none.mServer == nullptr);
+  REQUIRE(plan.AllowLastResort(none.mDemotedLeft));
+  CHECK(view.Choose(snapshot, service, plan, {}, kStart).mServer != nullptr);
+}
+
+TEST_CASE("A server that says it is leaving gets no request, even as the last")
+{
+  const auto snapshot = MakeSnapshot();
+  EntryView view(BoxName("entry"), AvailabilityZone("entry"), {});
+  const auto& service = snapshot.mServices.begin()->second;
+  for (const auto& server : service.mServers) {
+    view.OnDemand(server, { .mLeaving = true }, DemandSource::kAnswer, kStart);
+  }
+  AttemptPlan plan(true);
+  const auto choice = view.Choose(snapshot, service, plan, {}, kStart);
+  CHECK(choice.mServer == nullptr);
+  CHECK_FALSE(plan.AllowLastResort(choice.mDemotedLeft));
+  // A later answer without the header does not end it, its home's update does.
+  view.OnDemand(
+    service.mServers[0], {}, DemandSource::kAnswer, kStart + Millis(10));
+  CHECK(CountFirst(view, snapshot, kStart + Millis(10)) == 0);
+  view.OnServerUpdate({ .mServer = service.mServers[0].Incarnation(),
+                        .mService = ServiceName("ledger"),
+                        .mLeavingEnded = true },
+                      kStart + Millis(20));
+  CHECK(CountFirst(view, snapshot, kStart + Millis(20)) == kDraws);
+}
--- a/packages/hop/tests/HopCodecTest.cpp
+++ b/packages/hop/tests/HopCodecTest.cpp
@@ -86,6 +86,44 @@
   CHECK_FALSE(DecodeHomeAnswer(http, other, Now()));
 }
 
+TEST_CASE("A limit travels with the request and with the answer")
+{
+  auto request = MakeRequest();
+  request.mLimit = { .mRate = 1.4, .mAge = Millis(320) };
+  const auto decoded =
+    DecodeHomeRequest(EncodeHomeRequest(request, std::nullopt, kNow), kNow);
+  REQUIRE(decoded);
+  CHECK(decoded->mLimit == request.mLimit);
+
+  const HomeAnswer answer{
+    .mOutcome = Outcome::kRun,
+    .mDemand = { .mLimit = LimitNote{ .mRate = 0.2, .mInterval = Millis(4100) },
+                 .mLeaving = true }
+  };
+  const HttpAnswer http{ .mStatus = 200,
+                         .mHeaders = EncodeHomeAnswer(
+                           answer, request.mAttempt, Incarnation(8), kNow) };
+  const auto decodedAnswer = DecodeHomeAnswer(http, request.mAttempt, kNow);
+  REQUIRE(decodedAnswer);
+  CHECK(decodedAnswer->mAnswer.mDemand == answer.mDemand);
+}
+
+TEST_CASE("A malformed limit is left out")
+{
+  const auto http = EncodeHomeRequest(MakeRequest(), std::nullopt, kNow);
+  const auto fields = HeaderValue(http.mHeaders, hop::kRequestHop);
+  for (const char* limit :
+       { "x", "1400", "1400:", ":5", "-1:5", "1400:99999999999999", "1:2:3" }) {
+    CAPTURE(limit);
+    auto bad = http;
+    RemoveHeader(bad.mHeaders, hop::kRequestHop);
+    bad.mHeaders.push_back({ hop::kRequestHop, fields + ";-;" + limit });
+    const auto decoded = DecodeHomeRequest(bad, kNow);
+    REQUIRE(decoded);
+    CHECK_FALSE(decoded->mLimit);
+  }
+}
+
 TEST_CASE("Requests with missing or malformed fields are not decoded")
 {
   const auto http = EncodeHomeRequest(MakeRequest(), std::nullopt, kNow);
--- a/testing/fleet/ThrottleLog.cpp
+++ b/testing/fleet/ThrottleLog.cpp
@@ -12,7 +12,7 @@
 }
 
 void
-ThrottleLog::OnArrival(const std::string& aId, int aServer)
+ThrottleLog::OnArrival(const std::string& aId, const std::string& aServer)
 {
   const std::lock_guard lock(mMutex);
   const auto now = Now();
@@ -27,7 +27,10 @@
 }
 
 void
-ThrottleLog::OnPassedOn(int aBox, int aServer, bool aLimit, bool aLeaving)
+ThrottleLog::OnPassedOn(int aBox,
+                        const std::string& aServer,
+                        bool aLimit,
+                        bool aLeaving)
 {
   const std::lock_guard lock(mMutex);
   auto& told = mTold[{ aBox, aServer }];
@@ -47,8 +50,16 @@
                 [&](const auto& aTold) { return aTold.first.first == aBox; });
 }
 
+void
+ThrottleLog::Forget(const std::string& aServer)
+{
+  const std::lock_guard lock(mMutex);
+  std::erase_if(
+    mTold, [&](const auto& aTold) { return aTold.first.second == aServer; });
+}
+
 int
-ThrottleLog::WorstWindow(int aServer, TimePoint aNamedAt) const
+ThrottleLog::WorstWindow(const std::string& aServer, TimePoint aNamedAt) const
 {
   const std::lock_guard lock(mMutex);
   const auto it = mArrivals.find(aServer);
@@ -78,7 +89,7 @@
 }
 
 int
-ThrottleLog::AfterLeaving(int aServer) const
+ThrottleLog::AfterLeaving(const std::string& aServer) const
 {
   const std::lock_guard lock(mMutex);
   const auto it = mArrivals.find(aServer);
@@ -91,7 +102,7 @@
 }
 
 int
-ThrottleLog::Arrivals(int aServer, TimePoint aFrom) const
+ThrottleLog::Arrivals(const std::string& aServer, TimePoint aFrom) const
 {
   const std::lock_guard lock(mMutex);
   const auto it = mArrivals.find(aServer);
--- a/testing/fleet/ThrottleLog.h
+++ b/testing/fleet/ThrottleLog.h
@@ -27,20 +27,26 @@
 
   // A client sends a request with this id to a box.
   void OnSent(const std::string& aId, int aBox);
-  void OnArrival(const std::string& aId, int aServer);
+  void OnArrival(const std::string& aId, const std::string& aServer);
   // The box passed on an answer of the server with these headers.
-  void OnPassedOn(int aBox, int aServer, bool aLimit, bool aLeaving);
+  void OnPassedOn(int aBox,
+                  const std::string& aServer,
+                  bool aLimit,
+                  bool aLeaving);
+  // A limit of the server ended, or another start has its name: nobody was
+  // told.
+  void Forget(const std::string& aServer);
   // The box was restarted, paused or cut off: it knows nothing any more.
   void Excuse(int aBox);
 
   // The most requests in kWindow that count against the server's limit.
-  int WorstWindow(int aServer, TimePoint aNamedAt) const;
+  int WorstWindow(const std::string& aServer, TimePoint aNamedAt) const;
   static int Allowed(double aLimit);
   // Arrivals of requests that were sent later than kDrainTime after their box
   // had passed on that the server is leaving.
-  int AfterLeaving(int aServer) const;
+  int AfterLeaving(const std::string& aServer) const;
   // All arrivals since aFrom.
-  int Arrivals(int aServer, TimePoint aFrom) const;
+  int Arrivals(const std::string& aServer, TimePoint aFrom) const;
 
 private:
   struct Sent
@@ -64,8 +70,8 @@
 
   mutable std::mutex mMutex;
   std::map<std::string, Sent> mSent;
-  std::map<int, std::vector<Arrival>> mArrivals; // by server
-  std::map<std::pair<int, int>, Told> mTold;     // by box and server
+  std::map<std::string, std::vector<Arrival>> mArrivals; // by server
+  std::map<std::pair<int, std::string>, Told> mTold;     // by box and server
 };
 
 } // namespace porttiller::fleet
--- a/testing/fleet/tests/ServerLimitTest.cpp
+++ b/testing/fleet/tests/ServerLimitTest.cpp
@@ -57,8 +57,9 @@
     for (int server = 0; server < kServers; ++server) {
       mFleet.Server(server).Set(
         { .mServiceMs = static_cast<int>(kWork.count()) });
-      mFleet.Server(server).SetOnArrival(
-        [this, server](const auto& aId) { mLog.OnArrival(aId, server); });
+      mFleet.Server(server).SetOnArrival([this, server](const auto& aId) {
+        mLog.OnArrival(aId, Fleet::ServerName(server));
+      });
     }
     for (int client = 0; client < kClients; ++client) {
       mClients.emplace_back([this, client] { Send(client); });
@@ -98,7 +99,7 @@
 
   void CheckLimit(int aServer, double aLimit) const
   {
-    const int worst = mLog.WorstWindow(aServer, mNamedAt);
+    const int worst = mLog.WorstWindow(Fleet::ServerName(aServer), mNamedAt);
     MESSAGE("limit " << aLimit << ": worst 4 s " << worst << ", allowed "
                      << ThrottleLog::Allowed(aLimit) << "; served "
                      << mServed.Share());
@@ -132,16 +133,11 @@
 
   void NotePassedOn(int aBox, const Reply& aReply)
   {
-    const auto name = aReply.mBody.substr(0, aReply.mBody.find('|'));
-    for (int server = 0; server < kServers; ++server) {
-      if (name == Fleet::ServerName(server)) {
-        mLog.OnPassedOn(
-          aBox,
-          server,
-          !HeaderValue(aReply.mHeaders, "Porttiller-Server-Limit").empty(),
-          !HeaderValue(aReply.mHeaders, "Porttiller-Server-Leaving").empty());
-      }
-    }
+    mLog.OnPassedOn(
+      aBox,
+      aReply.mBody.substr(0, aReply.mBody.find('|')),
+      !HeaderValue(aReply.mHeaders, "Porttiller-Server-Limit").empty(),
+      !HeaderValue(aReply.mHeaders, "Porttiller-Server-Leaving").empty());
   }
 
   Fleet& mFleet;
@@ -195,7 +191,7 @@
   std::this_thread::sleep_for(kRun);
   traffic.Stop();
   for (const int server : kLimited) {
-    CHECK(traffic.Log().AfterLeaving(server) == 0);
+    CHECK(traffic.Log().AfterLeaving(Fleet::ServerName(server)) == 0);
   }
   CHECK(traffic.ServedShare() >= kMinServed);
 }
@@ -208,7 +204,7 @@
   std::this_thread::sleep_for(kRun);
   // Callers see few of these answers, so that few boxes are bound.
   for (std::size_t i = 0; i < kLimited.size(); ++i) {
-    CHECK(traffic.Log().Arrivals(kLimited.at(i),
+    CHECK(traffic.Log().Arrivals(Fleet::ServerName(kLimited.at(i)),
                                  Now() - ThrottleLog::kWindow) <=
           ThrottleLog::Allowed(std::stod(kLimits.at(i))));
   }
@@ -282,7 +278,7 @@
   }
   traffic.Stop();
   CheckThree(traffic);
-  CHECK(traffic.Log().AfterLeaving(kLeaving) == 0);
+  CHECK(traffic.Log().AfterLeaving(Fleet::ServerName(kLeaving)) == 0);
   CHECK(traffic.ServedShare() >= kMinServed);
 }
 
@@ -310,7 +306,8 @@
   // Of 120 requests per second, each of twelve servers has ten.
   for (const int server : kLimited) {
     CHECK(WaitUntil(Millis(10'000), [&] {
-      return traffic.Log().Arrivals(server, Now() - Millis(2000)) >= 10;
+      return traffic.Log().Arrivals(Fleet::ServerName(server),
+                                    Now() - Millis(2000)) >= 10;
     }));
   }
   traffic.Stop();
@@ -329,7 +326,7 @@
   std::this_thread::sleep_for(Millis(8000));
   int arrivals = 0;
   for (int server = 0; server < kServers; ++server) {
-    arrivals += traffic.Log().Arrivals(server, from);
+    arrivals += traffic.Log().Arrivals(Fleet::ServerName(server), from);
   }
   traffic.Stop();
   for (int server = 0; server < kServers; ++server) {
--- a/testing/soak/Clients.cpp
+++ b/testing/soak/Clients.cpp
@@ -25,8 +25,11 @@
 
 } // namespace
 
-Clients::Clients(const fleet::MeshFleet& aFleet, ClientOptions aOptions)
+Clients::Clients(const fleet::MeshFleet& aFleet,
+                 fleet::ThrottleLog& aThrottles,
+                 ClientOptions aOptions)
   : mFleet(aFleet)
+  , mThrottles(aThrottles)
   , mOptions(aOptions)
 {
   for (int i = 0; i < mOptions.mBoxes * mOptions.mPerBox; ++i) {
@@ -81,10 +84,17 @@
         request.mBody.clear();
       }
     }
+    mThrottles.OnSent(request.mId, box);
     request.mSentAt = Now();
     request.mReply = fleet::SendTo(
       pool, MakeHttp(request), Millis(kDeadlineMs) + kAnswerSlack);
     request.mEndedAt = Now();
+    const auto& reply = request.mReply;
+    mThrottles.OnPassedOn(
+      box,
+      reply.mBody.substr(0, reply.mBody.find('|')),
+      !HeaderValue(reply.mHeaders, "Server-Limit").empty(),
+      !HeaderValue(reply.mHeaders, "Server-Leaving").empty());
     {
       const std::lock_guard lock(mMutex);
       mRequests.push_back(std::move(request));
--- a/testing/soak/Clients.h
+++ b/testing/soak/Clients.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "fleet/MeshFleet.h"
+#include "fleet/ThrottleLog.h"
 
 #include <atomic>
 #include <mutex>
@@ -34,7 +35,9 @@
 class Clients
 {
 public:
-  Clients(const fleet::MeshFleet& aFleet, ClientOptions aOptions);
+  Clients(const fleet::MeshFleet& aFleet,
+          fleet::ThrottleLog& aThrottles,
+          ClientOptions aOptions);
   ~Clients();
   Clients(const Clients&) = delete;
   Clients& operator=(const Clients&) = delete;
@@ -49,6 +52,7 @@
   void Run(int aClient);
 
   const fleet::MeshFleet& mFleet;
+  fleet::ThrottleLog& mThrottles;
   const ClientOptions mOptions;
   std::atomic<bool> mStop{ false };
   std::mutex mMutex;
--- a/testing/soak/Schedule.cpp
+++ b/testing/soak/Schedule.cpp
@@ -18,6 +18,10 @@
 // box overlap.
 constexpr int kSameBoxOneIn = 4;
 constexpr std::uint64_t kMaxCrashingRequests = 3;
+constexpr std::uint64_t kMaxDemands = 4;
+constexpr std::uint64_t kDemandsGenerator = 0x9e3779b97f4a7c15;
+// Longer than the time after which the bounds hold.
+constexpr Millis kMinDemandLength{ 3500 };
 
 Millis
 LengthOf(FaultKind aKind, int aDrawn)
@@ -50,11 +54,30 @@
                         FaultKind::kCrashingRequest,
                         static_cast<int>(i) });
   }
-  std::stable_sort(aFaults.begin(),
-                   aFaults.end(),
-                   [](const Fault& aLeft, const Fault& aRight) {
-                     return aLeft.mBegin < aRight.mBegin;
-                   });
+}
+
+// The same.
+void
+AddDemands(const ScheduleOptions& aOptions, std::vector<Fault>& aFaults)
+{
+  std::mt19937_64 random(aOptions.mSeed + kDemandsGenerator);
+  const auto draw = [&](Millis aBelow) {
+    return Millis(static_cast<Millis::rep>(
+      random() % static_cast<std::uint64_t>(aBelow.count())));
+  };
+  const auto count = 1 + random() % kMaxDemands;
+  for (std::uint64_t i = 0; i < count; ++i) {
+    const auto length = kMinDemandLength + draw(kMinDemandLength);
+    if (length < aOptions.mLength) {
+      aFaults.push_back(
+        { draw(aOptions.mLength - length),
+          length,
+          random() % 2 == 0 ? FaultKind::kServerLimited
+                            : FaultKind::kServerLeaves,
+          static_cast<int>(random() %
+                           static_cast<std::uint64_t>(aOptions.mBoxes)) });
+    }
+  }
 }
 
 std::vector<Fault>
@@ -135,9 +158,13 @@
     case FaultKind::kServerSilent:
       return "server-silent";
     case FaultKind::kCrashingRequest:
+      return "crashing-request";
+    case FaultKind::kServerLimited:
+      return "server-limited";
+    case FaultKind::kServerLeaves:
       break;
   }
-  return "crashing-request";
+  return "server-leaves";
 }
 
 std::vector<Fault>
@@ -145,6 +172,11 @@
 {
   auto faults = DrawFaults(aOptions);
   AddCrashingRequests(aOptions, faults);
+  AddDemands(aOptions, faults);
+  std::stable_sort(
+    faults.begin(), faults.end(), [](const Fault& aLeft, const Fault& aRight) {
+      return aLeft.mBegin < aRight.mBegin;
+    });
   return faults;
 }
 
--- a/testing/soak/Schedule.h
+++ b/testing/soak/Schedule.h
@@ -34,10 +34,12 @@
   kForeignWriter,   // writes foreign objects and an invalid heartbeat
   kStoreSilent,     // a box's open connections to the store drop all data
   kServerSilent,    // the same between a box and its server
-  kCrashingRequest  // repeats of a request that crashes each server
+  kCrashingRequest, // repeats of a request that crashes each server
+  kServerLimited,   // answers name a limit of requests per second
+  kServerLeaves     // answers say that it leaves; replaced without a message
 };
 
-// Kinds that are drawn with equal probability; the last one is drawn apart.
+// Kinds that are drawn with equal probability; the last three are drawn apart.
 inline constexpr int kFaultKinds =
   static_cast<int>(FaultKind::kServerSilent) + 1;
 
--- a/testing/soak/Soak.cpp
+++ b/testing/soak/Soak.cpp
@@ -13,6 +13,8 @@
 constexpr Millis kSlowWork{ 700 };
 constexpr Millis kPollInterval{ 5 };
 constexpr Millis kCrashingGap{ 250 };
+constexpr double kLimit = 1.5; // requests per second
+constexpr const char* kLimitText = "1.5";
 constexpr Millis kCrashingTimeout{ 1500 };
 
 bool
@@ -65,6 +67,7 @@
 {
   mClients = std::make_unique<Clients>(
     mFleet,
+    mThrottles,
     ClientOptions{ .mSeed = mOptions.mSchedule.mSeed,
                    .mBoxes = mOptions.mSchedule.mBoxes,
                    .mPerBox = mOptions.mClientsPerBox });
@@ -106,6 +109,9 @@
                   [](const SentRequest& aRequest) {
                     return aRequest.mReply.mStatus == 200;
                   }));
+  result.mViolations.insert(result.mViolations.end(),
+                            mDemandViolations.begin(),
+                            mDemandViolations.end());
   for (auto& line : FindViolations(mFleet, mObservations)) {
     result.mViolations.push_back(std::move(line));
   }
@@ -116,9 +122,72 @@
 Soak::SetServer(int aBox, const standin::MeshServerFaults& aFaults)
 {
   const std::lock_guard lock(mServerMutexes.at(aBox));
+  const auto demand = mDemands.find(aBox);
+  if (demand != mDemands.end() && demand->second.mLimited) {
+    CheckDemand(demand->second);
+    mThrottles.Forget(demand->second.mId);
+    mDemands.erase(demand);
+  }
   mFleet.Server(aBox).Set(aFaults);
 }
 
+void
+Soak::BeginDemand(const Fault& aFault)
+{
+  const int box = aFault.mBox;
+  const std::lock_guard lock(mServerMutexes.at(box));
+  if (mDraining.at(box) || mFleet.IsDown(box) || mDemands.contains(box)) {
+    return;
+  }
+  auto& server = mFleet.Server(box);
+  const bool limited = aFault.mKind == FaultKind::kServerLimited;
+  const auto id = server.Id();
+  mThrottles.Forget(id);
+  mDemands[box] = {
+    .mServer = &server, .mId = id, .mSince = Now(), .mLimited = limited
+  };
+  server.SetOnArrival([this, id](const std::string& aRequest) {
+    mThrottles.OnArrival(aRequest, id);
+  });
+  server.Set({ .mLimit = limited ? kLimitText : "", .mLeaving = !limited });
+}
+
+void
+Soak::EndDemand(const Fault& aFault)
+{
+  const int box = aFault.mBox;
+  if (aFault.mKind == FaultKind::kServerLimited) {
+    SetServer(box, {});
+    return;
+  }
+  const std::lock_guard lock(mServerMutexes.at(box));
+  const auto it = mDemands.find(box);
+  if (it == mDemands.end() || it->second.mLimited) {
+    return;
+  }
+  CheckDemand(it->second);
+  const bool same = &mFleet.Server(box) == it->second.mServer;
+  mDemands.erase(it);
+  if (same && !mDraining.at(box) && !mFleet.IsDown(box)) {
+    mFleet.ReplaceServer(box);
+  }
+}
+
+void
+Soak::CheckDemand(const Demand& aDemand)
+{
+  const int late = mThrottles.AfterLeaving(aDemand.mId);
+  const int worst = mThrottles.WorstWindow(aDemand.mId, aDemand.mSince);
+  if (!aDemand.mLimited && late > 0) {
+    mDemandViolations.push_back("leaving: " + std::to_string(late) +
+                                " late requests to " + aDemand.mId);
+  }
+  if (aDemand.mLimited && worst > fleet::ThrottleLog::Allowed(kLimit)) {
+    mDemandViolations.push_back("limit: " + std::to_string(worst) +
+                                " requests in 4 s to " + aDemand.mId);
+  }
+}
+
 void
 Soak::Begin(const Fault& aFault)
 {
@@ -179,6 +248,10 @@
     case FaultKind::kForeignWriter:
       WriteForeignObjects(box);
       break;
+    case FaultKind::kServerLimited:
+    case FaultKind::kServerLeaves:
+      BeginDemand(aFault);
+      break;
     case FaultKind::kCrashingRequest:
       mCrashers.emplace_back([this, aFault] { RepeatCrashingRequest(aFault); });
       break;
@@ -215,6 +288,10 @@
     case FaultKind::kReplaceServer:
       EndReplacement(box);
       break;
+    case FaultKind::kServerLimited:
+    case FaultKind::kServerLeaves:
+      EndDemand(aFault);
+      break;
     default:
       EndBoxFault(aFault);
       break;
@@ -229,6 +306,7 @@
     return; // the box is down and will be restarted
   }
   if (aFault.mKind != FaultKind::kReloadBox) {
+    mThrottles.Excuse(box);
     mObservations.mOutages.push_back(
       { box, Now(), Now() + aFault.mLength, aFault.mBegin });
   }
@@ -278,6 +356,7 @@
 void
 Soak::RecordOutageEnd(const Fault& aFault)
 {
+  mThrottles.Excuse(aFault.mBox);
   for (auto& outage : mObservations.mOutages) {
     if (outage.mBox == aFault.mBox && outage.mPlannedBegin == aFault.mBegin) {
       outage.mEnd = std::max(outage.mEnd, Now());
--- a/testing/soak/Soak.h
+++ b/testing/soak/Soak.h
@@ -37,6 +37,15 @@
   std::string LogOf(int aBox) const { return mFleet.LogOf(aBox); }
 
 private:
+  // Of a server, in its answers.
+  struct Demand
+  {
+    const standin::MeshServerStandIn* mServer = nullptr;
+    std::string mId;
+    TimePoint mSince;
+    bool mLimited = false; // otherwise it leaves
+  };
+
   void Begin(const Fault& aFault);
   void End(const Fault& aFault);
   void BeginBoxFault(const Fault& aFault);
@@ -47,6 +56,9 @@
   void WriteForeignObjects(int aBox);
   void RepeatCrashingRequest(const Fault& aFault);
   void StartCrashedServers();
+  void BeginDemand(const Fault& aFault);
+  void EndDemand(const Fault& aFault);
+  void CheckDemand(const Demand& aDemand);
   void BeginReplacement(int aBox);
   void EndReplacement(int aBox);
   void ClearFaults();
@@ -55,6 +67,9 @@
   const SoakOptions mOptions;
   fleet::MeshFleet mFleet;
   Observations mObservations;
+  fleet::ThrottleLog mThrottles;
+  std::map<int, Demand> mDemands; // by box; other faults end a limit
+  std::vector<std::string> mDemandViolations;
   std::set<int> mDown; // killed or stopped, not yet restarted
   std::set<int> mPaused;
   // One mutex for each box, because a server may be replaced while its
