--- a/packages/home/include/porttiller/home/LocalServer.h
+++ b/packages/home/include/porttiller/home/LocalServer.h
@@ -9,6 +9,7 @@
 #include "porttiller/home/RecentSenders.h"
 #include "porttiller/home/ServerBreaker.h"
 #include "porttiller/home/ServerCall.h"
+#include "porttiller/home/ServerStateReport.h"
 #include "porttiller/home/ServerStateUpdate.h"
 #include "porttiller/home/ServerThrottle.h"
 #include "porttiller/hop/CrashMonitor.h"
@@ -72,8 +73,8 @@
   // ones continue.
   void SetLeaving(bool aLeaving);
 
-  // Returns an update for the boxes that send here, once for each lasting
-  // change of the breaker.
+  // Returns an update for the boxes that send here when one is due; see
+  // ServerStateReport.
   std::optional<ServerStateUpdate> TakeStateUpdate(TimePoint aNow);
 
   // Looks once more whether the server crashed when it last closed a
@@ -168,8 +169,6 @@
   bool MayBeInterrupted(const HomeRequest& aRequest) const;
   bool IsLeaving() const;
   bool IsLeavingLocked() const;
-  bool TakeDemotionChange(TimePoint aNow);
-  bool TakeDemandChange(TimePoint aNow);
   double LoadLocked() const;
   HomeAnswer RejectLocked(RejectReason aRejectReason, Millis aRetryAfter) const;
 
@@ -186,14 +185,8 @@
   RouteTimes mRouteTimes;
   RecentSenders mSenders;
   RetryBudget mRetries;
-  // In the last state update.
-  bool mReportedDemoted = false;
-  ServerDemand mReportedDemand;
-  TimePoint mNextDemandReport;
-  int mDemandRepeats = 0;
-  bool mLeavingEnded = false; // not reported yet
+  ServerStateReport mReport;
   TimePoint mNextLeavingCheck;
-  std::optional<TimePoint> mUnreportedSince; // a change not yet reported
   ServerBreaker mBreaker; // receives outcomes only with kBreak
   CrashEvidence mCrashes;
   bool mReplaced = false;
--- a/packages/home/src/LocalServer.cpp
+++ b/packages/home/src/LocalServer.cpp
@@ -1,31 +1,17 @@
 #include "porttiller/home/LocalServer.h"
 
+#include "porttiller/home/HealthEvidence.h"
 #include "porttiller/telemetry/Log.h"
 
 #include <algorithm>
 #include <cmath>
-#include <functional>
-#include <utility>
 
 namespace porttiller {
 
 namespace {
 
 constexpr Millis kNoRetriesRetryAfter{ 500 };
-constexpr int kFirstServerErrorStatus = 500;
-// How long a change of the breaker must last before it is reported. Four in
-// five silence alarms end within 0.3 s, half of them within 84 ms, when the
-// missing answer arrives; until the report the home itself rejects requests.
-constexpr Millis kMinReportedDuration{ 150 };
-// A limit that changes by less than this factor is not reported by itself.
-constexpr double kReportedRateChange = 1.25;
-constexpr Millis kMinDemandReportInterval{ 1000 };
-// A lost report of a limit that has ended would leave the server unused.
-constexpr int kDemandRepeats = 1;
 constexpr Millis kLeavingCheckInterval{ 200 };
-// A timeout counts against the server if the request ran for this long, or if
-// the detector finds its time slow.
-constexpr Millis kMinTimeoutEvidence{ 500 };
 
 EjectionOptions
 OptionsFor(DetectionSetting aSetting)
@@ -218,9 +204,6 @@
   }
 }
 
-// Records what the result of an attempt shows about the server's health. A full
-// connection pool, a server that is busy or leaving, a cancelled request, and a
-// deadline that left too little time show nothing.
 void
 LocalServer::RecordEvidence(const HomeRequest& aRequest,
                             const HomeAnswer& aAnswer,
@@ -236,27 +219,10 @@
     mBreaker.OnEnded(aRequest, aAnswer, aTime, Now());
     return;
   }
-  Evidence evidence{ .mLatency = aTime };
-  evidence.mClass =
-    static_cast<std::uint32_t>(std::hash<std::string>{}(aRequest.mRoute));
-  if (aAnswer.mOutcome == Outcome::kRun) {
-    evidence.mFailed = aAnswer.mHttp.mStatus >= kFirstServerErrorStatus;
-  } else if (aAnswer.mReason == kTimeoutReason) {
-    const bool conclusive = mMachine.HealthDetector().IsSlow(aTime) ||
-                            aTime >= Micros(kMinTimeoutEvidence);
-    if (!conclusive) {
-      return;
-    }
-    evidence.mFailed = true;
-  } else if (aAnswer.mRejectReason == RejectReason::kOverloaded ||
-             aAnswer.mRejectReason == RejectReason::kServerBusy ||
-             aAnswer.mRejectReason == RejectReason::kLeaving ||
-             IsCancelled(aRequest)) {
-    return;
-  } else {
-    evidence.mFailed = true;
+  const bool slow = mMachine.HealthDetector().IsSlow(aTime);
+  if (const auto evidence = HealthEvidenceOf(aRequest, aAnswer, aTime, slow)) {
+    mMachine.OnEvidence(*evidence, Now());
   }
-  mMachine.OnEvidence(evidence, Now());
 }
 
 void
@@ -340,65 +306,23 @@
 LocalServer::TakeStateUpdate(TimePoint aNow)
 {
   const std::lock_guard lock(mMutex);
-  const bool demotionChanged = TakeDemotionChange(aNow);
-  const bool demandChanged = TakeDemandChange(aNow);
-  if (!demotionChanged && !demandChanged) {
+  const auto due =
+    mReport.Take(mBreaker.IsDemoted(aNow), mThrottle->Demand(), aNow);
+  if (!due) {
     return std::nullopt;
   }
-  const bool leavingEnded = std::exchange(mLeavingEnded, false);
+  if (due->mDemotionChanged && due->mDemoted) {
+    RejectWaiters(RejectReason::kDemoted, mBreaker.RetryAfter(aNow));
+  }
   return ServerStateUpdate{ .mServer = mSpec.Incarnation(),
                             .mService = mSpec.mService,
-                            .mDemoted = mReportedDemoted,
+                            .mDemoted = due->mDemoted,
                             .mRetryAfter = mBreaker.RetryAfter(aNow),
-                            .mDemand = mReportedDemand,
-                            .mLeavingEnded = leavingEnded,
-                            .mReceivers = leavingEnded ? mSenders.All()
-                                                       : mSenders.Since(aNow) };
-}
-
-// Whether a change of the breaker has lasted and is to be reported.
-bool
-LocalServer::TakeDemotionChange(TimePoint aNow)
-{
-  const bool demoted = mBreaker.IsDemoted(aNow);
-  if (demoted == mReportedDemoted) {
-    mUnreportedSince.reset();
-    return false;
-  }
-  mUnreportedSince = mUnreportedSince.value_or(aNow);
-  if (aNow < *mUnreportedSince + kMinReportedDuration) {
-    return false;
-  }
-  mUnreportedSince.reset();
-  mReportedDemoted = demoted;
-  if (demoted) {
-    RejectWaiters(RejectReason::kDemoted, mBreaker.RetryAfter(aNow));
-  }
-  return true;
-}
-
-// Whether a change of the server's demands is to be reported. Small changes of
-// a limit reach entries with answers.
-bool
-LocalServer::TakeDemandChange(TimePoint aNow)
-{
-  auto demand = mThrottle->Demand();
-  const auto& limit = demand.mLimit;
-  const auto& reported = mReportedDemand.mLimit;
-  const bool limitChanged =
-    limit.has_value() != reported.has_value() ||
-    (limit && (limit->mRate > reported->mRate * kReportedRateChange ||
-               limit->mRate * kReportedRateChange < reported->mRate));
-  const bool changed = limitChanged ||
-                       demand.mLeaving != mReportedDemand.mLeaving ||
-                       mLeavingEnded;
-  if (aNow < mNextDemandReport || (!changed && mDemandRepeats == 0)) {
-    return false;
-  }
-  mDemandRepeats = changed ? kDemandRepeats : mDemandRepeats - 1;
-  mNextDemandReport = aNow + kMinDemandReportInterval;
-  mReportedDemand = demand;
-  return true;
+                            .mDemand = due->mDemand,
+                            .mLeavingEnded = due->mLeavingEnded,
+                            .mReceivers = due->mLeavingEnded
+                                            ? mSenders.All()
+                                            : mSenders.Since(aNow) };
 }
 
 // A server that registers is identified by each start; one that an operator
@@ -419,7 +343,7 @@
   if (!mCall.HasOpenIdle() && mCall.RefusesConnections()) {
     mThrottle->OnEnded();
     const std::lock_guard lock(mMutex);
-    mLeavingEnded = true;
+    mReport.OnLeavingEnded();
   }
 }
 
