Keep a limit that a restarted home does not know

An update of a restarted home, about its breaker, has no limit and lifted the one that entries knew; they then sent the home no note of it. Now the next request is due, carries the note, and its answer ends the limit if it has ended. A request that waits for its start does not begin early when its box stops.

Found by reading; EntryViewTest "An update without a limit makes the next request due".

--- a/packages/entry/src/EntryView.cpp
+++ b/packages/entry/src/EntryView.cpp
@@ -439,7 +439,13 @@
   if (view == nullptr) {
     return;
   }
-  TakeLimit(*view, aUpdate.mDemand.mLimit, aNow);
+  if (aUpdate.mDemand.mLimit) {
+    TakeLimit(*view, aUpdate.mDemand.mLimit, aNow);
+  } else {
+    // A home that was restarted may not know the limit. The next request tells
+    // it, and its answer ends the limit here.
+    view->mNextTurn = {};
+  }
   if (aUpdate.mLeavingEnded) {
     view->mDemand.mLeaving = false;
   }
--- a/packages/entry/tests/EntryViewTest.cpp
+++ b/packages/entry/tests/EntryViewTest.cpp
@@ -312,3 +312,19 @@
                       kStart + Millis(20));
   CHECK(CountFirst(view, snapshot, kStart + Millis(20)) == kDraws);
 }
+
+TEST_CASE("An update without a limit makes the next request due")
+{
+  const auto snapshot = MakeSnapshot();
+  EntryView view(BoxName("entry"), AvailabilityZone("entry"), {});
+  const auto& first = snapshot.mServices.begin()->second.mServers[0];
+  const ServerDemand demand{ .mLimit = LimitNote{ .mRate = 1.0,
+                                                  .mInterval = Millis(1000) } };
+  view.OnDemand(first, demand, DemandSource::kAnswer, kStart);
+  view.OnServerUpdate(
+    { .mServer = first.Incarnation(), .mService = ServiceName("ledger") },
+    kStart);
+  CHECK(CountFirst(view, snapshot, kStart) > 0);
+  // A restarted home learns of the limit from it.
+  CHECK(view.LimitOf(first, kStart));
+}
--- a/packages/home/src/LocalServerPaced.cpp
+++ b/packages/home/src/LocalServerPaced.cpp
@@ -93,7 +93,8 @@
   return std::nullopt;
 }
 
-// Returns null at the start time, otherwise the rejection.
+// Returns null at the start time, otherwise the rejection. A planned stop of
+// the box ends the wait earlier.
 std::optional<HomeAnswer>
 LocalServer::WaitForStart(std::unique_lock<std::mutex>& aLock,
                           Ticket aTicket,
@@ -112,6 +113,10 @@
   if (state == WaitState::kRejected) {
     return RejectLocked(rejectReason, retryAfter);
   }
+  if (Now() < aStart && state == WaitState::kWaiting &&
+      !IsCancelled(aRequest)) {
+    return RejectLocked(RejectReason::kLeaving, kLeavingRetryAfter);
+  }
   if (state == WaitState::kExpired || IsCancelled(aRequest) ||
       Now() >= mQueue.LatestStart(aRequest.mDeadline)) {
     return RejectLocked(RejectReason::kExpired, mThrottle->RetryAfter(Now()));
