--- a/packages/hop/src/HopCodec.cpp
+++ b/packages/hop/src/HopCodec.cpp
@@ -16,7 +16,8 @@
 constexpr double kPercent = 100.0;   // unit of the service's error rate
 constexpr char kSeparator = ';';
 constexpr char kLimitSeparator = ':';
-constexpr std::uint64_t kMaxLimitMs = 24ULL * 3'600'000; // of an age or interval
+constexpr std::uint64_t kMaxLimitMs =
+  24ULL * 3'600'000; // of an age or interval
 constexpr const char* kLeavingMark = "l";
 constexpr const char* kNone = "-";
 constexpr char kRepeatableFlag = 'r';
