--- a/packages/http/include/porttiller/http/HttpListener.h
+++ b/packages/http/include/porttiller/http/HttpListener.h
@@ -66,6 +66,10 @@
   Millis mIdleClose{ 30'000 };
   // Time from the first to the last byte of a request.
   Millis mReadTimeout{ 10'000 };
+  // A connection whose peer reads no byte of an answer for this long is closed.
+  Millis mUnreadTimeout{ 10'000 };
+  // Answer bytes that wait for the peer at which no further request is read.
+  std::size_t mMaxUnsentBytes = 256 << 10;
   // Pipelined requests of one connection that are read ahead. Only safe methods
   // run concurrently.
   int mPipelined = 8;
--- a/packages/http/src/HttpConnectionPriv.cpp
+++ b/packages/http/src/HttpConnectionPriv.cpp
@@ -1,6 +1,7 @@
 #include "HttpConnectionPriv.h"
 
 #include "ListenerRejectionPriv.h"
+#include "SocketsPriv.h"
 
 #include <Poco/Exception.h>
 #include <algorithm>
@@ -216,6 +217,9 @@
 void
 HttpConnection::Flush()
 {
+  if (mOut.empty()) {
+    mLastSent = Now(); // the time for the peer to read starts here
+  }
   while (!mCalls.empty() && mCalls.front()->mDone && mState == State::kOpen) {
     const auto call = mCalls.front();
     mCalls.pop_front();
@@ -233,17 +237,21 @@
 HttpConnection::SendOut()
 {
   while (!mOut.empty() && mState != State::kClosed) {
-    int sent = 0;
-    try {
-      sent = mSocket.sendBytes(mOut.data(), static_cast<int>(mOut.size()));
-    } catch (const Poco::Exception&) {
+    const auto sent =
+      SendAvailable(mSocket, std::string_view(mOut).substr(mSent));
+    if (!sent) {
       AbandonLocked();
       return;
     }
-    if (sent <= 0) {
+    if (*sent == 0) {
       return; // send buffer full; OnWritable continues
     }
-    mOut.erase(0, static_cast<std::size_t>(sent));
+    mSent += *sent;
+    mLastUse = mLastSent = Now();
+    if (mSent == mOut.size()) {
+      mOut.clear();
+      mSent = 0;
+    }
   }
   ReleaseIfEmpty(mOut);
   if (mState == State::kClosing) {
@@ -277,6 +285,12 @@
   if (mState == State::kLingering && aNow >= mLingerUntil) {
     mState = State::kClosed;
   }
+  if (!mOut.empty() && mState != State::kClosed) {
+    if (aNow >= mLastSent + mOptions.mUnreadTimeout) {
+      AbandonLocked();
+    }
+    return; // an answer that is being written keeps the connection
+  }
   if (mState != State::kOpen || !mCalls.empty()) {
     return;
   }
@@ -293,7 +307,8 @@
 HttpConnection::Interest() const
 {
   const std::lock_guard lock(mMutex);
-  return { .mRead = mIn.size() < kMaxReadAheadBytes,
+  return { .mRead = mIn.size() < kMaxReadAheadBytes &&
+                    mOut.size() - mSent < mOptions.mMaxUnsentBytes,
            .mWrite = !mOut.empty(),
            .mClosed = mState == State::kClosed };
 }
@@ -310,6 +325,7 @@
 {
   mState = State::kClosed;
   mOut.clear();
+  mSent = 0;
   for (const auto& call : mCalls) {
     call->mCall.mCancelled->Cancel();
   }
--- a/packages/http/src/HttpConnectionPriv.h
+++ b/packages/http/src/HttpConnectionPriv.h
@@ -96,11 +96,13 @@
   MessageReader mReader;
   std::string mIn;                   // read and not parsed yet
   std::string mOut;                  // to be written
+  std::size_t mSent = 0;             // bytes of mOut that are written
   std::deque<PendingCallPtr> mCalls; // in the order of their answers
   State mState = State::kOpen;
   bool mInputEnded = false; // further input is discarded
-  TimePoint mLastUse;
-  TimePoint mRequestStart; // first byte of the current message
+  TimePoint mLastUse;       // last byte read or written
+  TimePoint mLastSent;      // last progress of mOut
+  TimePoint mRequestStart;  // first byte of the current message
   TimePoint mLingerUntil;
 };
 
--- a/packages/http/src/SocketsPriv.cpp
+++ b/packages/http/src/SocketsPriv.cpp
@@ -13,6 +13,14 @@
 
 // An hour. AwaitReadable polls again after that; poll(2) takes an int.
 constexpr Millis::rep kMaxPollMs = 3'600'000;
+// POCO takes sizes as int.
+constexpr std::size_t kMaxSendBytes = 1 << 20;
+
+bool
+IsBufferFull(int aError)
+{
+  return aError == EAGAIN || aError == EWOULDBLOCK || aError == EINTR;
+}
 
 } // namespace
 
@@ -42,6 +50,21 @@
   }
 }
 
+std::optional<std::size_t>
+SendAvailable(Poco::Net::StreamSocket& aSocket, std::string_view aBytes)
+{
+  const auto size = std::min(aBytes.size(), kMaxSendBytes);
+  try {
+    const int sent = aSocket.sendBytes(aBytes.data(), static_cast<int>(size));
+    return static_cast<std::size_t>(std::max(sent, 0));
+  } catch (const Poco::TimeoutException&) {
+    return 0;
+  } catch (const Poco::Exception& e) {
+    return IsBufferFull(e.code()) ? std::optional<std::size_t>(0)
+                                  : std::nullopt;
+  }
+}
+
 void
 SetUserTimeout(Poco::Net::StreamSocket& aSocket, Millis aTime)
 {
--- a/packages/http/src/SocketsPriv.h
+++ b/packages/http/src/SocketsPriv.h
@@ -6,6 +6,9 @@
 #include <Poco/Net/DatagramSocket.h>
 #include <Poco/Net/StreamSocket.h>
 #include <Poco/Timespan.h>
+#include <cstddef>
+#include <optional>
+#include <string_view>
 
 namespace porttiller {
 
@@ -19,6 +22,13 @@
 bool
 AwaitReadable(const Poco::Net::Socket& aSocket, Micros aTime);
 
+// Sends as much as the send buffer of a non-blocking socket takes. Returns the
+// number of bytes taken, 0 while the buffer is full; null when the connection
+// has failed. POCO reports a full buffer by the same exception type as a failed
+// connection.
+std::optional<std::size_t>
+SendAvailable(Poco::Net::StreamSocket& aSocket, std::string_view aBytes);
+
 // Sets TCP_USER_TIMEOUT: the connection ends if sent bytes stay unacknowledged
 // for aTime. A box that lost power sends no reset.
 void
--- a/packages/http/tests/HttpListenerTest.cpp
+++ b/packages/http/tests/HttpListenerTest.cpp
@@ -4,7 +4,9 @@
 #include "porttiller/http/HttpPool.h"
 
 #include <Poco/Exception.h>
+#include <Poco/Net/NetException.h>
 #include <Poco/Net/StreamSocket.h>
+#include <algorithm>
 #include <array>
 #include <condition_variable>
 #include <doctest/doctest.h>
@@ -81,9 +83,15 @@
 class Client
 {
 public:
-  Client()
-    : mSocket(Poco::Net::SocketAddress(kAddress))
+  // aReceiveBuffer: bytes that the kernel accepts before the client reads; 0
+  // for the default.
+  explicit Client(int aReceiveBuffer = 0)
   {
+    mSocket.init(AF_INET);
+    if (aReceiveBuffer > 0) {
+      mSocket.setReceiveBufferSize(aReceiveBuffer);
+    }
+    mSocket.connect(Poco::Net::SocketAddress(kAddress));
     mSocket.setReceiveTimeout(Poco::Timespan(10, 0));
   }
 
@@ -96,8 +104,15 @@
   std::string ReadUntil(const std::string& aEnd)
   {
     std::array<char, 4096> buffer{};
-    while (mText.find(aEnd) == std::string::npos) {
-      const int size = mSocket.receiveBytes(buffer.data(), buffer.size());
+    std::size_t searched = 0;
+    while (mText.find(aEnd, searched) == std::string::npos) {
+      searched = mText.size() - std::min(mText.size(), aEnd.size());
+      int size = 0;
+      try {
+        size = mSocket.receiveBytes(buffer.data(), buffer.size());
+      } catch (const Poco::Net::ConnectionResetException&) {
+        break;
+      }
       if (size <= 0) {
         break;
       }
@@ -106,6 +121,7 @@
     return mText;
   }
 
+  void Clear() { mText.clear(); }
   void Close() { mSocket.close(); }
 
 private:
@@ -271,3 +287,79 @@
   second.Send(Get("/one"));
   CHECK(second.ReadUntil("\r\n\r\n/one").find("200") != std::string::npos);
 }
+
+namespace {
+
+constexpr int kSmallBufferBytes = 16 << 10;
+
+// Answers each request with a body of aBytes.
+std::unique_ptr<HttpListener>
+ListenWithBody(std::size_t aBytes, HttpListenerOptions aOptions = {})
+{
+  aOptions.mAddress = kAddress;
+  auto made = HttpListener::Make(aOptions, [aBytes](HttpCall&) {
+    return HttpReply{
+      .mAnswer = { .mStatus = 200, .mBody = std::string(aBytes, 'x') + "end" }
+    };
+  });
+  REQUIRE(made);
+  return std::move(*made);
+}
+
+void
+Pause()
+{
+  std::this_thread::sleep_for(std::chrono::milliseconds(300));
+}
+
+} // namespace
+
+// An answer larger than the free send buffer used to end its connection.
+TEST_CASE("A reader that pauses receives large answers whole")
+{
+  for (const std::size_t bytes : { 1 << 20, 20 << 20 }) {
+    CAPTURE(bytes);
+    const auto listener = ListenWithBody(bytes);
+    Client client(kSmallBufferBytes);
+    for (int i = 0; i < 2; ++i) { // the connection stays usable
+      client.Send(Get("/"));
+      Pause();
+      CHECK(client.ReadUntil("xend").size() >= bytes);
+      client.Clear();
+    }
+  }
+}
+
+// An idle connection is closed at once by a stop, and after mIdleClose; one
+// with an answer that is not written out is not idle.
+TEST_CASE("An unread answer outlasts the idle time and a planned stop")
+{
+  constexpr std::size_t kBytes = 8 << 20;
+  const auto listener = ListenWithBody(kBytes, { .mIdleClose = Millis(50) });
+  Client idle(kSmallBufferBytes);
+  Client client(kSmallBufferBytes);
+  client.Send(Get("/"));
+  CHECK(client.ReadUntil("200 OK").size() < kBytes);
+  // Longer than the idle time and an interval between two timeout checks.
+  for (int i = 0; i < 3; ++i) {
+    Pause();
+  }
+  CHECK(idle.ReadUntil("anything").empty());
+  std::thread stopper([&] { listener->StopGracefully(); });
+  Pause();
+  CHECK(client.ReadUntil("xend").size() >= kBytes);
+  client.Close();
+  stopper.join();
+}
+
+// Answers that nobody reads would fill the memory of the box.
+TEST_CASE("A connection whose answer stays unread is closed")
+{
+  constexpr std::size_t kBytes = 8 << 20;
+  const auto listener =
+    ListenWithBody(kBytes, { .mUnreadTimeout = Millis(200) });
+  Client client(kSmallBufferBytes);
+  client.Send(Get("/"));
+  listener->StopGracefully(); // returns as the connection ends
+  CHECK(client.ReadUntil("xend").find("xend") == std::string::npos);
+}
