config, hop: settings and fields for rules of long requests

Cause: the parts for hard load need to know at the home what latency target a request has, and whether it is a hedge.

Change: the setting long_requests.min_target_ms (off by default) selects routes by their latency target; attempts carry that target and a flag for hedges between entry and home. Nothing reads them yet.

Result: config, hop and entry tests pass.

--- a/packages/config/include/porttiller/config/Settings.h
+++ b/packages/config/include/porttiller/config/Settings.h
@@ -6,6 +6,7 @@
 #include "porttiller/core/Ids.h"
 #include "porttiller/core/Time.h"
 
+#include <optional>
 #include <string>
 #include <tl/expected.hpp>
 #include <vector>
@@ -95,6 +96,14 @@
   double mSlack = 20.0; // requests
 };
 
+// Rules for long requests: they trade latency, of which such requests have
+// some to spare, for the chance to be served. See docs/design/hard-load.md.
+struct LongRequestSettings
+{
+  // They apply to routes with at least this latency target; null: to none.
+  std::optional<Millis> mMinTarget;
+};
+
 struct TimingSettings
 {
   Millis mDrain{ 10'000 }; // limit for a planned shutdown
@@ -126,11 +135,18 @@
   ReadinessSettings mReadiness;
   RetrySettings mRetries;
   WorkspaceLimitSettings mWorkspaceLimits;
+  LongRequestSettings mLongRequests;
   ResourceSettings mResources;
   std::string mLogLevel = "info";
   TimingSettings mTiming;
 };
 
+// The latency target of a route if the rules for long requests apply to it;
+// null otherwise.
+std::optional<Millis>
+LongTargetOf(std::optional<Millis> aRouteTarget,
+             const LongRequestSettings& aSettings);
+
 // The control addresses of the seeds, with mSeedPort applied.
 std::vector<std::string>
 SeedAddresses(const Settings& aSettings);
--- a/packages/config/src/Settings.cpp
+++ b/packages/config/src/Settings.cpp
@@ -18,6 +18,7 @@
 constexpr IntegerRange kConnections{ .mMin = 1, .mMax = 1024 };
 constexpr IntegerRange kDrainMs{ .mMin = 100, .mMax = 600'000 };
 constexpr IntegerRange kIntervalMs{ .mMin = 10, .mMax = 60'000 };
+constexpr IntegerRange kTargetMs{ .mMin = 100, .mMax = 600'000 };
 constexpr IntegerRange kApplyMs{ .mMin = 200, .mMax = 60'000 };
 constexpr IntegerRange kPort{ .mMin = 0, .mMax = 65535 };
 // Upper bound of numbers that the platform provides. It is far above real
@@ -213,6 +214,17 @@
   return settings;
 }
 
+LongRequestSettings
+ReadLongRequests(FieldReader aReader)
+{
+  LongRequestSettings settings;
+  if (aReader.Has("min_target_ms")) {
+    settings.mMinTarget = Millis(aReader.Integer("min_target_ms", kTargetMs));
+  }
+  aReader.RejectUnknownKeys();
+  return settings;
+}
+
 RetrySettings
 ReadRetries(FieldReader aReader)
 {
@@ -260,6 +272,15 @@
 
 } // namespace
 
+std::optional<Millis>
+LongTargetOf(std::optional<Millis> aRouteTarget,
+             const LongRequestSettings& aSettings)
+{
+  const bool applies = aRouteTarget && aSettings.mMinTarget &&
+                       *aRouteTarget >= *aSettings.mMinTarget;
+  return applies ? aRouteTarget : std::nullopt;
+}
+
 std::vector<std::string>
 SeedAddresses(const Settings& aSettings)
 {
@@ -305,6 +326,7 @@
   settings.mRetries = ReadRetries(reader.Child("retries"));
   settings.mWorkspaceLimits =
     ReadWorkspaceLimits(reader.Child("workspace_limits"));
+  settings.mLongRequests = ReadLongRequests(reader.Child("long_requests"));
   reader.RejectUnknownKeys();
   if (!errors.empty()) {
     return tl::make_unexpected(std::move(errors));
@@ -388,6 +410,11 @@
   limits.set("over", aSettings.mWorkspaceLimits.mOver);
   limits.set("slack", aSettings.mWorkspaceLimits.mSlack);
   document.set("workspace_limits", limits);
+  Poco::JSON::Object longRequests;
+  if (const auto& target = aSettings.mLongRequests.mMinTarget) {
+    longRequests.set("min_target_ms", target->count());
+  }
+  document.set("long_requests", longRequests);
   Poco::JSON::Object resources;
   resources.set("memory_mb", aSettings.mResources.mMemoryMb);
   resources.set("descriptors", aSettings.mResources.mDescriptors);
--- a/packages/config/tests/SettingsTest.cpp
+++ b/packages/config/tests/SettingsTest.cpp
@@ -111,3 +111,13 @@
     CHECK(settings->mTiming.mApplyLimit == time);
   }
 }
+
+TEST_CASE("The rules for long requests apply from the set target on")
+{
+  const LongRequestSettings none;
+  CHECK_FALSE(LongTargetOf(Millis(8000), none));
+  const LongRequestSettings settings{ .mMinTarget = Millis(4000) };
+  CHECK_FALSE(LongTargetOf(std::nullopt, settings));
+  CHECK_FALSE(LongTargetOf(Millis(3999), settings));
+  CHECK(LongTargetOf(Millis(4000), settings) == Millis(4000));
+}
--- a/packages/entry/src/AttemptRunPriv.cpp
+++ b/packages/entry/src/AttemptRunPriv.cpp
@@ -201,7 +201,8 @@
 {
   RunningAttempt attempt{ .mId = mDependencies.mAttemptIdGenerator.Next(),
                           .mServer = &aServer,
-                          .mCanFailOver = aCanFailOver };
+                          .mCanFailOver = aCanFailOver,
+                          .mIsHedge = !mRunning.empty() };
   attempt.mCancelled =
     mContext.mRepeatable ? Cancellation::Make() : mContext.mCancelled;
   auto request = MakeRequest(attempt);
@@ -310,6 +311,7 @@
     .mCanFailOver = aAttempt.mCanFailOver,
     .mLastResort = mPlan.LastResort(),
     .mIsRetry = mPlan.MayHaveReachedServer(),
+    .mIsHedge = aAttempt.mIsHedge,
     .mServiceErrorRate =
       mDependencies.mView.ErrorRate(mContext.mService->mSpec.mName),
     .mDeadline = mContext.mDeadline,
@@ -319,6 +321,8 @@
     .mDigest = mContext.mDigest,
     .mCrashes = mDependencies.mCrashes.EventsOf(mContext.mDigest),
     .mLimit = mDependencies.mView.LimitOf(*aAttempt.mServer, Now()),
+    .mLongTarget =
+      LongTargetOf(mContext.mRoute->mTarget, mContext.mSettings.mLongRequests),
     .mCancelled = aAttempt.mCancelled
   };
   request.mHttp = mContext.mHttp;
--- a/packages/entry/src/AttemptRunPriv.h
+++ b/packages/entry/src/AttemptRunPriv.h
@@ -18,6 +18,7 @@
   AttemptId mId;
   const BackendServerSpec* mServer = nullptr; // in the request's snapshot
   bool mCanFailOver = false; // another server may be tried after it
+  bool mIsHedge = false;     // an earlier attempt still ran when it was sent
   CancelFlag mCancelled;     // of this attempt alone
 };
 
--- a/packages/hop/include/porttiller/hop/HomeTypes.h
+++ b/packages/hop/include/porttiller/hop/HomeTypes.h
@@ -50,6 +50,7 @@
   bool mCanFailOver = false; // another server can still take it after a failure
   bool mLastResort = false;  // no other server accepts it
   bool mIsRetry = false;     // the request was sent to another server before
+  bool mIsHedge = false;     // an earlier attempt of the request still runs
   // Share of errors among the service's answers that the entry has seen.
   double mServiceErrorRate = 0.0;
   TimePoint mDeadline; // on the monotonic clock of this process
@@ -59,7 +60,9 @@
   RequestDigest mDigest;  // never encoded; each side computes it
   std::vector<CrashEvent> mCrashes; // that the entry knows of the request
   std::optional<LimitNote> mLimit;  // of the server, that the entry knows
-  CancelFlag mCancelled;            // never encoded; may be null
+  // Latency target of its route, if the rules for long requests apply to it.
+  std::optional<Millis> mLongTarget;
+  CancelFlag mCancelled; // never encoded; may be null
   HttpRequestData mHttp;
 };
 
--- a/packages/hop/src/HopCodec.cpp
+++ b/packages/hop/src/HopCodec.cpp
@@ -24,6 +24,7 @@
 constexpr char kCanFailOverFlag = 'f';
 constexpr char kLastResortFlag = 'l';
 constexpr char kRetryFlag = 'p';
+constexpr char kHedgeFlag = 'h';
 
 // Writes the single header between entry and home: its fields in a fixed order,
 // without names. Traffic between availability zones is charged by the byte.
@@ -95,7 +96,8 @@
   kRoute,
   kErrorPercent,
   kCrashes,
-  kLimit
+  kLimit,
+  kLongTargetMs
 };
 } // namespace request_field
 
@@ -125,6 +127,7 @@
   flags += aRequest.mCanFailOver ? std::string(1, kCanFailOverFlag) : "";
   flags += aRequest.mLastResort ? std::string(1, kLastResortFlag) : "";
   flags += aRequest.mIsRetry ? std::string(1, kRetryFlag) : "";
+  flags += aRequest.mIsHedge ? std::string(1, kHedgeFlag) : "";
   return flags;
 }
 
@@ -189,8 +192,10 @@
   fields.Add(FlagsOf(aRequest)).Add(aRequest.mRoute);
   fields.Add(static_cast<std::int64_t>(aRequest.mServiceErrorRate * kPercent));
   fields.Add(EncodeCrashes(aRequest.mCrashes, aNow));
-  if (const auto& limit = aRequest.mLimit) {
-    fields.Add(EncodeLimit(limit->mRate, limit->mAge));
+  const auto& limit = aRequest.mLimit;
+  fields.Add(limit ? EncodeLimit(limit->mRate, limit->mAge) : "");
+  if (aRequest.mLongTarget) {
+    fields.Add(aRequest.mLongTarget->count());
   }
   http.mHeaders.push_back({ hop::kRequestHop, fields.Take() });
   if (!aRequest.mRequestKey.empty()) {
@@ -225,6 +230,7 @@
   request.mCanFailOver = HasFlag(flags, kCanFailOverFlag);
   request.mLastResort = HasFlag(flags, kLastResortFlag);
   request.mIsRetry = HasFlag(flags, kRetryFlag);
+  request.mIsHedge = HasFlag(flags, kHedgeFlag);
   request.mServer = BackendServerName(fields.Text(kServer));
   request.mRoute = fields.Text(kRoute);
   request.mServiceErrorRate =
@@ -233,6 +239,9 @@
   if (const auto limit = DecodeLimit(fields.Text(kLimit))) {
     request.mLimit = { .mRate = limit->mRate, .mAge = limit->mTime };
   }
+  if (const auto target = fields.Number(kLongTargetMs)) {
+    request.mLongTarget = Millis(std::min(*target, kMaxLimitMs));
+  }
   request.mRequestKey = HeaderValue(aHttp.mHeaders, hop::kRequestKey);
   aHttp.mHeaders = WithoutHopHeaders(aHttp.mHeaders);
   request.mHttp = std::move(aHttp);
--- a/packages/hop/tests/HopCodecTest.cpp
+++ b/packages/hop/tests/HopCodecTest.cpp
@@ -20,9 +20,11 @@
                        .mRepeatable = true,
                        .mCanFailOver = true,
                        .mIsRetry = true,
+                       .mIsHedge = true,
                        .mDeadline = kNow + Millis(900),
                        .mRequestKey = "key",
-                       .mRoute = "r" };
+                       .mRoute = "r",
+                       .mLongTarget = Millis(5000) };
   request.mHttp = { .mMethod = "PUT",
                     .mTarget = "/x?y=1",
                     .mHeaders = { { "Host", "h" } },
@@ -46,6 +48,8 @@
   CHECK(decoded->mCanFailOver);
   CHECK_FALSE(decoded->mLastResort);
   CHECK(decoded->mIsRetry);
+  CHECK(decoded->mIsHedge);
+  CHECK(decoded->mLongTarget == Millis(5000));
   CHECK(decoded->mDeadline == request.mDeadline);
   CHECK(decoded->mRequestKey == "key");
   CHECK(decoded->mRoute == "r");
