--- a/packages/config/include/porttiller/config/Settings.h
+++ b/packages/config/include/porttiller/config/Settings.h
@@ -100,7 +100,8 @@
 // some to spare, for the chance to be served. See docs/design/hard-load.md.
 struct LongRequestSettings
 {
-  // They apply to routes with at least this latency target; null: to none.
+  // They apply to the routes of each service of which one has at least this
+  // latency target; null: to none.
   std::optional<Millis> mMinTarget;
 };
 
@@ -142,9 +143,11 @@
 };
 
 // The latency target of a route if the rules for long requests apply to it;
-// null otherwise.
+// null otherwise. aLongestOfService: of the routes to the same service, whose
+// requests share its servers.
 std::optional<Millis>
 LongTargetOf(std::optional<Millis> aRouteTarget,
+             std::optional<Millis> aLongestOfService,
              const LongRequestSettings& aSettings);
 
 // The control addresses of the seeds, with mSeedPort applied.
--- a/packages/config/include/porttiller/config/Snapshot.h
+++ b/packages/config/include/porttiller/config/Snapshot.h
@@ -18,6 +18,9 @@
 {
   ServiceSpec mSpec;
   std::vector<BackendServerSpec> mServers;
+  // The longest latency target of the routes to this service; null if none has
+  // one.
+  std::optional<Millis> mLongestTarget;
 };
 
 // An invalid version of an object. The last valid version stays in force.
--- a/packages/config/src/Settings.cpp
+++ b/packages/config/src/Settings.cpp
@@ -274,10 +274,11 @@
 
 std::optional<Millis>
 LongTargetOf(std::optional<Millis> aRouteTarget,
+             std::optional<Millis> aLongestOfService,
              const LongRequestSettings& aSettings)
 {
-  const bool applies = aRouteTarget && aSettings.mMinTarget &&
-                       *aRouteTarget >= *aSettings.mMinTarget;
+  const bool applies = aLongestOfService && aSettings.mMinTarget &&
+                       *aLongestOfService >= *aSettings.mMinTarget;
   return applies ? aRouteTarget : std::nullopt;
 }
 
--- a/packages/config/src/Snapshot.cpp
+++ b/packages/config/src/Snapshot.cpp
@@ -46,6 +46,10 @@
         return;
       }
     }
+    for (const auto& target : aSpec.mTargets) {
+      auto& longest = mSnapshot.mServices[target.mService].mLongestTarget;
+      longest = std::max(longest, aSpec.mTarget);
+    }
     mSnapshot.mRoutes.Add(aSpec);
   }
 
--- a/packages/config/tests/SnapshotTest.cpp
+++ b/packages/config/tests/SnapshotTest.cpp
@@ -144,6 +144,8 @@
   CHECK(found->mTimeout == Millis(1200));
   CHECK(found->mTarget == Millis(400));
   CHECK(found->mMaxAttempts == 2);
+  // Each service of the split knows the longest target of its routes.
+  CHECK(both->FindService(ServiceName("t"))->mLongestTarget == Millis(400));
   const auto bad = fixture.Apply(MakeObject(
     "Route",
     "r2",
--- a/packages/entry/src/AttemptRunPriv.cpp
+++ b/packages/entry/src/AttemptRunPriv.cpp
@@ -321,8 +321,9 @@
     .mDigest = mContext.mDigest,
     .mCrashes = mDependencies.mCrashes.EventsOf(mContext.mDigest),
     .mLimit = mDependencies.mView.LimitOf(*aAttempt.mServer, Now()),
-    .mLongTarget =
-      LongTargetOf(mContext.mRoute->mTarget, mContext.mSettings.mLongRequests),
+    .mLongTarget = LongTargetOf(mContext.mRoute->mTarget,
+                                mContext.mService->mLongestTarget,
+                                mContext.mSettings.mLongRequests),
     .mCancelled = aAttempt.mCancelled
   };
   request.mHttp = mContext.mHttp;
