entry: keep requests with large responses in their zone

Change: routes say large_responses (kind "download" of the users' document); for them a server in another zone counts as one and a half times its slots more loaded.

--- a/packages/config/include/porttiller/config/Resources.h
+++ b/packages/config/include/porttiller/config/Resources.h
@@ -91,6 +91,9 @@
   std::optional<Millis> mTarget;
   int mMaxAttempts = 0; // backend servers tried per request; 0: no limit
   bool mPublic = false; // requires no API key
+  // Responses are large, so that servers in the entry's own availability zone
+  // are preferred more strongly.
+  bool mLargeResponses = false;
 
   friend auto operator<=>(const RouteSpec&, const RouteSpec&) = default;
 };
--- a/packages/config/src/Resources.cpp
+++ b/packages/config/src/Resources.cpp
@@ -122,6 +122,8 @@
     static_cast<int>(aReader.IntegerOr("max_attempts", kAttempts, 0));
   spec.mPriority = OptionalPriority(aReader).value_or(Priority::kNormal);
   spec.mPublic = aReader.OptionalBool("public").value_or(false);
+  spec.mLargeResponses =
+    aReader.OptionalBool("large_responses").value_or(false);
   spec.mRepeatable = aReader.OptionalBool("repeatable");
   return spec;
 }
--- a/packages/entry/include/porttiller/entry/EntryView.h
+++ b/packages/entry/include/porttiller/entry/EntryView.h
@@ -36,8 +36,9 @@
 // Limits the servers that the next attempt may be sent to.
 struct ChoiceConstraints
 {
-  bool mCanFailOver = false; // may be a trial request to a demoted server
-  bool mOpenOnly = false;    // only servers whose eligibility is kOpen
+  bool mCanFailOver = false;    // may be a trial request to a demoted server
+  bool mOpenOnly = false;       // only servers whose eligibility is kOpen
+  bool mLargeResponses = false; // of the request's route
 };
 
 struct Choice
--- a/packages/entry/src/AttemptRunPriv.cpp
+++ b/packages/entry/src/AttemptRunPriv.cpp
@@ -173,12 +173,13 @@
   while (mPlan.MayAttempt()) {
     const bool canFailOver =
       mPlan.MayFailOverNext() && Random() % kTrialOneIn == 0;
-    const auto choice =
-      mDependencies.mView.Choose(*mContext.mSnapshot,
-                                 *mContext.mService,
-                                 mPlan,
-                                 { .mCanFailOver = canFailOver },
-                                 Now());
+    const auto choice = mDependencies.mView.Choose(
+      *mContext.mSnapshot,
+      *mContext.mService,
+      mPlan,
+      { .mCanFailOver = canFailOver,
+        .mLargeResponses = mContext.mRoute->mLargeResponses },
+      Now());
     if (choice.mServer != nullptr) {
       if (mPlan.Attempts() > 0) {
         mDependencies.mMetrics.Retries().Increment();
@@ -245,13 +246,16 @@
       !mPlan.MayHedge(kUnlimitedRetries)) {
     return;
   }
-  const auto* server = mDependencies.mView
-                         .Choose(*mContext.mSnapshot,
-                                 *mContext.mService,
-                                 mPlan,
-                                 { .mCanFailOver = false, .mOpenOnly = true },
-                                 Now())
-                         .mServer;
+  const auto* server =
+    mDependencies.mView
+      .Choose(*mContext.mSnapshot,
+              *mContext.mService,
+              mPlan,
+              { .mCanFailOver = false,
+                .mOpenOnly = true,
+                .mLargeResponses = mContext.mRoute->mLargeResponses },
+              Now())
+      .mServer;
   if (server == nullptr) {
     return;
   }
--- a/packages/entry/src/EntryView.cpp
+++ b/packages/entry/src/EntryView.cpp
@@ -269,6 +269,10 @@
                   TimePoint aNow)
 {
   const auto order = OrderOf(aSnapshot, aService);
+  auto options = mOptions;
+  if (aConstraints.mLargeResponses) {
+    options.mZonePenalty = options.mLargeResponseZonePenalty;
+  }
   std::vector<Candidate> candidates;
   std::optional<std::size_t> chosen;
   bool open = false;
@@ -277,7 +281,7 @@
       candidates, *order, order->mSubsetSize, aPlan, aConstraints, aNow);
     chosen = ChooseTrial(candidates, Random());
     if (!chosen) {
-      chosen = ChooseServer(candidates, mOptions, Random(), Random());
+      chosen = ChooseServer(candidates, options, Random(), Random());
     }
     open = chosen && candidates[*chosen].mEligibility == Eligibility::kOpen;
   } while (!open && candidates.size() < order->mResolvedServers.size());
@@ -298,7 +302,7 @@
           std::min(candidate.mEligibility, Eligibility::kAvoid);
       }
     }
-    chosen = ChooseServer(candidates, mOptions, Random(), Random());
+    chosen = ChooseServer(candidates, options, Random(), Random());
   }
   return { .mServer =
              chosen ? order->mResolvedServers[*chosen].mServer : nullptr,
--- a/packages/entry/tests/EntryViewTest.cpp
+++ b/packages/entry/tests/EntryViewTest.cpp
@@ -63,6 +63,30 @@
   CHECK(CountFirst(view, snapshot, kStart + Millis(2000)) > kDraws / 3);
 }
 
+TEST_CASE("Large responses leave the zone only when its servers are full")
+{
+  const auto snapshot = MakeSnapshot();
+  EntryView view(BoxName("entry"), AvailabilityZone("a"), {});
+  const auto& service = snapshot.mServices.begin()->second;
+  const auto countOwnZone = [&](bool aLargeResponses) {
+    int count = 0;
+    for (int i = 0; i < kDraws; ++i) {
+      const auto choice = view.Choose(snapshot,
+                                      service,
+                                      AttemptPlan(true),
+                                      { .mLargeResponses = aLargeResponses },
+                                      kStart);
+      count += choice.mServer == &service.mServers[0] ? 1 : 0;
+    }
+    return count;
+  };
+  view.OnLoad(service.mServers[0], 1.0, kStart);
+  CHECK(countOwnZone(false) < kDraws);
+  CHECK(countOwnZone(true) == kDraws);
+  view.OnLoad(service.mServers[0], 2.0, kStart);
+  CHECK(countOwnZone(true) < kDraws);
+}
+
 TEST_CASE("A box is avoided after a path failure and tried again later")
 {
   const auto snapshot = MakeSnapshot();
--- a/packages/policy/include/porttiller/policy/Balancer.h
+++ b/packages/policy/include/porttiller/policy/Balancer.h
@@ -40,6 +40,10 @@
 {
   // Added to the load of a server in another availability zone.
   double mZonePenalty = 0.5;
+  // The same for requests with large responses, whose bytes between zones cost
+  // as much as those of many small ones. Such a request leaves its zone only
+  // when the servers there are full and have as many requests waiting.
+  double mLargeResponseZonePenalty = 1.5;
 };
 
 // A server whose trial is due, preferably of the same zone; null when there is
