store, control: read at once after a watch has lost its connection

ObjectClient repeated a cut watch with its whole wait, up to three seconds.

Change: a watch whose connection failed is repeated without waiting, and the read that follows any failed read or lost connection takes the whole configuration.

--- a/packages/control/include/porttiller/control/ConfigController.h
+++ b/packages/control/include/porttiller/control/ConfigController.h
@@ -100,6 +100,7 @@
   void Run();
   void WaitForPeers();
   bool HasRecentPeerRevision() const;
+  ObjectClientOptions ClientOptions();
   void ReadPlatform();
   void ApplyStoreDelta(const ObjectDelta& aDelta);
   void NotifyListeners(const SnapshotPtr& aSnapshot);
@@ -142,6 +143,10 @@
   CatchUp mCatchUp; // under mMutex
   std::atomic<bool> mStop{ false };
   std::condition_variable mWake;
+  // The next read is of the whole configuration, as the last one failed or lost
+  // its connection. A store whose watches deliver nothing for a while would
+  // otherwise leave a change unknown until the next watch ends. Of mThread.
+  bool mReadWhole = false;
   ObjectClient mClient; // of mThread
   Worker mWorker;       // applies peers' deltas
   std::thread mThread;
--- a/packages/control/src/ConfigController.cpp
+++ b/packages/control/src/ConfigController.cpp
@@ -7,6 +7,7 @@
 #include "porttiller/telemetry/Log.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace porttiller {
 
@@ -63,10 +64,22 @@
   , mOnUnreadable(std::move(aOnUnreadable))
   , mWatchSchedule(
       { .mStep = aSettings.mTiming.mApplyLimit / kWatchStepDivisor })
-  , mClient(StoreClientOptions(aSettings, "configuration", kCallTimeout))
+  , mClient(ClientOptions())
 {
 }
 
+ObjectClientOptions
+ConfigController::ClientOptions()
+{
+  auto options = StoreClientOptions(mSettings, "configuration", kCallTimeout);
+  options.mOnReusedReadFailed = [this, log = options.mOnReusedReadFailed](
+                                  Millis aWaited, const std::string& aDetail) {
+    mReadWhole = true;
+    log(aWaited, aDetail);
+  };
+  return options;
+}
+
 ConfigController::~ConfigController()
 {
   Stop();
@@ -318,9 +331,10 @@
   const auto from = mCursor.From(own);
   const auto place = Place();
   const auto wait = place ? mWatchSchedule.NextWait(*place) : Millis(0);
+  const bool whole = std::exchange(mReadWhole, false);
   mMetrics.PlatformCalls().Increment();
-  auto delta = from ? mClient.WatchConfiguration(*from, wait)
-                    : mClient.ListConfiguration();
+  auto delta = from && !whole ? mClient.WatchConfiguration(*from, wait)
+                              : mClient.ListConfiguration();
   const bool lost = !delta && delta.error().mKind == StoreErrorKind::kConflict;
   if (lost) {
     delta =
@@ -332,6 +346,7 @@
   }
   SetPlatformReachable(delta.has_value(), delta ? "" : delta.error().mDetail);
   if (!delta) {
+    mReadWhole = true;
     QuerySeeds();
     Sleep(Jittered(kRetryWait));
     return;
--- a/packages/store/include/porttiller/store/ObjectClient.h
+++ b/packages/store/include/porttiller/store/ObjectClient.h
@@ -52,8 +52,9 @@
   // revision.
   Result<ObjectDelta> List(const std::string& aKind);
   // Long poll: waits up to aWait for changes of a kind after aFrom, a cursor of
-  // an earlier answer. kConflict if the store no longer has these changes; the
-  // caller must then list again.
+  // an earlier answer. If its connection fails, it is repeated without waiting:
+  // changes may have been missed meanwhile. kConflict if the store no longer
+  // has these changes; the caller must then list again.
   Result<ObjectDelta> Watch(const std::string& aKind,
                             std::uint64_t aFrom,
                             Millis aWait);
@@ -72,9 +73,13 @@
   void Abort();
 
 private:
-  // Returns the body of the answer. Waits for aExtraWait beyond the time-out.
+  // Returns the body of the answer.
+  Result<std::string> Send(const StoreCall& aCall);
+  // Waits for aExtraWait beyond the time-out. aRepeat is sent over a new
+  // connection if the current one fails.
   Result<std::string> Send(const StoreCall& aCall,
-                           Millis aExtraWait = Millis(0));
+                           Millis aExtraWait,
+                           const StoreCall& aRepeat);
   // Sends once, without a retry over a new connection.
   Result<std::string> SendOnce(const StoreCall& aCall, Millis aAnswerTime);
   bool IsConnected();
--- a/packages/store/src/ObjectClient.cpp
+++ b/packages/store/src/ObjectClient.cpp
@@ -140,7 +140,15 @@
 }
 
 ObjectClient::Result<std::string>
-ObjectClient::Send(const StoreCall& aCall, Millis aExtraWait)
+ObjectClient::Send(const StoreCall& aCall)
+{
+  return Send(aCall, Millis(0), aCall);
+}
+
+ObjectClient::Result<std::string>
+ObjectClient::Send(const StoreCall& aCall,
+                   Millis aExtraWait,
+                   const StoreCall& aRepeat)
 {
   const bool isRead = aCall.mMethod == HTTPRequest::HTTP_GET;
   if (isRead && IsConnected()) {
@@ -156,6 +164,7 @@
         std::chrono::duration_cast<Millis>(Now() - begin),
         answer.error().mDetail);
     }
+    return SendOnce(aRepeat, mOptions.mTimeout);
   }
   return SendOnce(aCall, aExtraWait + mOptions.mTimeout);
 }
@@ -256,7 +265,9 @@
 {
   return std::visit(
     [&](const auto& aDialect) -> Result<ObjectDelta> {
-      return Send(aDialect.Watch(aKind, aFrom, aWait), aWait)
+      return Send(aDialect.Watch(aKind, aFrom, aWait),
+                  aWait,
+                  aDialect.Watch(aKind, aFrom, Millis(0)))
         .and_then([&](const std::string& aBody) {
           return ToResult(aDialect.ReadChanges(aKind, aFrom, aBody));
         });
@@ -282,7 +293,9 @@
 {
   return std::visit(
     [&](const auto& aDialect) -> Result<ObjectDelta> {
-      return Send(aDialect.WatchConfiguration(aFrom, aWait), aWait)
+      return Send(aDialect.WatchConfiguration(aFrom, aWait),
+                  aWait,
+                  aDialect.WatchConfiguration(aFrom, Millis(0)))
         .and_then([&](const std::string& aBody) {
           return ToResult(aDialect.ReadConfigurationChanges(aFrom, aBody));
         });
--- a/packages/store/tests/SilentConnectionTest.cpp
+++ b/packages/store/tests/SilentConnectionTest.cpp
@@ -5,6 +5,7 @@
 #include "standin/PlatformStandIn.h"
 
 #include <doctest/doctest.h>
+#include <thread>
 
 using namespace porttiller;
 
@@ -40,6 +41,28 @@
   CHECK(changes->mObjects.size() == 1);
 }
 
+// A store that cuts its watches may deliver nothing to new ones for a while, so
+// that a change made before the cut stayed unknown until the new watch ended.
+TEST_CASE("A watch whose connection is closed is repeated without waiting")
+{
+  Fixture f;
+  const auto list = f.mClient.ListConfiguration();
+  REQUIRE(list.has_value());
+  const auto calls = f.mPlatform.Calls();
+  std::thread closer([&] {
+    while (f.mPlatform.Calls() == calls) {
+      std::this_thread::sleep_for(Millis(1));
+    }
+    f.mLink.Reset();
+  });
+  // Nothing changes: a repeat that waits again would last an hour.
+  const auto changes =
+    f.mClient.WatchConfiguration(list->mTo, Millis(3'600'000));
+  closer.join();
+  REQUIRE(changes.has_value());
+  CHECK(changes->mObjects.empty());
+}
+
 TEST_CASE("The failure of a reused connection is reported once")
 {
   Fixture f;
