Long requests: ask other homes before the last resort

Cause: four rejections as demoted led to the last resort, which loses most unrepeatable requests, while most servers of the service were well. Change: for long requests such rejections do not count, up to 16 homes are asked, and an unrepeatable request waits at the entry (EntryWait) and asks all homes again within a tenth of its target. A home tells whether a demoted server is only silent; the last resort prefers such a server. AttemptRunPriv.cpp is split into results, answers, log lines and waits. Without long_requests.min_target_ms nothing changes, which tests show.

--- a/packages/entry/include/porttiller/entry/AttemptFilter.h
+++ b/packages/entry/include/porttiller/entry/AttemptFilter.h
@@ -35,6 +35,7 @@
   AttemptPool& mPool;
   WorkspaceGate& mGate;
   CrashMonitor& mCrashes;
+  const ShutdownDeadline& mShutdownDeadline;
 };
 
 // Handles a caller that retries with the token of an "unknown" outcome: the
--- a/packages/entry/include/porttiller/entry/Dispatcher.h
+++ b/packages/entry/include/porttiller/entry/Dispatcher.h
@@ -32,6 +32,7 @@
   RejectReason mRejectReason = RejectReason::kNone;
   Millis mRetryAfter{ 0 };
   ServerDemand mDemand{};
+  bool mSilent = false; // with kDemoted: see HomeAnswer
 };
 
 // The attempt may have been run or may still be running.
--- a/packages/entry/include/porttiller/entry/EntryView.h
+++ b/packages/entry/include/porttiller/entry/EntryView.h
@@ -68,7 +68,8 @@
                   RejectReason aRejectReason,
                   Millis aRetryAfter,
                   bool aCanFailOver, // of the rejected request
-                  TimePoint aNow);
+                  TimePoint aNow,
+                  bool aSilent = false); // with kDemoted: see HomeAnswer
 
   // What the home of the server tells of the server's demands.
   void OnDemand(const BackendServerSpec& aServer,
@@ -123,6 +124,7 @@
     // until mNoTrialUntil also trial requests.
     TimePoint mDemotedUntil;
     TimePoint mNoTrialUntil;
+    bool mSilent = false; // while demoted: its home has lost no response
     ServerDemand mDemand;
     TimePoint mLimitAt;   // when the limit of mDemand was heard of
     TimePoint mNextTurn;  // with a limit: no request before
--- a/packages/entry/src/AttemptRunPriv.cpp
+++ b/packages/entry/src/AttemptRunPriv.cpp
@@ -4,7 +4,6 @@
 #include "porttiller/hop/HopHeaders.h"
 #include "porttiller/hop/Random.h"
 #include "porttiller/hop/RequestDigests.h"
-#include "porttiller/telemetry/Log.h"
 
 #include <algorithm>
 #include <cassert>
@@ -13,14 +12,13 @@
 
 namespace {
 
-constexpr int kUnavailable = 503;
-constexpr int kGatewayTimeout = 504;
 constexpr int kFirstServerErrorStatus = 500;
 // Most of these are rejected by homes, which costs a round trip each but no
 // work of a server.
 constexpr int kMaxAttempts = 12;
-constexpr Millis kDefaultRetryAfter{ 500 };
-constexpr Millis kUnknownRetryAfter{ 1000 };
+// In each round of a long request. Of 38 servers some eleven are in an episode
+// of failures at once; most of these are known as demoted.
+constexpr int kMaxLongAttempts = 16;
 // A request that ran at this many crashes is not sent to another server at
 // once: its caller learns that the outcome is unknown.
 constexpr int kMaxCrashesForRetry = 2;
@@ -34,16 +32,6 @@
 // budget and reject retries beyond it.
 const RetrySource kUnlimitedRetries = [] { return true; };
 
-// "<home box>/<home incarnation>/<attempt id>"
-std::string
-MakeToken(const BoxName& aBox,
-          Incarnation aHomeIncarnation,
-          const AttemptId& aAttempt)
-{
-  return AttemptId(aBox, aHomeIncarnation, 0).ToString() + "/" +
-         aAttempt.ToString();
-}
-
 NotRunReason
 ToNotRunReason(RejectReason aRejectReason)
 {
@@ -67,43 +55,19 @@
 
 } // namespace
 
-void
-AttemptResults::Put(EndedAttempt aEnded)
-{
-  const std::lock_guard lock(mMutex);
-  mEnded.push_back(std::move(aEnded));
-  mChanged.notify_all();
-}
-
-void
-AttemptResults::Interrupt()
-{
-  const std::lock_guard lock(mMutex);
-  mInterrupted = true;
-  mChanged.notify_all();
-}
-
-std::optional<EndedAttempt>
-AttemptResults::Await(TimePoint aUntil)
-{
-  std::unique_lock lock(mMutex);
-  mChanged.wait_until(
-    lock, aUntil, [this] { return !mEnded.empty() || mInterrupted; });
-  if (mEnded.empty()) {
-    return std::nullopt;
-  }
-  auto ended = std::move(mEnded.front());
-  mEnded.pop_front();
-  return ended;
-}
-
 AttemptRun::AttemptRun(const AttemptDependencies& aDependencies,
                        RequestContext& aContext)
   : mDependencies(aDependencies)
   , mContext(aContext)
+  , mLongTarget(LongTargetOf(aContext.mRoute->mTarget,
+                             aContext.mService->mLongestTarget,
+                             aContext.mSettings.mLongRequests))
+  , mWait(MakeWait())
   , mPlan(aContext.mRepeatable,
-          { .mMaxAttempts = kMaxAttempts,
-            .mMaxServers = aContext.mRoute->mMaxAttempts })
+          { .mMaxAttempts = mLongTarget ? kMaxLongAttempts : kMaxAttempts,
+            .mMaxServers = aContext.mRoute->mMaxAttempts,
+            .mIsLong = mLongTarget.has_value(),
+            .mRepeatsRounds = mWait.has_value() })
   , mResults(std::make_shared<AttemptResults>())
   , mCallerWatch(OnCancel(aContext.mCancelled,
                           [results = mResults] { results->Interrupt(); }))
@@ -117,11 +81,15 @@
 {
   while (!mDone && MayContinue()) {
     if (mRunning.empty() && (mStopped || !SendNext())) {
-      break;
+      if (!StartNextRound()) {
+        break;
+      }
+      continue;
     }
     AwaitResult();
   }
   CancelRunning();
+  LogWait();
   return mAnswer ? *mAnswer : MakeFailureAnswer();
 }
 
@@ -163,11 +131,12 @@
   return true;
 }
 
-// Returns false when no server is left to try.
+// Returns false when no server is left to try in this round.
 bool
 AttemptRun::SendNext()
 {
   if (StopsForCrashes()) {
+    mStopped = true;
     return false;
   }
   while (mPlan.MayAttempt()) {
@@ -186,7 +155,7 @@
       SendTo(*choice.mServer, canFailOver);
       return true;
     }
-    if (!mPlan.AllowLastResort(choice.mDemotedLeft)) {
+    if (!mPlan.AllowMore(choice.mDemotedLeft)) {
       return false;
     }
   }
@@ -321,9 +290,7 @@
     .mDigest = mContext.mDigest,
     .mCrashes = mDependencies.mCrashes.EventsOf(mContext.mDigest),
     .mLimit = mDependencies.mView.LimitOf(*aAttempt.mServer, Now()),
-    .mLongTarget = LongTargetOf(mContext.mRoute->mTarget,
-                                mContext.mService->mLongestTarget,
-                                mContext.mSettings.mLongRequests),
+    .mLongTarget = mLongTarget,
     .mCancelled = aAttempt.mCancelled
   };
   request.mHttp = mContext.mHttp;
@@ -379,7 +346,8 @@
                                  aNotRun.mRejectReason,
                                  aNotRun.mRetryAfter,
                                  mEnded.mCanFailOver,
-                                 Now());
+                                 Now(),
+                                 aNotRun.mSilent);
   mReason = std::string(ToText(aNotRun.mRejectReason));
   LogFailedAttempt(mReason);
   if (aNotRun.mRejectReason == RejectReason::kQuarantined) {
@@ -416,81 +384,4 @@
   mPlan.OnUnknown(kUnlimitedRetries);
 }
 
-std::string
-AttemptRun::TokenOf(const RunningAttempt& aAttempt) const
-{
-  const auto& box = aAttempt.mServer->mBox;
-  return MakeToken(
-    box, mDependencies.mView.HomeStateOf(box).mIncarnation, aAttempt.mId);
-}
-
-void
-AttemptRun::LogFailedAttempt(const std::string& aResult) const
-{
-  const auto left =
-    std::chrono::duration_cast<Millis>(mContext.mDeadline - Now());
-  LogLine(LogLevel::kInfo, "attempt_failed")
-    .With("request", mContext.mRequestId)
-    .With("attempt", mEnded.mId.ToString())
-    .With("number", mPlan.Attempts())
-    .With("server", mEnded.mServer->mName.Value())
-    .With("home", mEnded.mServer->mBox.Value())
-    .With("digest", mContext.mDigest.ToString())
-    .With("reason", aResult)
-    .With("repeatable", mContext.mRepeatable ? "yes" : "no")
-    .With("left_ms", left.count());
-}
-
-void
-AttemptRun::LogCrashDecision(const char* aDecision,
-                             const CrashState& aState) const
-{
-  LogLine(LogLevel::kInfo, "suspect_request")
-    .With("request", mContext.mRequestId)
-    .With("digest", mContext.mDigest.ToString())
-    .With("decision", aDecision)
-    .With("verdict", std::string(ToText(aState.mVerdict)))
-    .With("crashes", aState.mCrashes)
-    .With("sent_before", mPlan.MayHaveReachedServer() ? "yes" : "no")
-    .With("retry_after_ms", aState.mRetryAfter.count());
-}
-
-void
-AttemptRun::LogHedge(const BackendServerSpec& aServer) const
-{
-  const auto elapsed =
-    std::chrono::duration_cast<Millis>(Now() - mContext.mArrival);
-  LogLine(LogLevel::kInfo, "attempt_raced")
-    .With("request", mContext.mRequestId)
-    .With("slow_attempt", mRunning.front().mId.ToString())
-    .With("server", aServer.mName.Value())
-    .With("home", aServer.mBox.Value())
-    .With("held_ms", elapsed.count())
-    .With("usual_ms", std::chrono::duration_cast<Millis>(HedgeDelay()).count());
-}
-
-CallerAnswer
-AttemptRun::MakeFailureAnswer() const
-{
-  if (mPlan.OutcomeWithoutAnswer() == Outcome::kUnknown) {
-    const auto reason = mRunning.empty() ? mReason : std::string("deadline");
-    auto answer = MakeProxyAnswer(kGatewayTimeout, Outcome::kUnknown, reason);
-    answer.mToken = mToken;
-    answer.mRetryAfter = kUnknownRetryAfter;
-    return answer;
-  }
-  auto answer = MakeProxyAnswer(kUnavailable, Outcome::kNotRun, mReason);
-  answer.mRetryAfter = mRetryAfter.value_or(kDefaultRetryAfter);
-  return answer;
-}
-
-CallerAnswer
-ToCallerAnswer(HttpAnswer aHttp)
-{
-  return { .mStatus = aHttp.mStatus,
-           .mHeaders = WithoutHopHeaders(aHttp.mHeaders),
-           .mBody = std::move(aHttp.mBody),
-           .mOutcome = Outcome::kRun };
-}
-
 } // namespace porttiller
--- a/packages/entry/src/AttemptRunPriv.h
+++ b/packages/entry/src/AttemptRunPriv.h
@@ -1,13 +1,12 @@
 // Runs the attempts of one request until it has its final answer.
 #pragma once
 
+#include "AttemptResultsPriv.h"
 #include "porttiller/entry/AttemptFilter.h"
 #include "porttiller/policy/AttemptPlan.h"
+#include "porttiller/policy/EntryWait.h"
 
-#include <condition_variable>
-#include <deque>
 #include <memory>
-#include <mutex>
 #include <vector>
 
 namespace porttiller {
@@ -22,30 +21,6 @@
   CancelFlag mCancelled;     // of this attempt alone
 };
 
-struct EndedAttempt
-{
-  AttemptId mId;
-  AttemptResult mResult;
-};
-
-// Queue of results from attempts that run on other threads. Shared by the
-// request and its attempts, as an attempt may outlive its request.
-class AttemptResults
-{
-public:
-  void Put(EndedAttempt aEnded);
-  // Ends the current wait and all later ones.
-  void Interrupt();
-  // Null when no result arrives by aUntil or the wait is interrupted.
-  std::optional<EndedAttempt> Await(TimePoint aUntil);
-
-private:
-  std::mutex mMutex;
-  std::condition_variable mChanged;
-  std::deque<EndedAttempt> mEnded;
-  bool mInterrupted = false;
-};
-
 // Lives on the stack of the thread that serves the request. Repeatable requests
 // are hedged: when an attempt takes unusually long, a second one is sent to
 // another server, and the first answer is used.
@@ -77,11 +52,16 @@
   void LogFailedAttempt(const std::string& aResult) const;
   void LogCrashDecision(const char* aDecision, const CrashState& aState) const;
   void LogHedge(const BackendServerSpec& aServer) const;
+  void LogWait() const;
+  std::optional<EntryWait> MakeWait() const;
+  bool StartNextRound();
   std::string TokenOf(const RunningAttempt& aAttempt) const;
   CallerAnswer MakeFailureAnswer() const;
 
   const AttemptDependencies& mDependencies;
   RequestContext& mContext;
+  const std::optional<Millis> mLongTarget; // null: not a long request
+  std::optional<EntryWait> mWait;          // null: the request does not wait
   AttemptPlan mPlan;
   std::vector<RunningAttempt> mRunning;
   std::shared_ptr<AttemptResults> mResults;
@@ -89,6 +69,7 @@
   const HttpHeaders mHeaders; // for the server
   RunningAttempt mEnded;      // the one whose result is being processed
   TimePoint mHedgeAt = TimePoint::max();
+  Micros mWaited{ 0 }; // between rounds
   bool mDone = false;
   bool mStopped = false; // no further attempt may be sent
   std::string mReason = "no-server";
--- a/packages/entry/src/Dispatcher.cpp
+++ b/packages/entry/src/Dispatcher.cpp
@@ -24,7 +24,8 @@
     case Outcome::kNotRun:
       return AttemptNotRun{ aAnswer.mRejectReason,
                             aAnswer.mRetryAfter,
-                            aAnswer.mDemand };
+                            aAnswer.mDemand,
+                            aAnswer.mSilent };
     case Outcome::kUnknown:
       break;
   }
--- a/packages/entry/src/EntryView.cpp
+++ b/packages/entry/src/EntryView.cpp
@@ -49,6 +49,17 @@
   }
 }
 
+// The eligibility of a server that is known as demoted.
+Eligibility
+OfDemoted(const AttemptPlan& aPlan, bool aSilent)
+{
+  if (aPlan.LastResort()) {
+    return aPlan.PrefersSilent() && !aSilent ? Eligibility::kAvoid
+                                             : Eligibility::kOpen;
+  }
+  return aPlan.AsksDemoted() ? Eligibility::kAvoid : Eligibility::kDemoted;
+}
+
 // Boxes that learned of a limit at the same time must not return together.
 TimePoint
 TurnAfter(const LimitNote& aLimit, TimePoint aNow)
@@ -226,9 +237,9 @@
   }
   const bool trial = aConstraints.mCanFailOver && aNow >= view.mNoTrialUntil;
   candidate.mTrialDue = trial && aNow < view.mDemotedUntil;
-  if (!trial && !aPlan.LastResort() && aNow < view.mDemotedUntil) {
+  if (!trial && aNow < view.mDemotedUntil) {
     candidate.mEligibility =
-      std::max(candidate.mEligibility, Eligibility::kDemoted);
+      std::max(candidate.mEligibility, OfDemoted(aPlan, view.mSilent));
   }
   if (aNow < view.mEligibilityUntil) {
     candidate.mEligibility =
@@ -346,7 +357,8 @@
                       RejectReason aRejectReason,
                       Millis aRetryAfter,
                       bool aCanFailOver,
-                      TimePoint aNow)
+                      TimePoint aNow,
+                      bool aSilent)
 {
   const auto eligibility = EligibilityAfter(aRejectReason);
   if (!eligibility && aRejectReason != RejectReason::kDemoted) {
@@ -361,6 +373,7 @@
   const auto until = aNow + std::clamp(aRetryAfter, kMinAvoid, kMaxAvoid);
   if (!eligibility) {
     view->mDemotedUntil = until;
+    view->mSilent = aSilent;
     if (aCanFailOver) {
       view->mNoTrialUntil = until; // its home has enough trial requests
     }
@@ -458,6 +471,8 @@
     return;
   }
   const auto retryAfter = std::clamp(aUpdate.mRetryAfter, kMinAvoid, kMaxAvoid);
+  // The update does not say why the server is demoted.
+  view->mSilent = view->mSilent && aNow < view->mDemotedUntil;
   view->mDemotedUntil = aNow + retryAfter;
   // The home needs few trial requests, and all receivers of the update send
   // some: spread them over the retry time.
--- a/packages/entry/tests/EntryViewTest.cpp
+++ b/packages/entry/tests/EntryViewTest.cpp
@@ -325,3 +325,61 @@
   // A restarted home learns of the limit from it.
   CHECK(view.LimitOf(first, kStart));
 }
+
+namespace {
+
+// Counts how often the first server is chosen in kDraws choices for aPlan.
+int
+CountFirst(EntryView& aView,
+           const Snapshot& aSnapshot,
+           const AttemptPlan& aPlan)
+{
+  const auto& service = aSnapshot.mServices.begin()->second;
+  int count = 0;
+  for (int i = 0; i < kDraws; ++i) {
+    const auto* server =
+      aView.Choose(aSnapshot, service, aPlan, {}, kStart).mServer;
+    count += server == &service.mServers[0] ? 1 : 0;
+  }
+  return count;
+}
+
+} // namespace
+
+TEST_CASE("The last resort of a long request prefers a silent server")
+{
+  const auto snapshot = MakeSnapshot();
+  EntryView view(BoxName("entry"), AvailabilityZone("entry"), {});
+  const auto& servers = snapshot.mServices.begin()->second.mServers;
+  const auto demote = [&](const BackendServerSpec& aServer, bool aSilent) {
+    view.OnRejected(
+      aServer, RejectReason::kDemoted, Millis(4000), false, kStart, aSilent);
+  };
+  demote(servers[0], true);
+  demote(servers[1], false);
+  AttemptPlan plan(false, { .mIsLong = true });
+  REQUIRE(plan.AllowLastResort(true));
+  CHECK(CountFirst(view, snapshot, plan) == kDraws);
+  AttemptPlan other(false); // as before
+  REQUIRE(other.AllowLastResort(true));
+  const int count = CountFirst(view, snapshot, other);
+  CHECK(count > kDraws / 3);
+  CHECK(count < kDraws * 2 / 3);
+  // The server has lost a response since.
+  demote(servers[0], false);
+  CHECK(CountFirst(view, snapshot, plan) < kDraws * 2 / 3);
+}
+
+TEST_CASE("A repeated round uses servers known as demoted when none is open")
+{
+  const auto snapshot = MakeSnapshot();
+  EntryView view(BoxName("entry"), AvailabilityZone("entry"), {});
+  const auto& servers = snapshot.mServices.begin()->second.mServers;
+  view.OnRejected(
+    servers[0], RejectReason::kDemoted, Millis(4000), false, kStart);
+  AttemptPlan plan(false, { .mIsLong = true, .mRepeatsRounds = true });
+  plan.StartRound();
+  CHECK(CountFirst(view, snapshot, plan) == 0);
+  plan.OnSent(servers[1].mName);
+  CHECK(CountFirst(view, snapshot, plan) == kDraws);
+}
--- a/packages/home/include/porttiller/home/ServerBreaker.h
+++ b/packages/home/include/porttiller/home/ServerBreaker.h
@@ -25,6 +25,9 @@
   // True while the breaker is not closed: only trials and last-resort requests
   // are admitted.
   bool IsDemoted(TimePoint aNow);
+  // Whether the breaker is not closed only because the server is silent; it has
+  // lost no response since.
+  bool OpenedBySilence() const { return mOpenedBySilence; }
   // How long to wait before a rejected request is tried here again.
   Millis RetryAfter(TimePoint aNow) const;
 
--- a/packages/home/src/LocalServer.cpp
+++ b/packages/home/src/LocalServer.cpp
@@ -150,6 +150,9 @@
   return { .mOutcome = Outcome::kNotRun,
            .mRejectReason = aRejectReason,
            .mRetryAfter = aRetryAfter,
+           .mSilent = aRejectReason == RejectReason::kDemoted &&
+                      mOptions.mFailingServers == FailingServers::kBreak &&
+                      mBreaker.OpenedBySilence(),
            .mLoad = LoadLocked(),
            .mDemand = mThrottle->Demand() };
 }
@@ -158,6 +161,7 @@
 LocalServer::Run(const HomeRequest& aRequest)
 {
   if (auto rejected = TakeSlot(aRequest)) {
+    rejected->mSilent = rejected->mSilent && aRequest.mLongTarget;
     return *rejected;
   }
   const auto start = Now();
--- a/packages/home/tests/LocalServerTest.cpp
+++ b/packages/home/tests/LocalServerTest.cpp
@@ -178,3 +178,29 @@
   brief.mDeadline = Now() + kLong / 4; // it expires before the stop ends
   CHECK(server.Begin(brief).get().mOutcome == Outcome::kRun);
 }
+
+TEST_CASE("A home says of a long request's rejection that the server is silent")
+{
+  for (const bool isLong : { false, true }) {
+    CAPTURE(isLong);
+    OneSlotServer server;
+    auto running = server.Begin(Request(1));
+    server.AwaitInFlight(1);
+    auto request = Request(2);
+    request.mPriority = Priority::kCritical;
+    if (isLong) {
+      request.mLongTarget = Millis(5000);
+    }
+    auto waiting = server.Begin(request);
+    server.AwaitInFlight(2);
+    constexpr Millis kHangTime{ 5000 };
+    constexpr Millis kReportDelay{ 500 };
+    server.mServer.TakeStateUpdate(Now() + kHangTime);
+    server.mServer.TakeStateUpdate(Now() + kHangTime + kReportDelay);
+    const auto rejected = waiting.get();
+    CHECK(rejected.mRejectReason == RejectReason::kDemoted);
+    CHECK(rejected.mSilent == isLong);
+    server.mRelease = true;
+    CHECK(running.get().mOutcome == Outcome::kRun);
+  }
+}
--- a/packages/home/tests/ServerBreakerTest.cpp
+++ b/packages/home/tests/ServerBreakerTest.cpp
@@ -108,3 +108,21 @@
   }
   CHECK(breaker.Admit(Request(10), true, kStart + kLong));
 }
+
+TEST_CASE("A breaker tells silence from lost responses")
+{
+  const RouteTimes times = TypicalTimes();
+  ServerBreaker silent(ServerIncarnation(BackendServerName("s")), times);
+  silent.OnStarted(Request(1), kStart);
+  silent.OnStarted(Request(2), kStart);
+  REQUIRE(silent.IsDemoted(kStart + kLong));
+  CHECK(silent.OpenedBySilence());
+  silent.OnEnded(Request(1), kConnectionClosed, kLong, kStart + kLong);
+  CHECK(silent.IsDemoted(kStart + kLong));
+  CHECK_FALSE(silent.OpenedBySilence());
+
+  ServerBreaker losing(ServerIncarnation(BackendServerName("s")), times);
+  RunAttempt(losing, 1, kConnectionClosed, kTypicalTime);
+  REQUIRE(losing.IsDemoted(kStart + kTypicalTime));
+  CHECK_FALSE(losing.OpenedBySilence());
+}
--- a/packages/hop/include/porttiller/hop/HomeTypes.h
+++ b/packages/hop/include/porttiller/hop/HomeTypes.h
@@ -95,7 +95,10 @@
   Outcome mOutcome = Outcome::kUnknown;
   RejectReason mRejectReason = RejectReason::kNone;
   Millis mRetryAfter{ 0 }; // with kNotRun
-  double mLoad = 0.0;      // running and waiting requests per slot
+  // With kDemoted: the server lost no response, but has answered nothing for
+  // long. Set only for long requests.
+  bool mSilent = false;
+  double mLoad = 0.0; // running and waiting requests per slot
   // With kRun: 90th percentile of the route's latency at this server; zero
   // while unknown.
   Micros mLatencyP90{ 0 };
--- a/packages/hop/include/porttiller/hop/ShutdownDeadline.h
+++ b/packages/hop/include/porttiller/hop/ShutdownDeadline.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "porttiller/core/Time.h"
+#include "porttiller/http/Cancellation.h"
 
 #include <algorithm>
 #include <atomic>
@@ -17,7 +18,14 @@
   // it need not interrupt a wait at once; a caller that disconnects does.
   static constexpr Millis kCheckInterval{ 400 };
 
-  void Set(TimePoint aEnd) { mEnd = aEnd.time_since_epoch().count(); }
+  void Set(TimePoint aEnd)
+  {
+    mEnd = aEnd.time_since_epoch().count();
+    mBegun->Cancel();
+  }
+
+  // Cancelled when a planned stop begins, for waits that must then end at once.
+  CancelFlag Begun() const { return mBegun; }
 
   // True once a planned stop has begun.
   bool IsSet() const
@@ -59,6 +67,7 @@
 
 private:
   std::atomic<std::int64_t> mEnd{ TimePoint::max().time_since_epoch().count() };
+  const CancelFlag mBegun = Cancellation::Make();
 };
 
 } // namespace porttiller
--- a/packages/hop/src/HopCodec.cpp
+++ b/packages/hop/src/HopCodec.cpp
@@ -19,6 +19,7 @@
 constexpr std::uint64_t kMaxLimitMs =
   24ULL * 3'600'000; // of an age or interval
 constexpr const char* kLeavingMark = "l";
+constexpr const char* kSilentMark = "s";
 constexpr const char* kNone = "-";
 constexpr char kRepeatableFlag = 'r';
 constexpr char kCanFailOverFlag = 'f';
@@ -115,7 +116,8 @@
   kLatencyP90Ms,
   kCrash,
   kLimit,
-  kLeaving
+  kLeaving,
+  kSilent
 };
 } // namespace answer_field
 
@@ -274,6 +276,7 @@
                ? EncodeLimit(demand.mLimit->mRate, demand.mLimit->mInterval)
                : "");
   fields.Add(demand.mLeaving ? kLeavingMark : "");
+  fields.Add(aAnswer.mSilent ? kSilentMark : "");
   return { { hop::kAnswerHop, fields.Take() } };
 }
 
@@ -311,6 +314,7 @@
                               .mInterval = limit->mTime };
   }
   answer.mDemand.mLeaving = fields.Text(kLeaving) == kLeavingMark;
+  answer.mSilent = fields.Text(kSilent) == kSilentMark;
   answer.mHttp = std::move(aHttp);
   return decoded;
 }
--- a/packages/hop/tests/HopCodecTest.cpp
+++ b/packages/hop/tests/HopCodecTest.cpp
@@ -140,3 +140,20 @@
     CHECK_FALSE(DecodeHomeRequest(bad, kNow));
   }
 }
+
+TEST_CASE("That a demoted server is only silent travels with the rejection")
+{
+  const auto request = MakeRequest();
+  HomeAnswer answer{ .mOutcome = Outcome::kNotRun,
+                     .mRejectReason = RejectReason::kDemoted };
+  const auto decode = [&] {
+    const HttpAnswer http{ .mStatus = 503,
+                           .mHeaders = EncodeHomeAnswer(
+                             answer, request.mAttempt, Incarnation(8), kNow) };
+    return DecodeHomeAnswer(http, request.mAttempt, kNow)->mAnswer;
+  };
+  CHECK_FALSE(decode().mSilent);
+  answer.mSilent = true;
+  CHECK(decode().mSilent);
+  CHECK_FALSE(decode().mDemand.mLeaving);
+}
--- a/packages/node/src/Node.cpp
+++ b/packages/node/src/Node.cpp
@@ -221,7 +221,8 @@
                                    mAttemptIdGenerator,
                                    mAttemptPool,
                                    mGate,
-                                   mCrashMonitor });
+                                   mCrashMonitor,
+                                   mShutdownDeadline });
   if (!entry) {
     return tl::make_unexpected(entry.error());
   }
--- a/packages/policy/include/porttiller/policy/AttemptPlan.h
+++ b/packages/policy/include/porttiller/policy/AttemptPlan.h
@@ -23,6 +23,14 @@
   // Backend servers that may receive the request; 0: limited by the number of
   // attempts only. An attempt rejected by its home has reached no server.
   int mMaxServers = 0;
+  // Whether the plan is of a long request. A rejection as demoted then does not
+  // count towards mMaxRejectedAttempts: it costs a few milliseconds of seconds,
+  // and the last resort loses most unrepeatable requests. Among demoted servers
+  // silent ones are preferred, which have lost no response.
+  bool mIsLong = false;
+  // Whether homes are asked in several rounds before the last resort; until
+  // EndRounds.
+  bool mRepeatsRounds = false;
 };
 
 // Why an attempt was not run; decides where the next one may go.
@@ -54,6 +62,24 @@
   // aDemotedLeft: there are demoted servers that were not tried. False when
   // there is no demoted server, or they were allowed before.
   bool AllowLastResort(bool aDemotedLeft = false);
+  bool PrefersSilent() const { return mOptions.mIsLong; }
+
+  // Called when MayUse leaves no server that can be chosen. Allows more: in a
+  // repeated round those of earlier rounds, otherwise the last resort. False at
+  // the end of a round, or if there are none.
+  bool AllowMore(bool aDemotedLeft);
+  // Whether servers that are known as demoted may be asked as any other, since
+  // they may have recovered: in a repeated round.
+  bool AsksDemoted() const { return mRepeatsRounds && !mFirstRound; }
+  // Whether StartRound or EndRounds must be called once MayAttempt or AllowMore
+  // has returned false.
+  bool MayRepeatRound() const { return mRepeatsRounds && !mEnded; }
+  // Starts another round of mMaxAttempts attempts. It asks the servers that
+  // earlier rounds left out before it asks others again: four homes without a
+  // free slot would otherwise be asked in each round, and no other one.
+  void StartRound();
+  // From now on the plan proceeds as one without rounds.
+  void EndRounds();
 
   // Every OnSent is followed by exactly one of the three calls below.
   void OnSent(const BackendServerName& aServer);
@@ -85,12 +111,17 @@
   const AttemptPlanOptions mOptions;
   std::set<BackendServerName> mTried;
   std::set<BackendServerName> mDemoted;
+  std::set<BackendServerName> mTriedInRound;
+  std::set<BackendServerName> mBusy; // rejected the request themselves
   int mAttempts = 0;
   int mRejectedAttempts = 0;
   int mServersReached = 0; // received the request or may have
   int mInFlight = 0;       // counted as reached, too
   int mMaxAttempts;
   bool mLastResort = false;
+  bool mRepeatsRounds;
+  bool mFirstRound = true;
+  bool mAsksAgain = false; // the servers of earlier rounds, too
   bool mEnded = false;
   bool mMaybeRun = false;
 };
--- a/packages/policy/src/AttemptPlan.cpp
+++ b/packages/policy/src/AttemptPlan.cpp
@@ -6,6 +6,7 @@
   : mRepeatable(aRepeatable)
   , mOptions(aOptions)
   , mMaxAttempts(aOptions.mMaxAttempts)
+  , mRepeatsRounds(aOptions.mRepeatsRounds)
 {
 }
 
@@ -17,7 +18,8 @@
   }
   const bool mayTryMoreHomes =
     mLastResort || mRejectedAttempts < mOptions.mMaxRejectedAttempts;
-  return (mAttempts < mMaxAttempts && mayTryMoreHomes) || AllowLastResort();
+  return (mAttempts < mMaxAttempts && mayTryMoreHomes) ||
+         (!mRepeatsRounds && AllowLastResort());
 }
 
 bool
@@ -40,10 +42,42 @@
   return true;
 }
 
+bool
+AttemptPlan::AllowMore(bool aDemotedLeft)
+{
+  if (!mRepeatsRounds) {
+    return AllowLastResort(aDemotedLeft);
+  }
+  if (mFirstRound || mAsksAgain) {
+    return false;
+  }
+  mAsksAgain = true;
+  mTried = mTriedInRound;
+  mTried.insert(mBusy.begin(), mBusy.end());
+  return true;
+}
+
+void
+AttemptPlan::StartRound()
+{
+  mFirstRound = false;
+  mAsksAgain = false;
+  mTriedInRound.clear();
+  mRejectedAttempts = 0;
+  mMaxAttempts = mAttempts + mOptions.mMaxAttempts;
+}
+
+void
+AttemptPlan::EndRounds()
+{
+  mRepeatsRounds = false;
+}
+
 void
 AttemptPlan::OnSent(const BackendServerName& aServer)
 {
   mTried.insert(aServer);
+  mTriedInRound.insert(aServer);
   ++mInFlight;
   ++mAttempts;
 }
@@ -81,16 +115,18 @@
       break;
     case NotRunReason::kRetrySameServer:
       mTried.erase(aServer);
+      mTriedInRound.erase(aServer);
       break;
     case NotRunReason::kNoCapacity:
       ++mRejectedAttempts;
       break;
     case NotRunReason::kDemoted:
-      ++mRejectedAttempts;
+      mRejectedAttempts += mOptions.mIsLong ? 0 : 1;
       mDemoted.insert(aServer);
       break;
     case NotRunReason::kOverloaded:
       ++mServersReached;
+      mBusy.insert(aServer);
       mEnded = !MayReachAnother() || !aRetry();
       return;
   }
--- a/packages/policy/tests/AttemptPlanTest.cpp
+++ b/packages/policy/tests/AttemptPlanTest.cpp
@@ -165,3 +165,146 @@
   plan.OnSent(Server(2));
   CHECK_FALSE(plan.MayHedge(kAlways));
 }
+
+namespace {
+
+constexpr AttemptPlanOptions kLong{ .mMaxAttempts = 16, .mIsLong = true };
+constexpr AttemptPlanOptions kLongInRounds{ .mMaxAttempts = 16,
+                                            .mIsLong = true,
+                                            .mRepeatsRounds = true };
+
+// Asks servers from aFirst on until the plan allows no more, at most 50.
+// Returns how many were asked.
+int
+AskAll(AttemptPlan& aPlan, NotRunReason aReason, int aFirst = 0)
+{
+  constexpr int kServers = 50;
+  int asked = 0;
+  while (asked < kServers && aPlan.MayAttempt() && !aPlan.LastResort()) {
+    const auto server = Server(aFirst + asked);
+    REQUIRE(aPlan.MayUse(server));
+    aPlan.OnSent(server);
+    aPlan.OnNotRun(server, aReason, kAlways);
+    ++asked;
+  }
+  return asked;
+}
+
+} // namespace
+
+TEST_CASE("Only for long requests up to 16 demoted servers precede the last "
+          "resort")
+{
+  // Guards against four rejections as demoted leading to the last resort while
+  // most of the other servers are well.
+  for (const bool repeatable : { false, true }) {
+    AttemptPlan plan(repeatable, kLong);
+    CHECK(AskAll(plan, NotRunReason::kDemoted) == 16);
+    CHECK(plan.LastResort());
+    AttemptPlan other(repeatable, { .mMaxAttempts = 12 });
+    CHECK(AskAll(other, NotRunReason::kDemoted) == 4);
+    CHECK(other.LastResort());
+  }
+}
+
+TEST_CASE("Rejections for lack of capacity count for long requests, too")
+{
+  AttemptPlan plan(false, kLong);
+  AskAll(plan, NotRunReason::kNoCapacity);
+  CHECK(plan.Attempts() == 4);
+  CHECK_FALSE(plan.MayAttempt());
+}
+
+TEST_CASE("Each round allows as many homes as the first, then the last resort "
+          "follows")
+{
+  AttemptPlan plan(false, kLongInRounds);
+  CHECK(AskAll(plan, NotRunReason::kDemoted) == 16);
+  CHECK_FALSE(plan.LastResort());
+  CHECK_FALSE(plan.AsksDemoted());
+  REQUIRE(plan.MayRepeatRound());
+  plan.StartRound();
+  CHECK(plan.AsksDemoted());
+  CHECK(AskAll(plan, NotRunReason::kNoCapacity, 16) == 4);
+  CHECK_FALSE(plan.LastResort());
+  plan.EndRounds();
+  CHECK_FALSE(plan.MayRepeatRound());
+  CHECK_FALSE(plan.AsksDemoted());
+  CHECK(plan.MayAttempt());
+  CHECK(plan.LastResort());
+  CHECK(plan.MayUse(Server(0)));
+  CHECK_FALSE(plan.MayUse(Server(16)));
+}
+
+TEST_CASE("A round asks servers of earlier rounds only when no other is left")
+{
+  AttemptPlan plan(false, kLongInRounds);
+  CHECK(AskAll(plan, NotRunReason::kNoCapacity) == 4);
+  CHECK_FALSE(plan.AllowMore(true)); // the first round has no earlier one
+  plan.StartRound();
+  CHECK_FALSE(plan.MayUse(Server(0)));
+  plan.OnSent(Server(4));
+  plan.OnNotRun(Server(4), NotRunReason::kNoCapacity, kAlways);
+  CHECK(plan.AllowMore(false));
+  CHECK(plan.MayUse(Server(0)));
+  CHECK_FALSE(plan.MayUse(Server(4))); // it was asked in this round
+  CHECK_FALSE(plan.AllowMore(true));
+  CHECK_FALSE(plan.LastResort());
+}
+
+TEST_CASE("A server that rejected the request itself is not asked again")
+{
+  // Each such request counts as a retry.
+  AttemptPlan plan(false, kLongInRounds);
+  plan.OnSent(Server(1));
+  plan.OnNotRun(Server(1), NotRunReason::kOverloaded, kAlways);
+  CHECK(plan.MayRepeatRound());
+  plan.StartRound();
+  CHECK(plan.AllowMore(false));
+  CHECK_FALSE(plan.MayUse(Server(1)));
+}
+
+TEST_CASE("A request that may have run is not sent in another round")
+{
+  // The oracle counts the attempts that may have been run.
+  const bool ok = rc::check([] {
+    AttemptPlan plan(false, kLongInRounds);
+    int maybeRun = 0;
+    for (int round = 0; round < 5; ++round) {
+      int asked = 0;
+      while (plan.MayAttempt()) {
+        const auto server = Server(Draw(0, 30));
+        if (!plan.MayUse(server)) {
+          if (!plan.AllowMore(false)) {
+            break;
+          }
+          continue;
+        }
+        RC_ASSERT(++asked <= 18); // a round, or the last resort after it
+        plan.OnSent(server);
+        if (Draw(0, 30) == 0) {
+          ++maybeRun;
+          plan.OnUnknown(kAlways);
+          RC_ASSERT(!plan.MayAttempt());
+          RC_ASSERT(!plan.MayRepeatRound());
+          RC_ASSERT(plan.OutcomeWithoutAnswer() == Outcome::kUnknown);
+        } else {
+          plan.OnNotRun(server,
+                        Draw(0, 2) == 0 ? NotRunReason::kDemoted
+                                        : NotRunReason::kNoCapacity,
+                        kAlways);
+        }
+      }
+      if (!plan.MayRepeatRound()) {
+        break;
+      }
+      if (round == 3) {
+        plan.EndRounds();
+      } else {
+        plan.StartRound();
+      }
+    }
+    RC_ASSERT(maybeRun <= 1);
+  });
+  CHECK(ok);
+}
--- a/packages/telemetry/include/porttiller/telemetry/Metrics.h
+++ b/packages/telemetry/include/porttiller/telemetry/Metrics.h
@@ -31,6 +31,8 @@
   prometheus::Counter& Retries() { return *mRetries; }
   // Hedges: attempts at a second server while the first one is unusually slow.
   prometheus::Counter& HedgedAttempts() { return *mHedgedAttempts; }
+  // Long requests that waited at the entry as no home accepted them.
+  prometheus::Counter& EntryWaits() { return *mEntryWaits; }
   prometheus::Counter& Revokes() { return *mRevokes; }
   // Requests rejected with 429 because their workspace is over its limit.
   prometheus::Counter& OverLimit() { return *mOverLimit; }
@@ -76,6 +78,7 @@
   std::array<prometheus::Counter*, kApplyErrorCount> mRejectedDeltas{};
   prometheus::Counter* mRetries;
   prometheus::Counter* mHedgedAttempts;
+  prometheus::Counter* mEntryWaits;
   prometheus::Counter* mRevokes;
   prometheus::Counter* mOverLimit;
   prometheus::Counter* mDroppedAnswers;
--- a/packages/telemetry/src/Metrics.cpp
+++ b/packages/telemetry/src/Metrics.cpp
@@ -47,6 +47,9 @@
   , mHedgedAttempts(MakeCounter(*mRegistry,
                                 "porttiller_races_total",
                                 "Attempts sent while an earlier one took long"))
+  , mEntryWaits(MakeCounter(*mRegistry,
+                            "porttiller_entry_waits_total",
+                            "Requests that waited for a home to accept them"))
   , mRevokes(MakeCounter(*mRegistry,
                          "porttiller_revokes_total",
                          "Attempts whose home was asked to revoke them"))
