policy, entry, home: hedges of long requests leave retries to failures

Cause: long requests were hedged after the 90th percentile of their route, and any hedge could take the last retry of a home. In quiet time hedges used the retries that requests need when servers reject or fail.

Change: HedgePolicy delays the hedge of a long request to the time at which it still ends within the target. A hedge leaves half of a home's budget, and a sheddable retry a quarter once it is half empty (RetryBudget::Admits). A hedge rejected as no-retries is tried again after half the target and does not count towards the rejected attempts. Gauges count hedges admitted and rejected; retry_withheld log lines name the use. Requests that are not long are treated as before.

--- a/packages/entry/include/porttiller/entry/EntryView.h
+++ b/packages/entry/include/porttiller/entry/EntryView.h
@@ -8,6 +8,7 @@
 #include "porttiller/hop/HomeTypes.h"
 #include "porttiller/policy/AttemptPlan.h"
 #include "porttiller/policy/Balancer.h"
+#include "porttiller/policy/HedgePolicy.h"
 #include "porttiller/policy/Subset.h"
 
 #include <array>
@@ -99,11 +100,11 @@
   void OnLatencyP90(const ServiceName& aService,
                     const std::string& aRoute,
                     Micros aLatencyP90);
-  // Delay after which a repeatable request of the route is hedged.
-  // aTotalTime: from the arrival of the request to its deadline.
+  // Delay after which a repeatable request of the route is hedged. Fills in the
+  // latency of aTiming.
   Micros HedgeDelay(const ServiceName& aService,
                     const std::string& aRoute,
-                    Micros aTotalTime) const;
+                    HedgeTiming aTiming) const;
 
   std::string Dump() const;
 
--- a/packages/entry/src/AttemptRunPriv.cpp
+++ b/packages/entry/src/AttemptRunPriv.cpp
@@ -227,11 +227,24 @@
 }
 
 Micros
-AttemptRun::HedgeDelay() const
+AttemptRun::HedgeDelay(bool aWithheld) const
 {
-  return mDependencies.mView.HedgeDelay(mContext.mService->mSpec.mName,
-                                        mContext.mRoute->mName,
-                                        mContext.mDeadline - mContext.mArrival);
+  return mDependencies.mView.HedgeDelay(
+    mContext.mService->mSpec.mName,
+    mContext.mRoute->mName,
+    { .mTotalTime = mContext.mDeadline - mContext.mArrival,
+      .mElapsed = Now() - mContext.mArrival,
+      .mLongTarget = LongTarget(),
+      .mWithheld = aWithheld });
+}
+
+// Null unless the rules for long requests apply.
+std::optional<Millis>
+AttemptRun::LongTarget() const
+{
+  return LongTargetOf(mContext.mRoute->mTarget,
+                      mContext.mService->mLongestTarget,
+                      mContext.mSettings.mLongRequests);
 }
 
 // Called when the running attempt takes unusually long: sends a hedged attempt
@@ -321,9 +334,7 @@
     .mDigest = mContext.mDigest,
     .mCrashes = mDependencies.mCrashes.EventsOf(mContext.mDigest),
     .mLimit = mDependencies.mView.LimitOf(*aAttempt.mServer, Now()),
-    .mLongTarget = LongTargetOf(mContext.mRoute->mTarget,
-                                mContext.mService->mLongestTarget,
-                                mContext.mSettings.mLongRequests),
+    .mLongTarget = LongTarget(),
     .mCancelled = aAttempt.mCancelled
   };
   request.mHttp = mContext.mHttp;
@@ -394,14 +405,30 @@
     mRetryAfter =
       std::min(mRetryAfter.value_or(aNotRun.mRetryAfter), aNotRun.mRetryAfter);
   }
+  const bool hedgeWithheld = IsWithheldHedge(aNotRun);
   mPlan.OnNotRun(mEnded.mServer->mName,
-                 ToNotRunReason(aNotRun.mRejectReason),
+                 hedgeWithheld ? NotRunReason::kRetrySameServer
+                               : ToNotRunReason(aNotRun.mRejectReason),
                  kUnlimitedRetries);
-  if (!mRunning.empty() && aNotRun.mRejectReason != RejectReason::kNoRetries) {
+  if (hedgeWithheld) {
+    mHedgeAt = Now() + HedgeDelay(true);
+  } else if (!mRunning.empty() &&
+             aNotRun.mRejectReason != RejectReason::kNoRetries) {
     mHedgeAt = Now(); // this attempt reached no server; hedge again
   }
 }
 
+// A hedge of a long request needs a fuller budget than a retry of a failed one.
+// Its rejection for lack of retries is no evidence that the home would reject
+// the retry that follows if the first attempt fails, and does not count towards
+// the rejected attempts that end the request.
+bool
+AttemptRun::IsWithheldHedge(const AttemptNotRun& aNotRun) const
+{
+  return mEnded.mIsHedge && aNotRun.mRejectReason == RejectReason::kNoRetries &&
+         LongTarget();
+}
+
 void
 AttemptRun::operator()(const AttemptUnknown& aUnknown)
 {
--- a/packages/entry/src/AttemptRunPriv.h
+++ b/packages/entry/src/AttemptRunPriv.h
@@ -71,7 +71,9 @@
   void AwaitResult();
   void ProcessResult(EndedAttempt aEnded);
   void CancelRunning();
-  Micros HedgeDelay() const;
+  Micros HedgeDelay(bool aWithheld = false) const;
+  std::optional<Millis> LongTarget() const;
+  bool IsWithheldHedge(const AttemptNotRun& aNotRun) const;
   HomeRequest MakeRequest(const RunningAttempt& aAttempt) const;
   HttpHeaders ServerHeaders() const;
   void LogFailedAttempt(const std::string& aResult) const;
--- a/packages/entry/src/EntryView.cpp
+++ b/packages/entry/src/EntryView.cpp
@@ -17,12 +17,6 @@
 constexpr int kMaxAvoidDoublings = 5;
 // Weight of the latest answer in the moving average of a service's error rate.
 constexpr double kErrorRateSmoothing = 0.1;
-// A hedged attempt costs a round trip; for routes that answer within this time
-// it gains nothing.
-constexpr Micros kMinHedgeDelay{ 50'000 };
-// Divides the total time of a request while no home has reported the latency of
-// its route: callers' deadlines are several times the usual latency.
-constexpr int kHedgeUnknownPart = 4;
 // For 4,900 routes, spread over the shards, with room for replaced routes,
 // which are never removed.
 constexpr std::size_t kMaxRoutesInShard = 1000;
@@ -553,15 +547,13 @@
 Micros
 EntryView::HedgeDelay(const ServiceName& aService,
                       const std::string& aRoute,
-                      Micros aTotalTime) const
+                      HedgeTiming aTiming) const
 {
   auto& shard = ShardOf(aService);
   const std::lock_guard lock(shard.mMutex);
   const auto it = shard.mLatencyP90s.find(aRoute);
-  return std::max<Micros>(kMinHedgeDelay,
-                          it == shard.mLatencyP90s.end()
-                            ? aTotalTime / kHedgeUnknownPart
-                            : it->second);
+  aTiming.mLatencyP90 = it == shard.mLatencyP90s.end() ? Micros(0) : it->second;
+  return HedgeDelayOf(aTiming);
 }
 
 std::string
--- a/packages/entry/tests/EntryViewTest.cpp
+++ b/packages/entry/tests/EntryViewTest.cpp
@@ -325,3 +325,18 @@
   // A restarted home learns of the limit from it.
   CHECK(view.LimitOf(first, kStart));
 }
+
+TEST_CASE("The hedge delay uses the latency that homes reported for the route")
+{
+  EntryView view(BoxName("entry"), AvailabilityZone("entry"), {});
+  const ServiceName service("ledger");
+  const HedgeTiming timing{ .mTotalTime = Millis(8000) };
+  CHECK(view.HedgeDelay(service, "route", timing) == Millis(2000));
+  view.OnLatencyP90(service, "route", Millis(300));
+  CHECK(view.HedgeDelay(service, "route", timing) == Millis(300));
+  CHECK(view.HedgeDelay(service, "other", timing) == Millis(2000));
+  CHECK(view.HedgeDelay(service,
+                        "route",
+                        { .mTotalTime = Millis(8000),
+                          .mLongTarget = Millis(2000) }) == Millis(1700));
+}
--- a/packages/home/include/porttiller/home/Home.h
+++ b/packages/home/include/porttiller/home/Home.h
@@ -8,6 +8,8 @@
 #include "porttiller/policy/RetryShare.h"
 
 #include <array>
+#include <atomic>
+#include <cstdint>
 #include <map>
 #include <mutex>
 #include <set>
@@ -15,6 +17,13 @@
 
 namespace porttiller {
 
+// Hedges that arrived since the start of the box.
+struct HedgeCounts
+{
+  std::uint64_t mAdmitted = 0; // sent to a server
+  std::uint64_t mRejected = 0; // rejected for lack of retries
+};
+
 // Thread-safe. The attempt records are sharded by entry box, each shard under a
 // lock of its own; so is each server.
 class Home
@@ -53,6 +62,7 @@
   LocalServerPtr Find(const BackendServerName& aName) const;
   std::vector<LocalServerPtr> Servers() const;
   int InFlight() const;
+  HedgeCounts Hedges() const;
 
 private:
   static constexpr std::size_t kShards = 8;
@@ -68,6 +78,7 @@
                                const LocalServerOptions& aOptions);
   ServerThrottlePtr ThrottleOf(const BackendServerSpec& aSpec, bool aReturned);
   HomeAnswer RunAdmitted(const HomeRequest& aRequest, Shard& aShard);
+  void CountHedge(const HomeRequest& aRequest, const HomeAnswer& aAnswer);
   RetryBudgetOptions BudgetOf(const ServiceEntry& aService) const;
 
   const BoxName mBox;
@@ -85,6 +96,8 @@
   std::set<BackendServerName> mConfiguredLeaving;
   std::set<ServiceName> mReplacedServices; // under mServersMutex
   bool mLeaving = false;                   // under mServersMutex
+  std::atomic<std::uint64_t> mHedgesAdmitted{ 0 };
+  std::atomic<std::uint64_t> mHedgesRejected{ 0 };
 };
 
 } // namespace porttiller
--- a/packages/home/src/Home.cpp
+++ b/packages/home/src/Home.cpp
@@ -122,6 +122,7 @@
   } else {
     answer = server->Run(aRequest);
   }
+  CountHedge(aRequest, answer);
   auto record = MakeRecord(aRequest, answer);
   const std::lock_guard lock(aShard.mMutex);
   if (answer.mOutcome == Outcome::kNotRun) {
@@ -133,6 +134,25 @@
   return answer;
 }
 
+void
+Home::CountHedge(const HomeRequest& aRequest, const HomeAnswer& aAnswer)
+{
+  if (!aRequest.mIsHedge) {
+    return;
+  }
+  if (aAnswer.mOutcome != Outcome::kNotRun) {
+    ++mHedgesAdmitted;
+  } else if (aAnswer.mRejectReason == RejectReason::kNoRetries) {
+    ++mHedgesRejected;
+  }
+}
+
+HedgeCounts
+Home::Hedges() const
+{
+  return { .mAdmitted = mHedgesAdmitted, .mRejected = mHedgesRejected };
+}
+
 AttemptReport
 Home::Revoke(const AttemptId& aAttempt, Incarnation aHomeIncarnation)
 {
--- a/packages/home/src/LocalServer.cpp
+++ b/packages/home/src/LocalServer.cpp
@@ -12,6 +12,7 @@
 
 constexpr Millis kNoRetriesRetryAfter{ 500 };
 constexpr Millis kLeavingCheckInterval{ 200 };
+constexpr double kPercent = 100.0;
 
 EjectionOptions
 OptionsFor(DetectionSetting aSetting)
@@ -34,6 +35,34 @@
            .mMinServiceShare = 0.6 };
 }
 
+// Only long requests leave a part of the budget to others.
+RetryUse
+RetryUseOf(const HomeRequest& aRequest)
+{
+  if (!aRequest.mLongTarget) {
+    return RetryUse::kAny;
+  }
+  if (aRequest.mIsHedge) {
+    return RetryUse::kHedge;
+  }
+  return aRequest.mPriority == Priority::kSheddable ? RetryUse::kSheddable
+                                                    : RetryUse::kAny;
+}
+
+std::string
+ToText(RetryUse aUse)
+{
+  switch (aUse) {
+    case RetryUse::kSheddable:
+      return "sheddable";
+    case RetryUse::kHedge:
+      return "hedge";
+    case RetryUse::kAny:
+      break;
+  }
+  return "any";
+}
+
 } // namespace
 
 LocalServer::LocalServer(const BackendServerSpec& aSpec,
@@ -448,9 +477,19 @@
 std::optional<HomeAnswer>
 LocalServer::RejectIfRetriesSpent(const HomeRequest& aRequest) const
 {
-  if (!aRequest.mIsRetry || mRetries.Affords(1)) {
+  const auto use = RetryUseOf(aRequest);
+  if (!aRequest.mIsRetry || mRetries.Admits(use)) {
     return std::nullopt;
   }
+  if (aRequest.mLongTarget) {
+    LogLine(LogLevel::kInfo, "retry_withheld")
+      .With("request", aRequest.mRequestId)
+      .With("attempt", aRequest.mAttempt.ToString())
+      .With("server", mSpec.Incarnation().ToString())
+      .With("use", ToText(use))
+      .With("left_percent",
+            std::lround(kPercent * std::max(0.0, mRetries.FillLevel())));
+  }
   return RejectLocked(RejectReason::kNoRetries, kNoRetriesRetryAfter);
 }
 
--- a/packages/home/tests/LocalServerTest.cpp
+++ b/packages/home/tests/LocalServerTest.cpp
@@ -178,3 +178,51 @@
   brief.mDeadline = Now() + kLong / 4; // it expires before the stop ends
   CHECK(server.Begin(brief).get().mOutcome == Outcome::kRun);
 }
+
+TEST_CASE("A server admits hedges of long requests while its budget is full")
+{
+  OneSlotServer server;
+  server.mRelease = true;
+  server.mServer.SetRetryBudget({ .mShare = 0.5, .mBurst = 6.0 });
+  std::uint64_t number = 0;
+  const auto send = [&](bool aIsHedge, Priority aPriority, bool aIsLong) {
+    auto request = Request(++number, true);
+    request.mIsRetry = true;
+    request.mIsHedge = aIsHedge;
+    request.mPriority = aPriority;
+    if (aIsLong) {
+      request.mLongTarget = Millis(4000);
+    }
+    return server.Begin(request).get().mRejectReason;
+  };
+  const auto ran = RejectReason::kNone;
+  const auto spent = RejectReason::kNoRetries;
+  // The budget starts with a burst of ten and keeps six.
+  for (int i = 0; i < 3; ++i) {
+    CHECK(send(true, Priority::kNormal, true) == ran);
+  }
+  CHECK(send(true, Priority::kCritical, true) == spent); // three of six left
+  CHECK(send(false, Priority::kSheddable, true) == ran);
+  CHECK(send(false, Priority::kSheddable, true) == spent);
+  CHECK(send(false, Priority::kNormal, true) == ran);
+  CHECK(send(false, Priority::kCritical, true) == ran);
+  CHECK(send(false, Priority::kCritical, true) == spent);
+}
+
+TEST_CASE("Requests that are not long use the whole retry budget")
+{
+  // Guards against a change for services without long requests.
+  OneSlotServer server;
+  server.mRelease = true;
+  server.mServer.SetRetryBudget({ .mShare = 0.5, .mBurst = 6.0 });
+  for (std::uint64_t i = 1; i <= 7; ++i) {
+    CAPTURE(i);
+    auto request = Request(i, true);
+    request.mIsRetry = true;
+    request.mIsHedge = i % 2 == 0;
+    request.mPriority = Priority::kSheddable;
+    const auto answer = server.Begin(request).get();
+    CHECK(answer.mRejectReason ==
+          (i <= 6 ? RejectReason::kNone : RejectReason::kNoRetries));
+  }
+}
--- a/packages/node/src/NodeReport.cpp
+++ b/packages/node/src/NodeReport.cpp
@@ -29,6 +29,9 @@
   mMetrics.QuarantinedRequests().Set(
     static_cast<double>(mCrashMonitor.Quarantined()));
   mMetrics.UnansweredRequests().Set(static_cast<double>(traffic.mUnanswered));
+  const auto hedges = mHome.Hedges();
+  mMetrics.HedgesAdmitted().Set(static_cast<double>(hedges.mAdmitted));
+  mMetrics.HedgesRejected().Set(static_cast<double>(hedges.mRejected));
   const auto now = Now();
   int limited = 0;
   double limit = 0.0;
--- a/packages/policy/include/porttiller/policy/RetryBudget.h
+++ b/packages/policy/include/porttiller/policy/RetryBudget.h
@@ -17,6 +17,16 @@
   Millis mWindow{ 10'000 };
 };
 
+// Who asks for a retry. A budget that hedges and sheddable requests may use up
+// has nothing left when failures begin: in quiet time, requests with long tails
+// are hedged often enough to keep it empty.
+enum class RetryUse
+{
+  kAny,       // admitted while one retry is left
+  kSheddable, // leaves a quarter of a budget that is half empty
+  kHedge      // leaves half of the budget
+};
+
 // Not thread-safe: its owner holds the service's lock.
 class RetryBudget
 {
@@ -33,6 +43,14 @@
   void Spend() { mTokens -= 1.0; }
   // Whether aRetries are available.
   bool Affords(int aRetries) const;
+  // Whether a retry of aUse is available. The parts that it must leave are
+  // counted after it is taken: the budget of one home often holds fewer than
+  // eight retries, whose last quarter would else be less than one. A full
+  // budget that affords a retry admits any.
+  bool Admits(RetryUse aUse) const;
+  // Retries left, as a share of those that may be saved; negative once more
+  // were spent.
+  double FillLevel() const;
 
 private:
   double Limit() const;
--- a/packages/policy/src/RetryBudget.cpp
+++ b/packages/policy/src/RetryBudget.cpp
@@ -5,6 +5,18 @@
 
 namespace porttiller {
 
+namespace {
+
+// Half is left by hedges, which gain time but seldom the request: the other
+// half is for requests that would fail without a retry.
+constexpr double kHedgeReserve = 0.5;
+// Below half, sheddable requests leave a quarter for more urgent ones, whose
+// retries must not wait for the budget to fill again.
+constexpr double kSheddableReserve = 0.25;
+constexpr double kUpperHalf = 0.5;
+
+} // namespace
+
 RetryBudget::RetryBudget(RetryBudgetOptions aOptions)
   : mOptions(aOptions)
   , mTokens(aOptions.mBurst)
@@ -51,4 +63,30 @@
   return mTokens >= aRetries;
 }
 
+bool
+RetryBudget::Admits(RetryUse aUse) const
+{
+  if (!Affords(1)) {
+    return false;
+  }
+  const double limit = Limit();
+  switch (aUse) {
+    case RetryUse::kAny:
+      return true;
+    case RetryUse::kSheddable:
+      return mTokens > kUpperHalf * limit ||
+             mTokens - 1.0 >= kSheddableReserve * limit;
+    case RetryUse::kHedge:
+      return mTokens >= limit || mTokens - 1.0 >= kHedgeReserve * limit;
+  }
+  return true;
+}
+
+double
+RetryBudget::FillLevel() const
+{
+  const double limit = Limit();
+  return limit > 0.0 ? mTokens / limit : 0.0;
+}
+
 } // namespace porttiller
--- a/packages/policy/tests/RetryBudgetTest.cpp
+++ b/packages/policy/tests/RetryBudgetTest.cpp
@@ -80,3 +80,65 @@
     }
   }
 }
+
+TEST_CASE("RetryBudget leaves half to retries when hedges have used the rest")
+{
+  // Guards against hedges that empty the budget before requests fail.
+  RetryBudget budget({ .mBurst = 8.0 });
+  int hedges = 0;
+  while (budget.Admits(RetryUse::kHedge)) {
+    budget.Spend();
+    ++hedges;
+  }
+  CHECK(hedges == 4);
+  CHECK(budget.FillLevel() == doctest::Approx(0.5));
+  CHECK(budget.Admits(RetryUse::kSheddable));
+  CHECK(budget.Admits(RetryUse::kAny));
+}
+
+TEST_CASE("RetryBudget has retries for urgent requests after sheddable ones")
+{
+  // Guards against a last quarter of less than one retry, which is what a home
+  // with a small budget would be left with if the quarter were counted before
+  // the retry is taken.
+  for (const double burst : { 4.0, 5.0, 6.5, 7.9, 20.0 }) {
+    CAPTURE(burst);
+    RetryBudget budget({ .mBurst = burst });
+    int sheddable = 0;
+    while (budget.Admits(RetryUse::kSheddable)) {
+      budget.Spend();
+      ++sheddable;
+    }
+    CHECK(sheddable >= burst / 2.0);
+    CHECK(budget.FillLevel() >= 0.25);
+    CHECK(budget.TryRetry());
+  }
+}
+
+TEST_CASE("RetryBudget admits any retry while it is over half full")
+{
+  for (const double burst : { 1.0, 1.5, 2.0, 3.0, 4.0 }) {
+    CAPTURE(burst);
+    RetryBudget budget({ .mBurst = burst });
+    // A full budget of fewer than two retries admits a hedge, too.
+    CHECK(budget.Admits(RetryUse::kHedge));
+    while (budget.FillLevel() > 0.5 && budget.Affords(1)) {
+      CHECK(budget.Admits(RetryUse::kSheddable));
+      budget.Spend();
+    }
+  }
+}
+
+TEST_CASE("RetryBudget admits nothing once it is spent")
+{
+  RetryBudget budget({ .mBurst = 2.0 });
+  budget.Spend();
+  budget.Spend();
+  budget.Spend(); // admitted while another one waited
+  for (const auto use :
+       { RetryUse::kAny, RetryUse::kSheddable, RetryUse::kHedge }) {
+    CHECK_FALSE(budget.Admits(use));
+  }
+  CHECK(budget.FillLevel() < 0.0);
+  CHECK(RetryBudget({ .mBurst = 0.0 }).FillLevel() == 0.0);
+}
--- a/packages/telemetry/include/porttiller/telemetry/Metrics.h
+++ b/packages/telemetry/include/porttiller/telemetry/Metrics.h
@@ -59,6 +59,11 @@
   prometheus::Gauge& CrashRecords() { return *mCrashRecords; }
   prometheus::Gauge& QuarantinedRequests() { return *mQuarantinedRequests; }
 
+  // Hedges that this box's servers were sent, and those that its retry budgets
+  // withheld, since its start.
+  prometheus::Gauge& HedgesAdmitted() { return *mHedgesAdmitted; }
+  prometheus::Gauge& HedgesRejected() { return *mHedgesRejected; }
+
   // Of this box's servers: those that name a limit, the sum of their limits in
   // requests per second, and the requests that they were sent in the last 4 s.
   prometheus::Gauge& LimitedServers() { return *mLimitedServers; }
@@ -95,6 +100,8 @@
   prometheus::Gauge* mUnreadableMessages;
   prometheus::Gauge* mCrashRecords;
   prometheus::Gauge* mQuarantinedRequests;
+  prometheus::Gauge* mHedgesAdmitted;
+  prometheus::Gauge* mHedgesRejected;
   prometheus::Gauge* mLimitedServers;
   prometheus::Gauge* mServerLimit;
   prometheus::Gauge* mLimitedServersSent;
--- a/packages/telemetry/src/Metrics.cpp
+++ b/packages/telemetry/src/Metrics.cpp
@@ -112,6 +112,12 @@
       MakeGauge(*mRegistry,
                 "porttiller_quarantined_requests",
                 "Requests rejected because they crashed servers"))
+  , mHedgesAdmitted(MakeGauge(*mRegistry,
+                              "porttiller_hedges_admitted",
+                              "Hedges that ran at servers of this box"))
+  , mHedgesRejected(MakeGauge(*mRegistry,
+                              "porttiller_hedges_rejected",
+                              "Hedges for which no retry was left here"))
   , mLimitedServers(MakeGauge(*mRegistry,
                               "porttiller_limited_servers",
                               "Backend servers here that name a limit"))
