--- a/packages/home/tests/ServerBreakerTest.cpp
+++ b/packages/home/tests/ServerBreakerTest.cpp
@@ -133,38 +133,39 @@
   RunAttempt(losing, 1, kConnectionClosed, kTypicalTime);
   REQUIRE(losing.IsDemoted(kStart + kTypicalTime));
   CHECK_FALSE(losing.OpenedBySilence());
+}
 
-  // Guards against demoting a server for one request of a heavy tail.
-  TEST_CASE("One late long request does not open the breaker, two do")
-  {
-    const RouteTimes times = TypicalTimes();
-    ServerBreaker breaker(ServerIncarnation(BackendServerName("s")), times);
-    breaker.OnStarted(LongRequest(1), kStart);
-    CHECK(breaker.Admit(LongRequest(2), true, kStart + kLong * 60));
-    breaker.OnStarted(LongRequest(3), kStart);
-    CHECK_FALSE(breaker.Admit(LongRequest(4), true, kStart + kLong * 60));
-    breaker.OnEnded(LongRequest(1), kServed, kLong * 60, kStart + kLong * 60);
-    CHECK(breaker.Admit(LongRequest(5), true, kStart + kLong * 60));
-  }
+// Guards against demoting a server for one request of a heavy tail.
+TEST_CASE("One late long request does not open the breaker, two do")
+{
+  const RouteTimes times = TypicalTimes();
+  ServerBreaker breaker(ServerIncarnation(BackendServerName("s")), times);
+  breaker.OnStarted(LongRequest(1), kStart);
+  CHECK(breaker.Admit(LongRequest(2), true, kStart + kLong * 60));
+  breaker.OnStarted(LongRequest(3), kStart);
+  CHECK_FALSE(breaker.Admit(LongRequest(4), true, kStart + kLong * 60));
+  breaker.OnEnded(LongRequest(1), kServed, kLong * 60, kStart + kLong * 60);
+  CHECK(breaker.Admit(LongRequest(5), true, kStart + kLong * 60));
+}
 
-  // Long requests at the same server must not change when the others raise the
-  // alarm.
-  TEST_CASE("Requests that are not long are judged by themselves")
-  {
-    const RouteTimes times = TypicalTimes();
-    for (const bool withLong : { false, true }) {
-      CAPTURE(withLong);
-      ServerBreaker breaker(ServerIncarnation(BackendServerName("s")), times);
-      breaker.OnStarted(Request(1), kStart);
-      if (withLong) {
-        breaker.OnStarted(LongRequest(2), kStart);
-        breaker.OnEnded(
-          LongRequest(2), kServed, kTypicalTime, kStart + kTypicalTime);
-        breaker.OnStarted(LongRequest(3), kStart + kTypicalTime);
-      }
-      CHECK(breaker.Admit(Request(4), true, kStart + kTypicalTime * 2));
-      CHECK_FALSE(breaker.Admit(Request(5), true, kStart + kLong));
-      breaker.OnEnded(Request(1), kServed, kLong, kStart + kLong);
-      CHECK(breaker.Admit(Request(6), true, kStart + kLong));
+// Long requests at the same server must not change when the others raise the
+// alarm.
+TEST_CASE("Requests that are not long are judged by themselves")
+{
+  const RouteTimes times = TypicalTimes();
+  for (const bool withLong : { false, true }) {
+    CAPTURE(withLong);
+    ServerBreaker breaker(ServerIncarnation(BackendServerName("s")), times);
+    breaker.OnStarted(Request(1), kStart);
+    if (withLong) {
+      breaker.OnStarted(LongRequest(2), kStart);
+      breaker.OnEnded(
+        LongRequest(2), kServed, kTypicalTime, kStart + kTypicalTime);
+      breaker.OnStarted(LongRequest(3), kStart + kTypicalTime);
     }
+    CHECK(breaker.Admit(Request(4), true, kStart + kTypicalTime * 2));
+    CHECK_FALSE(breaker.Admit(Request(5), true, kStart + kLong));
+    breaker.OnEnded(Request(1), kServed, kLong, kStart + kLong);
+    CHECK(breaker.Admit(Request(6), true, kStart + kLong));
   }
+}
