--- a/packages/policy/include/porttiller/policy/AttemptPlan.h
+++ b/packages/policy/include/porttiller/policy/AttemptPlan.h
@@ -62,6 +62,8 @@
   // aDemotedLeft: there are demoted servers that were not tried. False when
   // there is no demoted server, or they were allowed before.
   bool AllowLastResort(bool aDemotedLeft = false);
+  // Whether the last resort prefers servers that are demoted only because they
+  // are silent.
   bool PrefersSilent() const { return mOptions.mIsLong; }
 
   // Called when MayUse leaves no server that can be chosen. Allows more: in a
