entry: test that a full budget admits the hedge of a long request

Cause: the tests of hedges at the entry covered rejected ones only. Change: a case with a budget of four retries a server; it also checks the count of admitted hedges.

--- a/packages/entry/tests/HedgeRunTest.cpp
+++ b/packages/entry/tests/HedgeRunTest.cpp
@@ -23,11 +23,11 @@
 const EdgeHeaders kNames;
 
 // A box with servers that hold each request until mRelease is set, and then
-// answer 500. The service's retry budget is empty.
+// answer 500. Unless aRetryBurst is set, the service's retry budget is empty.
 class Fixture
 {
 public:
-  explicit Fixture(std::optional<Millis> aMinTarget)
+  explicit Fixture(std::optional<Millis> aMinTarget, int aRetryBurst = 0)
     : mSettings(MakeSettings(aMinTarget))
     , mListener(*HttpListener::Make(
         { .mAddress = kServerAddress },
@@ -36,7 +36,7 @@
                                         .mBox = kBox,
                                         .mIncarnation = Incarnation(1) },
                                       [](const auto&, const auto&) {}))
-    , mSnapshot(MakeSnapshot())
+    , mSnapshot(MakeSnapshot(aRetryBurst))
   {
     mHome.Apply(*mSnapshot);
     mView.OnLatencyP90(kService, mRoute.mName, kLatencyP90);
@@ -108,12 +108,12 @@
     return settings;
   }
 
-  static SnapshotPtr MakeSnapshot()
+  static SnapshotPtr MakeSnapshot(int aRetryBurst)
   {
     auto snapshot = std::make_shared<Snapshot>();
     snapshot->mBoxes[kBox] = { .mName = kBox };
     auto& service = snapshot->mServices[kService];
-    service.mSpec = { .mName = kService, .mRetryBurst = 0 };
+    service.mSpec = { .mName = kService, .mRetryBurst = aRetryBurst };
     service.mLongestTarget = kTarget;
     for (int i = 0; i < kServers; ++i) {
       service.mServers.push_back(
@@ -180,3 +180,19 @@
   CHECK(fixture.mHome.Hedges().mRejected == 4);
   CHECK(fixture.HasSeenRejections(4));
 }
+
+TEST_CASE("A home with a full budget admits the hedge of a long request")
+{
+  // Guards against homes that never admit a hedge, and counts it.
+  constexpr int kBurstPerServer = 4;
+  Fixture fixture(Millis(1000), kBurstPerServer * kServers);
+  auto answer = fixture.Begin();
+  const auto bound = Now() + kBound;
+  while (fixture.mHome.InFlight() < 2 && Now() < bound) {
+    std::this_thread::sleep_for(kPoll);
+  }
+  fixture.mRelease = true;
+  CHECK(answer.get().mStatus == 500);
+  CHECK(fixture.mHome.Hedges().mAdmitted >= 1);
+  CHECK(fixture.mHome.Hedges().mRejected == 0);
+}
