http, entry: bound the memory for responses that callers do not read

A response larger than the free send buffer is kept until its caller has read it: 2,000 callers that do not read responses of 90 to 540 KB would fill 600 MB (computed).

HttpListener counts the unread answer bytes of all connections, send buffers included. From mUnsentBudget on it answers new requests 503 unsent-full with Retry-After and Connection: close, before they run; the last quarter is reserved for connections on which an answer was read. Retry-After follows the rate at which peers read. A connection read at less than mMinReadRate over 30 s is closed. Progress is now measured by acknowledged bytes (SIOCOUTQ), as the send buffer takes bytes in large steps. The entry sets both from resources.unsent_mb (default: an eighth of memory_mb; unlimited while that is unknown); events unsent_full and slow_reader_closed, two counters.

The answers of running requests still come on top of the budget.

--- a/packages/config/include/porttiller/config/Settings.h
+++ b/packages/config/include/porttiller/config/Settings.h
@@ -18,6 +18,8 @@
 {
   double mMemoryMb = 0.0;
   double mDescriptors = 0.0; // file descriptors
+  // Memory for answers that callers have not read yet.
+  double mUnsentMb = 0.0;
 };
 
 struct CallerSettings
--- a/packages/config/src/Settings.cpp
+++ b/packages/config/src/Settings.cpp
@@ -34,6 +34,9 @@
 // A waiting request takes up to 128 KB (used stack of a thread and buffers),
 // and the requests of each role may take a quarter of the box's memory.
 constexpr double kThreadsPerMb = 2.0;
+// Part of the memory for answers that callers have not read yet; half of the
+// memory is taken by running requests of both roles.
+constexpr double kUnsentShare = 1.0 / 8.0;
 constexpr IntegerRange kDerivedThreads{ .mMin = 64, .mMax = 512 };
 // The file descriptors, less a reserve for files, are shared equally by
 // connections from callers, from other boxes, and those that this box opens.
@@ -93,6 +96,11 @@
     aReader.NumberOr("memory_mb", 0.0, kMaxPlatformNumber, 0.0);
   settings.mDescriptors =
     aReader.NumberOr("descriptors", 0.0, kMaxPlatformNumber, 0.0);
+  settings.mUnsentMb =
+    aReader.NumberOr("unsent_mb", 0.0, kMaxPlatformNumber, 0.0);
+  if (settings.mUnsentMb == 0.0) {
+    settings.mUnsentMb = settings.mMemoryMb * kUnsentShare;
+  }
   aReader.RejectUnknownKeys();
   return settings;
 }
@@ -419,6 +427,7 @@
   Poco::JSON::Object resources;
   resources.set("memory_mb", aSettings.mResources.mMemoryMb);
   resources.set("descriptors", aSettings.mResources.mDescriptors);
+  resources.set("unsent_mb", aSettings.mResources.mUnsentMb);
   document.set("resources", resources);
   std::ostringstream text;
   document.stringify(text, kIndent);
--- a/packages/config/tests/SettingsTest.cpp
+++ b/packages/config/tests/SettingsTest.cpp
@@ -96,6 +96,25 @@
   CHECK(settings->mTiming.mDrain == Millis(8800));
 }
 
+TEST_CASE(
+  "Memory for unread answers is an eighth of the memory unless it is set")
+{
+  const auto unsentMb = [](const std::string& aResources) {
+    const auto settings = ParseSettings(
+      R"({ "box": "a", "zone": "z", "platform_address": "127.0.0.1:1",
+      "resources": { )" +
+      aResources + " } }");
+    REQUIRE(settings.has_value());
+    return settings->mResources.mUnsentMb;
+  };
+  CHECK(unsentMb("") == 0.0);
+  CHECK(unsentMb(R"("memory_mb": null)") == 0.0);
+  CHECK(unsentMb(R"("memory_mb": 160)") == 20.0);
+  CHECK(unsentMb(R"("memory_mb": 160, "unsent_mb": 4.5)") == 4.5);
+  CHECK(unsentMb(R"("memory_mb": 160, "unsent_mb": 0)") == 20.0);
+  CHECK(unsentMb(R"("unsent_mb": 8)") == 8.0);
+}
+
 TEST_CASE("apply_ms accepts null and fractions, and is clamped to its range")
 {
   const std::map<std::string, Millis> cases{
--- a/packages/entry/include/porttiller/entry/EntryServer.h
+++ b/packages/entry/include/porttiller/entry/EntryServer.h
@@ -36,6 +36,8 @@
 
   HttpListenerOptions ListenerOptions() const;
   HttpReply Serve(HttpCall& aCall);
+  HttpReply Reject(ListenerRejection aRejection,
+                   std::optional<Millis> aRetryAfter) const;
   RequestContext MakeContext(HttpCall& aCall) const;
   HttpReply ToReply(CallerAnswer aAnswer, const std::string& aRequestId) const;
   void LogAnswer(const RequestContext& aContext,
--- a/packages/entry/src/EntryServer.cpp
+++ b/packages/entry/src/EntryServer.cpp
@@ -11,6 +11,10 @@
 namespace {
 
 constexpr Millis kCallerKeepAlive{ 30'000 };
+// The least rate at which callers must read answers, in bytes per second. A
+// response of 540 KB is then held for nine minutes at most.
+constexpr std::size_t kMinReadRate = 1 << 10;
+constexpr double kBytesPerMb = 1 << 20;
 
 // Value of the Retry-After header, in seconds. aWhole rounds up, as HTTP
 // requires; otherwise three decimals, for callers that accept fractions.
@@ -66,27 +70,53 @@
 EntryServer::ListenerOptions() const
 {
   const auto& callers = mSettings.mCallers;
-  return { .mAddress = callers.mAddress,
-           .mWorkers = callers.mThreads,
-           .mConnections = callers.mConnections,
-           .mLimits = { .mMaxHeaders =
-                          static_cast<std::size_t>(callers.mMaxHeaders),
-                        .mMaxHeaderBytes =
-                          static_cast<std::size_t>(callers.mMaxHeaderBytes),
-                        .mMaxBodyBytes =
-                          static_cast<std::size_t>(callers.mMaxBodyBytes) },
-           .mIdleClose = kCallerKeepAlive,
-           .mMakeRejection =
-             [this](ListenerRejection aRejectReason) {
-               LogLine(LogLevel::kInfo, "request_unreadable")
-                 .With("reason", ToText(aRejectReason));
-               auto answer = MakeProxyAnswer(StatusOf(aRejectReason),
-                                             Outcome::kNotRun,
-                                             ToText(aRejectReason));
-               answer.mCloseConnection = true;
-               return ToReply(std::move(answer), "");
-             },
-           .mOnException = LogException };
+  const auto unsentBytes =
+    static_cast<std::size_t>(mSettings.mResources.mUnsentMb * kBytesPerMb);
+  return {
+    .mAddress = callers.mAddress,
+    .mWorkers = callers.mThreads,
+    .mConnections = callers.mConnections,
+    .mLimits = { .mMaxHeaders = static_cast<std::size_t>(callers.mMaxHeaders),
+                 .mMaxHeaderBytes =
+                   static_cast<std::size_t>(callers.mMaxHeaderBytes),
+                 .mMaxBodyBytes =
+                   static_cast<std::size_t>(callers.mMaxBodyBytes) },
+    .mIdleClose = kCallerKeepAlive,
+    .mMinReadRate = unsentBytes > 0 ? kMinReadRate : 0,
+    .mUnsentBudget = unsentBytes,
+    .mMakeRejection =
+      [this](ListenerRejection aRejection, std::optional<Millis> aRetryAfter) {
+        return Reject(aRejection, aRetryAfter);
+      },
+    .mOnSlowReader =
+      [this](SlowReader aReader) {
+        mDependencies.mMetrics.SlowReaders().Increment();
+        LogLine(LogLevel::kInfo, "slow_reader_closed")
+          .With("reason", ToText(aReader));
+      },
+    .mOnException = LogException
+  };
+}
+
+// The answer to a request that the listener rejects.
+HttpReply
+EntryServer::Reject(ListenerRejection aRejection,
+                    std::optional<Millis> aRetryAfter) const
+{
+  if (aRejection == ListenerRejection::kUnsentFull) {
+    mDependencies.mMetrics.UnsentRejections().Increment();
+    mDependencies.mMetrics.CountRequest(Outcome::kNotRun);
+    LogLine(LogLevel::kWarning, "unsent_full")
+      .With("retry_after_ms", aRetryAfter.value_or(Millis(0)).count());
+  } else {
+    LogLine(LogLevel::kInfo, "request_unreadable")
+      .With("reason", ToText(aRejection));
+  }
+  auto answer =
+    MakeProxyAnswer(StatusOf(aRejection), Outcome::kNotRun, ToText(aRejection));
+  answer.mCloseConnection = true;
+  answer.mRetryAfter = aRetryAfter;
+  return ToReply(std::move(answer), "");
 }
 
 void
--- a/packages/http/include/porttiller/http/HttpListener.h
+++ b/packages/http/include/porttiller/http/HttpListener.h
@@ -10,8 +10,10 @@
 #include "porttiller/http/MessageReader.h"
 
 #include <atomic>
+#include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <tl/expected.hpp>
 
@@ -43,6 +45,7 @@
   kBodyTooLarge,
   kRequestTimeout, // headers or body did not arrive within mReadTimeout
   kNoWorker,       // every worker is busy
+  kUnsentFull,     // mUnsentBudget is used up
   kHandlerFailed   // the handler threw
 };
 
@@ -53,6 +56,16 @@
 int
 StatusOf(ListenerRejection aRejection);
 
+// Why a connection was closed before its peer had read an answer.
+enum class SlowReader
+{
+  kStopped, // nothing was read for mUnreadTimeout
+  kTooSlow  // less than mMinReadRate
+};
+
+const char*
+ToText(SlowReader aReader);
+
 struct HttpListenerOptions
 {
   std::string mAddress; // "ip:port"
@@ -70,11 +83,26 @@
   Millis mUnreadTimeout{ 10'000 };
   // Answer bytes that wait for the peer at which no further request is read.
   std::size_t mMaxUnsentBytes = 256 << 10;
+  // Bytes per second: a connection whose peer reads an answer at less than this
+  // over mReadRateWindow is closed. 0: not checked.
+  std::size_t mMinReadRate = 0;
+  Millis mReadRateWindow{ 30'000 };
+  // Answer bytes that wait for the peers of all connections at which new
+  // requests are rejected with kUnsentFull, before they run. The last quarter
+  // is reserved for connections on which an earlier answer was read. The
+  // answers of requests that run at that time are held in addition. Counts send
+  // buffers, too, and keeps these small. 0: unlimited.
+  std::size_t mUnsentBudget = 0;
   // Pipelined requests of one connection that are read ahead. Only safe methods
   // run concurrently.
   int mPipelined = 8;
-  // Makes the answer for a rejection; plain text if not set.
-  std::function<HttpReply(ListenerRejection)> mMakeRejection;
+  // Makes the answer for a rejection; plain text if not set. aRetryAfter is the
+  // time until a request is expected to be accepted, if known.
+  std::function<HttpReply(ListenerRejection, std::optional<Millis> aRetryAfter)>
+    mMakeRejection;
+  // Called when a connection is closed because its peer reads too slowly. Must
+  // not block.
+  std::function<void(SlowReader)> mOnSlowReader;
   // Called with the text of an exception that a handler threw, which is a bug.
   std::function<void(const std::string&)> mOnException;
 };
@@ -98,6 +126,8 @@
   void SetLimits(const MessageLimits& aLimits,
                  Millis aReadTimeout,
                  Millis aIdleClose);
+  // Answer bytes that wait for peers, over all connections.
+  std::size_t UnsentBytes() const;
   // Stops accepting, closes idle connections, and returns once every request
   // that was read has been answered.
   void StopGracefully();
--- a/packages/http/src/HttpConnectionPriv.cpp
+++ b/packages/http/src/HttpConnectionPriv.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <array>
 #include <cassert>
+#include <utility>
 
 namespace porttiller {
 
@@ -47,16 +48,24 @@
 
 HttpConnection::HttpConnection(const Poco::Net::StreamSocket& aSocket,
                                const HttpListenerOptions& aOptions,
+                               UnsentBudget& aUnsent,
                                ConnectionLimits aLimits,
                                TimePoint aNow)
   : mOptions(aOptions)
+  , mUnsent(aUnsent)
   , mLimits(aLimits)
   , mSocket(aSocket)
   , mReader(MessageKind::kRequest, aLimits.mMessage)
   , mLastUse(aNow)
+  , mProgress(aOptions)
 {
 }
 
+HttpConnection::~HttpConnection()
+{
+  mUnsent.Change(mReported, 0);
+}
+
 std::vector<PendingCallPtr>
 HttpConnection::OnReadable(TimePoint aNow)
 {
@@ -167,6 +176,7 @@
       break;
     }
     call->mDispatched = true;
+    call->mHasRead = mHasRead;
     runnable.push_back(call);
     if (!safe) {
       break;
@@ -217,9 +227,6 @@
 void
 HttpConnection::Flush()
 {
-  if (mOut.empty()) {
-    mLastSent = Now(); // the time for the peer to read starts here
-  }
   while (!mCalls.empty() && mCalls.front()->mDone && mState == State::kOpen) {
     const auto call = mCalls.front();
     mCalls.pop_front();
@@ -243,17 +250,25 @@
       AbandonLocked();
       return;
     }
-    if (*sent == 0) {
-      return; // send buffer full; OnWritable continues
+    if (*sent == 0) { // send buffer full; OnWritable continues
+      if (!std::exchange(mWaiting, true)) {
+        mProgress.Start(Now(), BytesRead());
+      }
+      SampleSendBuffer();
+      return;
     }
     mSent += *sent;
-    mLastUse = mLastSent = Now();
+    mSentInAll += *sent;
+    mLastUse = Now();
     if (mSent == mOut.size()) {
       mOut.clear();
       mSent = 0;
+      mWaiting = false;
+      mHasRead = true;
     }
   }
   ReleaseIfEmpty(mOut);
+  ReportUnsent();
   if (mState == State::kClosing) {
     Linger();
   }
@@ -282,12 +297,16 @@
 HttpConnection::CheckTimeouts(TimePoint aNow, bool aStopping)
 {
   const std::lock_guard lock(mMutex);
+  SampleSendBuffer();
   if (mState == State::kLingering && aNow >= mLingerUntil) {
     mState = State::kClosed;
   }
   if (!mOut.empty() && mState != State::kClosed) {
-    if (aNow >= mLastSent + mOptions.mUnreadTimeout) {
+    if (const auto slow = mProgress.Check(aNow, BytesRead())) {
       AbandonLocked();
+      if (mOptions.mOnSlowReader) {
+        mOptions.mOnSlowReader(*slow);
+      }
     }
     return; // an answer that is being written keeps the connection
   }
@@ -330,6 +349,42 @@
     call->mCall.mCancelled->Cancel();
   }
   mCalls.clear();
+  mInSendBuffer = 0;
+  ReportUnsent();
+}
+
+// Called in sweeps, and when the send buffer is full; not for each answer, as
+// nearly all are on their way to a peer that reads them.
+void
+HttpConnection::SampleSendBuffer()
+{
+  if (mOptions.mUnsentBudget > 0 && mState != State::kClosed) {
+    mInSendBuffer = UnacknowledgedBytes(mSocket);
+  }
+  ReportUnsent();
+}
+
+// Acknowledged bytes. Those in the send buffer are not read: the system asks
+// for more only when a third of that is free, which takes a reader of 1 KB/s
+// longer than mUnreadTimeout.
+std::uint64_t
+HttpConnection::BytesRead() const
+{
+  return mSentInAll - UnacknowledgedBytes(mSocket);
+}
+
+// Counts the answers that are held: those that are being written, with the
+// bytes written already, as these are freed with the last one, those that wait
+// for the answer of an earlier request, and the bytes in the send buffer.
+void
+HttpConnection::ReportUnsent()
+{
+  std::size_t held = mOut.size() + mInSendBuffer;
+  for (const auto& call : mCalls) {
+    held += call->mDone ? call->mAnswer.mBody.size() : 0;
+  }
+  mUnsent.Change(mReported, held);
+  mReported = held;
 }
 
 } // namespace porttiller
--- a/packages/http/src/HttpConnectionPriv.h
+++ b/packages/http/src/HttpConnectionPriv.h
@@ -2,6 +2,8 @@
 // answers in the order of the requests.
 #pragma once
 
+#include "ReadProgressPriv.h"
+#include "UnsentBudgetPriv.h"
 #include "porttiller/http/HttpListener.h"
 
 #include <Poco/Net/StreamSocket.h>
@@ -20,8 +22,9 @@
   HttpCall mCall;
   bool mDispatched = false;
   bool mDone = false;
-  bool mClose = false; // close the connection after the answer
-  HttpAnswer mAnswer;  // valid once mDone
+  bool mHasRead = false; // the peer has read an earlier answer
+  bool mClose = false;   // close the connection after the answer
+  HttpAnswer mAnswer;    // valid once mDone
 };
 
 // Size limits and timeouts of one connection.
@@ -46,18 +49,23 @@
 class HttpConnection
 {
 public:
+  // aOptions and aUnsent must outlive the connection.
   HttpConnection(const Poco::Net::StreamSocket& aSocket,
                  const HttpListenerOptions& aOptions,
+                 UnsentBudget& aUnsent,
                  ConnectionLimits aLimits,
                  TimePoint aNow);
+  ~HttpConnection();
+  HttpConnection(const HttpConnection&) = delete;
+  HttpConnection& operator=(const HttpConnection&) = delete;
 
   const Poco::Net::StreamSocket& Socket() const { return mSocket; }
 
   // Reads the available input and returns the requests to run now.
   std::vector<PendingCallPtr> OnReadable(TimePoint aNow);
   void OnWritable();
-  // Enforces the read, idle and linger timeouts. aStopping: also closes the
-  // connection if it is idle.
+  // Enforces the timeouts, and the rate at which answers must be read.
+  // aStopping: also closes the connection if it is idle.
   void CheckTimeouts(TimePoint aNow, bool aStopping);
 
   // Sets the answer of a call and returns the requests that may run now.
@@ -88,8 +96,12 @@
   void SendOut();
   void Linger();
   void AbandonLocked();
+  std::uint64_t BytesRead() const;
+  void SampleSendBuffer();
+  void ReportUnsent();
 
   const HttpListenerOptions& mOptions;
+  UnsentBudget& mUnsent;
   const ConnectionLimits mLimits;
   mutable std::mutex mMutex;
   Poco::Net::StreamSocket mSocket;
@@ -97,11 +109,16 @@
   std::string mIn;                   // read and not parsed yet
   std::string mOut;                  // to be written
   std::size_t mSent = 0;             // bytes of mOut that are written
+  std::uint64_t mSentInAll = 0;      // bytes since the connection was accepted
+  bool mHasRead = false;             // an answer was written completely
+  std::size_t mInSendBuffer = 0;     // unacknowledged, when last sampled
+  std::size_t mReported = 0;         // bytes counted in mUnsent
   std::deque<PendingCallPtr> mCalls; // in the order of their answers
   State mState = State::kOpen;
   bool mInputEnded = false; // further input is discarded
   TimePoint mLastUse;       // last byte read or written
-  TimePoint mLastSent;      // last progress of mOut
+  bool mWaiting = false;    // the send buffer is full
+  ReadProgress mProgress;   // since mWaiting
   TimePoint mRequestStart;  // first byte of the current message
   TimePoint mLingerUntil;
 };
--- a/packages/http/src/HttpListener.cpp
+++ b/packages/http/src/HttpListener.cpp
@@ -1,17 +1,11 @@
 #include "porttiller/http/HttpListener.h"
 
-#include "HttpConnectionPriv.h"
+#include "ListenerLoopPriv.h"
 #include "ListenerRejectionPriv.h"
-#include "SocketsPriv.h"
 
 #include <Poco/Exception.h>
-#include <Poco/Net/PollSet.h>
-#include <Poco/Net/ServerSocket.h>
 #include <Poco/Runnable.h>
-#include <Poco/ThreadPool.h>
-#include <condition_variable>
-#include <map>
-#include <thread>
+#include <algorithm>
 
 namespace porttiller {
 
@@ -27,6 +21,10 @@
 // Stack of a worker. Its call depth is small, and small boxes are short of
 // address space.
 constexpr int kStackBytes = 256 << 10;
+// With a budget for unsent answers; the system doubles it. By default it grows
+// a send buffer to megabytes, which would be counted only at the next sweep: an
+// answer of 90 KB must not fit into it.
+constexpr int kSendBufferBytes = 32 << 10;
 // How often the timeouts of connections are checked.
 constexpr Millis kSweepInterval{ 500 };
 // Poll timeout without connections, when there are no timeouts to check.
@@ -34,72 +32,6 @@
 
 } // namespace
 
-// The I/O thread and the workers. Owned by the listener.
-class HttpListener::Loop
-{
-public:
-  Loop(HttpListenerOptions aOptions, HttpHandler aHandler)
-    : mOptions(std::move(aOptions))
-    , mHandler(std::move(aHandler))
-    , mLimits({ .mMessage = mOptions.mLimits,
-                .mRead = mOptions.mReadTimeout,
-                .mIdle = mOptions.mIdleClose })
-  {
-    if (mOptions.mWorkers > 0) {
-      mWorkers = std::make_unique<Poco::ThreadPool>(
-        kMinThreads, mOptions.mWorkers, kThreadIdleSeconds, kStackBytes);
-    }
-  }
-
-  void Open();
-  void Stop();
-  void Drain() { mDraining = true; }
-  void SetLimits(const ConnectionLimits& aLimits)
-  {
-    const std::lock_guard lock(mLimitsMutex);
-    mLimits = aLimits;
-  }
-
-private:
-  class Job;
-
-  void Run();
-  void Accept();
-  void OnEvents(const Poco::Net::Socket& aSocket, int aModes);
-  void Sweep();
-  void Rearm(const HttpConnectionPtr& aConnection);
-  void Remove(const HttpConnectionPtr& aConnection);
-  void Dispatch(const HttpConnectionPtr& aConnection,
-                const std::vector<PendingCallPtr>& aCalls);
-  void Serve(const HttpConnectionPtr& aConnection, const PendingCallPtr& aCall);
-  HttpReply RunHandler(PendingCall& aCall);
-  bool IsDrained() const;
-  ConnectionLimits Limits()
-  {
-    const std::lock_guard lock(mLimitsMutex);
-    return mLimits;
-  }
-
-  const HttpListenerOptions mOptions;
-  const HttpHandler mHandler;
-  std::mutex mLimitsMutex;
-  ConnectionLimits mLimits; // of new connections
-  // Null if the I/O thread runs the handler.
-  std::unique_ptr<Poco::ThreadPool> mWorkers;
-  Poco::Net::ServerSocket mSocket;
-  PollSet mPoll;
-  WakeUp mWake;
-  // Used by the I/O thread only.
-  std::map<Poco::Net::Socket, HttpConnectionPtr> mConnections;
-  std::map<Poco::Net::Socket, int> mModes;
-  std::mutex mToRearmMutex;
-  std::vector<HttpConnectionPtr> mToRearm; // queued by workers
-  std::atomic<int> mOpenCalls{ 0 };
-  std::atomic<bool> mDraining{ false };
-  std::atomic<bool> mStopping{ false };
-  std::thread mThread;
-};
-
 // Runs one request on a worker; deletes itself.
 class HttpListener::Loop::Job : public Poco::Runnable
 {
@@ -123,6 +55,20 @@
   PendingCallPtr mCall;
 };
 
+HttpListener::Loop::Loop(HttpListenerOptions aOptions, HttpHandler aHandler)
+  : mOptions(std::move(aOptions))
+  , mHandler(std::move(aHandler))
+  , mLimits({ .mMessage = mOptions.mLimits,
+              .mRead = mOptions.mReadTimeout,
+              .mIdle = mOptions.mIdleClose })
+  , mUnsent(mOptions.mUnsentBudget, mOptions.mUnreadTimeout)
+{
+  if (mOptions.mWorkers > 0) {
+    mWorkers = std::make_unique<Poco::ThreadPool>(
+      kMinThreads, mOptions.mWorkers, kThreadIdleSeconds, kStackBytes);
+  }
+}
+
 void
 HttpListener::Loop::Open()
 {
@@ -231,8 +177,11 @@
     }
     socket.setBlocking(false);
     socket.setNoDelay(true);
-    auto connection =
-      std::make_shared<HttpConnection>(socket, mOptions, Limits(), Now());
+    if (mOptions.mUnsentBudget > 0) {
+      socket.setSendBufferSize(kSendBufferBytes);
+    }
+    auto connection = std::make_shared<HttpConnection>(
+      socket, mOptions, mUnsent, Limits(), Now());
     mConnections[socket] = connection;
     mModes[socket] = PollSet::POLL_READ;
     mPoll.add(socket, PollSet::POLL_READ);
@@ -281,6 +230,7 @@
 HttpListener::Loop::Sweep()
 {
   const auto now = Now();
+  mUnsent.Sample(now);
   const auto connections = mConnections; // Rearm may remove some
   for (const auto& [socket, connection] : connections) {
     connection->CheckTimeouts(now, mStopping);
@@ -294,6 +244,13 @@
 {
   for (const auto& call : aCalls) {
     ++mOpenCalls;
+    if (!mUnsent.Admits(call->mHasRead)) {
+      auto reply = MakeRejection(
+        mOptions, ListenerRejection::kUnsentFull, mUnsent.RetryAfter());
+      reply.mClose = true;
+      Complete(aConnection, call, reply);
+      continue;
+    }
     if (!mWorkers) {
       Serve(aConnection, call);
       continue;
@@ -303,14 +260,23 @@
       mWorkers->start(*job);
       job.release(); // NOLINT(bugprone-unused-return-value): it owns itself
     } catch (const Poco::NoThreadAvailableException&) {
-      const auto next = aConnection->Complete(
-        call, MakeRejection(mOptions, ListenerRejection::kNoWorker), mDraining);
-      --mOpenCalls;
-      Dispatch(aConnection, next);
+      Complete(aConnection,
+               call,
+               MakeRejection(mOptions, ListenerRejection::kNoWorker));
     }
   }
 }
 
+void
+HttpListener::Loop::Complete(const HttpConnectionPtr& aConnection,
+                             const PendingCallPtr& aCall,
+                             const HttpReply& aReply)
+{
+  const auto next = aConnection->Complete(aCall, aReply, mDraining);
+  --mOpenCalls;
+  Dispatch(aConnection, next);
+}
+
 HttpReply
 HttpListener::Loop::RunHandler(PendingCall& aCall)
 {
@@ -383,6 +349,12 @@
     { .mMessage = aLimits, .mRead = aReadTimeout, .mIdle = aIdleClose });
 }
 
+std::size_t
+HttpListener::UnsentBytes() const
+{
+  return mLoop->UnsentBytes();
+}
+
 void
 HttpListener::StopGracefully()
 {
--- /dev/null
+++ b/packages/http/src/ListenerLoopPriv.h
@@ -0,0 +1,81 @@
+// The threads of a listener.
+#pragma once
+
+#include "HttpConnectionPriv.h"
+#include "SocketsPriv.h"
+#include "UnsentBudgetPriv.h"
+#include "porttiller/http/HttpListener.h"
+
+#include <Poco/Net/PollSet.h>
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/ThreadPool.h>
+#include <atomic>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+namespace porttiller {
+
+// The I/O thread and the workers. Owned by the listener.
+class HttpListener::Loop
+{
+public:
+  Loop(HttpListenerOptions aOptions, HttpHandler aHandler);
+
+  void Open();
+  void Stop();
+  void Drain() { mDraining = true; }
+  std::size_t UnsentBytes() const { return mUnsent.Held(); }
+  void SetLimits(const ConnectionLimits& aLimits)
+  {
+    const std::lock_guard lock(mLimitsMutex);
+    mLimits = aLimits;
+  }
+
+private:
+  class Job;
+
+  void Run();
+  void Accept();
+  void OnEvents(const Poco::Net::Socket& aSocket, int aModes);
+  void Sweep();
+  void Rearm(const HttpConnectionPtr& aConnection);
+  void Remove(const HttpConnectionPtr& aConnection);
+  void Dispatch(const HttpConnectionPtr& aConnection,
+                const std::vector<PendingCallPtr>& aCalls);
+  void Serve(const HttpConnectionPtr& aConnection, const PendingCallPtr& aCall);
+  void Complete(const HttpConnectionPtr& aConnection,
+                const PendingCallPtr& aCall,
+                const HttpReply& aReply);
+  HttpReply RunHandler(PendingCall& aCall);
+  bool IsDrained() const;
+  ConnectionLimits Limits()
+  {
+    const std::lock_guard lock(mLimitsMutex);
+    return mLimits;
+  }
+
+  const HttpListenerOptions mOptions;
+  const HttpHandler mHandler;
+  std::mutex mLimitsMutex;
+  ConnectionLimits mLimits; // of new connections
+  UnsentBudget mUnsent;
+  // Null if the I/O thread runs the handler.
+  std::unique_ptr<Poco::ThreadPool> mWorkers;
+  Poco::Net::ServerSocket mSocket;
+  Poco::Net::PollSet mPoll;
+  WakeUp mWake;
+  // Used by the I/O thread only.
+  std::map<Poco::Net::Socket, HttpConnectionPtr> mConnections;
+  std::map<Poco::Net::Socket, int> mModes;
+  std::mutex mToRearmMutex;
+  std::vector<HttpConnectionPtr> mToRearm; // queued by workers
+  std::atomic<int> mOpenCalls{ 0 };
+  std::atomic<bool> mDraining{ false };
+  std::atomic<bool> mStopping{ false };
+  std::thread mThread;
+};
+
+} // namespace porttiller
--- a/packages/http/src/ListenerRejection.cpp
+++ b/packages/http/src/ListenerRejection.cpp
@@ -16,6 +16,8 @@
       return "request-too-slow";
     case ListenerRejection::kNoWorker:
       return "no-worker";
+    case ListenerRejection::kUnsentFull:
+      return "unsent-full";
     case ListenerRejection::kHandlerFailed:
       break;
   }
@@ -35,6 +37,7 @@
     case ListenerRejection::kRequestTimeout:
       return 408;
     case ListenerRejection::kNoWorker:
+    case ListenerRejection::kUnsentFull:
       return 503;
     case ListenerRejection::kHandlerFailed:
       break;
@@ -42,14 +45,29 @@
   return 500;
 }
 
+const char*
+ToText(SlowReader aReader)
+{
+  return aReader == SlowReader::kStopped ? "stopped" : "too-slow";
+}
+
 HttpReply
-MakeRejection(const HttpListenerOptions& aOptions, ListenerRejection aRejection)
+MakeRejection(const HttpListenerOptions& aOptions,
+              ListenerRejection aRejection,
+              std::optional<Millis> aRetryAfter)
 {
   if (aOptions.mMakeRejection) {
-    return aOptions.mMakeRejection(aRejection);
+    return aOptions.mMakeRejection(aRejection, aRetryAfter);
+  }
+  HttpReply reply{ .mAnswer = { .mStatus = StatusOf(aRejection),
+                                .mBody =
+                                  std::string(ToText(aRejection)) + "\n" } };
+  if (aRetryAfter) {
+    const auto seconds = std::chrono::ceil<std::chrono::seconds>(*aRetryAfter);
+    reply.mAnswer.mHeaders.push_back(
+      { "Retry-After", std::to_string(seconds.count()) });
   }
-  return { .mAnswer = { .mStatus = StatusOf(aRejection),
-                        .mBody = std::string(ToText(aRejection)) + "\n" } };
+  return reply;
 }
 
 } // namespace porttiller
--- a/packages/http/src/ListenerRejectionPriv.h
+++ b/packages/http/src/ListenerRejectionPriv.h
@@ -8,6 +8,7 @@
 // Made by mMakeRejection of aOptions, or plain text if that is not set.
 HttpReply
 MakeRejection(const HttpListenerOptions& aOptions,
-              ListenerRejection aRejection);
+              ListenerRejection aRejection,
+              std::optional<Millis> aRetryAfter = std::nullopt);
 
 } // namespace porttiller
--- a/packages/http/src/SocketsPriv.cpp
+++ b/packages/http/src/SocketsPriv.cpp
@@ -3,9 +3,11 @@
 #include <Poco/Exception.h>
 #include <algorithm>
 #include <cerrno>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 
 namespace porttiller {
 
@@ -65,6 +67,14 @@
   }
 }
 
+std::size_t
+UnacknowledgedBytes(const Poco::Net::Socket& aSocket)
+{
+  int bytes = 0;
+  const int result = ::ioctl(aSocket.impl()->sockfd(), SIOCOUTQ, &bytes);
+  return result == 0 && bytes > 0 ? static_cast<std::size_t>(bytes) : 0;
+}
+
 void
 SetUserTimeout(Poco::Net::StreamSocket& aSocket, Millis aTime)
 {
--- a/packages/http/src/SocketsPriv.h
+++ b/packages/http/src/SocketsPriv.h
@@ -29,6 +29,10 @@
 std::optional<std::size_t>
 SendAvailable(Poco::Net::StreamSocket& aSocket, std::string_view aBytes);
 
+// Sent bytes that the peer has not acknowledged; 0 if that is unknown.
+std::size_t
+UnacknowledgedBytes(const Poco::Net::Socket& aSocket);
+
 // Sets TCP_USER_TIMEOUT: the connection ends if sent bytes stay unacknowledged
 // for aTime. A box that lost power sends no reset.
 void
--- a/packages/telemetry/include/porttiller/telemetry/Metrics.h
+++ b/packages/telemetry/include/porttiller/telemetry/Metrics.h
@@ -36,6 +36,11 @@
   prometheus::Counter& OverLimit() { return *mOverLimit; }
   // Workspaces that this box, as their collector, limits to an admitted share.
   prometheus::Gauge& LimitedWorkspaces() { return *mLimitedWorkspaces; }
+  // Requests rejected because answers that callers do not read fill the memory
+  // for them.
+  prometheus::Counter& UnsentRejections() { return *mUnsentRejections; }
+  // Callers' connections closed because an answer was read too slowly.
+  prometheus::Counter& SlowReaders() { return *mSlowReaders; }
   prometheus::Counter& DroppedAnswers() { return *mDroppedAnswers; }
   prometheus::Counter& PlatformCalls() { return *mPlatformCalls; }
   prometheus::Counter& FloorRejections() { return *mFloorRejections; }
@@ -78,6 +83,8 @@
   prometheus::Counter* mHedgedAttempts;
   prometheus::Counter* mRevokes;
   prometheus::Counter* mOverLimit;
+  prometheus::Counter* mUnsentRejections;
+  prometheus::Counter* mSlowReaders;
   prometheus::Counter* mDroppedAnswers;
   prometheus::Counter* mPlatformCalls;
   prometheus::Counter* mFloorRejections;
--- a/packages/telemetry/src/Metrics.cpp
+++ b/packages/telemetry/src/Metrics.cpp
@@ -53,6 +53,13 @@
   , mOverLimit(MakeCounter(*mRegistry,
                            "porttiller_over_limit_total",
                            "Requests beyond the limit of their workspace"))
+  , mUnsentRejections(
+      MakeCounter(*mRegistry,
+                  "porttiller_unsent_rejections_total",
+                  "Requests rejected as unread answers fill their memory"))
+  , mSlowReaders(MakeCounter(*mRegistry,
+                             "porttiller_slow_readers_total",
+                             "Callers disconnected for reading too slowly"))
   , mDroppedAnswers(MakeCounter(*mRegistry,
                                 "porttiller_dropped_answers_total",
                                 "Answers that were late, foreign or cut"))
