--- a/cmake/PorttillerTargets.cmake
+++ b/cmake/PorttillerTargets.cmake
@@ -24,8 +24,13 @@
 endfunction()
 
 # porttiller_test(NAME core SOURCES FooTest.cpp DEPENDS porttiller_core)
+# PARTS 3 splits the test cases into the tests core_1, core_2 and core_3, which
+# can run side by side. They share RANGES ranges of PORTS ports each, without gaps
+# from FIRST_PORT on: the environment variable PORTTILLER_TEST_PORTS has the first
+# port of a part's range, and parts with the same range run one after another.
+# TIMEOUT is in seconds, for each part.
 function(porttiller_test)
-  cmake_parse_arguments(ARG "" "NAME" "SOURCES;DEPENDS" ${ARGN})
+  cmake_parse_arguments(ARG "" "NAME;PARTS;RANGES;FIRST_PORT;PORTS;TIMEOUT" "SOURCES;DEPENDS" ${ARGN})
   set(target ${ARG_NAME}_tests)
   add_executable(${target} ${ARG_SOURCES}
                            ${PROJECT_SOURCE_DIR}/testing/TestMain.cpp)
@@ -36,9 +41,38 @@
   target_compile_options(${target} PRIVATE ${PORTTILLER_WARNINGS})
   target_link_libraries(${target} PRIVATE ${ARG_DEPENDS} ${RAPIDCHECK_LIB}
                                           Threads::Threads)
-  add_test(NAME ${ARG_NAME} COMMAND ${target})
+  if(NOT ARG_TIMEOUT)
+    set(ARG_TIMEOUT 300)
+  endif()
   # A fixed seed makes property-based tests repeatable. For other seeds or longer
   # runs start the program with RC_PARAMS="seed=... max_success=...".
-  set_tests_properties(${ARG_NAME} PROPERTIES ENVIRONMENT
-                       "RC_PARAMS=seed=20261202 max_success=300" TIMEOUT 300)
+  set(environment "RC_PARAMS=seed=20261202 max_success=300")
+  if(NOT ARG_PARTS)
+    add_test(NAME ${ARG_NAME} COMMAND ${target})
+    set_tests_properties(${ARG_NAME} PROPERTIES ENVIRONMENT "${environment}"
+                                                TIMEOUT ${ARG_TIMEOUT})
+    return()
+  endif()
+  set(cases 0)
+  foreach(source ${ARG_SOURCES})
+    file(STRINGS ${source} found REGEX "^TEST_CASE")
+    list(LENGTH found count)
+    math(EXPR cases "${cases} + ${count}")
+  endforeach()
+  set_property(DIRECTORY APPEND PROPERTY CMAKE_CONFIGURE_DEPENDS ${ARG_SOURCES})
+  foreach(part RANGE 1 ${ARG_PARTS})
+    math(EXPR first "${cases} * (${part} - 1) / ${ARG_PARTS} + 1")
+    math(EXPR last "${cases} * ${part} / ${ARG_PARTS}")
+    set(range --first=${first})
+    if(part LESS ARG_PARTS) # the last part has no end, so no case is left out
+      list(APPEND range --last=${last})
+    endif()
+    math(EXPR port "${ARG_FIRST_PORT} + ${part} % ${ARG_RANGES} * ${ARG_PORTS}")
+    add_test(NAME ${ARG_NAME}_${part} COMMAND ${target} ${range})
+    set_tests_properties(
+      ${ARG_NAME}_${part}
+      PROPERTIES ENVIRONMENT "${environment};PORTTILLER_TEST_PORTS=${port}"
+                 RESOURCE_LOCK test_ports_${port}
+                 TIMEOUT ${ARG_TIMEOUT})
+  endforeach()
 endfunction()
--- a/testing/fleet/Fleet.cpp
+++ b/testing/fleet/Fleet.cpp
@@ -1,5 +1,6 @@
 #include "fleet/Fleet.h"
 
+#include "fleet/Ports.h"
 #include "porttiller/config/JsonText.h"
 #include "porttiller/hop/HopHeaders.h"
 #include "porttiller/store/ObjectClient.h"
@@ -68,6 +69,7 @@
   : mOptions(std::move(aOptions))
   , mDirectory(Poco::TemporaryFile::tempName())
 {
+  mOptions.mPortBase = TestPort(mOptions.mPortBase);
   std::filesystem::create_directories(mDirectory);
   StartStandIns();
   if (mOptions.mLinks) {
--- a/testing/fleet/MeshFleet.cpp
+++ b/testing/fleet/MeshFleet.cpp
@@ -1,5 +1,6 @@
 #include "fleet/MeshFleet.h"
 
+#include "fleet/Ports.h"
 #include "porttiller/config/JsonText.h"
 
 #include <Poco/JSON/Array.h>
@@ -31,6 +32,13 @@
   return SendTo(pool, aRequest, aTimeout);
 }
 
+MeshFleetOptions
+WithTestPort(MeshFleetOptions aOptions)
+{
+  aOptions.mPortBase = TestPort(aOptions.mPortBase);
+  return aOptions;
+}
+
 std::string
 RouteText(const std::string& aPrefix, const std::string& aKind)
 {
@@ -43,7 +51,7 @@
 } // namespace
 
 MeshFleet::MeshFleet(MeshFleetOptions aOptions)
-  : mOptions(std::move(aOptions))
+  : mOptions(WithTestPort(std::move(aOptions)))
   , mDirectory(Poco::TemporaryFile::tempName())
 {
   std::filesystem::create_directories(mDirectory);
--- a/testing/fleet/tests/CommandLineTest.cpp
+++ b/testing/fleet/tests/CommandLineTest.cpp
@@ -1,4 +1,5 @@
 // The command lines of porttiller and porttillerctl: exit codes and output.
+#include "fleet/Ports.h"
 #include "standin/ChildProcess.h"
 #include "standin/PlatformStandIn.h"
 
@@ -100,13 +101,15 @@
 TEST_CASE("porttiller reports an address that is in use and exits with 1")
 {
   const standin::HttpStandIn taken("127.0.0.1:0", {});
+  const auto own = [](int aPort) {
+    return "\"127.0.0.1:" + std::to_string(fleet::TestPort(aPort)) + "\"";
+  };
   const auto file = WriteFile(
     R"({"box": "a", "zone": "z", "platform_address": "127.0.0.1:1",
-        "admin_address": "127.0.0.1:22403",
-        "peers": {"home_address": "127.0.0.1:22401",
-                  "control_address": "127.0.0.1:22402"},
-        "callers": {"address": ")" +
-    taken.Address() + "\"}}");
+        "admin_address": )" +
+    own(22'403) + R"(, "peers": {"home_address": )" + own(22'401) +
+    R"(, "control_address": )" + own(22'402) +
+    R"(}, "callers": {"address": ")" + taken.Address() + "\"}}");
   const auto result = RunProgram(PORTTILLER_DAEMON, { "--config", file });
   CHECK(result.mExitCode == 1);
   CHECK(result.mText.find("cannot listen: " + taken.Address()) !=
--- a/testing/fleet/tests/DirectoryStartTest.cpp
+++ b/testing/fleet/tests/DirectoryStartTest.cpp
@@ -1,5 +1,6 @@
 // How a restarted box learns of its own server and of other boxes.
 #include "fleet/Fleet.h"
+#include "fleet/Ports.h"
 #include "porttiller/control/ControlCodec.h"
 #include "porttiller/control/DirectoryController.h"
 #include "standin/ObjectStoreStandIn.h"
@@ -15,8 +16,24 @@
 namespace {
 
 constexpr Millis kWait{ 15'000 };
-constexpr const char* kStore = "127.0.0.1:22970";
-constexpr const char* kControl = "127.0.0.1:22971";
+
+std::string
+Loopback(int aPort)
+{
+  return "127.0.0.1:" + std::to_string(TestPort(aPort));
+}
+
+std::string
+StoreAddress()
+{
+  return Loopback(22'970);
+}
+
+std::string
+ControlAddress()
+{
+  return Loopback(22'971);
+}
 
 BoxRecord
 MakeRecord(const std::string& aBox, const std::string& aAddress)
@@ -68,18 +85,18 @@
   // nothing to what peers have sent, the box must still publish what it has
   // read about its own server, or its home rejects every request for that
   // server.
-  standin::ObjectStoreStandIn store(kStore);
-  const auto other = MakeRecord("other", "127.0.0.1:22972");
+  standin::ObjectStoreStandIn store(StoreAddress());
+  const auto other = MakeRecord("other", Loopback(22'972));
   store.Put({ "box-records", "own" },
-            ToJsonText(MakeRecord("own", "127.0.0.1:22973")));
+            ToJsonText(MakeRecord("own", Loopback(22'973))));
   store.Put({ "box-records", "other" }, ToJsonText(other));
   Settings settings;
   settings.mBox = BoxName("own");
   settings.mDialect = Dialect::kMesh;
-  settings.mPlatformAddress = kStore;
-  auto transport =
-    PeerTransport::Make({ .mBindAddress = kControl, .mBox = settings.mBox },
-                        [](const wire::Envelope&, const PeerReplier&) {});
+  settings.mPlatformAddress = StoreAddress();
+  auto transport = PeerTransport::Make(
+    { .mBindAddress = ControlAddress(), .mBox = settings.mBox },
+    [](const wire::Envelope&, const PeerReplier&) {});
   REQUIRE(transport);
   PublishedRecords published;
   DirectoryController controller(
@@ -109,15 +126,15 @@
   // Guards against a burst of store calls at start: when each of 353 boxes
   // reads the whole list, 1,229 of the 1,971 calls of a day without faults fall
   // into its first second.
-  standin::ObjectStoreStandIn store(kStore);
+  standin::ObjectStoreStandIn store(StoreAddress());
   Settings settings;
   settings.mBox = BoxName("own");
   settings.mDialect = Dialect::kMesh;
-  settings.mPlatformAddress = kStore;
+  settings.mPlatformAddress = StoreAddress();
   settings.mRegistration.mFirstStart = true;
-  auto transport =
-    PeerTransport::Make({ .mBindAddress = kControl, .mBox = settings.mBox },
-                        [](const wire::Envelope&, const PeerReplier&) {});
+  auto transport = PeerTransport::Make(
+    { .mBindAddress = ControlAddress(), .mBox = settings.mBox },
+    [](const wire::Envelope&, const PeerReplier&) {});
   REQUIRE(transport);
   std::atomic<int> forwards{ 0 };
   DirectoryController controller(
