--- a/packages/home/src/LocalServer.cpp
+++ b/packages/home/src/LocalServer.cpp
@@ -10,9 +10,7 @@
 
 namespace {
 
-constexpr Millis kNoRetriesRetryAfter{ 500 };
 constexpr Millis kLeavingCheckInterval{ 200 };
-constexpr double kPercent = 100.0;
 
 EjectionOptions
 OptionsFor(DetectionSetting aSetting)
@@ -35,34 +33,6 @@
            .mMinServiceShare = 0.6 };
 }
 
-// Only long requests leave a part of the budget to others.
-RetryUse
-RetryUseOf(const HomeRequest& aRequest)
-{
-  if (!aRequest.mLongTarget) {
-    return RetryUse::kAny;
-  }
-  if (aRequest.mIsHedge) {
-    return RetryUse::kHedge;
-  }
-  return aRequest.mPriority == Priority::kSheddable ? RetryUse::kSheddable
-                                                    : RetryUse::kAny;
-}
-
-std::string
-ToText(RetryUse aUse)
-{
-  switch (aUse) {
-    case RetryUse::kSheddable:
-      return "sheddable";
-    case RetryUse::kHedge:
-      return "hedge";
-    case RetryUse::kAny:
-      break;
-  }
-  return "any";
-}
-
 } // namespace
 
 LocalServer::LocalServer(const BackendServerSpec& aSpec,
@@ -78,6 +48,7 @@
   , mCall(aSpec, mOptions.mHeaders, aShutdownDeadline)
   , mQueue(QueueOptionsFor(aSpec, mOptions.mFailingServers))
   , mMachine(OptionsFor(mOptions.mDetection), Now())
+  , mGate(mOptions.mGate)
   , mBreaker(aSpec.Incarnation(), mRouteTimes)
   , mCrashes(aSpec.Incarnation(), mCall, aCrashMonitor)
   , mLeaving(aSpec.mLeaving)
@@ -87,7 +58,7 @@
 double
 LocalServer::LoadLocked() const
 {
-  return static_cast<double>(mQueue.Running() + mQueue.Waiting()) /
+  return static_cast<double>(mQueue.Running() + mQueue.Waiting() + Held()) /
          mQueue.SlotLimit();
 }
 
@@ -116,7 +87,7 @@
 LocalServer::InFlight() const
 {
   const std::lock_guard lock(mMutex);
-  return mQueue.Running() + mQueue.Waiting();
+  return mQueue.Running() + mQueue.Waiting() + Held();
 }
 
 void
@@ -129,42 +100,6 @@
   }
 }
 
-// Otherwise, waiting requests would reach a leaving server seconds after its
-// box announced that no more will be sent, and a hanging server would free
-// slots for them only by timeouts. Another server may still accept them.
-void
-LocalServer::RejectWaiters(RejectReason aRejectReason, Millis aRetryAfter)
-{
-  for (const auto& [ticket, waiter] : mWaiters) {
-    const bool stays =
-      aRejectReason == RejectReason::kDemoted && waiter.mLastResort;
-    if (!stays && waiter.mState == WaitState::kWaiting &&
-        CancelWaiter(ticket, waiter)) {
-      RejectWaiter(ticket, aRejectReason, aRetryAfter);
-    }
-  }
-}
-
-// Removes a waiter from the queue. False if it was started before.
-bool
-LocalServer::CancelWaiter(Ticket aTicket, const Waiter& aWaiter)
-{
-  return aWaiter.mPaced ? aWaiter.mState == WaitState::kWaiting
-                        : mQueue.Cancel(aTicket);
-}
-
-// The waiter must have been removed from the queue before.
-void
-LocalServer::RejectWaiter(Ticket aTicket,
-                          RejectReason aRejectReason,
-                          Millis aRetryAfter)
-{
-  auto& waiter = mWaiters[aTicket];
-  waiter.mRejectReason = aRejectReason;
-  waiter.mRetryAfter = aRetryAfter;
-  SetWaitState(aTicket, WaitState::kRejected);
-}
-
 std::string
 LocalServer::Dump() const
 {
@@ -222,12 +157,14 @@
   switch (aAnswer.mRejectReason) {
     case RejectReason::kNoServer:
       mReplaced = true;
+      RecheckHeld();
       LogLine(LogLevel::kWarning, "server_replaced")
         .With("server", mSpec.Incarnation().ToString())
         .With("address", mSpec.mAddress);
       break;
     case RejectReason::kLeaving:
       mServerLeavingUntil = Now() + aAnswer.mRetryAfter;
+      RecheckHeld();
       break;
     case RejectReason::kServerBusy:
       aAnswer.mRetryAfter = mQueue.ExpectedWait();
@@ -249,7 +186,12 @@
     mRouteTimes.Observe(aRequest.mRoute, aTime);
   }
   if (mOptions.mFailingServers == FailingServers::kBreak) {
-    mBreaker.OnEnded(aRequest, aAnswer, aTime, Now());
+    const auto now = Now();
+    mBreaker.OnEnded(aRequest, aAnswer, aTime, now);
+    if (UsesGate(aRequest)) {
+      OnGatedEnded(aRequest, aAnswer, now);
+    }
+    RecheckHeld(); // the breaker may have opened
     return;
   }
   const bool slow = mMachine.HealthDetector().IsSlow(aTime);
@@ -380,126 +322,6 @@
   }
 }
 
-std::optional<HomeAnswer>
-LocalServer::TakeSlot(const HomeRequest& aRequest)
-{
-  std::unique_lock lock(mMutex);
-  mSenders.OnRequest(aRequest.mAttempt.Box(), Now());
-  OnLimitReport(aRequest);
-  if (IsLeavingLocked()) {
-    return RejectLocked(RejectReason::kLeaving, kLeavingRetryAfter);
-  }
-  if (mReplaced) {
-    return RejectLocked(RejectReason::kNoServer, kLeavingRetryAfter);
-  }
-  auto rejected = RejectIfQuarantined(aRequest);
-  if (!rejected) {
-    rejected = mOptions.mFailingServers == FailingServers::kBreak
-                 ? RejectIfBroken(aRequest)
-                 : RejectIfEjected(aRequest);
-  }
-  if (!rejected) {
-    rejected = RejectIfRetriesSpent(aRequest);
-  }
-  if (rejected) {
-    return rejected;
-  }
-  if (mThrottle->Limit()) {
-    return TakePacedSlot(lock, aRequest);
-  }
-  const auto ticket = mNextTicket++;
-  const auto offer =
-    mQueue.Offer(ticket, aRequest.mPriority, aRequest.mDeadline, Now());
-  if (offer.mDisplaced) {
-    RejectWaiter(
-      *offer.mDisplaced, RejectReason::kOverloaded, offer.mRetryAfter);
-  }
-  if (offer.mVerdict == OfferVerdict::kShed) {
-    return RejectLocked(RejectReason::kOverloaded, offer.mRetryAfter);
-  }
-  if (offer.mVerdict == OfferVerdict::kStart) {
-    OnStarted(aRequest);
-    return std::nullopt;
-  }
-  auto& waiter = mWaiters[ticket];
-  waiter.mAttempt = aRequest.mAttempt;
-  waiter.mLastResort = aRequest.mLastResort;
-  auto notStarted = WaitForSlot(lock, ticket, aRequest);
-  if (notStarted) {
-    return notStarted;
-  }
-  rejected = RejectBeforeStart(aRequest);
-  if (rejected) {
-    lock.unlock();
-    FreeSlot(std::nullopt);
-    return rejected;
-  }
-  OnStarted(aRequest);
-  return std::nullopt;
-}
-
-// What changed while the request waited for its slot.
-std::optional<HomeAnswer>
-LocalServer::RejectBeforeStart(const HomeRequest& aRequest)
-{
-  if (mThrottle->IsLeaving()) {
-    return RejectLocked(RejectReason::kLeaving, kLeavingRetryAfter);
-  }
-  if (auto rejected = RejectIfQuarantined(aRequest)) {
-    return rejected;
-  }
-  if (!mThrottle->Reserve(Micros(0), Now())) {
-    return RejectLimited();
-  }
-  return std::nullopt;
-}
-
-std::optional<HomeAnswer>
-LocalServer::RejectIfQuarantined(const HomeRequest& aRequest) const
-{
-  const auto state = mCrashMonitor.StateOf(aRequest.mDigest);
-  const bool retryOfTrial =
-    state.mVerdict == CrashVerdict::kTrial && aRequest.mIsRetry;
-  if (state.mVerdict != CrashVerdict::kQuarantined && !retryOfTrial) {
-    return std::nullopt;
-  }
-  return RejectLocked(RejectReason::kQuarantined, state.mRetryAfter);
-}
-
-void
-LocalServer::OnStarted(const HomeRequest& aRequest)
-{
-  if (aRequest.mLongTarget) {
-    mRouteTimes.AddLongRoute(aRequest.mRoute, *aRequest.mLongTarget);
-  }
-  mBreaker.OnStarted(aRequest, Now());
-  mCrashes.OnStarted(aRequest);
-  if (aRequest.mIsRetry) {
-    mRetries.Spend();
-  } else {
-    mRetries.OnFirstAttempt(Now());
-  }
-}
-
-std::optional<HomeAnswer>
-LocalServer::RejectIfRetriesSpent(const HomeRequest& aRequest) const
-{
-  const auto use = RetryUseOf(aRequest);
-  if (!aRequest.mIsRetry || mRetries.Admits(use)) {
-    return std::nullopt;
-  }
-  if (aRequest.mLongTarget) {
-    LogLine(LogLevel::kInfo, "retry_withheld")
-      .With("request", aRequest.mRequestId)
-      .With("attempt", aRequest.mAttempt.ToString())
-      .With("server", mSpec.Incarnation().ToString())
-      .With("use", ToText(use))
-      .With("left_percent",
-            std::lround(kPercent * std::max(0.0, mRetries.FillLevel())));
-  }
-  return RejectLocked(RejectReason::kNoRetries, kNoRetriesRetryAfter);
-}
-
 void
 LocalServer::SetRetryBudget(const RetryBudgetOptions& aOptions)
 {
@@ -507,150 +329,4 @@
   mRetries.SetOptions(aOptions);
 }
 
-std::optional<HomeAnswer>
-LocalServer::RejectIfBroken(const HomeRequest& aRequest)
-{
-  const auto now = Now();
-  if (MayBeInterrupted(aRequest)) {
-    return RejectLocked(RejectReason::kDemoted, kLeavingRetryAfter);
-  }
-  // A trial is likely to fail and to need a retry at another server.
-  const bool retryAvailable = mRetries.Affords(1);
-  if (mBreaker.Admit(aRequest, retryAvailable, now)) {
-    return std::nullopt;
-  }
-  return RejectLocked(RejectReason::kDemoted, mBreaker.RetryAfter(now));
-}
-
-// A planned stop aborts requests that still run at its deadline. A request that
-// is not repeatable is rejected so that it runs elsewhere, unless no other
-// server accepts it.
-bool
-LocalServer::MayBeInterrupted(const HomeRequest& aRequest) const
-{
-  return !aRequest.mRepeatable && !aRequest.mLastResort &&
-         mShutdownDeadline.Limit(aRequest.mDeadline) < aRequest.mDeadline;
-}
-
-std::optional<HomeAnswer>
-LocalServer::RejectIfEjected(const HomeRequest& aRequest)
-{
-  const auto now = Now();
-  switch (mMachine.Gate(aRequest.mRepeatable, aRequest.mLastResort, now)) {
-    case AdmissionVerdict::kAdmit:
-      return std::nullopt;
-    case AdmissionVerdict::kDemoted:
-      return RejectLocked(RejectReason::kDemoted, mMachine.RetryAfter(now));
-    case AdmissionVerdict::kEjected:
-      break;
-  }
-  return RejectLocked(RejectReason::kEjected, mMachine.RetryAfter(now));
-}
-
-std::optional<HomeAnswer>
-LocalServer::WaitForSlot(std::unique_lock<std::mutex>& aLock,
-                         Ticket aTicket,
-                         const HomeRequest& aRequest)
-{
-  AwaitChange(
-    aLock, mWaiters[aTicket], aRequest, mQueue.LatestStart(aRequest.mDeadline));
-  return EndWait(aTicket);
-}
-
-// Waits until aUntil, or until the waiter's state changes or its request is
-// cancelled.
-void
-LocalServer::AwaitChange(std::unique_lock<std::mutex>& aLock,
-                         Waiter& aWaiter,
-                         const HomeRequest& aRequest,
-                         TimePoint aUntil)
-{
-  {
-    // The listener locks mMutex, so it is added and removed without the lock.
-    aLock.unlock();
-    const auto listener = OnCancel(CancellationOf(aRequest), [this, &aWaiter] {
-      const std::lock_guard lock(mMutex);
-      aWaiter.mChanged.notify_all();
-    });
-    aLock.lock();
-    const auto over = [&] { return aWaiter.mState != WaitState::kWaiting; };
-    mShutdownDeadline.WaitInIntervals(
-      aUntil,
-      [&] { return IsCancelled(aRequest); },
-      [&](TimePoint aIntervalEnd) {
-        aWaiter.mChanged.wait_until(
-          aLock, aIntervalEnd, [&] { return over() || IsCancelled(aRequest); });
-        return over();
-      });
-    aLock.unlock();
-  }
-  aLock.lock();
-}
-
-LocalServer::EndedWait
-LocalServer::RemoveWaiter(Ticket aTicket)
-{
-  const auto it = mWaiters.find(aTicket);
-  const EndedWait ended{ .mState = it->second.mState,
-                         .mRejectReason = it->second.mRejectReason,
-                         .mRetryAfter = it->second.mRetryAfter };
-  mWaiters.erase(it);
-  return ended;
-}
-
-// Removes the waiter and returns its rejection; null once a slot is held.
-std::optional<HomeAnswer>
-LocalServer::EndWait(Ticket aTicket)
-{
-  const auto ended = RemoveWaiter(aTicket);
-  switch (ended.mState) {
-    case WaitState::kStarted:
-      return std::nullopt;
-    case WaitState::kRejected:
-      return RejectLocked(ended.mRejectReason, ended.mRetryAfter);
-    case WaitState::kWaiting:
-      mQueue.Cancel(aTicket);
-      break;
-    case WaitState::kExpired:
-      break;
-  }
-  return RejectLocked(RejectReason::kExpired, mQueue.ExpectedWait());
-}
-
-void
-LocalServer::SetWaitState(Ticket aTicket, WaitState aState)
-{
-  const auto it = mWaiters.find(aTicket);
-  if (it != mWaiters.end()) {
-    it->second.mState = aState;
-    it->second.mChanged.notify_all();
-  }
-}
-
-void
-LocalServer::FreeSlot(std::optional<Micros> aServiceTime)
-{
-  const std::lock_guard lock(mMutex);
-  const auto freed = mQueue.Release(aServiceTime, Now());
-  for (const auto ticket : freed.mStart) {
-    SetWaitState(ticket, WaitState::kStarted);
-  }
-  for (const auto ticket : freed.mExpired) {
-    SetWaitState(ticket, WaitState::kExpired);
-  }
-}
-
-bool
-LocalServer::CancelWaiting(const AttemptId& aAttempt)
-{
-  const std::lock_guard lock(mMutex);
-  for (const auto& [ticket, waiter] : mWaiters) {
-    if (waiter.mAttempt == aAttempt && CancelWaiter(ticket, waiter)) {
-      SetWaitState(ticket, WaitState::kExpired);
-      return true;
-    }
-  }
-  return false;
-}
-
 } // namespace porttiller
