control, store: list the configuration after a failed watch

A store that fails may answer watches without the changes that it has. Such an answer moved the place where the next watch starts past them; the history that was dropped afterwards did not show it, and the watch, sent again over a new connection, waited for changes that it had passed. Only peers could bring the change. After a watch that failed, the box now reads the complete configuration: at once if the connection ended, otherwise with its next read.

A stand-in that answers with stale lists is not covered.

--- a/packages/control/include/porttiller/control/ConfigController.h
+++ b/packages/control/include/porttiller/control/ConfigController.h
@@ -100,6 +100,7 @@
   void Run();
   void WaitForPeers();
   bool HasRecentPeerRevision() const;
+  ObjectClientOptions ClientOptions();
   void ReadPlatform();
   void ApplyStoreDelta(const ObjectDelta& aDelta);
   void NotifyListeners(const SnapshotPtr& aSnapshot);
@@ -133,6 +134,8 @@
   std::vector<BoxRecord> mDirectory; // under mMutex
   SnapshotPtr mCurrent;              // under mMutex
   StoreCursor mCursor;               // of mThread
+  bool mConnectionLost = false;      // during a watch; of mThread
+  bool mListNext = false;            // the last read failed; of mThread
   WatchSchedule mWatchSchedule;      // of mThread
   // The revision of mCursor, for other threads.
   std::atomic<std::uint64_t> mReadRevision{ 0 };
--- a/packages/control/src/ConfigController.cpp
+++ b/packages/control/src/ConfigController.cpp
@@ -7,6 +7,7 @@
 #include "porttiller/telemetry/Log.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace porttiller {
 
@@ -63,7 +64,7 @@
   , mOnUnreadable(std::move(aOnUnreadable))
   , mWatchSchedule(
       { .mStep = aSettings.mTiming.mApplyLimit / kWatchStepDivisor })
-  , mClient(StoreClientOptions(aSettings, "configuration", kCallTimeout))
+  , mClient(ClientOptions())
 {
 }
 
@@ -311,22 +312,42 @@
          Now() < mLastPeerRevisionAt.load() + kPeerRevisionMaxAge;
 }
 
+ObjectClientOptions
+ConfigController::ClientOptions()
+{
+  auto options = StoreClientOptions(mSettings, "configuration", kCallTimeout);
+  options.mRepeatWatches = false;
+  options.mOnReusedReadFailed = [this,
+                                 log = std::move(options.mOnReusedReadFailed)](
+                                  Millis aWaited, const std::string& aDetail) {
+    mConnectionLost = true;
+    log(aWaited, aDetail);
+  };
+  return options;
+}
+
+// After a failed watch the whole configuration is read. A store that fails may
+// before have answered watches without changes that it had; the cursor is then
+// past these changes, and a watch from there would never report them.
 void
 ConfigController::ReadPlatform()
 {
   const auto own = Own().mRevision;
-  const auto from = mCursor.From(own);
+  const auto from = mListNext ? std::nullopt : mCursor.From(own);
   const auto place = Place();
   const auto wait = place ? mWatchSchedule.NextWait(*place) : Millis(0);
   mMetrics.PlatformCalls().Increment();
   auto delta = from ? mClient.WatchConfiguration(*from, wait)
                     : mClient.ListConfiguration();
-  const bool lost = !delta && delta.error().mKind == StoreErrorKind::kConflict;
-  if (lost) {
-    delta =
-      mClient
-        .ListConfiguration(); // the platform no longer has such old changes
-  }
+  // The platform no longer has such old changes, or the connection ended.
+  const bool connectionLost = std::exchange(mConnectionLost, false);
+  const bool lost =
+    !delta && from &&
+    (connectionLost || delta.error().mKind == StoreErrorKind::kConflict);
+  if (lost && !mStop) {
+    delta = mClient.ListConfiguration();
+  }
+  mListNext = !delta;
   if (mStop) {
     return; // the call was aborted; the platform may be reachable
   }
--- a/packages/store/include/porttiller/store/ObjectClient.h
+++ b/packages/store/include/porttiller/store/ObjectClient.h
@@ -29,7 +29,11 @@
   // over a new one. A watch gets the time of its long poll in addition.
   Millis mReusedReadTimeout{ 500 };
   StoreDialect mDialect;
-  // A read over a reused connection failed after aWaited and is sent again.
+  // Whether a watch that fails over a reused connection is sent again over a
+  // new one, as other reads are; otherwise its error is returned.
+  bool mRepeatWatches = true;
+  // A read over a reused connection failed after aWaited and is sent again,
+  // unless it is a watch and mRepeatWatches is false.
   // Called on the reading thread.
   std::function<void(Millis aWaited, const std::string& aDetail)>
     mOnReusedReadFailed;
@@ -74,7 +78,8 @@
 private:
   // Returns the body of the answer. Waits for aExtraWait beyond the time-out.
   Result<std::string> Send(const StoreCall& aCall,
-                           Millis aExtraWait = Millis(0));
+                           Millis aExtraWait = Millis(0),
+                           bool aRepeat = true);
   // Sends once, without a retry over a new connection.
   Result<std::string> SendOnce(const StoreCall& aCall, Millis aAnswerTime);
   bool IsConnected();
--- a/packages/store/src/ObjectClient.cpp
+++ b/packages/store/src/ObjectClient.cpp
@@ -140,7 +140,7 @@
 }
 
 ObjectClient::Result<std::string>
-ObjectClient::Send(const StoreCall& aCall, Millis aExtraWait)
+ObjectClient::Send(const StoreCall& aCall, Millis aExtraWait, bool aRepeat)
 {
   const bool isRead = aCall.mMethod == HTTPRequest::HTTP_GET;
   if (isRead && IsConnected()) {
@@ -156,6 +156,9 @@
         std::chrono::duration_cast<Millis>(Now() - begin),
         answer.error().mDetail);
     }
+    if (!aRepeat) {
+      return answer;
+    }
   }
   return SendOnce(aCall, aExtraWait + mOptions.mTimeout);
 }
@@ -256,7 +259,9 @@
 {
   return std::visit(
     [&](const auto& aDialect) -> Result<ObjectDelta> {
-      return Send(aDialect.Watch(aKind, aFrom, aWait), aWait)
+      return Send(aDialect.Watch(aKind, aFrom, aWait),
+                  aWait,
+                  mOptions.mRepeatWatches)
         .and_then([&](const std::string& aBody) {
           return ToResult(aDialect.ReadChanges(aKind, aFrom, aBody));
         });
@@ -282,7 +287,9 @@
 {
   return std::visit(
     [&](const auto& aDialect) -> Result<ObjectDelta> {
-      return Send(aDialect.WatchConfiguration(aFrom, aWait), aWait)
+      return Send(aDialect.WatchConfiguration(aFrom, aWait),
+                  aWait,
+                  mOptions.mRepeatWatches)
         .and_then([&](const std::string& aBody) {
           return ToResult(aDialect.ReadConfigurationChanges(aFrom, aBody));
         });
--- a/testing/standin/ObjectStoreStandIn.cpp
+++ b/testing/standin/ObjectStoreStandIn.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr std::size_t kPageItems = 3; // small, so that tests see several pages
+constexpr int kNoAnswer = 0;          // status of a reply that is not sent
 
 std::string
 Parameter(const Poco::URI& aUri, const std::string& aName)
@@ -70,6 +71,14 @@
   mChanged.notify_all();
 }
 
+void
+ObjectStoreStandIn::CutWatches()
+{
+  const std::lock_guard lock(mMutex);
+  ++mCuts;
+  mChanged.notify_all();
+}
+
 void
 ObjectStoreStandIn::CompactHistory()
 {
@@ -134,6 +143,10 @@
     return;
   }
   const auto reply = Answer(aRequest.getMethod(), aRequest.getURI(), body);
+  if (reply.mStatus == kNoAnswer) {
+    CloseConnection(aRequest);
+    return;
+  }
   const bool wrote = aRequest.getMethod() != "GET" && reply.mStatus == 200;
   if (wrote && mLoseAnswers > 0) {
     --mLoseAnswers;
@@ -226,7 +239,11 @@
     return { .mStatus = 410, .mBody = "{}" };
   }
   std::vector<std::string> events;
+  const auto cuts = mCuts;
   mChanged.wait_for(lock, aWait, [&] {
+    if (mMute || mCuts != cuts) {
+      return mDown || mCuts != cuts;
+    }
     for (const auto& [key, object] : mObjects) {
       if (key.mKind == aKind && object.mVersion > aFrom) {
         events.push_back(R"({"Deleted":false,"Object":)" + ObjectJson(object) +
@@ -235,6 +252,9 @@
     }
     return mDown || !events.empty();
   });
+  if (mCuts != cuts) {
+    return { .mStatus = kNoAnswer };
+  }
   return { .mBody = R"({"events":[)" + Join(events) + R"(],"StoreRevision":)" +
                     std::to_string(mRevision) + "}" };
 }
--- a/testing/standin/ObjectStoreStandIn.h
+++ b/testing/standin/ObjectStoreStandIn.h
@@ -33,6 +33,11 @@
   void LoseWriteAnswers(int aCount) { mLoseAnswers = aCount; }
   // Called after each page of a list has been read and before it is sent.
   void OnPage(std::function<void()> aHook) { mOnPage = std::move(aHook); }
+  // While muted, watches report no changes: they end after their time with the
+  // store's revision, as if nothing had changed.
+  void MuteWatches(bool aMute) { mMute = aMute; }
+  // Closes the connections of pending watches without an answer.
+  void CutWatches();
   // Watches from an earlier revision than the current one get 410 from now on.
   void CompactHistory();
 
@@ -68,10 +73,12 @@
   std::string ObjectJson(const Object& aObject) const;
 
   std::atomic<bool> mDown{ false };
+  std::atomic<bool> mMute{ false };
   std::atomic<int> mLoseAnswers{ 0 };
   std::atomic<std::uint64_t> mCalls{ 0 };
   mutable std::mutex mMutex;
   std::condition_variable mChanged;
+  std::uint64_t mCuts = 0; // calls of CutWatches
   std::uint64_t mRevision = 0;
   // Changes up to this revision can no longer be watched.
   std::uint64_t mCompactedRevision = 0;
