--- a/packages/control/include/porttiller/control/ConfigController.h
+++ b/packages/control/include/porttiller/control/ConfigController.h
@@ -134,6 +134,8 @@
   std::vector<BoxRecord> mDirectory; // under mMutex
   SnapshotPtr mCurrent;              // under mMutex
   StoreCursor mCursor;               // of mThread
+  bool mConnectionLost = false;      // during a watch; of mThread
+  bool mListNext = false;            // the last read failed; of mThread
   WatchSchedule mWatchSchedule;      // of mThread
   // The revision of mCursor, for other threads.
   std::atomic<std::uint64_t> mReadRevision{ 0 };
@@ -143,10 +145,6 @@
   CatchUp mCatchUp; // under mMutex
   std::atomic<bool> mStop{ false };
   std::condition_variable mWake;
-  // The next read is of the whole configuration, as the last one failed or lost
-  // its connection. A store whose watches deliver nothing for a while would
-  // otherwise leave a change unknown until the next watch ends. Of mThread.
-  bool mReadWhole = false;
   ObjectClient mClient; // of mThread
   Worker mWorker;       // applies peers' deltas
   std::thread mThread;
--- a/packages/store/src/ObjectClient.cpp
+++ b/packages/store/src/ObjectClient.cpp
@@ -142,13 +142,13 @@
 ObjectClient::Result<std::string>
 ObjectClient::Send(const StoreCall& aCall)
 {
-  return Send(aCall, Millis(0), aCall);
+  return Send(aCall, Millis(0), &aCall);
 }
 
 ObjectClient::Result<std::string>
 ObjectClient::Send(const StoreCall& aCall,
                    Millis aExtraWait,
-                   const StoreCall& aRepeat)
+                   const StoreCall* aRepeat)
 {
   const bool isRead = aCall.mMethod == HTTPRequest::HTTP_GET;
   if (isRead && IsConnected()) {
@@ -164,7 +164,10 @@
         std::chrono::duration_cast<Millis>(Now() - begin),
         answer.error().mDetail);
     }
-    return SendOnce(aRepeat, mOptions.mTimeout);
+    if (aRepeat == nullptr) {
+      return answer;
+    }
+    return SendOnce(*aRepeat, mOptions.mTimeout);
   }
   return SendOnce(aCall, aExtraWait + mOptions.mTimeout);
 }
@@ -265,9 +268,10 @@
 {
   return std::visit(
     [&](const auto& aDialect) -> Result<ObjectDelta> {
+      const auto repeat = aDialect.Watch(aKind, aFrom, Millis(0));
       return Send(aDialect.Watch(aKind, aFrom, aWait),
                   aWait,
-                  aDialect.Watch(aKind, aFrom, Millis(0)))
+                  mOptions.mRepeatWatches ? &repeat : nullptr)
         .and_then([&](const std::string& aBody) {
           return ToResult(aDialect.ReadChanges(aKind, aFrom, aBody));
         });
@@ -293,9 +297,10 @@
 {
   return std::visit(
     [&](const auto& aDialect) -> Result<ObjectDelta> {
+      const auto repeat = aDialect.WatchConfiguration(aFrom, Millis(0));
       return Send(aDialect.WatchConfiguration(aFrom, aWait),
                   aWait,
-                  aDialect.WatchConfiguration(aFrom, Millis(0)))
+                  mOptions.mRepeatWatches ? &repeat : nullptr)
         .and_then([&](const std::string& aBody) {
           return ToResult(aDialect.ReadConfigurationChanges(aFrom, aBody));
         });
