Revert "CanaryGate: hold unrepeatable long requests without a signal"

A repeatable request comes within the wait only every second time, so a canary that is itself unrepeatable is lost as often as before.

--- a/packages/home/include/porttiller/home/LocalServer.h
+++ b/packages/home/include/porttiller/home/LocalServer.h
@@ -15,7 +15,6 @@
 #include "porttiller/hop/CrashMonitor.h"
 #include "porttiller/hop/HomeTypes.h"
 #include "porttiller/hop/ShutdownDeadline.h"
-#include "porttiller/policy/CanaryGate.h"
 #include "porttiller/policy/EjectionMachine.h"
 #include "porttiller/policy/RetryBudget.h"
 #include "porttiller/policy/RouteTimes.h"
@@ -29,15 +28,11 @@
 
 namespace porttiller {
 
-class Metrics;
-
 struct LocalServerOptions
 {
   DetectionSetting mDetection = DetectionSetting::kCareful;
   FailingServers mFailingServers = FailingServers::kEject;
   EdgeHeaders mHeaders;
-  CanaryGateOptions mGate;
-  Metrics* mMetrics = nullptr; // null: nothing is counted
 
   friend bool operator==(const LocalServerOptions&,
                          const LocalServerOptions&) = default;
@@ -62,13 +57,12 @@
   // second.
   void RecheckLeaving();
 
-  // Waits for a slot, and where needed for a signal that the server accepts
-  // requests (see CanaryGate), forwards the request and returns the complete
-  // answer. The attempt must have been admitted by the registry.
+  // Waits for a slot, forwards the request and returns the complete answer. The
+  // attempt must have been admitted by the registry.
   HomeAnswer Run(const HomeRequest& aRequest);
 
-  // Ends the wait of an attempt for a slot, a start time or a signal. Returns
-  // true when it was waiting, so that it will not run.
+  // Removes an attempt that waits for a slot from the queue. Returns true when
+  // it was waiting, so that it will not run.
   bool CancelWaiting(const AttemptId& aAttempt);
 
   // Limits the retries that this server accepts: requests that were sent to
@@ -117,26 +111,13 @@
     kExpired
   };
 
-  enum class WaitPlace
-  {
-    kQueue,     // waits for a slot
-    kStartTime, // waits for a start time within the server's limit
-    kGate       // waits for a signal of the server, see LocalServerCanary.cpp
-  };
-
   struct Waiter
   {
     AttemptId mAttempt;
     bool mLastResort = false;
     WaitState mState = WaitState::kWaiting;
-    WaitPlace mPlace = WaitPlace::kQueue;
-    // Only of requests that may be held at the gate: the request, whether its
-    // wait must be decided again, and when it was first held and may be held
-    // until.
-    const HomeRequest* mRequest = nullptr;
-    bool mRecheck = false;
-    std::optional<TimePoint> mHeldSince;
-    TimePoint mHeldUntil;
+    // Waits for a start time within the server's limit, not for a slot.
+    bool mPaced = false;
     RejectReason mRejectReason = RejectReason::kNone; // with kRejected
     Millis mRetryAfter{ 0 };
     std::condition_variable mChanged; // of this waiter alone
@@ -169,32 +150,6 @@
                                          Ticket aTicket,
                                          const HomeRequest& aRequest,
                                          TimePoint aStart);
-  // For requests that are held while the server gives no signal; see
-  // LocalServerCanary.cpp.
-  bool UsesGate(const HomeRequest& aRequest) const;
-  bool NeedsSignal(const HomeRequest& aRequest);
-  std::optional<HomeAnswer> TakeSlotAfterSignal(
-    std::unique_lock<std::mutex>& aLock,
-    const HomeRequest& aRequest);
-  void AwaitHeldSlot(std::unique_lock<std::mutex>& aLock,
-                     Ticket aTicket,
-                     Waiter& aWaiter);
-  void DecideHeld(Ticket aTicket, Waiter& aWaiter);
-  void Hold(Waiter& aWaiter);
-  TimePoint HeldUntil(const Waiter& aWaiter, TimePoint aNow) const;
-  void OpenGate(TimePoint aNow);
-  void OfferHeld(Ticket aTicket, Waiter& aWaiter);
-  std::optional<HomeAnswer> RejectHeld(const HomeRequest& aRequest);
-  void RecheckHeld();
-  void OnGatedEnded(const HomeRequest& aRequest,
-                    const HomeAnswer& aAnswer,
-                    TimePoint aNow);
-  void RecordHeld(const HomeRequest& aRequest,
-                  std::optional<TimePoint> aHeldSince,
-                  GateVerdict aVerdict,
-                  const std::optional<HomeAnswer>& aRejected) const;
-  static bool IsHeld(const Waiter& aWaiter);
-  int Held() const;
   void OnLimitReport(const HomeRequest& aRequest);
   void OnSignals(const HomeRequest& aRequest,
                  const ServerSignals& aSignals,
@@ -212,7 +167,6 @@
                       const HomeAnswer& aAnswer,
                       Micros aTime);
   void FreeSlot(std::optional<Micros> aServiceTime);
-  void FreeSlotLocked(std::optional<Micros> aServiceTime);
   void SetWaitState(Ticket aTicket, WaitState aState);
   void RejectWaiter(Ticket aTicket,
                     RejectReason aRejectReason,
@@ -242,7 +196,6 @@
   RetryBudget mRetries;
   ServerStateReport mReport;
   TimePoint mNextLeavingCheck;
-  CanaryGate mGate;       // receives only long requests, with kBreak
   ServerBreaker mBreaker; // receives outcomes only with kBreak
   CrashEvidence mCrashes;
   bool mReplaced = false;
--- a/packages/home/src/LocalServer.cpp
+++ b/packages/home/src/LocalServer.cpp
@@ -48,7 +48,6 @@
   , mCall(aSpec, mOptions.mHeaders, aShutdownDeadline)
   , mQueue(QueueOptionsFor(aSpec, mOptions.mFailingServers))
   , mMachine(OptionsFor(mOptions.mDetection), Now())
-  , mGate(mOptions.mGate)
   , mBreaker(aSpec.Incarnation(), mRouteTimes)
   , mCrashes(aSpec.Incarnation(), mCall, aCrashMonitor)
   , mLeaving(aSpec.mLeaving)
@@ -58,7 +57,7 @@
 double
 LocalServer::LoadLocked() const
 {
-  return static_cast<double>(mQueue.Running() + mQueue.Waiting() + Held()) /
+  return static_cast<double>(mQueue.Running() + mQueue.Waiting()) /
          mQueue.SlotLimit();
 }
 
@@ -87,7 +86,7 @@
 LocalServer::InFlight() const
 {
   const std::lock_guard lock(mMutex);
-  return mQueue.Running() + mQueue.Waiting() + Held();
+  return mQueue.Running() + mQueue.Waiting();
 }
 
 void
@@ -157,14 +156,12 @@
   switch (aAnswer.mRejectReason) {
     case RejectReason::kNoServer:
       mReplaced = true;
-      RecheckHeld();
       LogLine(LogLevel::kWarning, "server_replaced")
         .With("server", mSpec.Incarnation().ToString())
         .With("address", mSpec.mAddress);
       break;
     case RejectReason::kLeaving:
       mServerLeavingUntil = Now() + aAnswer.mRetryAfter;
-      RecheckHeld();
       break;
     case RejectReason::kServerBusy:
       aAnswer.mRetryAfter = mQueue.ExpectedWait();
@@ -186,12 +183,7 @@
     mRouteTimes.Observe(aRequest.mRoute, aTime);
   }
   if (mOptions.mFailingServers == FailingServers::kBreak) {
-    const auto now = Now();
-    mBreaker.OnEnded(aRequest, aAnswer, aTime, now);
-    if (UsesGate(aRequest)) {
-      OnGatedEnded(aRequest, aAnswer, now);
-    }
-    RecheckHeld(); // the breaker may have opened
+    mBreaker.OnEnded(aRequest, aAnswer, aTime, Now());
     return;
   }
   const bool slow = mMachine.HealthDetector().IsSlow(aTime);
--- a/packages/home/src/LocalServerAdmission.cpp
+++ b/packages/home/src/LocalServerAdmission.cpp
@@ -71,9 +71,6 @@
   if (mThrottle->Limit()) {
     return TakePacedSlot(lock, aRequest);
   }
-  if (NeedsSignal(aRequest)) {
-    return TakeSlotAfterSignal(lock, aRequest);
-  }
   const auto ticket = mNextTicket++;
   const auto offer =
     mQueue.Offer(ticket, aRequest.mPriority, aRequest.mDeadline, Now());
@@ -136,15 +133,10 @@
 void
 LocalServer::OnStarted(const HomeRequest& aRequest)
 {
-  const auto now = Now();
   if (aRequest.mLongTarget) {
     mRouteTimes.AddLongRoute(aRequest.mRoute, *aRequest.mLongTarget);
   }
-  mBreaker.OnStarted(aRequest, now);
-  if (UsesGate(aRequest)) {
-    mGate.OnSent(aRequest.mAttempt, now);
-    RecheckHeld();
-  }
+  mBreaker.OnStarted(aRequest, Now());
   mCrashes.OnStarted(aRequest);
   if (aRequest.mIsRetry) {
     mRetries.Spend();
--- a/packages/home/src/LocalServerPaced.cpp
+++ b/packages/home/src/LocalServerPaced.cpp
@@ -108,7 +108,7 @@
   auto& waiter = mWaiters[aTicket];
   waiter.mAttempt = aRequest.mAttempt;
   waiter.mLastResort = aRequest.mLastResort;
-  waiter.mPlace = WaitPlace::kStartTime;
+  waiter.mPaced = true;
   AwaitChange(aLock, waiter, aRequest, aStart);
   const auto ended = RemoveWaiter(aTicket);
   if (ended.mState == WaitState::kRejected) {
--- a/packages/home/src/LocalServerWait.cpp
+++ b/packages/home/src/LocalServerWait.cpp
@@ -1,4 +1,4 @@
-// Requests that wait: for a slot, a start time or a signal of the server.
+// Requests that wait for a slot or a start time.
 #include "porttiller/home/LocalServer.h"
 
 namespace porttiller {
@@ -23,9 +23,8 @@
 bool
 LocalServer::CancelWaiter(Ticket aTicket, const Waiter& aWaiter)
 {
-  return aWaiter.mPlace == WaitPlace::kQueue
-           ? mQueue.Cancel(aTicket)
-           : aWaiter.mState == WaitState::kWaiting;
+  return aWaiter.mPaced ? aWaiter.mState == WaitState::kWaiting
+                        : mQueue.Cancel(aTicket);
 }
 
 // The waiter must have been removed from the queue before.
@@ -50,8 +49,8 @@
   return EndWait(aTicket);
 }
 
-// Waits until aUntil, or until the waiter's state changes, its wait must be
-// decided again, or its request is cancelled.
+// Waits until aUntil, or until the waiter's state changes or its request is
+// cancelled.
 void
 LocalServer::AwaitChange(std::unique_lock<std::mutex>& aLock,
                          Waiter& aWaiter,
@@ -66,9 +65,7 @@
       aWaiter.mChanged.notify_all();
     });
     aLock.lock();
-    const auto over = [&] {
-      return aWaiter.mState != WaitState::kWaiting || aWaiter.mRecheck;
-    };
+    const auto over = [&] { return aWaiter.mState != WaitState::kWaiting; };
     mShutdownDeadline.WaitInIntervals(
       aUntil,
       [&] { return IsCancelled(aRequest); },
@@ -126,12 +123,6 @@
 LocalServer::FreeSlot(std::optional<Micros> aServiceTime)
 {
   const std::lock_guard lock(mMutex);
-  FreeSlotLocked(aServiceTime);
-}
-
-void
-LocalServer::FreeSlotLocked(std::optional<Micros> aServiceTime)
-{
   const auto freed = mQueue.Release(aServiceTime, Now());
   for (const auto ticket : freed.mStart) {
     SetWaitState(ticket, WaitState::kStarted);
--- a/packages/node/src/Node.cpp
+++ b/packages/node/src/Node.cpp
@@ -58,8 +58,7 @@
   , mHome(mSettings.mBox,
           mIncarnation,
           { .mFailingServers = mSettings.mFailingServers,
-            .mHeaders = EdgeHeadersOf(mSettings),
-            .mMetrics = &mMetrics },
+            .mHeaders = EdgeHeadersOf(mSettings) },
           mSettings.mRetries,
           mShutdownDeadline,
           mCrashMonitor)
--- a/packages/policy/include/porttiller/policy/SlotQueue.h
+++ b/packages/policy/include/porttiller/policy/SlotQueue.h
@@ -62,12 +62,6 @@
                     Priority aPriority,
                     TimePoint aDeadline,
                     TimePoint aNow);
-  // As Offer, for a request that was held back before: it is queued before the
-  // requests of its priority that have later tickets.
-  OfferResult OfferHeld(Ticket aTicket,
-                        Priority aPriority,
-                        TimePoint aDeadline,
-                        TimePoint aNow);
 
   // A started request ended after aServiceTime; null when it was not run.
   ReleaseResult Release(std::optional<Micros> aServiceTime, TimePoint aNow);
--- a/packages/policy/src/SlotQueue.cpp
+++ b/packages/policy/src/SlotQueue.cpp
@@ -98,24 +98,6 @@
   return result;
 }
 
-OfferResult
-SlotQueue::OfferHeld(Ticket aTicket,
-                     Priority aPriority,
-                     TimePoint aDeadline,
-                     TimePoint aNow)
-{
-  auto result = Offer(aTicket, aPriority, aDeadline, aNow);
-  if (result.mVerdict == OfferVerdict::kWait) {
-    auto& queue = mQueues.at(static_cast<std::size_t>(aPriority));
-    const auto place =
-      std::find_if(queue.begin(), queue.end(), [&](const Waiter& aWaiter) {
-        return aWaiter.mTicket >= aTicket;
-      });
-    std::rotate(place, std::prev(queue.end()), queue.end());
-  }
-  return result;
-}
-
 Micros
 SlotQueue::MinService() const
 {
--- a/packages/policy/tests/SlotQueueTest.cpp
+++ b/packages/policy/tests/SlotQueueTest.cpp
@@ -111,22 +111,3 @@
   const TimePoint deadline{ Millis(1000) };
   CHECK(queue.LatestStart(deadline) == deadline - Millis(60));
 }
-
-TEST_CASE("A request that was held back keeps its place in its priority")
-{
-  // Guards against a request that waited elsewhere being queued behind those
-  // that arrived during its wait.
-  SlotQueue queue({ .mSlots = 1, .mQueuePerSlot = 8.0 });
-  queue.Offer(1, Priority::kNormal, kLate, kStart);
-  queue.Offer(4, Priority::kNormal, kLate, kStart);
-  queue.Offer(5, Priority::kCritical, kLate, kStart);
-  queue.OfferHeld(3, Priority::kNormal, kLate, kStart);
-  queue.OfferHeld(2, Priority::kNormal, kLate, kStart);
-  queue.OfferHeld(6, Priority::kNormal, kLate, kStart);
-  std::vector<Ticket> order;
-  while (queue.Waiting() > 0) {
-    const auto freed = queue.Release(Micros(1000), kStart);
-    order.insert(order.end(), freed.mStart.begin(), freed.mStart.end());
-  }
-  CHECK(order == std::vector<Ticket>{ 5, 2, 3, 4, 6 });
-}
--- a/packages/telemetry/include/porttiller/telemetry/Metrics.h
+++ b/packages/telemetry/include/porttiller/telemetry/Metrics.h
@@ -34,11 +34,6 @@
   // Long requests that waited at the entry as no home accepted them.
   prometheus::Counter& EntryWaits() { return *mEntryWaits; }
   prometheus::Counter& Revokes() { return *mRevokes; }
-  // Long requests that waited for a signal of their server, those of them that
-  // were sent without one, and those that were rejected instead.
-  prometheus::Counter& HeldRequests() { return *mHeldRequests; }
-  prometheus::Counter& Canaries() { return *mCanaries; }
-  prometheus::Counter& RejectedHeld() { return *mRejectedHeld; }
   // Requests rejected with 429 because their workspace is over its limit.
   prometheus::Counter& OverLimit() { return *mOverLimit; }
   // Workspaces that this box, as their collector, limits to an admitted share.
@@ -95,9 +90,6 @@
   prometheus::Counter* mHedgedAttempts;
   prometheus::Counter* mEntryWaits;
   prometheus::Counter* mRevokes;
-  prometheus::Counter* mHeldRequests;
-  prometheus::Counter* mCanaries;
-  prometheus::Counter* mRejectedHeld;
   prometheus::Counter* mOverLimit;
   prometheus::Counter* mUnsentRejections;
   prometheus::Counter* mSlowReaders;
--- a/packages/telemetry/src/Metrics.cpp
+++ b/packages/telemetry/src/Metrics.cpp
@@ -53,15 +53,6 @@
   , mRevokes(MakeCounter(*mRegistry,
                          "porttiller_revokes_total",
                          "Attempts whose home was asked to revoke them"))
-  , mHeldRequests(MakeCounter(*mRegistry,
-                              "porttiller_held_requests_total",
-                              "Requests that waited for a server's signal"))
-  , mCanaries(MakeCounter(*mRegistry,
-                          "porttiller_canaries_total",
-                          "Requests sent after a wait without any signal"))
-  , mRejectedHeld(MakeCounter(*mRegistry,
-                              "porttiller_held_rejected_total",
-                              "Requests rejected after a wait for a signal"))
   , mOverLimit(MakeCounter(*mRegistry,
                            "porttiller_over_limit_total",
                            "Requests beyond the limit of their workspace"))
