policy, home: a long trial that is not reset counts as a success

Cause: a server in an episode resets its connections within milliseconds, and its breaker closed again after two responses.

If the last failure was a reset within 50 ms, a trial of a long request that has run for 50 ms counts as a success. Servers that hang, err or spoil responses are judged by responses as before.

--- a/packages/home/include/porttiller/home/ServerBreaker.h
+++ b/packages/home/include/porttiller/home/ServerBreaker.h
@@ -6,6 +6,7 @@
 #include "porttiller/hop/HomeTypes.h"
 #include "porttiller/policy/CircuitBreaker.h"
 #include "porttiller/policy/RouteTimes.h"
+#include "porttiller/policy/RunningTrials.h"
 #include "porttiller/policy/SilenceDetector.h"
 
 #include <string>
@@ -48,6 +49,9 @@
                      const HomeAnswer& aAnswer,
                      Micros aTime,
                      TimePoint aNow);
+  // Updates the breaker by what the ages of running requests show.
+  void CheckRunning(TimePoint aNow);
+  void CheckAccepted(TimePoint aNow);
   void CheckSilence(TimePoint aNow);
   // The detector for requests of this kind.
   SilenceDetector& SilenceOf(const HomeRequest& aRequest);
@@ -64,6 +68,7 @@
   CircuitBreaker mBreaker;
   SilenceDetector mSilence; // of requests that are not long
   SilenceDetector mLongSilence{ LongRequestSilence() };
+  RunningTrials mTrials; // long requests that run while the breaker is open
   // Running mean of the service's error rate that entries send with requests.
   double mServiceErrorRate = 0.0;
   bool mOpenedBySilence = false; // whether silence opened the breaker
--- a/packages/home/src/ServerBreaker.cpp
+++ b/packages/home/src/ServerBreaker.cpp
@@ -51,7 +51,7 @@
                      bool aRetryAvailable,
                      TimePoint aNow)
 {
-  CheckSilence(aNow);
+  CheckRunning(aNow);
   return mBreaker.Admit(
     aRequest.mCanFailOver && aRetryAvailable, aRequest.mLastResort, aNow);
 }
@@ -59,7 +59,7 @@
 bool
 ServerBreaker::IsDemoted(TimePoint aNow)
 {
-  CheckSilence(aNow);
+  CheckRunning(aNow);
   return mBreaker.State() != BreakerState::kClosed;
 }
 
@@ -73,6 +73,9 @@
 ServerBreaker::OnStarted(const HomeRequest& aRequest, TimePoint aNow)
 {
   SilenceOf(aRequest).OnStarted(aRequest.mAttempt, aRequest.mRoute, aNow);
+  if (aRequest.mLongTarget && mBreaker.State() != BreakerState::kClosed) {
+    mTrials.OnStarted(aRequest.mAttempt, aNow);
+  }
   mServiceErrorRate +=
     kErrorRateWeight * (aRequest.mServiceErrorRate - mServiceErrorRate);
 }
@@ -91,6 +94,7 @@
     .With("trial", mBreaker.State() == BreakerState::kHalfOpen ? "yes" : "no")
     .With("time_ms", std::chrono::duration_cast<Millis>(aTime).count());
   UpdateSilence(aRequest, aAnswer, aNow);
+  mTrials.OnEnded(aRequest.mAttempt);
   if (!IsInconclusive(aAnswer) &&
       UpdateBreaker(aRequest, aAnswer, aTime, aNow)) {
     LogChange("request",
@@ -100,7 +104,7 @@
                 : aAnswer.mReason,
               aNow);
   }
-  CheckSilence(aNow);
+  CheckRunning(aNow);
 }
 
 void
@@ -126,6 +130,7 @@
 {
   if (WasAbandoned(aRequest, aAnswer)) {
     const bool trial = mBreaker.State() == BreakerState::kHalfOpen;
+    mTrials.OnOtherFailure();
     const auto survival = aRequest.mLongTarget ? LongSurvival() : Survival();
     const bool conclusive =
       survival(aRequest.mRoute, aTime) < kMaxHangingSurvival;
@@ -133,9 +138,15 @@
   }
   if (aAnswer.mOutcome != Outcome::kRun) {
     mOpenedBySilence = false;
+    if (aRequest.mLongTarget && aAnswer.mServerClosed) {
+      mTrials.OnClosed(aTime);
+    } else {
+      mTrials.OnOtherFailure();
+    }
     return mBreaker.OnFailure(aNow);
   }
   if (aAnswer.mHttp.mStatus >= kFirstServerErrorStatus) {
+    mTrials.OnOtherFailure();
     return mBreaker.OnError(mServiceErrorRate, aNow);
   }
   const bool closed = mBreaker.OnSuccess(aNow - aTime);
@@ -147,6 +158,24 @@
   return closed;
 }
 
+void
+ServerBreaker::CheckRunning(TimePoint aNow)
+{
+  CheckAccepted(aNow);
+  CheckSilence(aNow);
+}
+
+void
+ServerBreaker::CheckAccepted(TimePoint aNow)
+{
+  for (const auto sent : mTrials.TakeAccepted(aNow)) {
+    if (mBreaker.OnSuccess(sent)) {
+      mOpenedBySilence = false;
+      LogChange("cause", "trial", "accepted", aNow);
+    }
+  }
+}
+
 // Detects a server that hangs before its requests time out. Closes the breaker
 // again when their answers arrive.
 void
@@ -155,6 +184,7 @@
   const bool alarm = IsSilent(aNow);
   if (alarm && mBreaker.State() == BreakerState::kClosed) {
     mOpenedBySilence = true;
+    mTrials.OnOtherFailure();
     mBreaker.OnFailure(aNow);
     LogChange("cause", "silence", "no answer for long", aNow);
   } else if (!alarm && mOpenedBySilence) {
--- a/packages/home/tests/ServerBreakerTest.cpp
+++ b/packages/home/tests/ServerBreakerTest.cpp
@@ -169,3 +169,78 @@
     CHECK(breaker.Admit(Request(6), true, kStart + kLong));
   }
 }
+
+namespace {
+
+// Demotes the breaker by a request that ends in this way after aTime.
+void
+Demote(ServerBreaker& aBreaker, HomeAnswer aAnswer, Micros aTime)
+{
+  aAnswer.mServerClosed = aAnswer.mReason == kConnectionClosed.mReason;
+  const auto request = LongRequest(1);
+  aBreaker.OnStarted(request, kStart);
+  aBreaker.OnEnded(request, aAnswer, aTime, kStart + aTime);
+  REQUIRE(aBreaker.IsDemoted(kStart + aTime));
+}
+
+} // namespace
+
+// Waiting for two responses of long requests keeps a server demoted for seconds
+// after an episode of resets.
+TEST_CASE("Two long trials that are not reset end a demotion by a reset")
+{
+  const RouteTimes times = TypicalTimes();
+  ServerBreaker breaker(ServerIncarnation(BackendServerName("s")), times);
+  Demote(breaker, kConnectionClosed, Millis(2));
+  const auto first = kStart + kLong;
+  breaker.OnStarted(LongRequest(2), first);
+  CHECK(breaker.IsDemoted(first + RunningTrials::kAcceptedAfter));
+  const auto second = first + kTypicalTime;
+  breaker.OnStarted(LongRequest(3), second);
+  CHECK(breaker.IsDemoted(second + Millis(49)));
+  CHECK_FALSE(breaker.IsDemoted(second + RunningTrials::kAcceptedAfter));
+}
+
+// A server that hangs, or breaks responses off, accepts requests as well.
+TEST_CASE("Running trials do not end a demotion by another failure")
+{
+  const RouteTimes times = TypicalTimes();
+  for (const auto time : { kLong, Millis(2) }) {
+    CAPTURE(time.count());
+    ServerBreaker breaker(ServerIncarnation(BackendServerName("s")), times);
+    const HomeAnswer spoiled{ .mOutcome = Outcome::kUnknown,
+                              .mReason = "server-spoiled-answer" };
+    Demote(breaker, time == kLong ? kConnectionClosed : spoiled, time);
+    for (std::uint64_t i = 2; i < 5; ++i) {
+      breaker.OnStarted(LongRequest(i), kStart + kLong * i);
+    }
+    CHECK(breaker.IsDemoted(kStart + kLong * 4 + kTypicalTime));
+  }
+}
+
+// An earlier reset must not make an error count as one.
+TEST_CASE("Running trials do not end a demotion by errors after a reset")
+{
+  const RouteTimes times = TypicalTimes();
+  ServerBreaker breaker(ServerIncarnation(BackendServerName("s")), times);
+  Demote(breaker, kConnectionClosed, Millis(2));
+  const auto later = kStart + kLong;
+  const HomeAnswer error{ .mOutcome = Outcome::kRun,
+                          .mHttp = { .mStatus = 500 } };
+  RunAttempt(breaker, 2, error, kTypicalTime, later);
+  for (std::uint64_t i = 3; i < 6; ++i) {
+    breaker.OnStarted(LongRequest(i), later + kLong);
+  }
+  CHECK(breaker.IsDemoted(later + kLong + RunningTrials::kAcceptedAfter));
+}
+
+TEST_CASE("Only trials of long requests are judged while they run")
+{
+  const RouteTimes times = TypicalTimes();
+  ServerBreaker breaker(ServerIncarnation(BackendServerName("s")), times);
+  Demote(breaker, kConnectionClosed, Millis(2));
+  for (std::uint64_t i = 2; i < 5; ++i) {
+    breaker.OnStarted(Request(i), kStart + kLong);
+  }
+  CHECK(breaker.IsDemoted(kStart + kLong + RunningTrials::kAcceptedAfter));
+}
