--- a/packages/control/src/ConfigController.cpp
+++ b/packages/control/src/ConfigController.cpp
@@ -68,18 +68,6 @@
 {
 }
 
-ObjectClientOptions
-ConfigController::ClientOptions()
-{
-  auto options = StoreClientOptions(mSettings, "configuration", kCallTimeout);
-  options.mOnReusedReadFailed = [this, log = options.mOnReusedReadFailed](
-                                  Millis aWaited, const std::string& aDetail) {
-    mReadWhole = true;
-    log(aWaited, aDetail);
-  };
-  return options;
-}
-
 ConfigController::~ConfigController()
 {
   Stop();
@@ -324,29 +312,47 @@
          Now() < mLastPeerRevisionAt.load() + kPeerRevisionMaxAge;
 }
 
+ObjectClientOptions
+ConfigController::ClientOptions()
+{
+  auto options = StoreClientOptions(mSettings, "configuration", kCallTimeout);
+  options.mRepeatWatches = false;
+  options.mOnReusedReadFailed = [this,
+                                 log = std::move(options.mOnReusedReadFailed)](
+                                  Millis aWaited, const std::string& aDetail) {
+    mConnectionLost = true;
+    log(aWaited, aDetail);
+  };
+  return options;
+}
+
+// After a failed watch the whole configuration is read. A store that fails may
+// before have answered watches without changes that it had; the cursor is then
+// past these changes, and a watch from there would never report them.
 void
 ConfigController::ReadPlatform()
 {
   const auto own = Own().mRevision;
-  const auto from = mCursor.From(own);
+  const auto from = mListNext ? std::nullopt : mCursor.From(own);
   const auto place = Place();
   const auto wait = place ? mWatchSchedule.NextWait(*place) : Millis(0);
-  const bool whole = std::exchange(mReadWhole, false);
   mMetrics.PlatformCalls().Increment();
-  auto delta = from && !whole ? mClient.WatchConfiguration(*from, wait)
-                              : mClient.ListConfiguration();
-  const bool lost = !delta && delta.error().mKind == StoreErrorKind::kConflict;
-  if (lost) {
-    delta =
-      mClient
-        .ListConfiguration(); // the platform no longer has such old changes
-  }
+  auto delta = from ? mClient.WatchConfiguration(*from, wait)
+                    : mClient.ListConfiguration();
+  // The platform no longer has such old changes, or the connection ended.
+  const bool connectionLost = std::exchange(mConnectionLost, false);
+  const bool lost =
+    !delta && from &&
+    (connectionLost || delta.error().mKind == StoreErrorKind::kConflict);
+  if (lost && !mStop) {
+    delta = mClient.ListConfiguration();
+  }
+  mListNext = !delta;
   if (mStop) {
     return; // the call was aborted; the platform may be reachable
   }
   SetPlatformReachable(delta.has_value(), delta ? "" : delta.error().mDetail);
   if (!delta) {
-    mReadWhole = true;
     QuerySeeds();
     Sleep(Jittered(kRetryWait));
     return;
