policy: fewer homes in later rounds of a waiting request

Change: four homes in each round after the first, and a first wait of 100 ms, about the time in which a busy server frees a slot.

--- a/packages/policy/include/porttiller/policy/AttemptPlan.h
+++ b/packages/policy/include/porttiller/policy/AttemptPlan.h
@@ -31,6 +31,10 @@
   // Whether homes are asked in several rounds before the last resort; until
   // EndRounds.
   bool mRepeatsRounds = false;
+  // Homes asked in each round after the first. Rejected attempts send the whole
+  // body: with 16 in each round, those of waiting requests are most of the bytes
+  // between zones.
+  int mMaxAttemptsInLaterRounds = 4;
 };
 
 // Why an attempt was not run; decides where the next one may go.
@@ -76,7 +80,7 @@
   // Whether StartRound or EndRounds must be called once MayAttempt or AllowMore
   // has returned false.
   bool MayRepeatRound() const { return mRepeatsRounds && !mEnded; }
-  // Starts another round of mMaxAttempts attempts. It asks the servers that
+  // Starts another round of mMaxAttemptsInLaterRounds attempts. It asks the servers that
   // earlier rounds left out before it asks others again: four homes without a
   // free slot would otherwise be asked in each round, and no other one.
   void StartRound();
--- a/packages/policy/include/porttiller/policy/EntryWait.h
+++ b/packages/policy/include/porttiller/policy/EntryWait.h
@@ -17,10 +17,10 @@
 
 struct EntryWaitOptions
 {
-  // The first wait is less than the time in which a busy server frees a slot,
-  // as several homes are asked after it. Later ones double, so that a request
-  // of 8 s costs the homes five rounds and not sixteen.
-  Millis mFirst{ 50 };
+  // The first wait is about the time in which a busy server frees a slot. Later
+  // ones double, so that a request of 8 s costs the homes four rounds and not
+  // eight.
+  Millis mFirst{ 100 };
   Millis mLongest{ 400 };
   // Not worth another round: about the time of a hop.
   Millis mShortest{ 5 };
--- a/packages/policy/src/AttemptPlan.cpp
+++ b/packages/policy/src/AttemptPlan.cpp
@@ -64,7 +64,7 @@
   mAsksAgain = false;
   mTriedInRound.clear();
   mRejectedAttempts = 0;
-  mMaxAttempts = mAttempts + mOptions.mMaxAttempts;
+  mMaxAttempts = mAttempts + mOptions.mMaxAttemptsInLaterRounds;
 }
 
 void
