--- a/cmake/PorttillerTargets.cmake
+++ b/cmake/PorttillerTargets.cmake
@@ -29,7 +29,8 @@
 # from FIRST_PORT on: the environment variable PORTTILLER_TEST_PORTS has the first
 # port of a part's range, and parts with the same range run one after another.
 # The test core_alone has the cases of the file ALONE and runs beside no other test.
-# TIMEOUT is in seconds, for each test.
+# TIMEOUT is in seconds, for each test. Without times of earlier runs the last
+# parts start first: sort the longest cases to the end.
 function(porttiller_test)
   cmake_parse_arguments(ARG "" "NAME;PARTS;RANGES;FIRST_PORT;PORTS;ALONE;TIMEOUT" "SOURCES;DEPENDS" ${ARGN})
   set(target ${ARG_NAME}_tests)
@@ -83,6 +84,7 @@
       ${ARG_NAME}_${part}
       PROPERTIES ENVIRONMENT "${environment};PORTTILLER_TEST_PORTS=${port}"
                  RESOURCE_LOCK test_ports_${port}
+                 COST ${part}
                  TIMEOUT ${ARG_TIMEOUT})
   endforeach()
 endfunction()
