entry: a request that needs a retry does not wait for one

Change: once a server has received the request, it goes on as without rounds.

Result: AttemptRunTest "A request that needs a retry does not wait for one" (five attempts).

--- a/packages/entry/src/AttemptRunWaitPriv.cpp
+++ b/packages/entry/src/AttemptRunWaitPriv.cpp
@@ -55,7 +55,10 @@
   }
   const auto& shutdown = mDependencies.mShutdownDeadline;
   const auto start = Now();
-  const auto until = shutdown.IsSet() ? std::nullopt : mWait->Next(start);
+  // A request that a server has rejected needs a retry. While retries are spent
+  // as soon as they accrue, its waiting would only cost further attempts.
+  const bool mayWait = !shutdown.IsSet() && !mPlan.MayHaveReachedServer();
+  const auto until = mayWait ? mWait->Next(start) : std::nullopt;
   if (!until) {
     mPlan.EndRounds();
     return true;
--- a/packages/entry/tests/AttemptRunTest.cpp
+++ b/packages/entry/tests/AttemptRunTest.cpp
@@ -350,3 +350,18 @@
   CHECK(answer.mStatus == 503);
   CHECK(answer.mReason == "no-server");
 }
+
+TEST_CASE("A request that needs a retry does not wait for one")
+{
+  // Guards against rounds of attempts that all homes reject: while every server
+  // sheds load, retries are spent as soon as they accrue.
+  constexpr int kServers = 20;
+  std::atomic<int> requests{ 0 };
+  EntryFixture fixture(kServers, [&](const HomeRequest&, int) {
+    return Rejected(requests++ == 0 ? RejectReason::kServerBusy
+                                    : RejectReason::kNoRetries);
+  });
+  fixture.SetTarget(kEndlessTarget);
+  CHECK(fixture.Run().mStatus == 503);
+  CHECK(fixture.Received().size() == 5);
+}
--- a/packages/policy/include/porttiller/policy/AttemptPlan.h
+++ b/packages/policy/include/porttiller/policy/AttemptPlan.h
@@ -32,8 +32,8 @@
   // EndRounds.
   bool mRepeatsRounds = false;
   // Homes asked in each round after the first. Rejected attempts send the whole
-  // body: with 16 in each round, those of waiting requests are most of the bytes
-  // between zones.
+  // body: with 16 in each round, those of waiting requests are most of the
+  // bytes between zones.
   int mMaxAttemptsInLaterRounds = 4;
 };
 
@@ -80,9 +80,10 @@
   // Whether StartRound or EndRounds must be called once MayAttempt or AllowMore
   // has returned false.
   bool MayRepeatRound() const { return mRepeatsRounds && !mEnded; }
-  // Starts another round of mMaxAttemptsInLaterRounds attempts. It asks the servers that
-  // earlier rounds left out before it asks others again: four homes without a
-  // free slot would otherwise be asked in each round, and no other one.
+  // Starts another round of mMaxAttemptsInLaterRounds attempts. It asks the
+  // servers that earlier rounds left out before it asks others again: four
+  // homes without a free slot would otherwise be asked in each round, and no
+  // other one.
   void StartRound();
   // From now on the plan proceeds as one without rounds.
   void EndRounds();
