--- a/packages/entry/include/porttiller/entry/EntryView.h
+++ b/packages/entry/include/porttiller/entry/EntryView.h
@@ -8,6 +8,7 @@
 #include "porttiller/hop/HomeTypes.h"
 #include "porttiller/policy/AttemptPlan.h"
 #include "porttiller/policy/Balancer.h"
+#include "porttiller/policy/HedgePolicy.h"
 #include "porttiller/policy/Subset.h"
 
 #include <array>
@@ -36,8 +37,9 @@
 // Limits the servers that the next attempt may be sent to.
 struct ChoiceConstraints
 {
-  bool mCanFailOver = false; // may be a trial request to a demoted server
-  bool mOpenOnly = false;    // only servers whose eligibility is kOpen
+  bool mCanFailOver = false;    // may be a trial request to a demoted server
+  bool mOpenOnly = false;       // only servers whose eligibility is kOpen
+  bool mLargeResponses = false; // of the request's route
 };
 
 struct Choice
@@ -68,7 +70,8 @@
                   RejectReason aRejectReason,
                   Millis aRetryAfter,
                   bool aCanFailOver, // of the rejected request
-                  TimePoint aNow);
+                  TimePoint aNow,
+                  bool aSilent = false); // with kDemoted: see HomeAnswer
 
   // What the home of the server tells of the server's demands.
   void OnDemand(const BackendServerSpec& aServer,
@@ -99,11 +102,11 @@
   void OnLatencyP90(const ServiceName& aService,
                     const std::string& aRoute,
                     Micros aLatencyP90);
-  // Delay after which a repeatable request of the route is hedged.
-  // aTotalTime: from the arrival of the request to its deadline.
+  // Delay after which a repeatable request of the route is hedged. Fills in the
+  // latency of aTiming.
   Micros HedgeDelay(const ServiceName& aService,
                     const std::string& aRoute,
-                    Micros aTotalTime) const;
+                    HedgeTiming aTiming) const;
 
   std::string Dump() const;
 
@@ -123,6 +126,7 @@
     // until mNoTrialUntil also trial requests.
     TimePoint mDemotedUntil;
     TimePoint mNoTrialUntil;
+    bool mSilent = false; // while demoted: its home has lost no response
     ServerDemand mDemand;
     TimePoint mLimitAt;   // when the limit of mDemand was heard of
     TimePoint mNextTurn;  // with a limit: no request before
--- a/packages/entry/src/EntryView.cpp
+++ b/packages/entry/src/EntryView.cpp
@@ -17,12 +17,6 @@
 constexpr int kMaxAvoidDoublings = 5;
 // Weight of the latest answer in the moving average of a service's error rate.
 constexpr double kErrorRateSmoothing = 0.1;
-// A hedged attempt costs a round trip; for routes that answer within this time
-// it gains nothing.
-constexpr Micros kMinHedgeDelay{ 50'000 };
-// Divides the total time of a request while no home has reported the latency of
-// its route: callers' deadlines are several times the usual latency.
-constexpr int kHedgeUnknownPart = 4;
 // For 4,900 routes, spread over the shards, with room for replaced routes,
 // which are never removed.
 constexpr std::size_t kMaxRoutesInShard = 1000;
@@ -49,6 +43,17 @@
   }
 }
 
+// The eligibility of a server that is known as demoted.
+Eligibility
+OfDemoted(const AttemptPlan& aPlan, bool aSilent)
+{
+  if (aPlan.LastResort()) {
+    return aPlan.PrefersSilent() && !aSilent ? Eligibility::kAvoid
+                                             : Eligibility::kOpen;
+  }
+  return aPlan.AsksDemoted() ? Eligibility::kAvoid : Eligibility::kDemoted;
+}
+
 // Boxes that learned of a limit at the same time must not return together.
 TimePoint
 TurnAfter(const LimitNote& aLimit, TimePoint aNow)
@@ -226,9 +231,9 @@
   }
   const bool trial = aConstraints.mCanFailOver && aNow >= view.mNoTrialUntil;
   candidate.mTrialDue = trial && aNow < view.mDemotedUntil;
-  if (!trial && !aPlan.LastResort() && aNow < view.mDemotedUntil) {
+  if (!trial && aNow < view.mDemotedUntil) {
     candidate.mEligibility =
-      std::max(candidate.mEligibility, Eligibility::kDemoted);
+      std::max(candidate.mEligibility, OfDemoted(aPlan, view.mSilent));
   }
   if (aNow < view.mEligibilityUntil) {
     candidate.mEligibility =
@@ -269,6 +274,10 @@
                   TimePoint aNow)
 {
   const auto order = OrderOf(aSnapshot, aService);
+  auto options = mOptions;
+  if (aConstraints.mLargeResponses) {
+    options.mZonePenalty = options.mLargeResponseZonePenalty;
+  }
   std::vector<Candidate> candidates;
   std::optional<std::size_t> chosen;
   bool open = false;
@@ -277,7 +286,7 @@
       candidates, *order, order->mSubsetSize, aPlan, aConstraints, aNow);
     chosen = ChooseTrial(candidates, Random());
     if (!chosen) {
-      chosen = ChooseServer(candidates, mOptions, Random(), Random());
+      chosen = ChooseServer(candidates, options, Random(), Random());
     }
     open = chosen && candidates[*chosen].mEligibility == Eligibility::kOpen;
   } while (!open && candidates.size() < order->mResolvedServers.size());
@@ -298,7 +307,7 @@
           std::min(candidate.mEligibility, Eligibility::kAvoid);
       }
     }
-    chosen = ChooseServer(candidates, mOptions, Random(), Random());
+    chosen = ChooseServer(candidates, options, Random(), Random());
   }
   return { .mServer =
              chosen ? order->mResolvedServers[*chosen].mServer : nullptr,
@@ -346,7 +355,8 @@
                       RejectReason aRejectReason,
                       Millis aRetryAfter,
                       bool aCanFailOver,
-                      TimePoint aNow)
+                      TimePoint aNow,
+                      bool aSilent)
 {
   const auto eligibility = EligibilityAfter(aRejectReason);
   if (!eligibility && aRejectReason != RejectReason::kDemoted) {
@@ -361,6 +371,7 @@
   const auto until = aNow + std::clamp(aRetryAfter, kMinAvoid, kMaxAvoid);
   if (!eligibility) {
     view->mDemotedUntil = until;
+    view->mSilent = aSilent;
     if (aCanFailOver) {
       view->mNoTrialUntil = until; // its home has enough trial requests
     }
@@ -458,6 +469,8 @@
     return;
   }
   const auto retryAfter = std::clamp(aUpdate.mRetryAfter, kMinAvoid, kMaxAvoid);
+  // The update does not say why the server is demoted.
+  view->mSilent = view->mSilent && aNow < view->mDemotedUntil;
   view->mDemotedUntil = aNow + retryAfter;
   // The home needs few trial requests, and all receivers of the update send
   // some: spread them over the retry time.
@@ -553,15 +566,13 @@
 Micros
 EntryView::HedgeDelay(const ServiceName& aService,
                       const std::string& aRoute,
-                      Micros aTotalTime) const
+                      HedgeTiming aTiming) const
 {
   auto& shard = ShardOf(aService);
   const std::lock_guard lock(shard.mMutex);
   const auto it = shard.mLatencyP90s.find(aRoute);
-  return std::max<Micros>(kMinHedgeDelay,
-                          it == shard.mLatencyP90s.end()
-                            ? aTotalTime / kHedgeUnknownPart
-                            : it->second);
+  aTiming.mLatencyP90 = it == shard.mLatencyP90s.end() ? Micros(0) : it->second;
+  return HedgeDelayOf(aTiming);
 }
 
 std::string
--- a/packages/entry/tests/EntryViewTest.cpp
+++ b/packages/entry/tests/EntryViewTest.cpp
@@ -63,6 +63,30 @@
   CHECK(CountFirst(view, snapshot, kStart + Millis(2000)) > kDraws / 3);
 }
 
+TEST_CASE("Large responses leave the zone only when its servers are full")
+{
+  const auto snapshot = MakeSnapshot();
+  EntryView view(BoxName("entry"), AvailabilityZone("a"), {});
+  const auto& service = snapshot.mServices.begin()->second;
+  const auto countOwnZone = [&](bool aLargeResponses) {
+    int count = 0;
+    for (int i = 0; i < kDraws; ++i) {
+      const auto choice = view.Choose(snapshot,
+                                      service,
+                                      AttemptPlan(true),
+                                      { .mLargeResponses = aLargeResponses },
+                                      kStart);
+      count += choice.mServer == &service.mServers[0] ? 1 : 0;
+    }
+    return count;
+  };
+  view.OnLoad(service.mServers[0], 1.0, kStart);
+  CHECK(countOwnZone(false) < kDraws);
+  CHECK(countOwnZone(true) == kDraws);
+  view.OnLoad(service.mServers[0], 2.0, kStart);
+  CHECK(countOwnZone(true) < kDraws);
+}
+
 TEST_CASE("A box is avoided after a path failure and tried again later")
 {
   const auto snapshot = MakeSnapshot();
@@ -325,3 +349,76 @@
   // A restarted home learns of the limit from it.
   CHECK(view.LimitOf(first, kStart));
 }
+
+namespace {
+
+// Counts how often the first server is chosen in kDraws choices for aPlan.
+int
+CountFirst(EntryView& aView,
+           const Snapshot& aSnapshot,
+           const AttemptPlan& aPlan)
+{
+  const auto& service = aSnapshot.mServices.begin()->second;
+  int count = 0;
+  for (int i = 0; i < kDraws; ++i) {
+    const auto* server =
+      aView.Choose(aSnapshot, service, aPlan, {}, kStart).mServer;
+    count += server == &service.mServers[0] ? 1 : 0;
+  }
+  return count;
+}
+
+} // namespace
+
+TEST_CASE("The last resort of a long request prefers a silent server")
+{
+  const auto snapshot = MakeSnapshot();
+  EntryView view(BoxName("entry"), AvailabilityZone("entry"), {});
+  const auto& servers = snapshot.mServices.begin()->second.mServers;
+  const auto demote = [&](const BackendServerSpec& aServer, bool aSilent) {
+    view.OnRejected(
+      aServer, RejectReason::kDemoted, Millis(4000), false, kStart, aSilent);
+  };
+  demote(servers[0], true);
+  demote(servers[1], false);
+  AttemptPlan plan(false, { .mIsLong = true });
+  REQUIRE(plan.AllowLastResort(true));
+  CHECK(CountFirst(view, snapshot, plan) == kDraws);
+  AttemptPlan other(false); // as before
+  REQUIRE(other.AllowLastResort(true));
+  const int count = CountFirst(view, snapshot, other);
+  CHECK(count > kDraws / 3);
+  CHECK(count < kDraws * 2 / 3);
+  // The server has lost a response since.
+  demote(servers[0], false);
+  CHECK(CountFirst(view, snapshot, plan) < kDraws * 2 / 3);
+}
+
+TEST_CASE("A repeated round uses servers known as demoted when none is open")
+{
+  const auto snapshot = MakeSnapshot();
+  EntryView view(BoxName("entry"), AvailabilityZone("entry"), {});
+  const auto& servers = snapshot.mServices.begin()->second.mServers;
+  view.OnRejected(
+    servers[0], RejectReason::kDemoted, Millis(4000), false, kStart);
+  AttemptPlan plan(false, { .mIsLong = true, .mRepeatsRounds = true });
+  plan.StartRound();
+  CHECK(CountFirst(view, snapshot, plan) == 0);
+  plan.OnSent(servers[1].mName);
+  CHECK(CountFirst(view, snapshot, plan) == kDraws);
+}
+
+TEST_CASE("The hedge delay uses the latency that homes reported for the route")
+{
+  EntryView view(BoxName("entry"), AvailabilityZone("entry"), {});
+  const ServiceName service("ledger");
+  const HedgeTiming timing{ .mTotalTime = Millis(8000) };
+  CHECK(view.HedgeDelay(service, "route", timing) == Millis(2000));
+  view.OnLatencyP90(service, "route", Millis(300));
+  CHECK(view.HedgeDelay(service, "route", timing) == Millis(300));
+  CHECK(view.HedgeDelay(service, "other", timing) == Millis(2000));
+  CHECK(view.HedgeDelay(service,
+                        "route",
+                        { .mTotalTime = Millis(8000),
+                          .mLongTarget = Millis(2000) }) == Millis(1700));
+}
--- a/packages/home/include/porttiller/home/ServerBreaker.h
+++ b/packages/home/include/porttiller/home/ServerBreaker.h
@@ -6,6 +6,7 @@
 #include "porttiller/hop/HomeTypes.h"
 #include "porttiller/policy/CircuitBreaker.h"
 #include "porttiller/policy/RouteTimes.h"
+#include "porttiller/policy/RunningTrials.h"
 #include "porttiller/policy/SilenceDetector.h"
 
 #include <string>
@@ -25,6 +26,9 @@
   // True while the breaker is not closed: only trials and last-resort requests
   // are admitted.
   bool IsDemoted(TimePoint aNow);
+  // Whether the breaker is not closed only because the server is silent; it has
+  // lost no response since.
+  bool OpenedBySilence() const { return mOpenedBySilence; }
   // How long to wait before a rejected request is tried here again.
   Millis RetryAfter(TimePoint aNow) const;
 
@@ -45,8 +49,15 @@
                      const HomeAnswer& aAnswer,
                      Micros aTime,
                      TimePoint aNow);
+  // Updates the breaker by what the ages of running requests show.
+  void CheckRunning(TimePoint aNow);
+  void CheckAccepted(TimePoint aNow);
   void CheckSilence(TimePoint aNow);
+  // The detector for requests of this kind.
+  SilenceDetector& SilenceOf(const HomeRequest& aRequest);
+  bool IsSilent(TimePoint aNow) const;
   SurvivalOf Survival() const;
+  SurvivalOf LongSurvival() const;
   void LogChange(const char* aKey,
                  const std::string& aCause, // a request, or "silence"
                  const std::string& aReason,
@@ -55,7 +66,9 @@
   const ServerIncarnation mServer;
   const RouteTimes& mTimes;
   CircuitBreaker mBreaker;
-  SilenceDetector mSilence;
+  SilenceDetector mSilence; // of requests that are not long
+  SilenceDetector mLongSilence{ LongRequestSilence() };
+  RunningTrials mTrials; // long requests that run while the breaker is open
   // Running mean of the service's error rate that entries send with requests.
   double mServiceErrorRate = 0.0;
   bool mOpenedBySilence = false; // whether silence opened the breaker
--- a/packages/home/src/ServerBreaker.cpp
+++ b/packages/home/src/ServerBreaker.cpp
@@ -51,7 +51,7 @@
                      bool aRetryAvailable,
                      TimePoint aNow)
 {
-  CheckSilence(aNow);
+  CheckRunning(aNow);
   return mBreaker.Admit(
     aRequest.mCanFailOver && aRetryAvailable, aRequest.mLastResort, aNow);
 }
@@ -59,7 +59,7 @@
 bool
 ServerBreaker::IsDemoted(TimePoint aNow)
 {
-  CheckSilence(aNow);
+  CheckRunning(aNow);
   return mBreaker.State() != BreakerState::kClosed;
 }
 
@@ -72,7 +72,10 @@
 void
 ServerBreaker::OnStarted(const HomeRequest& aRequest, TimePoint aNow)
 {
-  mSilence.OnStarted(aRequest.mAttempt, aRequest.mRoute, aNow);
+  SilenceOf(aRequest).OnStarted(aRequest.mAttempt, aRequest.mRoute, aNow);
+  if (aRequest.mLongTarget && mBreaker.State() != BreakerState::kClosed) {
+    mTrials.OnStarted(aRequest.mAttempt, aNow);
+  }
   mServiceErrorRate +=
     kErrorRateWeight * (aRequest.mServiceErrorRate - mServiceErrorRate);
 }
@@ -91,6 +94,7 @@
     .With("trial", mBreaker.State() == BreakerState::kHalfOpen ? "yes" : "no")
     .With("time_ms", std::chrono::duration_cast<Millis>(aTime).count());
   UpdateSilence(aRequest, aAnswer, aNow);
+  mTrials.OnEnded(aRequest.mAttempt);
   if (!IsInconclusive(aAnswer) &&
       UpdateBreaker(aRequest, aAnswer, aTime, aNow)) {
     LogChange("request",
@@ -100,7 +104,7 @@
                 : aAnswer.mReason,
               aNow);
   }
-  CheckSilence(aNow);
+  CheckRunning(aNow);
 }
 
 void
@@ -108,12 +112,13 @@
                              const HomeAnswer& aAnswer,
                              TimePoint aNow)
 {
+  auto& silence = SilenceOf(aRequest);
   if (aAnswer.mOutcome == Outcome::kRun) {
-    mSilence.OnAnswered(aRequest.mAttempt);
+    silence.OnAnswered(aRequest.mAttempt);
   } else if (WasAbandoned(aRequest, aAnswer)) {
-    mSilence.OnAbandoned(aRequest.mAttempt, aNow);
+    silence.OnAbandoned(aRequest.mAttempt, aNow);
   } else {
-    mSilence.Forget(aRequest.mAttempt);
+    silence.Forget(aRequest.mAttempt);
   }
 }
 
@@ -125,33 +130,61 @@
 {
   if (WasAbandoned(aRequest, aAnswer)) {
     const bool trial = mBreaker.State() == BreakerState::kHalfOpen;
+    mTrials.OnOtherFailure();
+    const auto survival = aRequest.mLongTarget ? LongSurvival() : Survival();
     const bool conclusive =
-      mTimes.Survival(aRequest.mRoute, aTime) < kMaxHangingSurvival;
+      survival(aRequest.mRoute, aTime) < kMaxHangingSurvival;
     return trial && conclusive && mBreaker.OnFailure(aNow);
   }
   if (aAnswer.mOutcome != Outcome::kRun) {
     mOpenedBySilence = false;
+    if (aRequest.mLongTarget && aAnswer.mServerClosed) {
+      mTrials.OnClosed(aTime);
+    } else {
+      mTrials.OnOtherFailure();
+    }
     return mBreaker.OnFailure(aNow);
   }
   if (aAnswer.mHttp.mStatus >= kFirstServerErrorStatus) {
+    mTrials.OnOtherFailure();
     return mBreaker.OnError(mServiceErrorRate, aNow);
   }
   const bool closed = mBreaker.OnSuccess(aNow - aTime);
   if (closed) {
     mOpenedBySilence = false;
     mSilence.Reset();
+    mLongSilence.Reset();
   }
   return closed;
 }
 
+void
+ServerBreaker::CheckRunning(TimePoint aNow)
+{
+  CheckAccepted(aNow);
+  CheckSilence(aNow);
+}
+
+void
+ServerBreaker::CheckAccepted(TimePoint aNow)
+{
+  for (const auto sent : mTrials.TakeAccepted(aNow)) {
+    if (mBreaker.OnSuccess(sent)) {
+      mOpenedBySilence = false;
+      LogChange("cause", "trial", "accepted", aNow);
+    }
+  }
+}
+
 // Detects a server that hangs before its requests time out. Closes the breaker
 // again when their answers arrive.
 void
 ServerBreaker::CheckSilence(TimePoint aNow)
 {
-  const bool alarm = mSilence.Alarms(Survival(), aNow);
+  const bool alarm = IsSilent(aNow);
   if (alarm && mBreaker.State() == BreakerState::kClosed) {
     mOpenedBySilence = true;
+    mTrials.OnOtherFailure();
     mBreaker.OnFailure(aNow);
     LogChange("cause", "silence", "no answer for long", aNow);
   } else if (!alarm && mOpenedBySilence) {
@@ -161,6 +194,19 @@
   }
 }
 
+SilenceDetector&
+ServerBreaker::SilenceOf(const HomeRequest& aRequest)
+{
+  return aRequest.mLongTarget ? mLongSilence : mSilence;
+}
+
+bool
+ServerBreaker::IsSilent(TimePoint aNow) const
+{
+  return mSilence.Alarms(Survival(), aNow) ||
+         mLongSilence.Alarms(LongSurvival(), aNow);
+}
+
 SurvivalOf
 ServerBreaker::Survival() const
 {
@@ -169,6 +215,14 @@
   };
 }
 
+SurvivalOf
+ServerBreaker::LongSurvival() const
+{
+  return [this](const std::string& aRoute, Micros aTime) {
+    return mTimes.LongSurvival(aRoute, aTime);
+  };
+}
+
 void
 ServerBreaker::LogChange(const char* aKey,
                          const std::string& aCause,
@@ -181,9 +235,12 @@
     .With("server", mServer.ToString())
     .With("state", ToText(mBreaker.State()))
     .With("reason", aReason)
-    .With("silence_x100",
+    .With(
+      "silence_x100",
+      static_cast<std::int64_t>(kHundredths * mSilence.Score(Survival(), aNow)))
+    .With("long_silence_x100",
           static_cast<std::int64_t>(kHundredths *
-                                    mSilence.Score(Survival(), aNow)));
+                                    mLongSilence.Score(LongSurvival(), aNow)));
 }
 
 } // namespace porttiller
--- a/packages/home/tests/LocalServerTest.cpp
+++ b/packages/home/tests/LocalServerTest.cpp
@@ -178,3 +178,77 @@
   brief.mDeadline = Now() + kLong / 4; // it expires before the stop ends
   CHECK(server.Begin(brief).get().mOutcome == Outcome::kRun);
 }
+
+TEST_CASE("A home says of a long request's rejection that the server is silent")
+{
+  for (const bool isLong : { false, true }) {
+    CAPTURE(isLong);
+    OneSlotServer server;
+    auto running = server.Begin(Request(1));
+    server.AwaitInFlight(1);
+    auto request = Request(2);
+    request.mPriority = Priority::kCritical;
+    if (isLong) {
+      request.mLongTarget = Millis(5000);
+    }
+    auto waiting = server.Begin(request);
+    server.AwaitInFlight(2);
+    constexpr Millis kHangTime{ 5000 };
+    constexpr Millis kReportDelay{ 500 };
+    server.mServer.TakeStateUpdate(Now() + kHangTime);
+    server.mServer.TakeStateUpdate(Now() + kHangTime + kReportDelay);
+    const auto rejected = waiting.get();
+    CHECK(rejected.mRejectReason == RejectReason::kDemoted);
+    CHECK(rejected.mSilent == isLong);
+    server.mRelease = true;
+    CHECK(running.get().mOutcome == Outcome::kRun);
+  }
+}
+
+TEST_CASE("A server admits hedges of long requests while its budget is full")
+{
+  OneSlotServer server;
+  server.mRelease = true;
+  server.mServer.SetRetryBudget({ .mShare = 0.5, .mBurst = 6.0 });
+  std::uint64_t number = 0;
+  const auto send = [&](bool aIsHedge, Priority aPriority, bool aIsLong) {
+    auto request = Request(++number, true);
+    request.mIsRetry = true;
+    request.mIsHedge = aIsHedge;
+    request.mPriority = aPriority;
+    if (aIsLong) {
+      request.mLongTarget = Millis(4000);
+    }
+    return server.Begin(request).get().mRejectReason;
+  };
+  const auto ran = RejectReason::kNone;
+  const auto spent = RejectReason::kNoRetries;
+  // The budget starts with a burst of ten and keeps six.
+  for (int i = 0; i < 3; ++i) {
+    CHECK(send(true, Priority::kNormal, true) == ran);
+  }
+  CHECK(send(true, Priority::kCritical, true) == spent); // three of six left
+  CHECK(send(false, Priority::kSheddable, true) == ran);
+  CHECK(send(false, Priority::kSheddable, true) == spent);
+  CHECK(send(false, Priority::kNormal, true) == ran);
+  CHECK(send(false, Priority::kCritical, true) == ran);
+  CHECK(send(false, Priority::kCritical, true) == spent);
+}
+
+TEST_CASE("Requests that are not long use the whole retry budget")
+{
+  // Guards against a change for services without long requests.
+  OneSlotServer server;
+  server.mRelease = true;
+  server.mServer.SetRetryBudget({ .mShare = 0.5, .mBurst = 6.0 });
+  for (std::uint64_t i = 1; i <= 7; ++i) {
+    CAPTURE(i);
+    auto request = Request(i, true);
+    request.mIsRetry = true;
+    request.mIsHedge = i % 2 == 0;
+    request.mPriority = Priority::kSheddable;
+    const auto answer = server.Begin(request).get();
+    CHECK(answer.mRejectReason ==
+          (i <= 6 ? RejectReason::kNone : RejectReason::kNoRetries));
+  }
+}
--- a/packages/telemetry/include/porttiller/telemetry/Metrics.h
+++ b/packages/telemetry/include/porttiller/telemetry/Metrics.h
@@ -31,11 +31,18 @@
   prometheus::Counter& Retries() { return *mRetries; }
   // Hedges: attempts at a second server while the first one is unusually slow.
   prometheus::Counter& HedgedAttempts() { return *mHedgedAttempts; }
+  // Long requests that waited at the entry as no home accepted them.
+  prometheus::Counter& EntryWaits() { return *mEntryWaits; }
   prometheus::Counter& Revokes() { return *mRevokes; }
   // Requests rejected with 429 because their workspace is over its limit.
   prometheus::Counter& OverLimit() { return *mOverLimit; }
   // Workspaces that this box, as their collector, limits to an admitted share.
   prometheus::Gauge& LimitedWorkspaces() { return *mLimitedWorkspaces; }
+  // Requests rejected because answers that callers do not read fill the memory
+  // for them.
+  prometheus::Counter& UnsentRejections() { return *mUnsentRejections; }
+  // Callers' connections closed because an answer was read too slowly.
+  prometheus::Counter& SlowReaders() { return *mSlowReaders; }
   prometheus::Counter& DroppedAnswers() { return *mDroppedAnswers; }
   prometheus::Counter& PlatformCalls() { return *mPlatformCalls; }
   prometheus::Counter& FloorRejections() { return *mFloorRejections; }
@@ -59,6 +66,11 @@
   prometheus::Gauge& CrashRecords() { return *mCrashRecords; }
   prometheus::Gauge& QuarantinedRequests() { return *mQuarantinedRequests; }
 
+  // Hedges that this box's servers were sent, and those that its retry budgets
+  // withheld, since its start.
+  prometheus::Gauge& HedgesAdmitted() { return *mHedgesAdmitted; }
+  prometheus::Gauge& HedgesRejected() { return *mHedgesRejected; }
+
   // Of this box's servers: those that name a limit, the sum of their limits in
   // requests per second, and the requests that they were sent in the last 4 s.
   prometheus::Gauge& LimitedServers() { return *mLimitedServers; }
@@ -76,8 +88,11 @@
   std::array<prometheus::Counter*, kApplyErrorCount> mRejectedDeltas{};
   prometheus::Counter* mRetries;
   prometheus::Counter* mHedgedAttempts;
+  prometheus::Counter* mEntryWaits;
   prometheus::Counter* mRevokes;
   prometheus::Counter* mOverLimit;
+  prometheus::Counter* mUnsentRejections;
+  prometheus::Counter* mSlowReaders;
   prometheus::Counter* mDroppedAnswers;
   prometheus::Counter* mPlatformCalls;
   prometheus::Counter* mFloorRejections;
@@ -95,6 +110,8 @@
   prometheus::Gauge* mUnreadableMessages;
   prometheus::Gauge* mCrashRecords;
   prometheus::Gauge* mQuarantinedRequests;
+  prometheus::Gauge* mHedgesAdmitted;
+  prometheus::Gauge* mHedgesRejected;
   prometheus::Gauge* mLimitedServers;
   prometheus::Gauge* mServerLimit;
   prometheus::Gauge* mLimitedServersSent;
--- a/packages/telemetry/src/Metrics.cpp
+++ b/packages/telemetry/src/Metrics.cpp
@@ -47,12 +47,22 @@
   , mHedgedAttempts(MakeCounter(*mRegistry,
                                 "porttiller_races_total",
                                 "Attempts sent while an earlier one took long"))
+  , mEntryWaits(MakeCounter(*mRegistry,
+                            "porttiller_entry_waits_total",
+                            "Requests that waited for a home to accept them"))
   , mRevokes(MakeCounter(*mRegistry,
                          "porttiller_revokes_total",
                          "Attempts whose home was asked to revoke them"))
   , mOverLimit(MakeCounter(*mRegistry,
                            "porttiller_over_limit_total",
                            "Requests beyond the limit of their workspace"))
+  , mUnsentRejections(
+      MakeCounter(*mRegistry,
+                  "porttiller_unsent_rejections_total",
+                  "Requests rejected as unread answers fill their memory"))
+  , mSlowReaders(MakeCounter(*mRegistry,
+                             "porttiller_slow_readers_total",
+                             "Callers disconnected for reading too slowly"))
   , mDroppedAnswers(MakeCounter(*mRegistry,
                                 "porttiller_dropped_answers_total",
                                 "Answers that were late, foreign or cut"))
@@ -112,6 +122,12 @@
       MakeGauge(*mRegistry,
                 "porttiller_quarantined_requests",
                 "Requests rejected because they crashed servers"))
+  , mHedgesAdmitted(MakeGauge(*mRegistry,
+                              "porttiller_hedges_admitted",
+                              "Hedges that ran at servers of this box"))
+  , mHedgesRejected(MakeGauge(*mRegistry,
+                              "porttiller_hedges_rejected",
+                              "Hedges for which no retry was left here"))
   , mLimitedServers(MakeGauge(*mRegistry,
                               "porttiller_limited_servers",
                               "Backend servers here that name a limit"))
