--- a/packages/http/tests/ReadProgressTest.cpp
+++ b/packages/http/tests/ReadProgressTest.cpp
@@ -51,7 +51,7 @@
   CHECK(slow.mReason == SlowReader::kTooSlow);
   CHECK(slow.mAfter == HttpListenerOptions{}.mReadRateWindow);
   CHECK_FALSE(Play(1024, Millis(1000), kBytesPerKb).mReason);
-  CHECK_FALSE(Play(30 * 1024, Millis(9000), kBytesPerKb).mReason);
+  CHECK_FALSE(Play(30 * kBytesPerKb, Millis(9000), kBytesPerKb).mReason);
   CHECK_FALSE(Play(1, Millis(1000), 0).mReason); // no least rate
 }
 
