--- a/packages/entry/src/AttemptRunPriv.cpp
+++ b/packages/entry/src/AttemptRunPriv.cpp
@@ -16,8 +16,8 @@
 // Most of these are rejected by homes, which costs a round trip each but no
 // work of a server.
 constexpr int kMaxAttempts = 12;
-// In each round of a long request. Of 38 servers some eleven are in an episode
-// of failures at once; most of these are known as demoted.
+// Of a long request, before it waits. One server in three may be failing at
+// once, and an entry learns of most of them only by a rejection.
 constexpr int kMaxLongAttempts = 16;
 // A request that ran at this many crashes is not sent to another server at
 // once: its caller learns that the outcome is unknown.
