config, control: find differing records by a tree of digests

Cause: after 1.2 s of differing digests a box sent the versions of all records to a peer, once a second, and got as many back. While records change somewhere all the time, two boxes hardly ever hold the same set: some 35 KB each way at 981 boxes, in proportion to the fleet, for each box and second.

Change: DirectoryExchange. The records form a tree over the hashes of the boxes' names, with 16 parts a node; a message describes only those parts whose digests differ, and lists versions once they are six or fewer. Each side answers from its directory alone. A box that knows few records still gets all of them with the first answer, and a DirectoryRequest of an older version is answered as before.

Measured (DirectoryCodecTest): one record newer on each side of 2,000 costs less than 3,000 bytes in all messages; from 500 to 1,000 and 2,000 boxes an exchange grows by at most one level for each record that differs, also with 40 of them. Fuzzed: after an exchange both sides hold the newest record of each box.

--- a/packages/config/include/porttiller/config/Directory.h
+++ b/packages/config/include/porttiller/config/Directory.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "porttiller/config/BoxRecord.h"
+#include "porttiller/config/DirectoryExchange.h"
 
 #include <cstdint>
 #include <map>
@@ -10,15 +11,6 @@
 
 namespace porttiller {
 
-// The version of a box's record that a node holds.
-struct RecordVersion
-{
-  BoxName mBox;
-  std::uint64_t mRevision = 0;
-
-  friend auto operator<=>(const RecordVersion&, const RecordVersion&) = default;
-};
-
 // Owned by the directory controller, under its lock.
 class Directory
 {
@@ -41,8 +33,25 @@
   // True when aTheirs has something newer than this directory.
   bool LacksAnyOf(const std::vector<RecordVersion>& aTheirs) const;
 
+  // The first message of an exchange.
+  DirectoryExchange BeginExchange() const;
+  // The answer to a message of an exchange, whose records need not be merged
+  // yet. Ignores ranges that are not valid.
+  DirectoryExchange Answer(const DirectoryExchange& aTheirs) const;
+
 private:
+  using HashIndex = std::multimap<std::uint64_t, const BoxRecord*>;
+
+  std::uint64_t DigestOf(const HashRange& aRange) const;
+  // Adds the range to an exchange: its versions if they are few, else the
+  // digests of its parts.
+  void Describe(const HashRange& aRange, DirectoryExchange& aExchange) const;
+  void AnswerNode(const DigestNode& aTheirs, DirectoryExchange& aAnswer) const;
+  void AnswerListed(const DirectoryExchange& aTheirs,
+                    DirectoryExchange& aAnswer) const;
+
   std::map<BoxName, BoxRecord> mRecords;
+  HashIndex mByHash; // the values of mRecords, by the hashes of their keys
   std::uint64_t mDigest = 0;
 };
 
--- a/packages/config/src/Directory.cpp
+++ b/packages/config/src/Directory.cpp
@@ -1,15 +1,27 @@
 #include "porttiller/config/Directory.h"
 
+#include <iterator>
 #include <xxhash.h>
 
 namespace porttiller {
 
 namespace {
 
+// Largest range whose versions are listed. A node takes as many bytes as a few
+// versions.
+constexpr std::size_t kMaxListedRecords = 6;
+
+std::uint64_t
+HashOf(const BoxName& aBox)
+{
+  const auto& name = aBox.Value();
+  return XXH64(name.data(), name.size(), 0);
+}
+
 // The digest of a directory is the XOR of these, so it does not depend on
 // order.
 std::uint64_t
-DigestOf(const BoxRecord& aRecord)
+DigestOfRecord(const BoxRecord& aRecord)
 {
   const auto& name = aRecord.mBox.mName.Value();
   return XXH64(name.data(), name.size(), aRecord.mRevision);
@@ -26,10 +38,13 @@
     if (aRecord.mRevision <= it->second.mRevision) {
       return false;
     }
-    mDigest ^= DigestOf(it->second);
+    mDigest ^= DigestOfRecord(it->second);
+  }
+  const auto [held, added] = mRecords.insert_or_assign(name, aRecord);
+  if (added) {
+    mByHash.emplace(HashOf(name), &held->second);
   }
-  mRecords.insert_or_assign(name, aRecord);
-  mDigest ^= DigestOf(aRecord);
+  mDigest ^= DigestOfRecord(aRecord);
   return true;
 }
 
@@ -101,4 +116,102 @@
   return false;
 }
 
+std::uint64_t
+Directory::DigestOf(const HashRange& aRange) const
+{
+  std::uint64_t digest = 0;
+  const auto end = mByHash.upper_bound(aRange.Last());
+  for (auto it = mByHash.lower_bound(aRange.mFirst); it != end; ++it) {
+    digest ^= DigestOfRecord(*it->second);
+  }
+  return digest;
+}
+
+void
+Directory::Describe(const HashRange& aRange, DirectoryExchange& aExchange) const
+{
+  const auto begin = mByHash.lower_bound(aRange.mFirst);
+  const auto end = mByHash.upper_bound(aRange.Last());
+  const auto count = static_cast<std::size_t>(std::distance(begin, end));
+  if (count > kMaxListedRecords && !aRange.IsLeaf()) {
+    DigestNode node{ .mRange = aRange };
+    for (std::size_t i = 0; i < node.mParts.size(); ++i) {
+      node.mParts.at(i) = DigestOf(aRange.Part(i));
+    }
+    aExchange.mNodes.push_back(node);
+    return;
+  }
+  aExchange.mListed.push_back(aRange);
+  for (auto it = begin; it != end; ++it) {
+    const auto& record = *it->second;
+    aExchange.mHeld.push_back(
+      { .mBox = record.mBox.mName, .mRevision = record.mRevision });
+  }
+}
+
+DirectoryExchange
+Directory::BeginExchange() const
+{
+  DirectoryExchange exchange;
+  Describe({}, exchange);
+  return exchange;
+}
+
+DirectoryExchange
+Directory::Answer(const DirectoryExchange& aTheirs) const
+{
+  DirectoryExchange answer;
+  for (const auto& node : aTheirs.mNodes) {
+    if (node.mRange.IsValid() && !node.mRange.IsLeaf()) {
+      AnswerNode(node, answer);
+    }
+  }
+  AnswerListed(aTheirs, answer);
+  for (const auto& box : aTheirs.mWanted) {
+    if (const auto* record = Find(box)) {
+      answer.mRecords.push_back(*record);
+    }
+  }
+  return answer;
+}
+
+void
+Directory::AnswerNode(const DigestNode& aTheirs,
+                      DirectoryExchange& aAnswer) const
+{
+  for (std::size_t i = 0; i < aTheirs.mParts.size(); ++i) {
+    const auto part = aTheirs.mRange.Part(i);
+    if (DigestOf(part) != aTheirs.mParts.at(i)) {
+      Describe(part, aAnswer);
+    }
+  }
+}
+
+void
+Directory::AnswerListed(const DirectoryExchange& aTheirs,
+                        DirectoryExchange& aAnswer) const
+{
+  std::map<BoxName, std::uint64_t> theirs;
+  for (const auto& version : aTheirs.mHeld) {
+    theirs[version.mBox] = version.mRevision;
+    const auto* own = Find(version.mBox);
+    if (own == nullptr || own->mRevision < version.mRevision) {
+      aAnswer.mWanted.push_back(version.mBox);
+    }
+  }
+  for (const auto& range : aTheirs.mListed) {
+    if (!range.IsValid()) {
+      continue;
+    }
+    const auto end = mByHash.upper_bound(range.Last());
+    for (auto it = mByHash.lower_bound(range.mFirst); it != end; ++it) {
+      const auto& record = *it->second;
+      const auto held = theirs.find(record.mBox.mName);
+      if (held == theirs.end() || held->second < record.mRevision) {
+        aAnswer.mRecords.push_back(record);
+      }
+    }
+  }
+}
+
 } // namespace porttiller
--- a/packages/control/include/porttiller/control/DirectoryController.h
+++ b/packages/control/include/porttiller/control/DirectoryController.h
@@ -76,7 +76,8 @@
   // Handlers of peers' messages.
   void OnRecords(const wire::BoxRecords& aMessage);
   wire::Envelope OnDirectoryRequest(const wire::DirectoryRequest& aRequest);
-  // Requests records from the peer if the digests have differed for a while.
+  wire::Envelope OnDirectoryExchange(const wire::DirectoryExchange& aMessage);
+  // Compares records with the peer if the digests have differed for a while.
   // Does not block.
   void OnPeerDigest(const PeerRevision& aPeer);
 
@@ -103,7 +104,18 @@
   void PublishBatch();
   void Push(const std::vector<BoxRecord>& aRecords,
             const GossipFanout& aFanout);
+  // Requests all records that are newer at a peer, and sends those it lacks.
   void Request(const std::string& aAddress);
+  // Finds the records in which this box and a peer differ, and exchanges them.
+  void Exchange(const std::string& aAddress);
+  void SendExchange(const std::string& aAddress,
+                    const DirectoryExchange& aExchange,
+                    int aMessagesLeft);
+  void OnExchangeReply(const std::string& aAddress,
+                       const wire::DirectoryExchange& aReply,
+                       int aMessagesLeft);
+  // Merges the records of a peer's message and returns the answer to it.
+  DirectoryExchange AnswerExchange(const wire::DirectoryExchange& aMessage);
   bool StoreAtPeers(const BoxRecord& aRecord);
   bool StoreDurably(const BoxRecord& aRecord);
   void Sleep(Millis aTime);
--- a/packages/control/src/DirectoryPeers.cpp
+++ b/packages/control/src/DirectoryPeers.cpp
@@ -2,6 +2,7 @@
 #include "porttiller/control/DirectoryController.h"
 
 #include "porttiller/control/ControlCodec.h"
+#include "porttiller/control/DirectoryCodec.h"
 
 namespace porttiller {
 
@@ -13,7 +14,10 @@
 constexpr Millis kPushTimeout{ 1000 };
 // A digest difference that lasts longer is not due to a record in flight.
 constexpr Millis kDigestDifferenceTime{ 1200 };
-constexpr Millis kMinRequestInterval{ 1000 };
+constexpr Millis kMinExchangeInterval{ 1000 };
+// Requests of one exchange. The tree has 16 levels, of which each message and
+// its answer pass two.
+constexpr int kMaxExchangeRequests = 10;
 
 } // namespace
 
@@ -69,12 +73,82 @@
     if (now < mDifferingSince + kDigestDifferenceTime || now < mNextRequest) {
       return;
     }
-    mNextRequest = now + kMinRequestInterval;
+    mNextRequest = now + kMinExchangeInterval;
+  }
+  Exchange(aPeer.mAddress);
+}
+
+DirectoryExchange
+DirectoryController::AnswerExchange(const wire::DirectoryExchange& aMessage)
+{
+  auto decoded = DecodeExchange(aMessage);
+  mHooks.mOnUnreadable(decoded.mUnreadable);
+  if (!decoded.mExchange.mRecords.empty()) {
+    mWorker.Post(
+      [this, records = decoded.mExchange.mRecords] { Merge(records, "peer"); });
+  }
+  const std::lock_guard lock(mMutex);
+  return mDirectory.Answer(decoded.mExchange);
+}
+
+wire::Envelope
+DirectoryController::OnDirectoryExchange(
+  const wire::DirectoryExchange& aMessage)
+{
+  wire::Envelope reply;
+  *reply.mutable_directory_exchange() =
+    EncodeExchange(AnswerExchange(aMessage));
+  return reply;
+}
+
+void
+DirectoryController::Exchange(const std::string& aAddress)
+{
+  DirectoryExchange first;
+  {
+    const std::lock_guard lock(mMutex);
+    first = mDirectory.BeginExchange();
+  }
+  SendExchange(aAddress, first, kMaxExchangeRequests);
+}
+
+void
+DirectoryController::SendExchange(const std::string& aAddress,
+                                  const DirectoryExchange& aExchange,
+                                  int aMessagesLeft)
+{
+  wire::Envelope request;
+  *request.mutable_directory_exchange() = EncodeExchange(aExchange);
+  mTransport.Send(
+    aAddress,
+    std::move(request),
+    kPushTimeout,
+    [this, aAddress, left = aMessagesLeft - 1](const PeerResult& aResult) {
+      if (aResult && aResult->has_directory_exchange()) {
+        OnExchangeReply(aAddress, aResult->directory_exchange(), left);
+      }
+    });
+}
+
+void
+DirectoryController::OnExchangeReply(const std::string& aAddress,
+                                     const wire::DirectoryExchange& aReply,
+                                     int aMessagesLeft)
+{
+  const auto answer = AnswerExchange(aReply);
+  if (answer.NeedsAnswer()) {
+    if (aMessagesLeft > 0) {
+      SendExchange(aAddress, answer, aMessagesLeft);
+    }
+    return;
+  }
+  if (!answer.mRecords.empty()) {
+    wire::Envelope message;
+    *message.mutable_box_records() = EncodeRecords(answer.mRecords);
+    mTransport.SendOneWay(aAddress, std::move(message));
   }
-  Request(aPeer.mAddress);
 }
 
-// Requests the records that are newer at a peer, and sends those it lacks.
 void
 DirectoryController::Request(const std::string& aAddress)
 {
--- a/packages/node/src/NodePeers.cpp
+++ b/packages/node/src/NodePeers.cpp
@@ -78,6 +78,11 @@
         return mDirectory->OnDirectoryRequest(aRequest.directory_request());
       }
       return std::nullopt;
+    case wire::Envelope::kDirectoryExchange:
+      if (mDirectory) {
+        return mDirectory->OnDirectoryExchange(aRequest.directory_exchange());
+      }
+      return std::nullopt;
     case wire::Envelope::kServerNews:
       mServerUpdates->OnServerUpdate(aRequest.server_news());
       return std::nullopt; // a one-way message
--- a/packages/peer/src/PeerTransport.cpp
+++ b/packages/peer/src/PeerTransport.cpp
@@ -27,6 +27,7 @@
       return "health";
     case Body::kBoxRecords:
     case Body::kDirectoryRequest:
+    case Body::kDirectoryExchange:
       return "directory";
     case Body::kServerNews:
       return "server-news";
