control: no read of crash records at the system's first start

Cause: each box listed the stored crash records when it started: 981 calls to the store in a start of the whole fleet, at which none can be stored.

Change: left out at the first start of the whole system. Records of boxes that started a little earlier come from peers, by the digest on probes.

--- a/packages/control/src/CrashController.cpp
+++ b/packages/control/src/CrashController.cpp
@@ -52,7 +52,11 @@
 void
 CrashController::Start()
 {
-  mWorker.Post([this] { ReadStored(kReadTries); });
+  // At the first start of the whole system no records are stored, and those of
+  // boxes that started a little earlier come from peers.
+  if (!mSettings.mRegistration.mFirstStart) {
+    mWorker.Post([this] { ReadStored(kReadTries); });
+  }
   mTicker = std::make_unique<Ticker>(kTick, [this] { Tick(); });
 }
 
