--- a/bench/tests/LimitFleetTest.cpp
+++ b/bench/tests/LimitFleetTest.cpp
@@ -177,3 +177,14 @@
   });
   CHECK(ok);
 }
+
+TEST_CASE("Nothing below a limit is rejected in the fleet of seed 172041")
+{
+  auto options = HotFleet(172041);
+  options.mHotUntil = options.mHotFrom;
+  const auto outcome = LimitFleet(options).Run();
+  CheckWindows(outcome);
+  for (const auto& workspace : outcome.mWorkspaces) {
+    CHECK(workspace.mRejectedBelowLimit == 0);
+  }
+}
