--- a/packages/policy/tests/MembershipTest.cpp
+++ b/packages/policy/tests/MembershipTest.cpp
@@ -417,3 +417,51 @@
   CHECK(hops <= 8);
   CHECK(messages <= 7 * 353);
 }
+
+TEST_CASE("LiveSerial changes whenever the live boxes do")
+{
+  const bool ok = rc::check([] {
+    auto member = MakeMember(kBoxes[0]);
+    auto now = kStart;
+    auto live = member.LiveBoxes();
+    auto serial = member.LiveSerial();
+    for (int step = 0; step < 40; ++step) {
+      const auto& box = kBoxes[static_cast<std::size_t>(Draw(0, 3))];
+      const Incarnation incarnation(static_cast<std::uint64_t>(Draw(1, 4)));
+      switch (Draw(0, 6)) {
+        case 0:
+          member.OnReached(box, incarnation);
+          break;
+        case 1:
+          member.OnNotReached(box, now);
+          break;
+        case 2:
+          member.OnNewIncarnation(box, incarnation);
+          break;
+        case 3:
+          member.OnUpdates(
+            { { .mBox = box,
+                .mIncarnation = incarnation,
+                .mState = static_cast<MemberState>(Draw(0, 3)) } },
+            now);
+          break;
+        case 4:
+          now += Millis(4000);
+          member.OnTick(now);
+          break;
+        case 5:
+          member.SetBoxes({ kBoxes[0], box });
+          break;
+        default:
+          member.SetBoxes(kBoxes);
+          break;
+      }
+      if (member.LiveBoxes() != live) {
+        RC_ASSERT(member.LiveSerial() != serial);
+      }
+      live = member.LiveBoxes();
+      serial = member.LiveSerial();
+    }
+  });
+  CHECK(ok);
+}
--- a/testing/fleet/tests/DirectoryStartTest.cpp
+++ b/testing/fleet/tests/DirectoryStartTest.cpp
@@ -2,6 +2,7 @@
 #include "fleet/Fleet.h"
 #include "fleet/Ports.h"
 #include "porttiller/control/ControlCodec.h"
+#include "porttiller/control/CrashController.h"
 #include "porttiller/control/DirectoryController.h"
 #include "standin/ObjectStoreStandIn.h"
 
@@ -159,3 +160,36 @@
   controller.Stop();
   transport->reset(); // no callbacks after this, as in a node
 }
+
+TEST_CASE("Only boxes that start later read the stored crash records")
+{
+  // At the first start of the whole system none are stored, and each box of it
+  // would make a call of the store in vain.
+  standin::ObjectStoreStandIn store(StoreAddress());
+  Settings settings;
+  settings.mBox = BoxName("own");
+  settings.mDialect = Dialect::kMesh;
+  settings.mPlatformAddress = StoreAddress();
+  auto firstStart = settings;
+  firstStart.mRegistration.mFirstStart = true;
+  auto transport = PeerTransport::Make(
+    { .mBindAddress = ControlAddress(), .mBox = settings.mBox },
+    [](const wire::Envelope&, const PeerReplier&) {});
+  REQUIRE(transport);
+  const CrashPeers peers{
+    .mLiveBoxes = [] { return std::vector<BoxName>{}; },
+    .mSpreadPeers = [](const GossipFanout&) { return std::vector<BoxSpec>{}; },
+    .mSnapshot = [] { return SnapshotPtr(); },
+    .mRecheckServers = [] {}
+  };
+  CrashMonitor monitor;
+  CrashController first(firstStart, **transport, monitor, peers);
+  CrashController later(settings, **transport, monitor, peers);
+  first.Start();
+  later.Start();
+  CHECK(WaitUntil(kWait, [&] { return store.Calls() > 0; }));
+  later.Stop();
+  first.Stop();
+  CHECK(store.Calls() == 1);
+  transport->reset(); // no callbacks after this, as in a node
+}
