--- a/packages/policy/src/GossipOverlay.cpp
+++ b/packages/policy/src/GossipOverlay.cpp
@@ -98,13 +98,12 @@
     if (count == 0) {
       continue;
     }
-    const std::size_t fixed = own ? 1 : 0;
-    receivers.insert(
-      receivers.end(), neighbors.begin(), std::next(neighbors.begin(), fixed));
-    std::sample(std::next(neighbors.begin(), fixed),
+    const auto drawn = std::next(neighbors.begin(), own ? 1 : 0);
+    receivers.insert(receivers.end(), neighbors.begin(), drawn);
+    std::sample(drawn,
                 neighbors.end(),
                 std::back_inserter(receivers),
-                count - fixed,
+                count - (own ? 1U : 0U),
                 generator);
   }
   return receivers;
