policy, control: one hash ring for gossip and for probed neighbors

Cause, from reading the whole change: GossipOverlay wrote the ring and its places 1, 2, 4, ... ahead again that Membership::Neighbors already had, which hashed two names for each comparison of its sort; RefreshOverlay repeated the loop of LivePeers; Directory, which now holds pointers into its own records, could still be copied.

Change: HashRing (private to the package) serves both and hashes each name once. Directory is not copyable. IsLive replaces two copies of its condition. A comment on how a bound was chosen is out of DirectoryCodecTest. Behaviour is unchanged, and no check was touched.

--- a/packages/config/include/porttiller/config/Directory.h
+++ b/packages/config/include/porttiller/config/Directory.h
@@ -15,6 +15,11 @@
 class Directory
 {
 public:
+  Directory() = default;
+  // mByHash points into mRecords.
+  Directory(const Directory&) = delete;
+  Directory& operator=(const Directory&) = delete;
+
   // Returns true when aRecord is newer than the held one and replaces it.
   bool Merge(const BoxRecord& aRecord);
   const BoxRecord* Find(const BoxName& aBox) const;
--- a/packages/control/include/porttiller/control/MembershipController.h
+++ b/packages/control/include/porttiller/control/MembershipController.h
@@ -80,10 +80,10 @@
   std::optional<BoxSpec> SpecOf(const BoxName& aBox) const;
   void UpdateUsableBoxes();
   void SendUrgentUpdates();
-  std::vector<const BoxSpec*> LivePeers(const Snapshot& aSnapshot) const;
+  // The other live boxes. Under mMutex, with a snapshot.
+  std::vector<const BoxSpec*> LivePeers() const;
   // Brings mOverlay up to date. Under mMutex, with a snapshot.
   void RefreshOverlay();
-  SnapshotPtr CurrentSnapshot() const;
 
   const Settings& mSettings;
   PeerTransport& mTransport;
--- a/packages/control/src/MembershipController.cpp
+++ b/packages/control/src/MembershipController.cpp
@@ -381,12 +381,11 @@
 }
 
 std::vector<const BoxSpec*>
-MembershipController::LivePeers(const Snapshot& aSnapshot) const
+MembershipController::LivePeers() const
 {
   std::vector<const BoxSpec*> peers;
-  const std::lock_guard lock(mMutex);
   for (const auto& box : mMembership.LiveBoxes()) {
-    const auto* spec = aSnapshot.FindBox(box);
+    const auto* spec = mSnapshot->FindBox(box);
     if (spec != nullptr && box != mSettings.mBox) {
       peers.push_back(spec);
     }
@@ -394,13 +393,6 @@
   return peers;
 }
 
-SnapshotPtr
-MembershipController::CurrentSnapshot() const
-{
-  const std::lock_guard lock(mMutex);
-  return mSnapshot;
-}
-
 void
 MembershipController::RefreshOverlay()
 {
@@ -408,10 +400,8 @@
     return;
   }
   std::vector<OverlayBox> boxes;
-  for (const auto& box : mMembership.LiveBoxes()) {
-    if (const auto* spec = mSnapshot->FindBox(box)) {
-      boxes.push_back({ .mName = box, .mZone = spec->mZone });
-    }
+  for (const auto* peer : LivePeers()) {
+    boxes.push_back({ .mName = peer->mName, .mZone = peer->mZone });
   }
   mOverlay.SetBoxes(boxes);
   mOverlayStale = false;
@@ -437,11 +427,11 @@
 MembershipController::RandomPeers(std::size_t aCount) const
 {
   std::vector<BoxSpec> peers;
-  const auto snapshot = CurrentSnapshot();
-  if (!snapshot) {
+  const std::lock_guard lock(mMutex);
+  if (!mSnapshot) {
     return peers;
   }
-  auto live = LivePeers(*snapshot);
+  auto live = LivePeers();
   std::mt19937_64 generator(Random());
   std::shuffle(live.begin(), live.end(), generator);
   live.resize(std::min(live.size(), aCount));
--- a/packages/control/tests/DirectoryCodecTest.cpp
+++ b/packages/control/tests/DirectoryCodecTest.cpp
@@ -75,7 +75,6 @@
     CHECK(twice.mBytes <= thousand.mBytes + perLevel);
     CHECK(twice.mMessages <= 7);
   }
-  // The versions of 2,000 boxes alone are some 40 KB.
   CHECK(CostOf(2000, 1).mBytes < 3000);
 }
 
--- a/packages/policy/src/GossipOverlay.cpp
+++ b/packages/policy/src/GossipOverlay.cpp
@@ -1,10 +1,11 @@
 #include "porttiller/policy/GossipOverlay.h"
 
+#include "HashRingPriv.h"
+
 #include <algorithm>
 #include <iterator>
 #include <random>
 #include <utility>
-#include <xxhash.h>
 
 namespace porttiller {
 
@@ -13,41 +14,6 @@
 // Keeps ring positions independent of other uses of the hash.
 constexpr std::uint64_t kOverlaySeed = 0x6f766572;
 
-struct RingPlace
-{
-  std::uint64_t mPosition = 0;
-  const BoxName* mBox = nullptr;
-};
-
-std::uint64_t
-PositionOf(const BoxName& aBox)
-{
-  const auto& name = aBox.Value();
-  return XXH64(name.data(), name.size(), kOverlaySeed);
-}
-
-bool
-IsBefore(const RingPlace& aLeft, const RingPlace& aRight)
-{
-  return std::pair(aLeft.mPosition, *aLeft.mBox) <
-         std::pair(aRight.mPosition, *aRight.mBox);
-}
-
-// The boxes 1, 2, 4, ... places into the ring from index aFirst on, at most
-// aMaxCount.
-std::vector<BoxName>
-Fingers(const std::vector<RingPlace>& aRing,
-        std::size_t aFirst,
-        std::size_t aMaxCount)
-{
-  std::vector<BoxName> fingers;
-  for (std::size_t step = 1; step <= aRing.size() && fingers.size() < aMaxCount;
-       step *= 2) {
-    fingers.push_back(*aRing[(aFirst + step - 1) % aRing.size()].mBox);
-  }
-  return fingers;
-}
-
 } // namespace
 
 GossipOverlay::GossipOverlay(BoxName aSelf,
@@ -62,26 +28,21 @@
 void
 GossipOverlay::SetBoxes(const std::vector<OverlayBox>& aBoxes)
 {
-  std::map<AvailabilityZone, std::vector<RingPlace>> rings;
+  std::map<AvailabilityZone, std::vector<BoxName>> boxes;
   for (const auto& box : aBoxes) {
     if (box.mName != mSelf) {
-      rings[box.mZone].push_back(
-        { .mPosition = PositionOf(box.mName), .mBox = &box.mName });
+      boxes[box.mZone].push_back(box.mName);
     }
   }
-  for (auto& [zone, ring] : rings) {
-    std::sort(ring.begin(), ring.end(), IsBefore);
-  }
-  const RingPlace self{ .mPosition = PositionOf(mSelf), .mBox = &mSelf };
-  const auto& own = rings[mZone];
-  const auto rank = static_cast<std::size_t>(
-    std::upper_bound(own.begin(), own.end(), self, IsBefore) - own.begin());
+  const HashRing own(std::move(boxes[mZone]), kOverlaySeed);
+  boxes.erase(mZone);
+  const auto rank = own.RankOf(mSelf);
   mNeighbors.clear();
-  for (const auto& [zone, ring] : rings) {
-    const bool inOwnZone = zone == mZone;
-    const auto first = inOwnZone ? rank : rank * ring.size() / (own.size() + 1);
-    const auto maxCount = inOwnZone ? ring.size() : mOptions.mPerOtherZone;
-    mNeighbors.emplace(zone, Fingers(ring, first, maxCount));
+  mNeighbors.emplace(mZone, own.Fingers(rank, own.Size()));
+  for (auto& [zone, names] : boxes) {
+    const HashRing ring(std::move(names), kOverlaySeed);
+    const auto first = rank * ring.Size() / (own.Size() + 1);
+    mNeighbors.emplace(zone, ring.Fingers(first, mOptions.mPerOtherZone));
   }
 }
 
--- a/packages/policy/src/Membership.cpp
+++ b/packages/policy/src/Membership.cpp
@@ -1,12 +1,13 @@
 #include "porttiller/policy/Membership.h"
 
+#include "HashRingPriv.h"
+
 #include <algorithm>
 #include <cmath>
 #include <random>
 #include <set>
 #include <tuple>
 #include <utility>
-#include <xxhash.h>
 
 namespace porttiller {
 
@@ -67,9 +68,7 @@
 {
   std::vector<BoxName> unreached;
   for (const auto& [box, member] : mMembers) {
-    const bool departed = member.mState == MemberState::kDead ||
-                          member.mState == MemberState::kLeaving;
-    if (!member.mPathWorks && !departed) {
+    if (!member.mPathWorks && IsLive(member.mState)) {
       unreached.push_back(box);
     }
   }
@@ -84,9 +83,7 @@
 {
   std::vector<BoxName> others;
   for (const auto& [box, member] : mMembers) {
-    const bool departed = member.mState == MemberState::kDead ||
-                          member.mState == MemberState::kLeaving;
-    if (box != mSelf && !(aLiveOnly && departed)) {
+    if (box != mSelf && (!aLiveOnly || IsLive(member.mState))) {
       others.push_back(box);
     }
   }
@@ -96,26 +93,8 @@
 std::vector<BoxName>
 Membership::Neighbors() const
 {
-  const auto position = [](const BoxName& aBox) {
-    const auto& name = aBox.Value();
-    return std::pair(XXH64(name.data(), name.size(), kRingSeed), name);
-  };
-  auto ring = OtherBoxes(true);
-  std::sort(
-    ring.begin(), ring.end(), [&](const auto& aLeft, const auto& aRight) {
-      return position(aLeft) < position(aRight);
-    });
-  const auto own = position(mSelf);
-  const auto next =
-    std::find_if(ring.begin(), ring.end(), [&](const auto& aBox) {
-      return position(aBox) > own;
-    });
-  const auto first = static_cast<std::size_t>(next - ring.begin());
-  std::vector<BoxName> neighbors;
-  for (std::size_t step = 1; step <= ring.size(); step *= 2) {
-    neighbors.push_back(ring[(first + step - 1) % ring.size()]);
-  }
-  return neighbors;
+  const HashRing ring(OtherBoxes(true), kRingSeed);
+  return ring.Fingers(ring.RankOf(mSelf), ring.Size());
 }
 
 std::optional<BoxName>
