review: connections keep the default limits that a starting node gave them

Cause: a connection that is accepted before the configuration is known keeps the default limits for as long as it lasts. No change of the product.

--- a/review/standin/mesh_standin.cpp
+++ b/review/standin/mesh_standin.cpp
@@ -25,6 +25,9 @@
 constexpr Millis kClientInterval{ 50 };
 constexpr Millis kClientDeadline{ 2500 };
 constexpr Millis kAnswerWait{ 2000 };
+constexpr Millis kReconnectInterval{ 10 };
+constexpr Millis kUploaderInterval{ 500 };
+constexpr int kUploadOneIn = 24;
 
 // Lines with the time since the start of the process.
 class Record
@@ -118,6 +121,9 @@
     if (verb == "store-down") {
       return SetStoreDown(words);
     }
+    if (verb == "store-slow") {
+      return SetStoreSlow(words);
+    }
     if (verb == "server") {
       return StartServer(words);
     }
@@ -130,6 +136,9 @@
     if (verb == "clients") {
       return StartClients(words);
     }
+    if (verb == "uploaders") {
+      return StartUploaders(words);
+    }
     if (verb == "stop-clients") {
       mClients.clear();
       return "ok";
@@ -154,6 +163,7 @@
     std::string address;
     aWords >> address;
     mStore = std::make_unique<standin::ObjectStoreStandIn>(address);
+    mStore->OnPage([this] { std::this_thread::sleep_for(mStoreDelay.load()); });
     return "ok";
   }
 
@@ -177,6 +187,16 @@
     return "ok";
   }
 
+  // store-slow MS: time that a list takes.
+  std::string SetStoreSlow(std::istream& aWords)
+  {
+    Millis::rep delay = 0;
+    aWords >> delay;
+    mStoreDelay = Millis(delay);
+    mRecord.Write("store: a list takes " + std::to_string(delay) + " ms");
+    return "ok";
+  }
+
   // server NAME ID SERVICE ADDRESS REGISTRATION WORK_MS
   std::string StartServer(std::istream& aWords)
   {
@@ -251,7 +271,40 @@
     return "ok";
   }
 
-  void SendOne(const std::string& aClient, HttpPool& aPool, int aNumber)
+  // uploaders BOX ADDRESS COUNT BYTES: clients of one box, each with a kept
+  // connection. One request in 24 has a body of BYTES, the others a short one.
+  // A client whose connection is gone connects again at once.
+  std::string StartUploaders(std::istream& aWords)
+  {
+    std::string box;
+    std::string address;
+    int count = 0;
+    std::size_t bytes = 0;
+    aWords >> box >> address >> count >> bytes;
+    for (int i = 0; i < count; ++i) {
+      const auto client = box + "." + std::to_string(i);
+      auto pool =
+        std::make_shared<HttpPool>(HttpPoolOptions{ .mAddress = address });
+      auto sent = std::make_shared<int>(i);
+      mClients.push_back(std::make_unique<Repeated>(
+        kReconnectInterval, [this, client, pool, sent, bytes] {
+          if (pool->HasOpenIdle()) {
+            std::this_thread::sleep_for(kUploaderInterval);
+          } else if (pool->Probe() != ListenerState::kAccepts) {
+            return;
+          }
+          const int number = (*sent)++;
+          const bool large = number % kUploadOneIn == 0;
+          SendOne(client, *pool, number, large ? bytes : 1);
+        }));
+    }
+    return "ok";
+  }
+
+  void SendOne(const std::string& aClient,
+               HttpPool& aPool,
+               int aNumber,
+               std::size_t aBytes = 1)
   {
     const auto id = aClient + "." + std::to_string(aNumber);
     const auto deadline = Now() + kClientDeadline + kAnswerWait;
@@ -262,7 +315,7 @@
                                   { "Request-Id", id },
                                   { "Deadline-Ms",
                                     std::to_string(kClientDeadline.count()) } },
-                    .mBody = "body" },
+                    .mBody = std::string(aBytes, 'b') },
                   deadline);
     std::string result = "no connection";
     if (exchange) {
@@ -270,7 +323,8 @@
       result =
         answer ? std::to_string(answer->mStatus) : std::string("no answer");
     }
-    mRecord.Write("client " + aClient + ": request " + id + " got " + result);
+    mRecord.Write("client " + aClient + ": request " + id + " of " +
+                  std::to_string(aBytes) + " bytes got " + result);
   }
 
   // get ADDRESS PATH: prints the status.
@@ -290,6 +344,7 @@
   }
 
   Record mRecord;
+  std::atomic<Millis> mStoreDelay{ Millis(0) };
   std::unique_ptr<standin::ObjectStoreStandIn> mStore;
   std::map<std::string, Server> mServers;
   std::vector<std::unique_ptr<Repeated>> mClients;
