http: a call of a connection is waiting, running or an answer

Cause: Reject queued a call without a cancellation flag behind the call that ran, and AbandonLocked cancelled every queued call. Seen with gdb on: Cancellation::Cancel(this=0x0), called by AbandonLocked with two calls, the second done, with an answer and a null flag.

The queue is now CallQueue. An entry is a std::variant of a request that waits, one that runs, with its flag, and an answer; only a running one can be cancelled, and the flag of an HttpCall is never null. What is behind a request that is discarded unstarted is discarded with it, and the input behind a rejected request no longer stays in the read buffer.

--- a/packages/http/include/porttiller/http/HttpListener.h
+++ b/packages/http/include/porttiller/http/HttpListener.h
@@ -24,7 +24,8 @@
 {
   HttpRequestData mHttp;
   TimePoint mArrival;    // when its last byte was read
-  CancelFlag mCancelled; // cancelled when the caller disconnects
+  // Cancelled when the caller disconnects; never null.
+  CancelFlag mCancelled = Cancellation::Make();
 };
 
 struct HttpReply
--- a/packages/http/src/HttpConnectionPriv.cpp
+++ b/packages/http/src/HttpConnectionPriv.cpp
@@ -66,12 +66,12 @@
   mUnsent.Change(mReported, 0);
 }
 
-std::vector<PendingCallPtr>
+std::vector<RunnableCall>
 HttpConnection::OnReadable(TimePoint aNow)
 {
   const std::lock_guard lock(mMutex);
   ReadAll(aNow);
-  return TakeRunnable();
+  return mCalls.TakeRunnable(mHasRead);
 }
 
 void
@@ -116,7 +116,7 @@
 {
   std::size_t done = 0;
   while (done < mIn.size() && !mInputEnded &&
-         mCalls.size() < static_cast<std::size_t>(mOptions.mPipelined)) {
+         mCalls.Size() < static_cast<std::size_t>(mOptions.mPipelined)) {
     if (!mReader.HasStarted()) {
       mRequestStart = aNow;
     }
@@ -129,16 +129,12 @@
     if (!mReader.IsComplete()) {
       continue;
     }
-    auto call = std::make_shared<PendingCall>();
-    call->mClose = !mReader.KeepAlive();
-    call->mCall = { .mHttp = mReader.TakeRequest(),
-                    .mArrival = aNow,
-                    .mCancelled = Cancellation::Make() };
-    mInputEnded = call->mClose;
-    mCalls.push_back(std::move(call));
+    mInputEnded = !mReader.KeepAlive();
+    mCalls.Push({ .mHttp = mReader.TakeRequest(), .mArrival = aNow },
+                mInputEnded);
     mReader.Next();
   }
-  mIn.erase(0, done);
+  mIn.erase(0, mInputEnded ? std::string::npos : done);
   ReleaseIfEmpty(mIn);
 }
 
@@ -147,52 +143,17 @@
 HttpConnection::Reject(ListenerRejection aRejection)
 {
   mInputEnded = true;
-  auto call = std::make_shared<PendingCall>();
-  call->mDispatched = true;
-  call->mDone = true;
-  call->mClose = true;
-  call->mAnswer = MakeRejection(mOptions, aRejection).mAnswer;
-  mCalls.push_back(std::move(call));
+  mCalls.PushAnswer(MakeRejection(mOptions, aRejection).mAnswer);
   Flush();
 }
 
-// Safe requests run concurrently. Any other request runs alone, after the ones
-// before it have been answered: one of those may close the connection, and the
-// requests after it are then discarded without being run.
-std::vector<PendingCallPtr>
-HttpConnection::TakeRunnable()
-{
-  std::vector<PendingCallPtr> runnable;
-  for (std::size_t i = 0; i < mCalls.size(); ++i) {
-    auto& call = mCalls[i];
-    const bool safe = IsSafeMethod(call->mCall.mHttp.mMethod);
-    if (call->mDispatched) {
-      if (!call->mDone && !safe) {
-        break;
-      }
-      continue;
-    }
-    if (!safe && i > 0) {
-      break;
-    }
-    call->mDispatched = true;
-    call->mHasRead = mHasRead;
-    runnable.push_back(call);
-    if (!safe) {
-      break;
-    }
-  }
-  return runnable;
-}
-
-std::vector<PendingCallPtr>
-HttpConnection::Complete(const PendingCallPtr& aCall,
+std::vector<RunnableCall>
+HttpConnection::Complete(std::uint64_t aCall,
                          const HttpReply& aReply,
                          bool aDraining)
 {
   const std::lock_guard lock(mMutex);
-  aCall->mDone = true;
-  aCall->mAnswer = aReply.mAnswer;
+  mCalls.SetAnswer(aCall, aReply.mAnswer);
   if (aReply.mClose || aDraining) {
     EndAfterRunning();
   }
@@ -205,7 +166,7 @@
   if (mState == State::kOpen) {
     Parse(now); // input that was held back by mPipelined
   }
-  return TakeRunnable();
+  return mCalls.TakeRunnable(mHasRead);
 }
 
 // Closes the connection after the requests that are running: these must be
@@ -216,24 +177,20 @@
 {
   mInputEnded = true;
   mIn.clear();
-  while (!mCalls.empty() && !mCalls.back()->mDispatched) {
-    mCalls.pop_back();
-  }
-  if (!mCalls.empty()) {
-    mCalls.back()->mClose = true;
-  }
+  mCalls.DiscardWaiting();
 }
 
 void
 HttpConnection::Flush()
 {
-  while (!mCalls.empty() && mCalls.front()->mDone && mState == State::kOpen) {
-    const auto call = mCalls.front();
-    mCalls.pop_front();
-    const bool head = call->mCall.mHttp.mMethod == "HEAD";
-    mOut += ToWire(call->mAnswer, head, call->mClose);
-    if (call->mClose) {
-      assert(mCalls.empty()); // no request is accepted after it
+  while (mState == State::kOpen) {
+    const auto due = mCalls.TakeAnswer();
+    if (!due) {
+      break;
+    }
+    mOut += ToWire(due->mAnswer, due->mHeadOnly, due->mClose);
+    if (due->mClose) {
+      assert(mCalls.Empty()); // no request is accepted after it
       mState = State::kClosing;
     }
   }
@@ -310,7 +267,7 @@
     }
     return; // an answer that is being written keeps the connection
   }
-  if (mState != State::kOpen || !mCalls.empty()) {
+  if (mState != State::kOpen || !mCalls.Empty()) {
     return;
   }
   if (mReader.HasStarted()) {
@@ -345,10 +302,7 @@
   mState = State::kClosed;
   mOut.clear();
   mSent = 0;
-  for (const auto& call : mCalls) {
-    call->mCall.mCancelled->Cancel();
-  }
-  mCalls.clear();
+  mCalls.CancelAll();
   mInSendBuffer = 0;
   ReportUnsent();
 }
@@ -379,10 +333,7 @@
 void
 HttpConnection::ReportUnsent()
 {
-  std::size_t held = mOut.size() + mInSendBuffer;
-  for (const auto& call : mCalls) {
-    held += call->mDone ? call->mAnswer.mBody.size() : 0;
-  }
+  const auto held = mOut.size() + mInSendBuffer + mCalls.AnswerBytes();
   mUnsent.Change(mReported, held);
   mReported = held;
 }
--- a/packages/http/src/HttpConnectionPriv.h
+++ b/packages/http/src/HttpConnectionPriv.h
@@ -2,12 +2,13 @@
 // answers in the order of the requests.
 #pragma once
 
+#include "CallQueuePriv.h"
 #include "ReadProgressPriv.h"
 #include "UnsentBudgetPriv.h"
 #include "porttiller/http/HttpListener.h"
 
 #include <Poco/Net/StreamSocket.h>
-#include <deque>
+#include <cstdint>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -15,18 +16,6 @@
 
 namespace porttiller {
 
-// A request that has not been answered yet. Guarded by the connection's mutex,
-// except for mCall, which belongs to the worker once it is dispatched.
-struct PendingCall
-{
-  HttpCall mCall;
-  bool mDispatched = false;
-  bool mDone = false;
-  bool mHasRead = false; // the peer has read an earlier answer
-  bool mClose = false;   // close the connection after the answer
-  HttpAnswer mAnswer;    // valid once mDone
-};
-
 // Size limits and timeouts of one connection.
 struct ConnectionLimits
 {
@@ -35,8 +24,6 @@
   Millis mIdle{ 0 }; // between two requests
 };
 
-using PendingCallPtr = std::shared_ptr<PendingCall>;
-
 // What the I/O thread has to poll this connection for.
 struct ConnectionInterest
 {
@@ -62,16 +49,16 @@
   const Poco::Net::StreamSocket& Socket() const { return mSocket; }
 
   // Reads the available input and returns the requests to run now.
-  std::vector<PendingCallPtr> OnReadable(TimePoint aNow);
+  std::vector<RunnableCall> OnReadable(TimePoint aNow);
   void OnWritable();
   // Enforces the timeouts, and the rate at which answers must be read.
   // aStopping: also closes the connection if it is idle.
   void CheckTimeouts(TimePoint aNow, bool aStopping);
 
   // Sets the answer of a call and returns the requests that may run now.
-  std::vector<PendingCallPtr> Complete(const PendingCallPtr& aCall,
-                                       const HttpReply& aReply,
-                                       bool aDraining);
+  std::vector<RunnableCall> Complete(std::uint64_t aCall,
+                                     const HttpReply& aReply,
+                                     bool aDraining);
 
   ConnectionInterest Interest() const;
   // Cancels the running requests and discards their answers.
@@ -90,7 +77,6 @@
   void OnBytes(std::string_view aBytes, TimePoint aNow);
   void Parse(TimePoint aNow);
   void Reject(ListenerRejection aRejection);
-  std::vector<PendingCallPtr> TakeRunnable();
   void EndAfterRunning();
   void Flush();
   void SendOut();
@@ -106,14 +92,14 @@
   mutable std::mutex mMutex;
   Poco::Net::StreamSocket mSocket;
   MessageReader mReader;
-  std::string mIn;                   // read and not parsed yet
-  std::string mOut;                  // to be written
-  std::size_t mSent = 0;             // bytes of mOut that are written
-  std::uint64_t mSentInAll = 0;      // bytes since the connection was accepted
-  bool mHasRead = false;             // an answer was written completely
-  std::size_t mInSendBuffer = 0;     // unacknowledged, when last sampled
-  std::size_t mReported = 0;         // bytes counted in mUnsent
-  std::deque<PendingCallPtr> mCalls; // in the order of their answers
+  std::string mIn;               // read and not parsed yet
+  std::string mOut;              // to be written
+  std::size_t mSent = 0;         // bytes of mOut that are written
+  std::uint64_t mSentInAll = 0;  // bytes since the connection was accepted
+  bool mHasRead = false;         // an answer was written completely
+  std::size_t mInSendBuffer = 0; // unacknowledged, when last sampled
+  std::size_t mReported = 0;     // bytes counted in mUnsent
+  CallQueue mCalls;
   State mState = State::kOpen;
   bool mInputEnded = false; // further input is discarded
   TimePoint mLastUse;       // last byte read or written
--- a/packages/http/src/HttpListener.cpp
+++ b/packages/http/src/HttpListener.cpp
@@ -36,7 +36,7 @@
 class HttpListener::Loop::Job : public Poco::Runnable
 {
 public:
-  Job(Loop& aLoop, HttpConnectionPtr aConnection, PendingCallPtr aCall)
+  Job(Loop& aLoop, HttpConnectionPtr aConnection, RunnableCall aCall)
     : mLoop(aLoop)
     , mConnection(std::move(aConnection))
     , mCall(std::move(aCall))
@@ -52,7 +52,7 @@
 private:
   Loop& mLoop;
   HttpConnectionPtr mConnection;
-  PendingCallPtr mCall;
+  RunnableCall mCall;
 };
 
 HttpListener::Loop::Loop(HttpListenerOptions aOptions, HttpHandler aHandler)
@@ -240,36 +240,36 @@
 
 void
 HttpListener::Loop::Dispatch(const HttpConnectionPtr& aConnection,
-                             const std::vector<PendingCallPtr>& aCalls)
+                             std::vector<RunnableCall> aCalls)
 {
-  for (const auto& call : aCalls) {
+  for (auto& call : aCalls) {
     ++mOpenCalls;
-    if (!mUnsent.Admits(call->mHasRead)) {
+    if (!mUnsent.Admits(call.mHasRead)) {
       auto reply = MakeRejection(
         mOptions, ListenerRejection::kUnsentFull, mUnsent.RetryAfter());
       reply.mClose = true;
-      Complete(aConnection, call, reply);
+      Complete(aConnection, call.mId, reply);
       continue;
     }
     if (!mWorkers) {
       Serve(aConnection, call);
       continue;
     }
-    auto job = std::make_unique<Job>(*this, aConnection, call);
+    const auto id = call.mId;
+    auto job = std::make_unique<Job>(*this, aConnection, std::move(call));
     try {
       mWorkers->start(*job);
       job.release(); // NOLINT(bugprone-unused-return-value): it owns itself
     } catch (const Poco::NoThreadAvailableException&) {
-      Complete(aConnection,
-               call,
-               MakeRejection(mOptions, ListenerRejection::kNoWorker));
+      Complete(
+        aConnection, id, MakeRejection(mOptions, ListenerRejection::kNoWorker));
     }
   }
 }
 
 void
 HttpListener::Loop::Complete(const HttpConnectionPtr& aConnection,
-                             const PendingCallPtr& aCall,
+                             std::uint64_t aCall,
                              const HttpReply& aReply)
 {
   const auto next = aConnection->Complete(aCall, aReply, mDraining);
@@ -278,10 +278,10 @@
 }
 
 HttpReply
-HttpListener::Loop::RunHandler(PendingCall& aCall)
+HttpListener::Loop::RunHandler(HttpCall& aCall)
 {
   try {
-    return mHandler(aCall.mCall);
+    return mHandler(aCall);
   } catch (const std::exception& e) {
     if (mOptions.mOnException) {
       mOptions.mOnException(e.what());
@@ -292,10 +292,10 @@
 
 void
 HttpListener::Loop::Serve(const HttpConnectionPtr& aConnection,
-                          const PendingCallPtr& aCall)
+                          RunnableCall& aCall)
 {
-  const auto reply = RunHandler(*aCall);
-  const auto next = aConnection->Complete(aCall, reply, mDraining);
+  const auto reply = RunHandler(aCall.mCall);
+  const auto next = aConnection->Complete(aCall.mId, reply, mDraining);
   Dispatch(aConnection, next);
   const auto interest = aConnection->Interest();
   --mOpenCalls;
--- a/packages/http/src/ListenerLoopPriv.h
+++ b/packages/http/src/ListenerLoopPriv.h
@@ -44,12 +44,12 @@
   void Rearm(const HttpConnectionPtr& aConnection);
   void Remove(const HttpConnectionPtr& aConnection);
   void Dispatch(const HttpConnectionPtr& aConnection,
-                const std::vector<PendingCallPtr>& aCalls);
-  void Serve(const HttpConnectionPtr& aConnection, const PendingCallPtr& aCall);
+                std::vector<RunnableCall> aCalls);
+  void Serve(const HttpConnectionPtr& aConnection, RunnableCall& aCall);
   void Complete(const HttpConnectionPtr& aConnection,
-                const PendingCallPtr& aCall,
+                std::uint64_t aCall,
                 const HttpReply& aReply);
-  HttpReply RunHandler(PendingCall& aCall);
+  HttpReply RunHandler(HttpCall& aCall);
   bool IsDrained() const;
   ConnectionLimits Limits()
   {
