node: requests of the control listeners are small

The listeners for the admin address, readiness and server messages took bodies of 16 MiB, outside of the budget for bodies. They take 64 KiB now; messages of servers have some hundred bytes, the other two have no body.

--- a/packages/node/src/AdminServer.cpp
+++ b/packages/node/src/AdminServer.cpp
@@ -71,7 +71,10 @@
                   AdminSources aSources)
 {
   auto listener = HttpListener::Make(
-    { .mAddress = aAddress, .mWorkers = 0, .mOnException = LogException },
+    { .mAddress = aAddress,
+      .mWorkers = 0,
+      .mLimits = { .mMaxBodyBytes = kSmallBodyBytes },
+      .mOnException = LogException },
     [&aMetrics, sources = std::move(aSources)](const HttpCall& aCall) {
       return Serve(aMetrics, sources, aCall);
     });
--- a/packages/node/src/ReadinessServer.cpp
+++ b/packages/node/src/ReadinessServer.cpp
@@ -19,6 +19,7 @@
   auto listener = HttpListener::Make(
     { .mAddress = aSettings.mAddress,
       .mWorkers = 0,
+      .mLimits = { .mMaxBodyBytes = kSmallBodyBytes },
       .mOnException = LogException },
     [path = aSettings.mPath, ready = std::move(aReady)](const HttpCall& aCall) {
       if (aCall.mHttp.mTarget != path) {
--- a/packages/node/src/RegistrationServer.cpp
+++ b/packages/node/src/RegistrationServer.cpp
@@ -45,6 +45,7 @@
   auto listener = HttpListener::Make(
     { .mAddress = aSettings.mRegistration.mAddress,
       .mWorkers = kWorkers,
+      .mLimits = { .mMaxBodyBytes = kSmallBodyBytes },
       .mOnException = LogException },
     [&aDirectory](const HttpCall& aCall) { return Serve(aDirectory, aCall); });
   if (!listener) {
