store: an answer that is cut says nothing

A write whose answer was cut counted as done, as not found, or as never sent (503, and any cut status), and a read of "404" without its end as an object that is not there.

Cause: POCO's message reader ends a head, and its body streams a body, at the end of the connection without an error.

ObjectClient now compares the body with its length; without a length the body has to be whole JSON. Otherwise a read is unavailable and a write ambiguous.

--- a/packages/store/src/ObjectClient.cpp
+++ b/packages/store/src/ObjectClient.cpp
@@ -1,5 +1,7 @@
 #include "porttiller/store/ObjectClient.h"
 
+#include "porttiller/config/JsonText.h"
+
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
@@ -43,6 +45,20 @@
   }
 }
 
+// Whether an answer arrived whole. POCO takes a head or a body that the end of
+// the connection cuts off for a whole one. Without a length only the body itself
+// can tell.
+bool
+IsWhole(const HTTPResponse& aResponse, const std::string& aBody)
+{
+  if (aResponse.hasContentLength()) {
+    return aResponse.getContentLength64() ==
+           static_cast<std::int64_t>(aBody.size());
+  }
+  return aResponse.getStatus() == HTTPResponse::HTTP_NO_CONTENT ||
+         ParseJsonObject(aBody).has_value();
+}
+
 // An answer that the dialect cannot decode becomes kBadAnswer.
 template<typename T>
 ObjectClient::Result<T>
@@ -193,6 +209,9 @@
     auto& in = session.receiveResponse(response);
     std::string body;
     Poco::StreamCopier::copyToString(in, body);
+    if (!IsWhole(response, body)) {
+      throw Poco::Net::MessageException("the answer was cut");
+    }
     if (response.getStatus() / 100 == 2) {
       return body;
     }
