--- a/apps/porttiller/main.cpp
+++ b/apps/porttiller/main.cpp
@@ -63,8 +63,8 @@
 }
 
 // Maps large bodies on their own, so that their memory returns to the system
-// when they end. glibc raises this threshold to 32 MiB by itself, and then keeps
-// that much free in the arenas of many threads.
+// when they end. glibc raises this threshold to 32 MiB by itself, and then
+// keeps that much free in the arenas of many threads.
 void
 PrepareAllocator()
 {
--- a/packages/config/src/MemoryPlan.cpp
+++ b/packages/config/src/MemoryPlan.cpp
@@ -9,8 +9,8 @@
 constexpr double kBytesPerMb = 1 << 20;
 // If resources.memory_mb is not set.
 constexpr double kDefaultMemoryMb = 256.0;
-// Code, stacks, connections, and what the box knows of its fleet: at least this,
-// and a share of a large memory.
+// Code, stacks, connections, and what the box knows of its fleet: at least
+// this, and a share of a large memory.
 constexpr double kProcessMb = 48.0;
 constexpr double kProcessShare = 0.125;
 // Of a process with little memory, the share that is left for bodies.
@@ -35,8 +35,8 @@
   const double memory =
     aResources.mMemoryMb > 0.0 ? aResources.mMemoryMb : kDefaultMemoryMb;
   const double process = std::max(kProcessMb, memory * kProcessShare);
-  const double bodies = std::max(memory - process - aResources.mUnsentMb,
-                                 memory * kMinBodyShare);
+  const double bodies =
+    std::max(memory - process - aResources.mUnsentMb, memory * kMinBodyShare);
   const double answers = std::min(
     std::max(kMinAnswersMb, bodies * kAnswerShare), bodies * kMaxAnswerShare);
   const double requests = bodies - answers;
--- a/packages/store/src/ObjectClient.cpp
+++ b/packages/store/src/ObjectClient.cpp
@@ -46,8 +46,8 @@
 }
 
 // Whether an answer arrived whole. POCO takes a head or a body that the end of
-// the connection cuts off for a whole one. Without a length only the body itself
-// can tell.
+// the connection cuts off for a whole one. Without a length only the body
+// itself can tell.
 bool
 IsWhole(const HTTPResponse& aResponse, const std::string& aBody)
 {
