testing: connections without a request are counted apart

As the review traced, no request was ever sent on it: the home opens one to see whether the server accepts connections, and keeps it for its next request. The check means connections that carry an answer.

It counts these alone now, and is as strict on them; the others may be as many as the server has slots, which nothing checked before.

--- a/testing/fleet/tests/EndlessAnswerTest.cpp
+++ b/testing/fleet/tests/EndlessAnswerTest.cpp
@@ -108,6 +108,9 @@
   constexpr double kServedShare = 0.99;
   CHECK(served >= kServedShare * unaffected);
   CHECK(WaitUntil(kWait, [&] { return endless.OpenConnections() == 0; }));
+  // The home probes the server after each request that lost its connection, of
+  // which as many as the server has slots run at once.
+  CHECK(endless.UnusedConnections() <= fleet.Server(0).Options().mSlots);
   Endured endured;
   for (int box = 0; box < kBoxes; ++box) {
     CAPTURE(box);
--- a/testing/standin/EndlessServerStandIn.cpp
+++ b/testing/standin/EndlessServerStandIn.cpp
@@ -53,7 +53,7 @@
   while (!mStop) {
     if (mListener.poll(kPoll, Poco::Net::Socket::SELECT_READ)) {
       const auto socket = mListener.acceptConnection();
-      ++mOpen;
+      ++mUnused;
       mConnections.emplace_back([this, socket] { Serve(socket); });
     }
   }
@@ -62,15 +62,23 @@
 void
 EndlessServerStandIn::Serve(Poco::Net::StreamSocket aSocket)
 {
+  bool used = false;
   try {
     aSocket.setSendTimeout(kPoll);
+    while (!mStop && !aSocket.poll(kPoll, Poco::Net::Socket::SELECT_READ)) {
+    }
+    used = !mStop && aSocket.available() > 0;
+    if (used) {
+      ++mOpen;
+      --mUnused;
+    }
     if (ReadRequest(aSocket)) {
       SendUntilClosed(aSocket);
     }
   } catch (const Poco::Exception&) {
     aSocket.close(); // the peer has closed it
   }
-  --mOpen;
+  --(used ? mOpen : mUnused);
 }
 
 bool
--- a/testing/standin/EndlessServerStandIn.h
+++ b/testing/standin/EndlessServerStandIn.h
@@ -32,7 +32,11 @@
   // Whether a request with this value in its head has arrived.
   bool HasSeen(const std::string& aRequestId) const;
   std::size_t Requests() const;
+  // Open connections on which a byte of a request has arrived, and the others:
+  // a peer opens one to see whether the server accepts connections, and keeps
+  // it for its next request.
   int OpenConnections() const { return mOpen; }
+  int UnusedConnections() const { return mUnused; }
   // The most that was sent on one connection.
   std::uint64_t MostBytesSent() const { return mMostBytes; }
 
@@ -46,6 +50,7 @@
   Poco::Net::ServerSocket mListener;
   std::atomic<bool> mStop{ false };
   std::atomic<int> mOpen{ 0 };
+  std::atomic<int> mUnused{ 0 };
   std::atomic<std::uint64_t> mMostBytes{ 0 };
   mutable std::mutex mMutex;
   std::string mHeads;        // of all requests; under mMutex
