http: a connection that stops keeps no place and no room for its next body

A body in the line for room kept its place, and a slow one its room, while an earlier answer of its connection was not read, for up to mUnreadTimeout; the rest of a message behind a closing answer kept its room until the connection ended; and an answer behind another of its connection kept its share while the other may have waited for it.

BodyBudgetTest "A slow reader does not hold up ..." plays the first of them, and passed before the change as well.

--- a/packages/http/src/HttpConnectionPriv.cpp
+++ b/packages/http/src/HttpConnectionPriv.cpp
@@ -176,6 +176,11 @@
                          bool aDraining)
 {
   const std::lock_guard lock(mMutex);
+  if (mOptions.mUnsentBudget > 0) {
+    // mUnsent counts it from here on. Its turn may come only after another
+    // answer, which may wait for room.
+    aReply.mAnswer.mBody.ReleaseReservation();
+  }
   mCalls.SetAnswer(aCall, aReply.mAnswer);
   if (aReply.mClose || aDraining) {
     EndAfterRunning();
@@ -200,6 +205,7 @@
 {
   mInputEnded = true;
   mIn.clear();
+  mReader.Next(); // returns the room of an unfinished body
   mCalls.DiscardWaiting();
 }
 
@@ -213,9 +219,6 @@
     }
     const auto& answer = due->mAnswer;
     const bool bodyless = due->mHeadOnly || IsBodyless(answer.mStatus);
-    if (mOptions.mUnsentBudget > 0) {
-      answer.mBody.ReleaseReservation(); // mUnsent counts it
-    }
     mOut.Push(HeadToWire(answer, due->mClose),
               bodyless ? Body() : answer.mBody);
     if (due->mClose) {
@@ -283,6 +286,10 @@
   if (mState == State::kLingering && aNow >= mLingerUntil) {
     mState = State::kClosed;
   }
+  if (mState == State::kOpen && DelaysOthers(aNow)) {
+    Reject(mReader.NeedsRoom() ? ListenerRejection::kNoMemory
+                               : ListenerRejection::kRequestTimeout);
+  }
   if (!mOut.Empty() && mState != State::kClosed) {
     if (const auto slow = mProgress.Check(aNow, BytesRead())) {
       AbandonLocked();
@@ -292,30 +299,26 @@
     }
     return; // an answer that is being written keeps the connection
   }
-  if (mState != State::kOpen || mInputEnded) {
+  if (mState != State::kOpen || !mCalls.Empty()) {
     return;
   }
-  if (mReader.NeedsRoom()) {
-    if (aNow >= mRoomSince + mOptions.mRoomTimeout) {
-      Reject(ListenerRejection::kNoMemory);
-    }
-  } else if (mReader.HasStarted()) {
-    if (IsLate(aNow)) {
+  if (mReader.HasStarted() && !mReader.NeedsRoom()) {
+    if (aNow >= mRequestStart + mLimits.mRead) {
       Reject(ListenerRejection::kRequestTimeout);
     }
-  } else if (mCalls.Empty() &&
+  } else if (!mReader.HasStarted() &&
              (aStopping || aNow >= mLastUse + mLimits.mIdle)) {
     AbandonLocked();
   }
 }
 
-// Whether the rest of the current message is no longer waited for. A slow
-// sender keeps the room for its body only while nobody else waits for it.
+// Whether the body of the current message stands in the line for room for too
+// long, or arrives too slowly while others wait for the room that it has.
 bool
-HttpConnection::IsLate(TimePoint aNow) const
+HttpConnection::DelaysOthers(TimePoint aNow) const
 {
-  if (mCalls.Empty() && aNow >= mRequestStart + mLimits.mRead) {
-    return true;
+  if (mReader.NeedsRoom()) {
+    return aNow >= mRoomSince + mOptions.mRoomTimeout;
   }
   const std::chrono::duration<double> held = aNow - mRequestStart;
   return mReader.DelaysOthers() && held >= mOptions.mBodyRateGrace &&
--- a/packages/http/src/HttpConnectionPriv.h
+++ b/packages/http/src/HttpConnectionPriv.h
@@ -79,7 +79,7 @@
   void ReadAll(TimePoint aNow);
   void OnBytes(std::string_view aBytes, TimePoint aNow);
   void Parse(TimePoint aNow);
-  bool IsLate(TimePoint aNow) const;
+  bool DelaysOthers(TimePoint aNow) const;
   void Reject(ListenerRejection aRejection);
   void EndAfterRunning();
   void Flush();
--- a/packages/http/tests/BodyBudgetTest.cpp
+++ b/packages/http/tests/BodyBudgetTest.cpp
@@ -21,6 +21,8 @@
 constexpr std::size_t kLarge = 200 << 10; // bytes of a body
 // Room for one large body, but not for two.
 constexpr std::size_t kBudget = 320 << 10;
+// More than the kernel takes for a client that does not read.
+constexpr std::size_t kUnreadBytes = 32 << 20;
 constexpr int kPolls = 1000; // of 10 ms
 
 template<typename Condition>
@@ -102,7 +104,10 @@
         ++mRunning;
         WaitFor([&] { return mOpen || aCall.mCancelled->IsCancelled(); });
       }
-      return HttpReply{ .mAnswer = { .mStatus = 200 } };
+      const bool large = aCall.mHttp.mTarget == "/large";
+      return HttpReply{ .mAnswer = { .mStatus = 200,
+                                     .mBody = std::string(
+                                       large ? kUnreadBytes : 0, 'x') } };
     });
     REQUIRE(made);
     mListener = std::move(*made);
@@ -268,6 +273,24 @@
   CHECK(other.Status() == 200);
 }
 
+// Its place in the line was kept until its answers were read.
+TEST_CASE("A slow reader does not hold up the bodies of others")
+{
+  Listening listening(
+    { .mUnreadTimeout = Millis(60'000), .mRoomTimeout = Millis(100) });
+  Client first;
+  first.Post(kLarge);
+  REQUIRE(WaitFor([&] { return listening.mRunning == 1; }));
+  Client slow;
+  slow.Send("GET /large HTTP/1.1\r\nHost: a\r\n\r\n");
+  slow.Send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: " +
+            std::to_string(kLarge) + "\r\n\r\nabc");
+  REQUIRE(WaitFor([&] { return listening.mBudget->Waiting() == 1; }));
+  CHECK(WaitFor([&] { return listening.mBudget->Waiting() == 0; }));
+  listening.mOpen = true;
+  CHECK(first.Status() == 200);
+}
+
 TEST_CASE("A client that leaves returns the room of its unfinished body")
 {
   Listening listening({ .mRoomTimeout = Millis(60'000) });
