http: answers that callers do not read keep the room that was reserved for them

Cause: an answer left its share of the memory when it was complete, and the budget for unread answers only decides whether further requests run. Answers of requests that ran at that time had no bound.

An answer now moves to that budget only if it fits, and keeps its reservation until it is sent otherwise. As an answer behind another one of its connection could then hold the room that the first one waits for, it is replaced by 504 answer-no-memory (outcome unknown) once others wait for that room. A handler that throws is no longer reported as "not run" either.

--- a/packages/entry/src/EntryServer.cpp
+++ b/packages/entry/src/EntryServer.cpp
@@ -30,6 +30,16 @@
     static_cast<double>(aTime.count()) / kMillisPerSecond, 3);
 }
 
+// Most rejected requests did not reach the handler.
+Outcome
+OutcomeOf(ListenerRejection aRejection)
+{
+  return aRejection == ListenerRejection::kAnswerNoMemory ||
+             aRejection == ListenerRejection::kHandlerFailed
+           ? Outcome::kUnknown
+           : Outcome::kNotRun;
+}
+
 } // namespace
 
 EntryServer::EntryServer(const Settings& aSettings,
@@ -118,12 +128,15 @@
     LogLine(LogLevel::kWarning, "no_memory")
       .With("reserved", static_cast<std::int64_t>(mBodyBudget->Reserved()))
       .With("waiting", static_cast<std::int64_t>(mBodyBudget->Waiting()));
+  } else if (aRejection == ListenerRejection::kAnswerNoMemory) {
+    mDependencies.mMetrics.MemoryRejections().Increment();
+    LogLine(LogLevel::kWarning, "answer_no_memory");
   } else {
     LogLine(LogLevel::kInfo, "request_unreadable")
       .With("reason", ToText(aRejection));
   }
-  auto answer =
-    MakeProxyAnswer(StatusOf(aRejection), Outcome::kNotRun, ToText(aRejection));
+  auto answer = MakeProxyAnswer(
+    StatusOf(aRejection), OutcomeOf(aRejection), ToText(aRejection));
   answer.mCloseConnection = true;
   answer.mRetryAfter = aRetryAfter;
   return ToReply(std::move(answer), "");
--- a/packages/http/include/porttiller/http/Body.h
+++ b/packages/http/include/porttiller/http/Body.h
@@ -36,6 +36,8 @@
   // Ends the reservation early; something else counts the bytes from now on.
   // Called by one holder at a time.
   void ReleaseReservation() const;
+  // Whether bodies wait for room of the budget that this one has room of.
+  bool DelaysOthers() const;
 
   friend bool operator==(const Body& aLeft, const Body& aRight)
   {
--- a/packages/http/include/porttiller/http/HttpListener.h
+++ b/packages/http/include/porttiller/http/HttpListener.h
@@ -49,6 +49,7 @@
   kNoWorker,       // every worker is busy
   kUnsentFull,     // mUnsentBudget is used up
   kNoMemory,       // mBodyBudget has no room for the body
+  kAnswerNoMemory, // ran; its answer waits for an earlier one without room
   kHandlerFailed   // the handler threw
 };
 
@@ -92,9 +93,12 @@
   Millis mReadRateWindow{ 30'000 };
   // Answer bytes that wait for the peers of all connections at which new
   // requests are rejected with kUnsentFull, before they run. The last quarter
-  // is reserved for connections on which an earlier answer was read. The
-  // answers of requests that run at that time are held in addition. Counts send
-  // buffers, too, and keeps these small. 0: unlimited.
+  // is reserved for connections on which an earlier answer was read. The body
+  // of an answer that does not fit, as its request ran already, keeps its own
+  // reservation until it is sent; if it is behind another answer of its
+  // connection, and others wait for that room, it is replaced by
+  // kAnswerNoMemory. Counts send buffers, too, and keeps these small. 0:
+  // unlimited.
   std::size_t mUnsentBudget = 0;
   // Counts the bodies of requests, until their last copy is destroyed. While
   // there is no room for one its connection is not read; after mRoomTimeout, or
--- a/packages/http/src/Body.cpp
+++ b/packages/http/src/Body.cpp
@@ -52,6 +52,13 @@
   }
 }
 
+bool
+Body::DelaysOthers() const
+{
+  return mContent && mContent->mReservation.Bytes() > 0 &&
+         mContent->mReservation.OthersWait();
+}
+
 BodyBuffer::BodyBuffer(std::shared_ptr<BodyBudget> aBudget)
   : mReservation(std::move(aBudget))
 {
--- a/packages/http/src/CallQueuePriv.cpp
+++ b/packages/http/src/CallQueuePriv.cpp
@@ -86,6 +86,17 @@
   return due;
 }
 
+void
+CallQueue::ReplaceDelaying(const std::function<HttpAnswer()>& aAnswer)
+{
+  for (auto& entry : mCalls) {
+    auto* answer = std::get_if<HttpAnswer>(&entry.mState);
+    if (answer != nullptr && answer->mBody.DelaysOthers()) {
+      *answer = aAnswer();
+    }
+  }
+}
+
 void
 CallQueue::CancelAll()
 {
--- a/packages/http/src/CallQueuePriv.h
+++ b/packages/http/src/CallQueuePriv.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <optional>
 #include <variant>
 #include <vector>
@@ -57,6 +58,9 @@
   void DiscardWaiting();
   // Removes the first entry if it is an answer.
   std::optional<DueAnswer> TakeAnswer();
+  // Replaces each answer whose body keeps room that others wait for: the answer
+  // before it may be one of these, and would never come.
+  void ReplaceDelaying(const std::function<HttpAnswer()>& aAnswer);
   // Cancels the requests that run and removes all entries.
   void CancelAll();
 
--- a/packages/http/src/HttpConnectionPriv.cpp
+++ b/packages/http/src/HttpConnectionPriv.cpp
@@ -176,10 +176,11 @@
                          bool aDraining)
 {
   const std::lock_guard lock(mMutex);
-  if (mOptions.mUnsentBudget > 0) {
-    // mUnsent counts it from here on. Its turn may come only after another
-    // answer, which may wait for room.
-    aReply.mAnswer.mBody.ReleaseReservation();
+  const auto& body = aReply.mAnswer.mBody;
+  // One that does not fit keeps the room that was reserved to read it.
+  if (mOptions.mUnsentBudget > 0 && mUnsent.TryAdd(body.Size())) {
+    mReported += body.Size();
+    body.ReleaseReservation();
   }
   mCalls.SetAnswer(aCall, aReply.mAnswer);
   if (aReply.mClose || aDraining) {
@@ -290,6 +291,9 @@
     Reject(mReader.NeedsRoom() ? ListenerRejection::kNoMemory
                                : ListenerRejection::kRequestTimeout);
   }
+  mCalls.ReplaceDelaying([this] {
+    return MakeRejection(mOptions, ListenerRejection::kAnswerNoMemory).mAnswer;
+  });
   if (!mOut.Empty() && mState != State::kClosed) {
     if (const auto slow = mProgress.Check(aNow, BytesRead())) {
       AbandonLocked();
--- a/packages/http/src/ListenerRejection.cpp
+++ b/packages/http/src/ListenerRejection.cpp
@@ -20,6 +20,8 @@
       return "unsent-full";
     case ListenerRejection::kNoMemory:
       return "no-memory";
+    case ListenerRejection::kAnswerNoMemory:
+      return "answer-no-memory";
     case ListenerRejection::kHandlerFailed:
       break;
   }
@@ -42,6 +44,8 @@
     case ListenerRejection::kUnsentFull:
     case ListenerRejection::kNoMemory:
       return 503;
+    case ListenerRejection::kAnswerNoMemory:
+      return 504;
     case ListenerRejection::kHandlerFailed:
       break;
   }
--- a/packages/http/src/UnsentBudgetPriv.cpp
+++ b/packages/http/src/UnsentBudgetPriv.cpp
@@ -29,6 +29,18 @@
   }
 }
 
+bool
+UnsentBudget::TryAdd(std::size_t aBytes)
+{
+  auto held = mHeld.load();
+  do {
+    if (held + aBytes > mLimit) {
+      return false;
+    }
+  } while (!mHeld.compare_exchange_weak(held, held + aBytes));
+  return true;
+}
+
 bool
 UnsentBudget::Admits(bool aHasRead) const
 {
--- a/packages/http/src/UnsentBudgetPriv.h
+++ b/packages/http/src/UnsentBudgetPriv.h
@@ -20,10 +20,12 @@
 
   // A connection held aBefore bytes and holds aAfter now.
   void Change(std::size_t aBefore, std::size_t aAfter);
+  // Counts aBytes more if they fit; false, and nothing is counted, otherwise.
+  bool TryAdd(std::size_t aBytes);
   // Whether a new request may run. The last quarter of the limit is reserved
   // for connections on which an earlier answer was read (aHasRead): peers that
   // do not read then exclude further new connections, but not those in use.
-  // Running requests can exceed the limit by their answers.
+  // Answers of running requests that do not fit are counted as well.
   bool Admits(bool aHasRead) const;
   std::size_t Held() const { return mHeld; }
 
--- a/packages/http/tests/BodyBudgetTest.cpp
+++ b/packages/http/tests/BodyBudgetTest.cpp
@@ -67,6 +67,36 @@
          std::to_string(aBytes) + "\r\n\r\n" + std::string(aBytes, 'x'));
   }
 
+  void Reset()
+  {
+    mSocket.setLinger(true, 0);
+    mSocket.close();
+  }
+
+  // Whether aText arrives.
+  bool Receives(const std::string& aText)
+  {
+    std::array<char, 4096> buffer{};
+    try {
+      int size = 1;
+      while (mText.find(aText) == std::string::npos && size > 0) {
+        size = mSocket.receiveBytes(buffer.data(), buffer.size());
+        mText.append(buffer.data(), static_cast<std::size_t>(size));
+      }
+    } catch (const Poco::Exception&) {
+      return false;
+    }
+    return mText.find(aText) != std::string::npos;
+  }
+
+  // Whether an answer arrives soon.
+  bool HasAnswer()
+  {
+    constexpr int kWaitMicros = 50'000;
+    return mSocket.poll(Poco::Timespan(0, kWaitMicros),
+                        Poco::Net::Socket::SELECT_READ);
+  }
+
   // The status of the next answer; 0 if there is none.
   int Status()
   {
@@ -105,6 +135,7 @@
         WaitFor([&] { return mOpen || aCall.mCancelled->IsCancelled(); });
       }
       const bool large = aCall.mHttp.mTarget == "/large";
+      ++mServed;
       return HttpReply{ .mAnswer = { .mStatus = 200,
                                      .mBody = std::string(
                                        large ? kUnreadBytes : 0, 'x') } };
@@ -116,6 +147,7 @@
   const std::shared_ptr<BodyBudget> mBudget =
     std::make_shared<BodyBudget>(kBudget);
   std::atomic<int> mRunning{ 0 };
+  std::atomic<int> mServed{ 0 };
   std::atomic<bool> mOpen{ false };
 
 private:
@@ -302,3 +334,35 @@
   }
   CHECK(WaitFor([&] { return listening.mBudget->Reserved() == 0; }));
 }
+
+// Two answers that wait for each other: the first one needs the room of the
+// second one, which cannot be sent before it.
+TEST_CASE("An answer behind another one gives its room to bodies that wait")
+{
+  const auto answers = std::make_shared<BodyBudget>(kBudget);
+  std::atomic<bool> open{ false };
+  const auto listener = HttpListener::Make(
+    { .mAddress = kAddress, .mWorkers = 4, .mUnsentBudget = 1 << 10 },
+    [&](HttpCall& aCall) {
+      HttpReply reply{ .mAnswer = { .mStatus = 200 } };
+      if (aCall.mHttp.mTarget == "/large") {
+        BodyBuffer buffer(answers);
+        buffer.Append(std::string(kLarge, 'x'));
+        reply.mAnswer.mBody = buffer.Take();
+      } else {
+        WaitFor([&] { return open || aCall.mCancelled->IsCancelled(); });
+      }
+      return reply;
+    });
+  REQUIRE(listener);
+  Client client;
+  client.Send("GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+              "GET /large HTTP/1.1\r\nHost: a\r\n\r\n");
+  REQUIRE(WaitFor([&] { return answers->Reserved() >= kLarge; }));
+  BodyReservation other(answers);
+  CHECK(!other.Reserve(kLarge));
+  CHECK(WaitFor([&] { return other.Reserve(kLarge); }));
+  open = true;
+  CHECK(client.Status() == 200);
+  CHECK(client.Receives("answer-no-memory"));
+}
--- a/testing/fleet/tests/LargeBodiesTest.cpp
+++ b/testing/fleet/tests/LargeBodiesTest.cpp
@@ -3,9 +3,13 @@
 #include "ProcessStatus.h"
 #include "fleet/MeshFleet.h"
 
+#include <Poco/Exception.h>
+#include <Poco/Net/StreamSocket.h>
 #include <algorithm>
+#include <array>
 #include <doctest/doctest.h>
 #include <future>
+#include <thread>
 #include <vector>
 
 using namespace porttiller;
@@ -84,6 +88,46 @@
   }
 }
 
+// Sends a request for an answer of so many bytes and reads nothing yet. The
+// small receive buffer leaves the answer to the daemon.
+Poco::Net::StreamSocket
+Ask(const std::string& aAddress, const std::string& aId, std::size_t aBytes)
+{
+  constexpr int kReceiveBufferBytes = 4 << 10;
+  Poco::Net::StreamSocket socket;
+  socket.init(AF_INET);
+  socket.setReceiveBufferSize(kReceiveBufferBytes);
+  socket.connect(Poco::Net::SocketAddress(aAddress));
+  const auto request = "GET /safe/bytes=" + std::to_string(aBytes) +
+                       " HTTP/1.1\r\nHost: a.example\r\nRequest-Id: " + aId +
+                       "\r\nDeadline-Ms: " + std::to_string(kTimeout.count()) +
+                       "\r\n\r\n";
+  socket.sendBytes(request.data(), static_cast<int>(request.size()));
+  return socket;
+}
+
+// The next answer; status 0 if the connection ends before its end.
+HttpAnswer
+ReadAnswer(Poco::Net::StreamSocket& aSocket)
+{
+  constexpr int kReadSeconds = 20;
+  aSocket.setReceiveTimeout(Poco::Timespan(kReadSeconds, 0));
+  MessageReader reader(MessageKind::kAnswer, {});
+  std::array<char, 65536> buffer{};
+  try {
+    while (!reader.IsComplete()) {
+      const int size = aSocket.receiveBytes(buffer.data(), buffer.size());
+      if (size <= 0 ||
+          !reader.Feed({ buffer.data(), static_cast<std::size_t>(size) })) {
+        return {};
+      }
+    }
+  } catch (const Poco::Exception&) {
+    return {};
+  }
+  return reader.TakeAnswer();
+}
+
 } // namespace
 
 // Each process held five copies of a body, with no bound over all of them: two
@@ -146,3 +190,34 @@
   }
   CHECK(PeakMb(fleet) <= static_cast<std::size_t>(kMemoryMb));
 }
+
+// Answers left the budget when they were complete, whether or not their callers
+// read them.
+TEST_CASE("Answers that nobody reads take no more memory than a daemon has")
+{
+  constexpr std::size_t kBytes = 8 << 20;
+  constexpr int kCallers = 40;
+  MeshFleet fleet(Options(kMemoryMb));
+  std::vector<Poco::Net::StreamSocket> sockets;
+  for (int i = 0; i < kCallers; ++i) {
+    sockets.push_back(
+      Ask(fleet.CallerAddress(0), "n-" + std::to_string(i), kBytes));
+  }
+  std::this_thread::sleep_for(kTimeout + Millis(1000));
+  CHECK(PeakMb(fleet) <= static_cast<std::size_t>(kMemoryMb));
+  // New connections are rejected while answers fill the budget for them.
+  const int beside = fleet.Send(0, "POST", "/once/x", "beside").mStatus;
+  CHECK(fleet.RunsOf("beside") == (beside == 200 ? 1 : 0));
+  CHECK((beside == 200 || beside == 503));
+  int served = 0;
+  for (auto& socket : sockets) {
+    const auto answer = ReadAnswer(socket);
+    const bool whole = answer.mBody.Size() > kBytes;
+    CAPTURE(answer.mStatus);
+    CHECK((answer.mStatus == 200 ? whole : answer.mStatus >= 503));
+    served += whole ? 1 : 0;
+  }
+  CHECK(served > 0);
+  CHECK(PeakMb(fleet) <= static_cast<std::size_t>(kMemoryMb));
+  CHECK(fleet.Send(0, "POST", "/once/x", "after").mStatus == 200);
+}
