http: a client that resets its connection leaves the line for room

A connection that waits for room is not polled for input, but a reset is always reported: the I/O thread polled without a pause until the body had room or was rejected, and the body kept its place.

An event on a connection that is not polled for input now ends it. BodyBudgetTest "A client that resets ..." failed before (the place was kept until the body ahead had been served) and passes.

--- a/packages/http/src/HttpListener.cpp
+++ b/packages/http/src/HttpListener.cpp
@@ -174,7 +174,11 @@
     connection->OnWritable();
   }
   if ((aModes & (PollSet::POLL_READ | PollSet::POLL_ERROR)) != 0) {
-    Dispatch(connection, connection->OnReadable(Now()));
+    if ((mModes[aSocket] & PollSet::POLL_READ) != 0) {
+      Dispatch(connection, connection->OnReadable(Now()));
+    } else {
+      connection->Abandon(); // not polled for input: reset by the peer
+    }
   }
   Rearm(connection);
 }
--- a/packages/http/tests/BodyBudgetTest.cpp
+++ b/packages/http/tests/BodyBudgetTest.cpp
@@ -335,6 +335,25 @@
   CHECK(WaitFor([&] { return listening.mBudget->Reserved() == 0; }));
 }
 
+// The reset was noticed only when the body had room; meanwhile the I/O thread
+// polled without a pause, as the socket was always ready.
+TEST_CASE("A client that resets its connection leaves the line for room")
+{
+  Listening listening({ .mRoomTimeout = Millis(60'000) });
+  Client first;
+  first.Post(kLarge);
+  REQUIRE(WaitFor([&] { return listening.mRunning == 1; }));
+  Client second;
+  second.Send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: " +
+              std::to_string(kLarge) + "\r\n\r\nabc");
+  REQUIRE(WaitFor([&] { return listening.mBudget->Waiting() == 1; }));
+  second.Reset();
+  CHECK(WaitFor([&] { return listening.mBudget->Waiting() == 0; }));
+  CHECK(listening.mServed == 0);
+  listening.mOpen = true;
+  CHECK(first.Status() == 200);
+}
+
 // Two answers that wait for each other: the first one needs the room of the
 // second one, which cannot be sent before it.
 TEST_CASE("An answer behind another one gives its room to bodies that wait")
