http: the line for room is bounded

What the system holds unread for connections that wait counts as memory of the process; their number had no bound but that of connections.

BodyBudgetTest "The line for room is bounded ..." failed before (68 waited, none was rejected) and passes.

--- a/packages/http/src/HttpConnectionPriv.cpp
+++ b/packages/http/src/HttpConnectionPriv.cpp
@@ -16,6 +16,9 @@
 constexpr std::size_t kReadChunkBytes = 16 << 10;
 // Unparsed input of a connection at which reading pauses.
 constexpr std::size_t kMaxReadAheadBytes = 64 << 10;
+// Bodies in the line for room. The system holds what has arrived of each, as
+// their connections are not read.
+constexpr std::size_t kMaxWaitingBodies = 64;
 // Lingering close: time for the peer to read the last answer and close. Closing
 // with unread input would send a reset, which can discard that answer.
 constexpr Millis kLingerTimeout{ 1000 };
@@ -143,6 +146,9 @@
     done += *used;
     if (mReader.NeedsRoom()) {
       mRoomSince = waited ? mRoomSince : aNow;
+      if (mOptions.mBodyBudget->Waiting() > kMaxWaitingBodies) {
+        Reject(ListenerRejection::kNoMemory);
+      }
       break; // OnRoom continues
     }
     if (waited) {
--- a/packages/http/tests/BodyBudgetTest.cpp
+++ b/packages/http/tests/BodyBudgetTest.cpp
@@ -385,3 +385,26 @@
   CHECK(client.Status() == 200);
   CHECK(client.Receives("answer-no-memory"));
 }
+
+// What the system holds of unread bodies counts as memory of the process.
+TEST_CASE("The line for room is bounded, and the rest rejected at once")
+{
+  constexpr std::size_t kMaxWaiting = 64;
+  constexpr std::size_t kClients = kMaxWaiting + 6;
+  Listening listening({ .mRoomTimeout = Millis(60'000) });
+  Client first;
+  first.Post(kLarge);
+  REQUIRE(WaitFor([&] { return listening.mRunning == 1; }));
+  std::vector<Client> waiting(kClients);
+  for (auto& client : waiting) {
+    client.Send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: " +
+                std::to_string(kLarge) + "\r\n\r\nabc");
+  }
+  CHECK(WaitFor([&] { return listening.mBudget->Waiting() == kMaxWaiting; }));
+  int rejected = 0;
+  for (auto& client : waiting) {
+    rejected += client.HasAnswer() ? 1 : 0;
+  }
+  CHECK(rejected == static_cast<int>(kClients - kMaxWaiting));
+  CHECK(listening.mBudget->Waiting() == kMaxWaiting);
+}
