http: more orders in the property of pipelined rejections

Also drawn: a client that stops reading, a budget for unread answers that rejects requests (unsent-full) beside ones that run, an idle close before the rejected input, and a change of the limits. The oracle asks in addition that a client that reads all gets the answer of each request that ran.

--- a/packages/http/tests/PipelinedRejectionTest.cpp
+++ b/packages/http/tests/PipelinedRejectionTest.cpp
@@ -23,6 +23,12 @@
 constexpr int kReadSeconds = 10;
 constexpr const char* kStillOpen = "(still open)";
 constexpr int kSlowOneIn = 16;
+constexpr Millis kIdleClose{ 100 };
+// Longer than the listener takes to close an idle connection.
+constexpr Millis kIdleTime{ 700 };
+// More than the socket buffers take.
+constexpr std::size_t kLargeAnswer = 1 << 20;
+constexpr std::size_t kUnsentBudget = 256 << 10;
 
 // What a client sends. All but the first two are rejected.
 enum class Input
@@ -50,14 +56,15 @@
   kResets,
   kHalfCloses,
   kSendsOn,
+  kStopsReading, // for a while
+  kLimitsChange,
   kListenerStops
 };
 
-constexpr std::array kAfters = { After::kReads,
-                                 After::kLeaves,
-                                 After::kResets,
-                                 After::kHalfCloses,
-                                 After::kSendsOn };
+constexpr std::array kAfters = { After::kReads,       After::kLeaves,
+                                 After::kResets,      After::kHalfCloses,
+                                 After::kSendsOn,     After::kStopsReading,
+                                 After::kLimitsChange };
 
 bool
 IsRequest(Input aInput)
@@ -100,6 +107,11 @@
 class Handler
 {
 public:
+  explicit Handler(std::size_t aAnswerBytes = 0)
+    : mPadding(aAnswerBytes, '.')
+  {
+  }
+
   HttpReply Serve(HttpCall& aCall)
   {
     const auto& target = aCall.mHttp.mTarget;
@@ -111,7 +123,7 @@
     for (int i = 0; i < work && !aCall.mCancelled->IsCancelled(); ++i) {
       std::this_thread::sleep_for(Millis(1));
     }
-    return { .mAnswer = { .mStatus = 200, .mBody = target } };
+    return { .mAnswer = { .mStatus = 200, .mBody = target + mPadding } };
   }
 
   bool HasRun(const std::string& aTarget)
@@ -121,20 +133,32 @@
   }
 
 private:
+  const std::string mPadding;
   std::mutex mMutex;
   std::set<std::string> mRan;
 };
 
+constexpr MessageLimits kLimits = { .mMaxHeaders = 10,
+                                    .mMaxHeaderBytes = 300,
+                                    .mMaxBodyBytes = 20 };
+constexpr Millis kReadTimeout{ 1 };
+
+struct Setup
+{
+  int mWorkers = 0;
+  std::size_t mUnsentBudget = 0; // also: answers are large
+};
+
 std::unique_ptr<HttpListener>
-Listen(Handler& aHandler, int aWorkers)
+Listen(Handler& aHandler, const Setup& aSetup)
 {
   auto made =
     HttpListener::Make({ .mAddress = kAddress,
-                         .mWorkers = aWorkers,
-                         .mLimits = { .mMaxHeaders = 10,
-                                      .mMaxHeaderBytes = 300,
-                                      .mMaxBodyBytes = 20 },
-                         .mReadTimeout = Millis(1) },
+                         .mWorkers = aSetup.mWorkers,
+                         .mLimits = kLimits,
+                         .mIdleClose = kIdleClose,
+                         .mReadTimeout = kReadTimeout,
+                         .mUnsentBudget = aSetup.mUnsentBudget },
                        [&](HttpCall& aCall) { return aHandler.Serve(aCall); });
   REQUIRE(made);
   return std::move(*made);
@@ -160,6 +184,16 @@
   }
 }
 
+void
+HalfClose(Poco::Net::StreamSocket& aSocket)
+{
+  try {
+    aSocket.shutdownSend();
+  } catch (const Poco::Exception&) {
+    return; // closed by the listener
+  }
+}
+
 // The bytes up to the end of the connection.
 std::string
 ReadAll(Poco::Net::StreamSocket& aSocket)
@@ -184,6 +218,7 @@
   std::vector<Input> mInputs;
   std::vector<std::string> mTargets;
   std::size_t mRequests = 0; // before the first rejected input
+  bool mIdles = false;       // before the first rejected input
   After mAfter = After::kReads;
 };
 
@@ -214,14 +249,23 @@
   while (IsRequest(plan.mInputs[plan.mRequests])) {
     ++plan.mRequests;
   }
+  plan.mIdles = *rc::gen::inRange(0, kSlowOneIn) == 0;
   return plan;
 }
 
 // Each answer of a request that runs holds its target. Checks their order, and
-// that nothing behind the rejected input ran.
+// that nothing behind the rejected input ran. A client that reads all gets the
+// answer of each request that ran; these are all requests, except that a
+// listener with a budget for unread answers may reject some.
 void
-CheckAnswers(const Plan& aPlan, const std::string& aText, Handler& aHandler)
+CheckAnswers(const Plan& aPlan,
+             const Setup& aSetup,
+             const std::string& aText,
+             Handler& aHandler)
 {
+  const bool readsAll = aPlan.mAfter == After::kReads ||
+                        aPlan.mAfter == After::kStopsReading ||
+                        aPlan.mAfter == After::kLimitsChange;
   std::size_t at = 0;
   bool ended = false;
   for (std::size_t i = 0; i < aPlan.mInputs.size(); ++i) {
@@ -232,13 +276,14 @@
       continue;
     }
     const auto found = aText.find("\r\n\r\n" + target, at);
-    RC_ASSERT(found == std::string::npos || !ended);
-    ended = ended || found == std::string::npos;
-    at = ended ? at : found;
+    const bool answered = found != std::string::npos;
+    RC_ASSERT(!answered || !ended || aSetup.mUnsentBudget > 0);
+    RC_ASSERT(answered || !readsAll || !aHandler.HasRun(target));
+    ended = ended || !answered;
+    at = answered ? found : at;
   }
   RC_ASSERT(!aText.ends_with(kStillOpen));
-  const bool readsAll = aPlan.mAfter == After::kReads;
-  RC_ASSERT(!readsAll || !ended);
+  RC_ASSERT(!readsAll || !ended || aSetup.mUnsentBudget > 0);
 }
 
 void
@@ -255,7 +300,7 @@
       aSocket.close();
       break;
     case After::kHalfCloses:
-      aSocket.shutdownSend();
+      HalfClose(aSocket);
       break;
     case After::kSendsOn:
       Send(aSocket, BytesOf(Input::kGet, "/late/0"));
@@ -263,6 +308,12 @@
     case After::kListenerStops:
       aListener.reset();
       break;
+    case After::kLimitsChange:
+      aListener->SetLimits(kLimits, kReadTimeout, kIdleClose);
+      break;
+    case After::kStopsReading:
+      std::this_thread::sleep_for(Millis(*rc::gen::inRange(0, kMaxWorkMs)));
+      break;
     case After::kReads:
       break;
   }
@@ -270,23 +321,26 @@
 
 void
 PlayOne(Handler& aHandler,
-        int aWorkers,
+        const Setup& aSetup,
         const std::string& aName,
         std::unique_ptr<HttpListener>& aListener)
 {
   if (!aListener) {
-    aListener = Listen(aHandler, aWorkers);
+    aListener = Listen(aHandler, aSetup);
   }
   const auto plan = DrawPlan(aName);
   auto socket = Connect();
   for (std::size_t i = 0; i < plan.mInputs.size(); ++i) {
+    if (plan.mIdles && i == plan.mRequests) {
+      std::this_thread::sleep_for(kIdleTime);
+    }
     Send(socket, BytesOf(plan.mInputs[i], plan.mTargets[i]));
     std::this_thread::sleep_for(Millis(*rc::gen::inRange(0, 2)));
   }
   Act(socket, plan.mAfter, aListener);
   const bool left =
     plan.mAfter == After::kLeaves || plan.mAfter == After::kResets;
-  CheckAnswers(plan, left ? std::string() : ReadAll(socket), aHandler);
+  CheckAnswers(plan, aSetup, left ? std::string() : ReadAll(socket), aHandler);
 }
 
 } // namespace
@@ -296,7 +350,7 @@
 TEST_CASE("A client that leaves beside a rejected request ends no process")
 {
   Handler handler;
-  const auto listener = Listen(handler, 4);
+  const auto listener = Listen(handler, { .mWorkers = 4 });
   for (const auto input : { Input::kManyFields,
                             Input::kLongField,
                             Input::kLongBody,
@@ -323,12 +377,17 @@
 
 TEST_CASE("Requests beside a rejected one are answered in order or not at all")
 {
-  for (const int workers : { 0, 6 }) {
-    CAPTURE(workers);
-    Handler handler;
+  for (const auto setup :
+       { Setup{ .mWorkers = 0 },
+         Setup{ .mWorkers = 6 },
+         Setup{ .mWorkers = 0, .mUnsentBudget = kUnsentBudget },
+         Setup{ .mWorkers = 6, .mUnsentBudget = kUnsentBudget } }) {
+    CAPTURE(setup.mWorkers);
+    CAPTURE(setup.mUnsentBudget);
+    Handler handler(setup.mUnsentBudget > 0 ? kLargeAnswer : 0);
     std::unique_ptr<HttpListener> listener;
     int plays = 0;
     CHECK(rc::check(
-      [&] { PlayOne(handler, workers, std::to_string(++plays), listener); }));
+      [&] { PlayOne(handler, setup, std::to_string(++plays), listener); }));
   }
 }
