--- a/packages/node/src/AdminServer.cpp
+++ b/packages/node/src/AdminServer.cpp
@@ -14,11 +14,11 @@
 constexpr std::string_view kClearSuffix = "/clear";
 
 HttpReply
-Reply(int aStatus, const char* aType, std::string aBody)
+Reply(int aStatus, const char* aType, const std::string& aBody)
 {
   return { .mAnswer = { .mStatus = aStatus,
                         .mHeaders = { { "Content-Type", aType } },
-                        .mBody = std::move(aBody) } };
+                        .mBody = aBody } };
 }
 
 // The digest in "/requests/DIGEST/clear"; null for other paths.
