--- a/packages/http/tests/PipelinedRejectionTest.cpp
+++ b/packages/http/tests/PipelinedRejectionTest.cpp
@@ -75,7 +75,7 @@
 std::string
 BytesOf(Input aInput, const std::string& aTarget)
 {
-  const std::string get = "GET " + aTarget + " HTTP/1.1\r\nHost: a\r\n";
+  std::string get = "GET " + aTarget + " HTTP/1.1\r\nHost: a\r\n";
   const std::string post = "POST " + aTarget + " HTTP/1.1\r\nHost: a\r\n";
   std::string fields;
   switch (aInput) {
