http: the send buffer for slow readers holds several segments

Cause: with a budget for unread answers the send buffer has 64 KB. On loopback that is one segment, and the peer delays its acknowledgement of each by 40 ms.

The segments of such connections now have 8 KB at most. SlowReadersTest "The send buffer ..." failed before (segments of 65,483 bytes) and passes.

--- a/packages/http/src/HttpListener.cpp
+++ b/packages/http/src/HttpListener.cpp
@@ -25,6 +25,9 @@
 // a send buffer to megabytes, which would be counted only at the next sweep: an
 // answer of 90 KB must not fit into it.
 constexpr int kSendBufferBytes = 32 << 10;
+// With such a send buffer: on loopback a segment has up to 64 KB, so that the
+// buffer holds one, and a peer delays its acknowledgement by 40 ms.
+constexpr int kMaxSegmentBytes = 8 << 10;
 // How often the timeouts of connections are checked.
 constexpr Millis kSweepInterval{ 500 };
 // Poll timeout without connections, when there are no timeouts to check.
@@ -75,6 +78,9 @@
   // Without SO_REUSEPORT, which POCO sets by default, so that a port in use is
   // an error.
   mSocket.bind(Poco::Net::SocketAddress(mOptions.mAddress), true, false);
+  if (mOptions.mUnsentBudget > 0) {
+    SetMaxSegment(mSocket, kMaxSegmentBytes);
+  }
   mSocket.listen(kBacklog);
   mSocket.setBlocking(false);
   mPoll.add(mSocket, PollSet::POLL_READ);
--- a/packages/http/src/SocketsPriv.cpp
+++ b/packages/http/src/SocketsPriv.cpp
@@ -102,6 +102,16 @@
     IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(aTime.count()));
 }
 
+void
+SetMaxSegment(Poco::Net::ServerSocket& aSocket, int aBytes)
+{
+  try {
+    aSocket.setOption(IPPROTO_TCP, TCP_MAXSEG, aBytes);
+  } catch (const Poco::Exception&) {
+    return; // answers are slower then
+  }
+}
+
 WakeUp::WakeUp()
   : mSocket(Poco::Net::SocketAddress("127.0.0.1", 0))
 {
--- a/packages/http/src/SocketsPriv.h
+++ b/packages/http/src/SocketsPriv.h
@@ -4,6 +4,7 @@
 #include "porttiller/core/Time.h"
 
 #include <Poco/Net/DatagramSocket.h>
+#include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/StreamSocket.h>
 #include <Poco/Timespan.h>
 #include <cstddef>
@@ -47,6 +48,11 @@
 void
 SetUserTimeout(Poco::Net::StreamSocket& aSocket, Millis aTime);
 
+// Sets TCP_MAXSEG of the connections that a socket accepts, in bytes, where the
+// system allows that.
+void
+SetMaxSegment(Poco::Net::ServerSocket& aSocket, int aBytes);
+
 // Wakes a thread that polls: a UDP socket that sends to itself.
 class WakeUp
 {
--- a/packages/http/tests/SlowReadersTest.cpp
+++ b/packages/http/tests/SlowReadersTest.cpp
@@ -9,6 +9,8 @@
 #include <array>
 #include <atomic>
 #include <doctest/doctest.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/resource.h>
 #include <thread>
 
@@ -52,12 +54,11 @@
 // A connection that asks for an answer of so many bytes. The small receive
 // buffer leaves the answer to the listener.
 Poco::Net::StreamSocket
-Ask(std::size_t aBytes)
+Ask(std::size_t aBytes, int aReceiveBufferBytes = 4 << 10)
 {
-  constexpr int kReceiveBufferBytes = 4 << 10;
   Poco::Net::StreamSocket socket;
   socket.init(AF_INET);
-  socket.setReceiveBufferSize(kReceiveBufferBytes);
+  socket.setReceiveBufferSize(aReceiveBufferBytes);
   socket.connect(Poco::Net::SocketAddress(kAddress));
   const auto request =
     "GET /" + std::to_string(aBytes) + " HTTP/1.1\r\nHost: a\r\n\r\n";
@@ -167,6 +168,30 @@
   CHECK(runs == 2);
 }
 
+// A send buffer that holds one segment waits for a delayed acknowledgement
+// after each: an answer of 15 MiB took 7 s on loopback.
+TEST_CASE("The send buffer for slow readers holds several segments")
+{
+  constexpr std::size_t kBytes = 4 << 20;
+  constexpr std::uint32_t kMaxSegmentBytes = 16 << 10;
+  const auto listener =
+    *HttpListener::Make({ .mAddress = kAddress, .mUnsentBudget = kBudgetBytes },
+                        [](const HttpCall& aCall) { return Serve(aCall); });
+  auto socket = Ask(kBytes, kBytes);
+  std::vector<char> buffer(kBytes);
+  for (std::size_t read = 0; read < kBytes;) {
+    const int size =
+      socket.receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
+    REQUIRE(size > 0);
+    read += static_cast<std::size_t>(size);
+  }
+  tcp_info info{};
+  socklen_t size = sizeof(info);
+  REQUIRE(::getsockopt(
+            socket.impl()->sockfd(), IPPROTO_TCP, TCP_INFO, &info, &size) == 0);
+  CHECK(info.tcpi_rcv_mss <= kMaxSegmentBytes);
+}
+
 // The last quarter of the budget suffices for the answers of all workers that
 // are admitted at once, so the other caller is always served.
 // Guards against a box that runs out of memory: 2,000 answers of 90 to 540 KB
