home, policy: an answer too large to be kept is not copied and evicts no others

AttemptRegistryTest "An answer above the byte limit ..." failed before and passes; the copy is seen by reading only.

--- a/packages/home/src/Home.cpp
+++ b/packages/home/src/Home.cpp
@@ -45,7 +45,10 @@
 RecordedAnswerPtr
 MakeRecord(const HomeRequest& aRequest, const HomeAnswer& aAnswer)
 {
-  if (aRequest.mRequestKey.empty() || aAnswer.mOutcome != Outcome::kRun) {
+  const bool tooLarge =
+    aAnswer.mHttp.mBody.Size() > AttemptRegistryOptions{}.mMaxAnswerBytes;
+  if (aRequest.mRequestKey.empty() || tooLarge ||
+      aAnswer.mOutcome != Outcome::kRun) {
     return nullptr;
   }
   auto record = std::make_shared<RecordedAnswer>();
--- a/packages/policy/src/AttemptRegistry.cpp
+++ b/packages/policy/src/AttemptRegistry.cpp
@@ -97,7 +97,7 @@
   }
   record->mState = AttemptState::kFinished;
   record->mOutcome = aOutcome;
-  if (aAnswer) {
+  if (aAnswer && aAnswer->mBody.size() <= mOptions.mMaxAnswerBytes) {
     mAnswerBytes += aAnswer->mBody.size();
     record->mAnswer = std::move(aAnswer);
     mAnswerOrder.push_back(aId);
--- a/packages/policy/tests/AttemptRegistryTest.cpp
+++ b/packages/policy/tests/AttemptRegistryTest.cpp
@@ -50,6 +50,20 @@
   CHECK(registry.Query(Id(1)).mState == AttemptState::kFinished);
 }
 
+TEST_CASE("An answer above the byte limit is not kept and evicts no others")
+{
+  AttemptRegistry registry({ .mMaxAnswerBytes = 100 });
+  for (std::uint64_t i = 1; i <= 2; ++i) {
+    registry.Admit(Id(i), kStart);
+    auto answer = std::make_shared<RecordedAnswer>();
+    answer->mBody.assign(i == 1 ? 40 : 101, 'x');
+    registry.Finish(Id(i), Outcome::kRun, answer);
+  }
+  CHECK(registry.Query(Id(1)).mAnswer != nullptr);
+  CHECK(registry.Query(Id(2)).mAnswer == nullptr);
+  CHECK(registry.Query(Id(2)).mState == AttemptState::kFinished);
+}
+
 TEST_CASE("Attempts of an entry incarnation dropped as idle stay stale")
 {
   // Guards against dropping an idle incarnation together with its watermark,
