telemetry: a log line never blocks

Cause: easylogging writes to standard output under one lock, and a full pipe blocks.

LogSink takes its place. The pipe is the bounded queue: it is asked whether it takes a piece (of PIPE_BUF bytes, which a writable pipe takes at once) before each write. Other lines are dropped and counted (porttiller_log_lines_dropped), and the first line once the reader is back has their number (log_lines_dropped).

--- a/packages/node/src/NodeReport.cpp
+++ b/packages/node/src/NodeReport.cpp
@@ -2,6 +2,7 @@
 #include "NodePartsPriv.h"
 
 #include "porttiller/config/JsonText.h"
+#include "porttiller/telemetry/Log.h"
 
 #include <Poco/JSON/Array.h>
 #include <map>
@@ -23,6 +24,7 @@
     mMetrics.ControlBytesSentOf(kind).Set(static_cast<double>(bytes));
   }
   mMetrics.UnreadableMessages().Set(static_cast<double>(traffic.mUnreadable));
+  mMetrics.LogLinesDropped().Set(static_cast<double>(DroppedLogLines()));
   mMetrics.LateReplies().Set(static_cast<double>(traffic.mLateReplies));
   mMetrics.ReplacedLinks().Set(static_cast<double>(traffic.mReplacedLinks));
   mMetrics.CrashRecords().Set(static_cast<double>(mCrashMonitor.Size()));
--- a/packages/telemetry/include/porttiller/telemetry/Log.h
+++ b/packages/telemetry/include/porttiller/telemetry/Log.h
@@ -24,6 +24,11 @@
 void
 SetLogLevel(const std::string& aLevel);
 
+// Lines that were dropped because the reader of standard output did not take
+// them. Writing a line never blocks.
+std::int64_t
+DroppedLogLines();
+
 // One line, written by the destructor. aEvent must be a string literal. Each
 // event is limited to kLogLinesPerSecond; the next line written for it has the
 // number of lines left out.
--- a/packages/telemetry/include/porttiller/telemetry/Metrics.h
+++ b/packages/telemetry/include/porttiller/telemetry/Metrics.h
@@ -66,6 +66,8 @@
   prometheus::Gauge& ReplacedLinks() { return *mReplacedLinks; }
   prometheus::Gauge& UnansweredRequests() { return *mUnansweredRequests; }
   prometheus::Gauge& UnreadableMessages() { return *mUnreadableMessages; }
+  // Log lines that the reader of standard output did not take in time.
+  prometheus::Gauge& LogLinesDropped() { return *mLogLinesDropped; }
 
   // Requests that ran at a crash of a backend server, and those of them that
   // are quarantined.
@@ -117,6 +119,7 @@
   prometheus::Gauge* mUnansweredRequests;
   prometheus::Gauge* mLimitedWorkspaces;
   prometheus::Gauge* mUnreadableMessages;
+  prometheus::Gauge* mLogLinesDropped;
   prometheus::Gauge* mCrashRecords;
   prometheus::Gauge* mQuarantinedRequests;
   prometheus::Gauge* mHedgesAdmitted;
--- a/packages/telemetry/src/Log.cpp
+++ b/packages/telemetry/src/Log.cpp
@@ -1,5 +1,7 @@
 #include "porttiller/telemetry/Log.h"
 
+#include "LogSinkPriv.h"
+
 #include <Poco/DateTimeFormat.h>
 #include <Poco/DateTimeFormatter.h>
 #include <Poco/JSON/PrintHandler.h>
@@ -11,6 +13,7 @@
 #include <optional>
 #include <sstream>
 #include <string_view>
+#include <unistd.h>
 #include <utility>
 
 INITIALIZE_EASYLOGGINGPP
@@ -106,15 +109,67 @@
   return "error";
 }
 
-} // namespace
-
 // Builds the text of one line, field by field.
-struct LogLine::Writer
+class LineWriter
 {
+public:
+  LineWriter(const Poco::Timestamp& aTime, LogLevel aLevel, const char* aEvent)
+  {
+    mPrinter.startObject();
+    Add("time",
+        Poco::DateTimeFormatter::format(
+          aTime, Poco::DateTimeFormat::ISO8601_FRAC_FORMAT));
+    Add("level", std::string(ToText(aLevel)));
+    Add("box", LogBox());
+    Add("event", std::string(aEvent));
+  }
+
+  template<typename T>
+  void Add(const char* aName, const T& aValue)
+  {
+    mPrinter.key(aName);
+    mPrinter.value(aValue);
+  }
+
+  std::string Take()
+  {
+    mPrinter.endObject();
+    return mText.str();
+  }
+
+private:
   std::ostringstream mText;
   Poco::JSON::PrintHandler mPrinter{ mText };
 };
 
+LogSink&
+StandardOutput()
+{
+  static LogSink sink(STDOUT_FILENO, [](std::int64_t aLines) {
+    LineWriter line({}, LogLevel::kWarning, "log_lines_dropped");
+    line.Add("lines", static_cast<Poco::Int64>(aLines));
+    return line.Take();
+  });
+  return sink;
+}
+
+// In place of easylogging's own output, which blocks.
+class SinkCallback : public el::LogDispatchCallback
+{
+protected:
+  void handle(const el::LogDispatchData* aData) override
+  {
+    StandardOutput().Write(aData->logMessage()->message());
+  }
+};
+
+} // namespace
+
+struct LogLine::Writer : LineWriter
+{
+  using LineWriter::LineWriter;
+};
+
 void
 SetUpLog(const std::string& aBox, const std::string& aLevel)
 {
@@ -129,7 +184,7 @@
   configuration.setToDefault();
   configuration.setGlobally(el::ConfigurationType::Format, "%msg");
   configuration.setGlobally(el::ConfigurationType::ToFile, "false");
-  configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
+  configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "false");
   bool enabled = false;
   for (const auto level : { LogLevel::kDebug,
                             LogLevel::kInfo,
@@ -144,6 +199,14 @@
                       enabled ? "true" : "false");
   }
   el::Loggers::reconfigureAllLoggers(configuration);
+  // Does nothing if it is installed.
+  el::Helpers::installLogDispatchCallback<SinkCallback>("sink");
+}
+
+std::int64_t
+DroppedLogLines()
+{
+  return StandardOutput().Dropped();
 }
 
 void
@@ -166,14 +229,7 @@
   if (!leftOut) {
     return;
   }
-  mWriter = std::make_unique<Writer>();
-  mWriter->mPrinter.startObject();
-  With("time",
-       Poco::DateTimeFormatter::format(
-         now, Poco::DateTimeFormat::ISO8601_FRAC_FORMAT));
-  With("level", ToText(aLevel));
-  With("box", LogBox());
-  With("event", aEvent);
+  mWriter = std::make_unique<Writer>(now, aLevel, aEvent);
   if (*leftOut > 0) {
     With("left_out", *leftOut);
   }
@@ -183,8 +239,7 @@
 LogLine::With(const char* aName, const std::string& aValue)
 {
   if (mWriter) {
-    mWriter->mPrinter.key(aName);
-    mWriter->mPrinter.value(aValue);
+    mWriter->Add(aName, aValue);
   }
   return *this;
 }
@@ -193,8 +248,7 @@
 LogLine::With(const char* aName, std::int64_t aValue)
 {
   if (mWriter) {
-    mWriter->mPrinter.key(aName);
-    mWriter->mPrinter.value(static_cast<Poco::Int64>(aValue));
+    mWriter->Add(aName, static_cast<Poco::Int64>(aValue));
   }
   return *this;
 }
@@ -204,8 +258,7 @@
   if (!mWriter) {
     return;
   }
-  mWriter->mPrinter.endObject();
-  const auto text = mWriter->mText.str();
+  const auto text = mWriter->Take();
   switch (mLevel) {
     case LogLevel::kDebug:
       LOG(DEBUG) << text;
--- a/packages/telemetry/src/Metrics.cpp
+++ b/packages/telemetry/src/Metrics.cpp
@@ -127,6 +127,10 @@
   , mUnreadableMessages(MakeGauge(*mRegistry,
                                   "porttiller_control_unreadable",
                                   "Control messages that could not be read"))
+  , mLogLinesDropped(
+      MakeGauge(*mRegistry,
+                "porttiller_log_lines_dropped",
+                "Log lines that the reader of the output did not take"))
   , mCrashRecords(MakeGauge(*mRegistry,
                             "porttiller_crash_records",
                             "Requests that ran at a crash of a server"))
