entry: a path takes its route by the form in which it is sent on

Cause: the route was looked up with the decoded path, so that "/once/status%2F1" took the route "/once/status/", which allows repeats. By PROTOCOL.md the prefix begins the path, and an encoded slash separates no segments.

RouteFilterTest "A path takes a route ..." failed for 5 of 11 paths before and passes. Dot segments are rejected in encoded form as well, as before (the second test passed when it was new).

--- a/packages/config/include/porttiller/config/RouteTable.h
+++ b/packages/config/include/porttiller/config/RouteTable.h
@@ -17,8 +17,9 @@
 public:
   void Add(const RouteSpec& aRoute);
 
-  // aHost is in lower case and without a port; aPath is the decoded path
-  // without its query. Routes of the host take precedence over routes for any
+  // aHost is in lower case and without a port; aPath is the path as
+  // received, without its query: an escape sequence is no part of a prefix that
+  // has its character. Routes of the host take precedence over routes for any
   // host, and longer prefixes over shorter ones. Takes a few hash look-ups per
   // path segment, independent of the number of routes. Null if none matches.
   const RouteSpec* Find(std::string_view aHost,
--- a/packages/entry/include/porttiller/entry/RequestContext.h
+++ b/packages/entry/include/porttiller/entry/RequestContext.h
@@ -44,7 +44,7 @@
   CancelFlag mCancelled; // set when the caller disconnects
 
   std::string mRequestId;            // set by the caller, may be empty
-  std::string mPath;                 // decoded, without the query
+  std::string mPath;                 // as received, without the query
   const RouteSpec* mRoute = nullptr; // in mSnapshot
   const ServiceEntry* mService = nullptr;
   WorkspacePtr mWorkspace; // null: no API key required
--- a/packages/entry/src/Filters.cpp
+++ b/packages/entry/src/Filters.cpp
@@ -68,7 +68,8 @@
 }
 
 // True for a path that all parsers read alike: absolute, not starting with "//"
-// (which could begin an authority), without dot segments to resolve.
+// (which could begin an authority), without dot segments to resolve. aPath is
+// decoded.
 bool
 IsPlainPath(const std::string& aTarget, const std::string& aPath)
 {
@@ -126,14 +127,15 @@
 std::optional<CallerAnswer>
 RouteFilter::Apply(RequestContext& aContext) const
 {
+  const auto& target = aContext.mHttp.mTarget;
   try {
-    aContext.mPath = Poco::URI(aContext.mHttp.mTarget).getPath();
+    if (!IsPlainPath(target, Poco::URI(target).getPath())) {
+      return RejectAndClose(kBadRequest, "bad-target");
+    }
   } catch (const Poco::Exception&) {
     return RejectAndClose(kBadRequest, "bad-target");
   }
-  if (!IsPlainPath(aContext.mHttp.mTarget, aContext.mPath)) {
-    return RejectAndClose(kBadRequest, "bad-target");
-  }
+  aContext.mPath = target.substr(0, target.find_first_of("?#"));
   if (!aContext.mSnapshot || aContext.mSnapshot->mRevision == 0) {
     auto answer =
       MakeProxyAnswer(kUnavailable, Outcome::kNotRun, "no-configuration");
