http, entry: the limits in force apply to open connections

Cause: a connection kept the limits that held when it was accepted.

A connection now asks for the limits in force, until the head of a request ends; its body keeps those. Until a configuration is known the largest possible limit holds, so that such a request is rejected for want of a configuration and not for its size. HttpListenerTest "A change of the limits ..." failed before and passes.

--- a/packages/entry/include/porttiller/entry/EntryServer.h
+++ b/packages/entry/include/porttiller/entry/EntryServer.h
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace porttiller {
 
@@ -25,8 +26,9 @@
 
   // Closes each connection after its next answer; still accepts requests.
   void BeginDrain() { mListener->BeginDrain(); }
-  // Limits what callers may send, on connections accepted after the call.
-  void SetLimits(const LimitsSpec& aLimits);
+  // Limits what callers may send, also on open connections. Null: the limits of
+  // the settings.
+  void SetLimits(const std::optional<LimitsSpec>& aLimits);
   // Waits until every request has been answered.
   void Stop();
 
--- a/packages/entry/src/EntryServer.cpp
+++ b/packages/entry/src/EntryServer.cpp
@@ -15,6 +15,9 @@
 // response of 540 KB is then held for nine minutes at most.
 constexpr std::size_t kMinReadRate = 1 << 10;
 constexpr double kBytesPerMb = 1 << 20;
+// Until a configuration is known: its limit may be as large as this, and the
+// request is then rejected for want of a configuration.
+constexpr std::size_t kMaxBodyBytes = 64 << 20;
 
 // Value of the Retry-After header, in seconds. aWhole rounds up, as HTTP
 // requires; otherwise three decimals, for callers that accept fractions.
@@ -92,8 +95,7 @@
     .mLimits = { .mMaxHeaders = static_cast<std::size_t>(callers.mMaxHeaders),
                  .mMaxHeaderBytes =
                    static_cast<std::size_t>(callers.mMaxHeaderBytes),
-                 .mMaxBodyBytes =
-                   static_cast<std::size_t>(callers.mMaxBodyBytes) },
+                 .mMaxBodyBytes = kMaxBodyBytes },
     .mIdleClose = kCallerKeepAlive,
     .mMinReadRate = unsentBytes > 0 ? kMinReadRate : 0,
     .mUnsentBudget = unsentBytes,
@@ -143,14 +145,20 @@
 }
 
 void
-EntryServer::SetLimits(const LimitsSpec& aLimits)
+EntryServer::SetLimits(const std::optional<LimitsSpec>& aLimits)
 {
+  const HttpListenerOptions defaults;
+  const auto limits = aLimits.value_or(
+    LimitsSpec{ .mMaxHeaderBytes = mSettings.mCallers.mMaxHeaderBytes,
+                .mMaxBodyBytes = mSettings.mCallers.mMaxBodyBytes,
+                .mHeaderTimeout = defaults.mReadTimeout,
+                .mIdleTimeout = kCallerKeepAlive });
   mListener->SetLimits(
     { .mMaxHeaders = static_cast<std::size_t>(mSettings.mCallers.mMaxHeaders),
-      .mMaxHeaderBytes = static_cast<std::size_t>(aLimits.mMaxHeaderBytes),
-      .mMaxBodyBytes = static_cast<std::size_t>(aLimits.mMaxBodyBytes) },
-    aLimits.mHeaderTimeout,
-    aLimits.mIdleTimeout);
+      .mMaxHeaderBytes = static_cast<std::size_t>(limits.mMaxHeaderBytes),
+      .mMaxBodyBytes = static_cast<std::size_t>(limits.mMaxBodyBytes) },
+    limits.mHeaderTimeout,
+    limits.mIdleTimeout);
 }
 
 RequestContext
--- a/packages/http/include/porttiller/http/HttpListener.h
+++ b/packages/http/include/porttiller/http/HttpListener.h
@@ -138,8 +138,8 @@
 
   // From now on answers carry "Connection: close".
   void BeginDrain();
-  // Applies to connections that are accepted from now on: size limits, and the
-  // mReadTimeout and mIdleClose of HttpListenerOptions.
+  // Applies to requests whose head ends from now on, also on open connections:
+  // size limits, and the mReadTimeout and mIdleClose of HttpListenerOptions.
   void SetLimits(const MessageLimits& aLimits,
                  Millis aReadTimeout,
                  Millis aIdleClose);
--- a/packages/http/include/porttiller/http/MessageReader.h
+++ b/packages/http/include/porttiller/http/MessageReader.h
@@ -52,6 +52,8 @@
   MessageReader(MessageReader&&) noexcept;
   MessageReader& operator=(MessageReader&&) noexcept;
 
+  // Applies to a head that has not ended, and to the body behind it.
+  void SetLimits(const MessageLimits& aLimits);
   // Consumes bytes up to the end of the current message and returns how many.
   // Stops at the end of the head while there is no room for the body; see
   // NeedsRoom. Call Next before passing the bytes of the next message.
--- a/packages/http/src/HttpConnectionPriv.cpp
+++ b/packages/http/src/HttpConnectionPriv.cpp
@@ -54,13 +54,15 @@
 HttpConnection::HttpConnection(const Poco::Net::StreamSocket& aSocket,
                                const HttpListenerOptions& aOptions,
                                UnsentBudget& aUnsent,
-                               ConnectionLimits aLimits,
+                               const LimitsInForce& aLimits,
                                TimePoint aNow)
   : mOptions(aOptions)
   , mUnsent(aUnsent)
   , mLimits(aLimits)
   , mSocket(aSocket)
-  , mReader(MessageKind::kRequest, aLimits.mMessage, aOptions.mBodyBudget)
+  , mReader(MessageKind::kRequest,
+            aLimits.Current().mMessage,
+            aOptions.mBodyBudget)
   , mLastUse(aNow)
   , mProgress(aOptions)
 {
@@ -131,6 +133,7 @@
 void
 HttpConnection::Parse(TimePoint aNow)
 {
+  mReader.SetLimits(mLimits.Current().mMessage);
   std::size_t done = 0;
   while (done < mIn.size() && !mInputEnded &&
          mCalls.Size() < static_cast<std::size_t>(mOptions.mPipelined)) {
@@ -312,12 +315,13 @@
   if (mState != State::kOpen || !mCalls.Empty()) {
     return;
   }
+  const auto limits = mLimits.Current();
   if (mReader.HasStarted() && !mReader.NeedsRoom()) {
-    if (aNow >= mRequestStart + mLimits.mRead) {
+    if (aNow >= mRequestStart + limits.mRead) {
       Reject(ListenerRejection::kRequestTimeout);
     }
   } else if (!mReader.HasStarted() &&
-             (aStopping || aNow >= mLastUse + mLimits.mIdle)) {
+             (aStopping || aNow >= mLastUse + limits.mIdle)) {
     AbandonLocked();
   }
 }
--- a/packages/http/src/HttpConnectionPriv.h
+++ b/packages/http/src/HttpConnectionPriv.h
@@ -25,6 +25,32 @@
   Millis mIdle{ 0 }; // between two requests
 };
 
+// The limits of all connections of a listener. Thread-safe.
+class LimitsInForce
+{
+public:
+  explicit LimitsInForce(const ConnectionLimits& aLimits)
+    : mLimits(aLimits)
+  {
+  }
+
+  ConnectionLimits Current() const
+  {
+    const std::lock_guard lock(mMutex);
+    return mLimits;
+  }
+
+  void Set(const ConnectionLimits& aLimits)
+  {
+    const std::lock_guard lock(mMutex);
+    mLimits = aLimits;
+  }
+
+private:
+  mutable std::mutex mMutex;
+  ConnectionLimits mLimits;
+};
+
 // What the I/O thread has to poll this connection for.
 struct ConnectionInterest
 {
@@ -37,11 +63,11 @@
 class HttpConnection
 {
 public:
-  // aOptions and aUnsent must outlive the connection.
+  // The references must outlive the connection.
   HttpConnection(const Poco::Net::StreamSocket& aSocket,
                  const HttpListenerOptions& aOptions,
                  UnsentBudget& aUnsent,
-                 ConnectionLimits aLimits,
+                 const LimitsInForce& aLimits,
                  TimePoint aNow);
   ~HttpConnection();
   HttpConnection(const HttpConnection&) = delete;
@@ -92,7 +118,7 @@
 
   const HttpListenerOptions& mOptions;
   UnsentBudget& mUnsent;
-  const ConnectionLimits mLimits;
+  const LimitsInForce& mLimits;
   mutable std::mutex mMutex;
   Poco::Net::StreamSocket mSocket;
   MessageReader mReader;
--- a/packages/http/src/HttpListener.cpp
+++ b/packages/http/src/HttpListener.cpp
@@ -61,9 +61,9 @@
 HttpListener::Loop::Loop(HttpListenerOptions aOptions, HttpHandler aHandler)
   : mOptions(std::move(aOptions))
   , mHandler(std::move(aHandler))
-  , mLimits({ .mMessage = mOptions.mLimits,
-              .mRead = mOptions.mReadTimeout,
-              .mIdle = mOptions.mIdleClose })
+  , mLimits(ConnectionLimits{ .mMessage = mOptions.mLimits,
+                              .mRead = mOptions.mReadTimeout,
+                              .mIdle = mOptions.mIdleClose })
   , mUnsent(mOptions.mUnsentBudget, mOptions.mUnreadTimeout)
 {
   if (mOptions.mWorkers > 0) {
@@ -204,7 +204,7 @@
       socket.setSendBufferSize(kSendBufferBytes);
     }
     auto connection = std::make_shared<HttpConnection>(
-      socket, mOptions, mUnsent, Limits(), Now());
+      socket, mOptions, mUnsent, mLimits, Now());
     mConnections[socket] = connection;
     mModes[socket] = PollSet::POLL_READ;
     mPoll.add(socket, PollSet::POLL_READ);
--- a/packages/http/src/ListenerLoopPriv.h
+++ b/packages/http/src/ListenerLoopPriv.h
@@ -28,11 +28,7 @@
   void Stop();
   void Drain() { mDraining = true; }
   std::size_t UnsentBytes() const { return mUnsent.Held(); }
-  void SetLimits(const ConnectionLimits& aLimits)
-  {
-    const std::lock_guard lock(mLimitsMutex);
-    mLimits = aLimits;
-  }
+  void SetLimits(const ConnectionLimits& aLimits) { mLimits.Set(aLimits); }
 
 private:
   class Job;
@@ -53,16 +49,10 @@
                 const HttpReply& aReply);
   HttpReply RunHandler(HttpCall& aCall);
   bool IsDrained() const;
-  ConnectionLimits Limits()
-  {
-    const std::lock_guard lock(mLimitsMutex);
-    return mLimits;
-  }
 
   const HttpListenerOptions mOptions;
   const HttpHandler mHandler;
-  std::mutex mLimitsMutex;
-  ConnectionLimits mLimits; // of new connections
+  LimitsInForce mLimits;
   UnsentBudget mUnsent;
   // Null if the I/O thread runs the handler.
   std::unique_ptr<Poco::ThreadPool> mWorkers;
--- a/packages/http/src/MessageReader.cpp
+++ b/packages/http/src/MessageReader.cpp
@@ -39,8 +39,8 @@
   Parser(MessageKind aKind,
          MessageLimits aLimits,
          std::shared_ptr<BodyBudget> aBudget)
-    : mKind(aKind)
-    , mLimits(aLimits)
+    : mLimits(aLimits)
+    , mKind(aKind)
     , mBudget(std::move(aBudget))
   {
     Reset(false);
@@ -52,6 +52,7 @@
   bool AwaitRoom(TimePoint aUntil);
   Body TakeBody() { return mBody.Size() > 0 ? mBody.Take() : Body(); }
 
+  MessageLimits mLimits;
   bool mStarted = false;
   bool mComplete = false;
   bool mKeepAlive = false;
@@ -86,12 +87,12 @@
   }
 
   const MessageKind mKind;
-  const MessageLimits mLimits;
   const std::shared_ptr<BodyBudget> mBudget;
   http_parser mState{};
   bool mAnswersHead = false;
   bool mLastWasValue = true;
-  std::size_t mHeadBytes = 0; // with those of interim answers
+  std::size_t mMaxBodyBytes = 0; // as the head ended
+  std::size_t mHeadBytes = 0;    // with those of interim answers
   int mInterimAnswers = 0;
   std::optional<MessageFault> mFault;
 };
@@ -249,7 +250,8 @@
     mAnswer.mStatus = static_cast<int>(mState.status_code);
   }
   const bool hasLength = mState.content_length != ULLONG_MAX;
-  if (hasLength && mState.content_length > mLimits.mMaxBodyBytes) {
+  mMaxBodyBytes = mLimits.mMaxBodyBytes;
+  if (hasLength && mState.content_length > mMaxBodyBytes) {
     mFault = MessageFault::kBodyTooLarge;
     return -1;
   }
@@ -278,7 +280,7 @@
 int
 MessageReader::Parser::OnBody(std::string_view aBytes)
 {
-  if (mBody.Size() + aBytes.size() > mLimits.mMaxBodyBytes) {
+  if (mBody.Size() + aBytes.size() > mMaxBodyBytes) {
     mFault = MessageFault::kBodyTooLarge;
     return -1;
   }
@@ -315,6 +317,12 @@
 MessageReader&
 MessageReader::operator=(MessageReader&&) noexcept = default;
 
+void
+MessageReader::SetLimits(const MessageLimits& aLimits)
+{
+  mParser->mLimits = aLimits;
+}
+
 tl::expected<std::size_t, MessageFault>
 MessageReader::Feed(std::string_view aBytes)
 {
--- a/packages/http/tests/HttpListenerTest.cpp
+++ b/packages/http/tests/HttpListenerTest.cpp
@@ -256,6 +256,41 @@
         "HTTP/1.1 413");
 }
 
+// An open connection kept the limits that held when it was accepted, and
+// rejected what the limits in force allow.
+TEST_CASE("A change of the limits applies to open connections")
+{
+  const auto listener =
+    HttpListener::Make({ .mAddress = kAddress }, [](const HttpCall&) {
+      return HttpReply{ .mAnswer = { .mStatus = 200 } };
+    });
+  REQUIRE(listener);
+  const auto setMax = [&](std::size_t aBodyBytes) {
+    (*listener)->SetLimits(
+      { .mMaxBodyBytes = aBodyBytes }, Millis(10'000), Millis(10'000));
+  };
+  Client client;
+  const auto post = [&](std::size_t aBodyBytes) {
+    client.Clear();
+    client.Send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: " +
+                std::to_string(aBodyBytes) + "\r\n\r\n" +
+                std::string(aBodyBytes, 'x'));
+    return client.ReadUntil("\r\n\r\n").substr(0, 12);
+  };
+  setMax(1000);
+  CHECK(post(1000) == "HTTP/1.1 200");
+  setMax(2000);
+  CHECK(post(2000) == "HTTP/1.1 200");
+  client.Clear();
+  client.Send("POST / HTTP/1.1\r\nHost: a\r\n"
+              "Transfer-Encoding: chunked\r\n\r\n5dc\r\n");
+  std::this_thread::sleep_for(Millis(50));
+  setMax(1000); // does not apply to a body that has begun
+  client.Send(std::string(0x5dc, 'x') + "\r\n0\r\n\r\n");
+  CHECK(client.ReadUntil("\r\n\r\n").substr(0, 12) == "HTTP/1.1 200");
+  CHECK(post(1001) == "HTTP/1.1 413");
+}
+
 TEST_CASE("A pool reuses one connection for consecutive requests")
 {
   Gate gate;
--- a/packages/node/src/Node.cpp
+++ b/packages/node/src/Node.cpp
@@ -299,8 +299,11 @@
       mView.SetHomeState(box, { .mIncarnation = incarnation });
     }
   }
+  if (aSnapshot.mRevision == 0) {
+    return;
+  }
+  mEntryServer->SetLimits(aSnapshot.mLimits);
   if (aSnapshot.mLimits) {
-    mEntryServer->SetLimits(*aSnapshot.mLimits);
     CheckBodyLimit(aSnapshot.mLimits->mMaxBodyBytes);
   }
 }
