--- a/bench/MemoryBench.cpp
+++ b/bench/MemoryBench.cpp
@@ -185,7 +185,8 @@
   return PiecewiseCaller(aFleet, aLoad, aNumber).Run();
 }
 
-// While it exists, the servers read nothing, for kSlowTime at most.
+// The servers read nothing for kSlowTime; the future is ready after that, and
+// its destructor waits for it.
 std::future<void>
 StallServers(MeshFleet& aFleet)
 {
