--- a/testing/fleet/tests/LargeBodiesTest.cpp
+++ b/testing/fleet/tests/LargeBodiesTest.cpp
@@ -136,10 +136,11 @@
 {
   MeshFleet fleet(Options(kMemoryMb));
   for (int round = 0; round < 3; ++round) {
-    for (const auto& [count, bytes] :
-         { std::pair(2 * kBoxes, std::size_t(32 << 20)),
-           std::pair(1, kMaxBodyBytes),
-           std::pair(6 * kBoxes, std::size_t(8 << 20)) }) {
+    for (const auto& load : { std::pair(2 * kBoxes, std::size_t(32 << 20)),
+                              std::pair(1, kMaxBodyBytes),
+                              std::pair(6 * kBoxes, std::size_t(8 << 20)) }) {
+      const int count = load.first;
+      const std::size_t bytes = load.second;
       CAPTURE(count);
       const auto uploads =
         UploadAtOnce(fleet, count, bytes, 10 * count + round);
