--- a/testing/fleet/tests/LargeBodiesTest.cpp
+++ b/testing/fleet/tests/LargeBodiesTest.cpp
@@ -176,6 +176,7 @@
   constexpr std::size_t kBytes = 4 << 20;
   MeshFleet fleet(Options(kMemoryMb));
   std::vector<std::future<Reply>> sent;
+  sent.reserve(8 * kBoxes);
   for (int i = 0; i < 8 * kBoxes; ++i) {
     sent.push_back(std::async(std::launch::async, [&, i] {
       return fleet.Send({ .mBox = i % kBoxes,
@@ -200,6 +201,7 @@
   constexpr int kCallers = 40;
   MeshFleet fleet(Options(kMemoryMb));
   std::vector<Poco::Net::StreamSocket> sockets;
+  sockets.reserve(kCallers);
   for (int i = 0; i < kCallers; ++i) {
     sockets.push_back(
       Ask(fleet.CallerAddress(0), "n-" + std::to_string(i), kBytes));
