--- a/testing/fleet/tests/KilledDaemonAnswerTest.cpp
+++ b/testing/fleet/tests/KilledDaemonAnswerTest.cpp
@@ -32,10 +32,8 @@
   Poco::Net::StreamSocket socket;
   socket.connect(Poco::Net::SocketAddress(aAddress));
   socket.setReceiveTimeout(Poco::Timespan(5, 0));
-  const auto request = "GET " + Target() +
-                       " HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\n"
-                       "Deadline-Ms: 4000\r\nRequest-Id: " +
-                       aId + "\r\n\r\n";
+  const auto request =
+    HeadOf({ .mTarget = Target(), .mId = aId }) + "Connection: close\r\n\r\n";
   socket.sendBytes(request.data(), static_cast<int>(request.size()));
   std::string text;
   std::array<char, 16384> buffer{};
--- a/testing/fleet/tests/LargeBodiesTest.cpp
+++ b/testing/fleet/tests/LargeBodiesTest.cpp
@@ -98,10 +98,11 @@
   socket.init(AF_INET);
   socket.setReceiveBufferSize(kReceiveBufferBytes);
   socket.connect(Poco::Net::SocketAddress(aAddress));
-  const auto request = "GET /safe/bytes=" + std::to_string(aBytes) +
-                       " HTTP/1.1\r\nHost: a.example\r\nRequest-Id: " + aId +
-                       "\r\nDeadline-Ms: " + std::to_string(kTimeout.count()) +
-                       "\r\n\r\n";
+  const auto request =
+    HeadOf({ .mTarget = "/safe/bytes=" + std::to_string(aBytes),
+             .mId = aId,
+             .mTimeout = kTimeout }) +
+    "\r\n";
   socket.sendBytes(request.data(), static_cast<int>(request.size()));
   return socket;
 }
@@ -174,10 +175,11 @@
 TEST_CASE("Large answers take no more memory than a daemon has")
 {
   constexpr std::size_t kBytes = 4 << 20;
+  constexpr int kCallers = 8 * kBoxes;
   MeshFleet fleet(Options(kMemoryMb));
   std::vector<std::future<Reply>> sent;
-  sent.reserve(8 * kBoxes);
-  for (int i = 0; i < 8 * kBoxes; ++i) {
+  sent.reserve(kCallers);
+  for (int i = 0; i < kCallers; ++i) {
     sent.push_back(std::async(std::launch::async, [&, i] {
       return fleet.Send({ .mBox = i % kBoxes,
                           .mTarget = "/safe/bytes=" + std::to_string(kBytes),
