--- a/packages/http/tests/BodyBudgetTest.cpp
+++ b/packages/http/tests/BodyBudgetTest.cpp
@@ -73,6 +73,13 @@
     mSocket.close();
   }
 
+  // Sends the head for a large body, and its first bytes.
+  void BeginPost()
+  {
+    Send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: " +
+         std::to_string(kLarge) + "\r\n\r\nabc");
+  }
+
   // Whether aText arrives.
   bool Receives(const std::string& aText)
   {
@@ -154,6 +161,16 @@
   std::unique_ptr<HttpListener> mListener;
 };
 
+// A client whose large body runs, and leaves room for no other.
+Client
+PostUntilRunning(const Listening& aListening)
+{
+  Client client;
+  client.Post(kLarge);
+  REQUIRE(WaitFor([&] { return aListening.mRunning == 1; }));
+  return client;
+}
+
 } // namespace
 
 TEST_CASE("Reservations stay within the budget and are served in order")
@@ -237,9 +254,7 @@
 TEST_CASE("A body without room waits unread, and runs once there is room")
 {
   Listening listening({ .mRoomTimeout = Millis(60'000) });
-  Client first;
-  first.Post(kLarge);
-  REQUIRE(WaitFor([&] { return listening.mRunning == 1; }));
+  Client first = PostUntilRunning(listening);
   Client second;
   auto sent = std::async(std::launch::async, [&] { second.Post(kLarge); });
   CHECK(WaitFor([&] { return listening.mBudget->Waiting() == 1; }));
@@ -257,9 +272,7 @@
 TEST_CASE("A body that finds no room in time is rejected before it runs")
 {
   Listening listening({ .mRoomTimeout = Millis(100) });
-  Client first;
-  first.Post(kLarge);
-  REQUIRE(WaitFor([&] { return listening.mRunning == 1; }));
+  Client first = PostUntilRunning(listening);
   SUBCASE("with a length")
   {
     Client second;
@@ -310,13 +323,10 @@
 {
   Listening listening(
     { .mUnreadTimeout = Millis(60'000), .mRoomTimeout = Millis(100) });
-  Client first;
-  first.Post(kLarge);
-  REQUIRE(WaitFor([&] { return listening.mRunning == 1; }));
+  Client first = PostUntilRunning(listening);
   Client slow;
   slow.Send("GET /large HTTP/1.1\r\nHost: a\r\n\r\n");
-  slow.Send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: " +
-            std::to_string(kLarge) + "\r\n\r\nabc");
+  slow.BeginPost();
   REQUIRE(WaitFor([&] { return listening.mBudget->Waiting() == 1; }));
   CHECK(WaitFor([&] { return listening.mBudget->Waiting() == 0; }));
   listening.mOpen = true;
@@ -328,8 +338,7 @@
   Listening listening({ .mRoomTimeout = Millis(60'000) });
   {
     Client leaving;
-    leaving.Send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: " +
-                 std::to_string(kLarge) + "\r\n\r\nabc");
+    leaving.BeginPost();
     REQUIRE(WaitFor([&] { return listening.mBudget->Reserved() == kLarge; }));
   }
   CHECK(WaitFor([&] { return listening.mBudget->Reserved() == 0; }));
@@ -340,12 +349,9 @@
 TEST_CASE("A client that resets its connection leaves the line for room")
 {
   Listening listening({ .mRoomTimeout = Millis(60'000) });
-  Client first;
-  first.Post(kLarge);
-  REQUIRE(WaitFor([&] { return listening.mRunning == 1; }));
+  Client first = PostUntilRunning(listening);
   Client second;
-  second.Send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: " +
-              std::to_string(kLarge) + "\r\n\r\nabc");
+  second.BeginPost();
   REQUIRE(WaitFor([&] { return listening.mBudget->Waiting() == 1; }));
   second.Reset();
   CHECK(WaitFor([&] { return listening.mBudget->Waiting() == 0; }));
@@ -392,13 +398,10 @@
   constexpr std::size_t kMaxWaiting = 64;
   constexpr std::size_t kClients = kMaxWaiting + 6;
   Listening listening({ .mRoomTimeout = Millis(60'000) });
-  Client first;
-  first.Post(kLarge);
-  REQUIRE(WaitFor([&] { return listening.mRunning == 1; }));
+  Client first = PostUntilRunning(listening);
   std::vector<Client> waiting(kClients);
   for (auto& client : waiting) {
-    client.Send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: " +
-                std::to_string(kLarge) + "\r\n\r\nabc");
+    client.BeginPost();
   }
   CHECK(WaitFor([&] { return listening.mBudget->Waiting() == kMaxWaiting; }));
   int rejected = 0;
