--- a/packages/config/include/porttiller/config/Settings.h
+++ b/packages/config/include/porttiller/config/Settings.h
@@ -6,6 +6,7 @@
 #include "porttiller/core/Ids.h"
 #include "porttiller/core/Time.h"
 
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <tl/expected.hpp>
@@ -22,6 +23,9 @@
   double mUnsentMb = 0.0;
 };
 
+// The largest limit of a body that can be set, in bytes.
+inline constexpr std::size_t kMaxBodyBytes = 64 << 20;
+
 struct CallerSettings
 {
   std::string mAddress = "127.0.0.1:8080";
--- a/packages/config/src/Settings.cpp
+++ b/packages/config/src/Settings.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 constexpr IntegerRange kThreads{ .mMin = 2, .mMax = 4096 };
-constexpr IntegerRange kBodyBytes{ .mMin = 1024, .mMax = 64 << 20 };
+constexpr IntegerRange kBodyBytes{ .mMin = 1024, .mMax = kMaxBodyBytes };
 constexpr IntegerRange kHeaders{ .mMin = 8, .mMax = 1000 };
 constexpr IntegerRange kHeaderBytes{ .mMin = 1024, .mMax = 1 << 20 };
 constexpr IntegerRange kOpenConnections{ .mMin = 1, .mMax = 65'536 };
--- a/packages/entry/src/EntryServer.cpp
+++ b/packages/entry/src/EntryServer.cpp
@@ -15,9 +15,6 @@
 // response of 540 KB is then held for nine minutes at most.
 constexpr std::size_t kMinReadRate = 1 << 10;
 constexpr double kBytesPerMb = 1 << 20;
-// Until a configuration is known: its limit may be as large as this, and the
-// request is then rejected for want of a configuration.
-constexpr std::size_t kMaxBodyBytes = 64 << 20;
 
 // Value of the Retry-After header, in seconds. aWhole rounds up, as HTTP
 // requires; otherwise three decimals, for callers that accept fractions.
@@ -95,6 +92,8 @@
     .mLimits = { .mMaxHeaders = static_cast<std::size_t>(callers.mMaxHeaders),
                  .mMaxHeaderBytes =
                    static_cast<std::size_t>(callers.mMaxHeaderBytes),
+                 // Until a configuration is known; the request is then
+                 // rejected for want of one, and not for its size.
                  .mMaxBodyBytes = kMaxBodyBytes },
     .mIdleClose = kCallerKeepAlive,
     .mMinReadRate = unsentBytes > 0 ? kMinReadRate : 0,
--- a/packages/home/src/HomeServer.cpp
+++ b/packages/home/src/HomeServer.cpp
@@ -19,7 +19,6 @@
 // from another box.
 constexpr std::size_t kMaxHeaders = 1000;
 constexpr std::size_t kMaxHeaderBytes = 1 << 20;
-constexpr std::size_t kMaxBodyBytes = 64 << 20;
 
 int
 StatusOf(const HomeAnswer& aAnswer)
