--- a/packages/telemetry/src/Log.cpp
+++ b/packages/telemetry/src/Log.cpp
@@ -174,6 +174,10 @@
 SetUpLog(const std::string& aBox, const std::string& aLevel)
 {
   LogBox() = aBox;
+  // Both do nothing the second time.
+  el::Helpers::installLogDispatchCallback<SinkCallback>("sink");
+  el::Helpers::uninstallLogDispatchCallback<
+    el::base::DefaultLogDispatchCallback>("DefaultLogDispatchCallback");
   SetLogLevel(aLevel);
 }
 
@@ -199,8 +203,6 @@
                       enabled ? "true" : "false");
   }
   el::Loggers::reconfigureAllLoggers(configuration);
-  // Does nothing if it is installed.
-  el::Helpers::installLogDispatchCallback<SinkCallback>("sink");
 }
 
 std::int64_t
