http: an answer that is no valid HTTP/1.x is malformed

What callers saw: a backend server's answer with status 000 reached them as "HTTP/1.1 0 ???", and so did other numbers, field names with blanks, values that begin with NUL, and bodies read by another framing than the server's (a bare CR in the reason phrase, a blank before the colon of Content-Length, transfer codings other than chunked, data behind the end of a chunk).

Cause: MessageReader relied on http_parser, which Debian builds in its lenient mode: a blank is a token character, a status is any number to 999, any byte passes after a CR and behind the data of a chunk.

Change: LineSyntax checks the lines of final and interim heads, of chunks and of trailers as they pass to the parser; the head's version, status and transfer coding are checked once it is read. What fails ends the exchange as malformed: outcome unknown, the connection closed, the failure counted against the server. ExchangeError::kBadFraming is now kMalformed, in log lines "server-malformed".

Boost.Beast was tried instead (libboost-dev 1.74, its response parser alone): it accepts 000, 001, 600, 999 and the codings gzip and "gzip, chunked", and rejects a bare LF and a status line without a reason phrase, which are to be read.

Evidence: of MalformedAnswerTest in packages/http 8 of 10 cases failed before (one of them by its own expectation of a fold, since corrected: a fold is read as a blank). In testing/fleet, over two boxes, 2 of its 3 cases failed, with "HTTP/1.1 0 ???" at the caller 105 times. Both pass now; 20,000 mutated answers are well-formed or refused, and read the same in one part and in two.

--- a/packages/http/include/porttiller/http/HttpExchange.h
+++ b/packages/http/include/porttiller/http/HttpExchange.h
@@ -13,14 +13,14 @@
 
 enum class ExchangeError
 {
-  kBusy,       // every connection is in use; nothing was sent
-  kNotSent,    // no byte of the request was sent
-  kTimeout,    // sent, no answer in time
-  kCancelled,  // sent, then cancelled by this side
-  kClosed,     // sent, closed before an answer began
-  kTruncated,  // the connection ended within the answer
-  kBadFraming, // the answer is not valid HTTP, or its end is ambiguous
-  kNoMemory,   // the body budget has no room for the answer
+  kBusy,      // every connection is in use; nothing was sent
+  kNotSent,   // no byte of the request was sent
+  kTimeout,   // sent, no answer in time
+  kCancelled, // sent, then cancelled by this side
+  kClosed,    // sent, closed before an answer began
+  kTruncated, // the connection ended within the answer
+  kMalformed, // the answer is not valid HTTP, or its end is ambiguous
+  kNoMemory,  // the body budget has no room for the answer
   kTooLarge
 };
 
@@ -30,7 +30,7 @@
 // Polled during a wait, at least every kStopCheckInterval; true ends the wait.
 using StopCheck = std::function<bool()>;
 // Whether an answer belongs to the request. A few that do not are discarded;
-// then the exchange ends with kBadFraming.
+// then the exchange ends with kMalformed.
 using AnswerCheck = std::function<bool(const HttpAnswer&)>;
 
 class HttpPool;
--- a/packages/http/src/HttpExchange.cpp
+++ b/packages/http/src/HttpExchange.cpp
@@ -32,7 +32,7 @@
     case MessageFault::kMalformed:
       break;
   }
-  return ExchangeError::kBadFraming;
+  return ExchangeError::kMalformed;
 }
 
 // When the peer's keep-alive timeout ends, less a tenth of it: a request that
@@ -84,8 +84,8 @@
       return "closed";
     case ExchangeError::kTruncated:
       return "cut";
-    case ExchangeError::kBadFraming:
-      return "bad-framing";
+    case ExchangeError::kMalformed:
+      return "malformed";
     case ExchangeError::kNoMemory:
       return "no-memory";
     case ExchangeError::kTooLarge:
@@ -148,11 +148,11 @@
     // A late answer to an earlier request; the expected one may follow.
     mInSync = false;
     if (!keepAlive) {
-      return tl::make_unexpected(ExchangeError::kBadFraming);
+      return tl::make_unexpected(ExchangeError::kMalformed);
     }
     mConnection->mReader.Next(mHeadOnly);
   }
-  return tl::make_unexpected(ExchangeError::kBadFraming);
+  return tl::make_unexpected(ExchangeError::kMalformed);
 }
 
 tl::expected<void, ExchangeError>
--- a/packages/http/src/MessageReader.cpp
+++ b/packages/http/src/MessageReader.cpp
@@ -1,5 +1,9 @@
 #include "porttiller/http/MessageReader.h"
 
+#include "LineSyntaxPriv.h"
+
+#include <Poco/String.h>
+#include <algorithm>
 #include <cassert>
 #include <http_parser.h>
 #include <optional>
@@ -10,8 +14,12 @@
 
 constexpr int kInformational = 1; // 1xx: interim, the final answer follows
 constexpr int kStatusClass = 100;
+constexpr int kMinStatus = 100;
+constexpr int kMaxStatus = 599;
 // Before a final answer; more are no answer.
 constexpr int kMaxInterimAnswers = 8;
+constexpr const char* kTransferEncoding = "Transfer-Encoding";
+constexpr const char* kChunked = "chunked";
 
 } // namespace
 
@@ -67,12 +75,26 @@
     return *static_cast<Parser*>(aParser->data);
   }
 
+  // What the next bytes belong to.
+  enum class Section
+  {
+    kLines, // head, trailers, or the lines around the data of a chunk
+    kChunkData,
+    kBody // without chunks
+  };
+
   static const http_parser_settings& Callbacks();
+  std::string_view NextPart(std::string_view aBytes) const;
+  tl::expected<std::size_t, MessageFault> FeedPart(std::string_view aPart);
+  bool IsDone() const { return mComplete || mAwaited > 0; }
+  bool IsValidHead();
+  bool IsValidCoding();
   int OnTarget(std::string_view aBytes);
   int OnName(std::string_view aBytes);
   int OnValue(std::string_view aBytes);
   int OnHeadersComplete();
   int ReserveBody();
+  int OnChunkHeader();
   int OnBody(std::string_view aBytes);
   int OnMessageComplete();
   int CountHeadBytes(std::size_t aBytes);
@@ -89,6 +111,8 @@
   const MessageKind mKind;
   const std::shared_ptr<BodyBudget> mBudget;
   http_parser mState{};
+  LineSyntax mSyntax;
+  Section mSection = Section::kLines;
   bool mAnswersHead = false;
   bool mLastWasValue = true;
   std::size_t mMaxBodyBytes = 0; // as the head ended
@@ -103,6 +127,9 @@
   http_parser_init(
     &mState, mKind == MessageKind::kRequest ? HTTP_REQUEST : HTTP_RESPONSE);
   mState.data = this;
+  mSyntax.Begin(mKind == MessageKind::kRequest ? LineKind::kRequest
+                                               : LineKind::kStatus);
+  mSection = Section::kLines;
   mStarted = false;
   mComplete = false;
   mKeepAlive = false;
@@ -137,6 +164,9 @@
     made.on_headers_complete = [](http_parser* aParser) {
       return Of(aParser).OnHeadersComplete();
     };
+    made.on_chunk_header = [](http_parser* aParser) {
+      return Of(aParser).OnChunkHeader();
+    };
     made.on_body = [](http_parser* aParser, const char* aAt, size_t aSize) {
       return Of(aParser).OnBody({ aAt, aSize });
     };
@@ -158,14 +188,53 @@
     return 0;
   }
   mStarted = true;
+  std::size_t used = 0;
+  while (used < aBytes.size() && !IsDone()) {
+    const auto taken = FeedPart(NextPart(aBytes.substr(used)));
+    if (!taken) {
+      return taken;
+    }
+    used += *taken;
+  }
+  return used;
+}
+
+// The bytes up to where the section may change.
+std::string_view
+MessageReader::Parser::NextPart(std::string_view aBytes) const
+{
+  switch (mSection) {
+    case Section::kLines: {
+      const auto lf = aBytes.find('\n');
+      return lf == std::string_view::npos ? aBytes : aBytes.substr(0, lf + 1);
+    }
+    case Section::kChunkData:
+      return aBytes.substr(0, mState.content_length);
+    case Section::kBody:
+      break;
+  }
+  return aBytes;
+}
+
+tl::expected<std::size_t, MessageFault>
+MessageReader::Parser::FeedPart(std::string_view aPart)
+{
+  if (mKind == MessageKind::kAnswer && mSection == Section::kLines &&
+      !mSyntax.Accept(aPart)) {
+    return tl::make_unexpected(MessageFault::kMalformed);
+  }
   const auto used =
-    http_parser_execute(&mState, &Callbacks(), aBytes.data(), aBytes.size());
-  if (mComplete || mAwaited > 0) {
+    http_parser_execute(&mState, &Callbacks(), aPart.data(), aPart.size());
+  if (IsDone()) {
     return used; // the parser is paused
   }
   if (mState.http_errno != HPE_OK || mState.upgrade != 0) {
     return tl::make_unexpected(Fault());
   }
+  if (mSection == Section::kChunkData && mState.content_length == 0) {
+    mSection = Section::kLines;
+    mSyntax.Begin(LineKind::kChunkEnd);
+  }
   return used;
 }
 
@@ -236,9 +305,41 @@
   return CountHeadBytes(aBytes.size());
 }
 
+// Whether this class can read the message and has read what its sender meant.
+// LineSyntax has checked the form of the lines.
+bool
+MessageReader::Parser::IsValidHead()
+{
+  if (mKind == MessageKind::kRequest) {
+    return true;
+  }
+  const bool knownVersion = mState.http_major == 1 && mState.http_minor <= 1;
+  return knownVersion && mState.status_code >= kMinStatus &&
+         mState.status_code <= kMaxStatus && IsValidCoding();
+}
+
+// The body has no transfer coding, or just the one that http_parser decodes.
+bool
+MessageReader::Parser::IsValidCoding()
+{
+  const auto isCoding = [](const HttpHeader& aHeader) {
+    return Poco::icompare(aHeader.mName, kTransferEncoding) == 0;
+  };
+  const auto& headers = Headers();
+  const auto coding = std::find_if(headers.begin(), headers.end(), isCoding);
+  if (coding == headers.end()) {
+    return true;
+  }
+  return std::none_of(coding + 1, headers.end(), isCoding) &&
+         Poco::icompare(Poco::trim(coding->mValue), kChunked) == 0;
+}
+
 int
 MessageReader::Parser::OnHeadersComplete()
 {
+  if (!IsValidHead()) {
+    return -1;
+  }
   mKeepAlive = http_should_keep_alive(&mState) != 0;
   if (mKind == MessageKind::kRequest) {
     mRequest.mMethod = http_method_str(static_cast<http_method>(mState.method));
@@ -258,6 +359,11 @@
   if (mAnswersHead) {
     return 1; // http_parser: skips the body
   }
+  if ((mState.flags & F_CHUNKED) != 0) {
+    mSyntax.Begin(LineKind::kChunkSize);
+  } else {
+    mSection = Section::kBody;
+  }
   return hasLength && mState.content_length > 0 ? ReserveBody() : 0;
 }
 
@@ -277,6 +383,17 @@
   return 0;
 }
 
+int
+MessageReader::Parser::OnChunkHeader()
+{
+  if (mState.content_length > 0) {
+    mSection = Section::kChunkData;
+  } else {
+    mSyntax.Begin(LineKind::kField); // trailers
+  }
+  return 0;
+}
+
 int
 MessageReader::Parser::OnBody(std::string_view aBytes)
 {
@@ -298,6 +415,8 @@
       mAnswer.mStatus / kStatusClass == kInformational) {
     mAnswer = {};
     mBody = BodyBuffer(mBudget);
+    mSyntax.Begin(LineKind::kStatus);
+    mSection = Section::kLines;
     return ++mInterimAnswers > kMaxInterimAnswers ? -1 : 0;
   }
   mComplete = true;
