http: a request that a server may read differently is malformed

What servers saw: requests with blanks in or behind field names, with values that begin with NUL, with transfer codings beside chunked, or with data behind the end of a chunk, passed on as they were. A server that reads "Content-Length : 38" as a length takes other bytes for the body than this proxy.

Cause and change: as for answers; the same checks now apply to requests, which get 400 "malformed-request". The version stays with VersionFilter.

--- a/packages/http/src/MessageReader.cpp
+++ b/packages/http/src/MessageReader.cpp
@@ -219,8 +219,7 @@
 tl::expected<std::size_t, MessageFault>
 MessageReader::Parser::FeedPart(std::string_view aPart)
 {
-  if (mKind == MessageKind::kAnswer && mSection == Section::kLines &&
-      !mSyntax.Accept(aPart)) {
+  if (mSection == Section::kLines && !mSyntax.Accept(aPart)) {
     return tl::make_unexpected(MessageFault::kMalformed);
   }
   const auto used =
@@ -305,17 +304,16 @@
   return CountHeadBytes(aBytes.size());
 }
 
-// Whether this class can read the message and has read what its sender meant.
-// LineSyntax has checked the form of the lines.
+// Whether the head can be read as its sender meant it. LineSyntax has checked
+// the form of the lines; the version of a request is left to the receiver.
 bool
 MessageReader::Parser::IsValidHead()
 {
-  if (mKind == MessageKind::kRequest) {
-    return true;
-  }
   const bool knownVersion = mState.http_major == 1 && mState.http_minor <= 1;
-  return knownVersion && mState.status_code >= kMinStatus &&
-         mState.status_code <= kMaxStatus && IsValidCoding();
+  const bool validStatus =
+    mState.status_code >= kMinStatus && mState.status_code <= kMaxStatus;
+  return IsValidCoding() &&
+         (mKind == MessageKind::kRequest || (knownVersion && validStatus));
 }
 
 // The body has no transfer coding, or just the one that http_parser decodes.
--- a/testing/fleet/tests/CallerEdgeTest.cpp
+++ b/testing/fleet/tests/CallerEdgeTest.cpp
@@ -101,6 +101,33 @@
   CHECK(fleet.Server(0).Runs() == 0);
 }
 
+TEST_CASE("Requests that a server may read differently reach no server")
+{
+  Fleet fleet({ .mBoxes = 1, .mPortBase = kPortBase });
+  const std::string length = "Content-Length: 0\r\n";
+  const std::string chunked = "Transfer-Encoding: chunked\r\n";
+  for (const auto& request : std::vector<std::string>{
+         Request("X Foo: 1\r\n" + length, kSmuggledRequest),
+         Request("X-Foo : 1\r\n" + length, kSmuggledRequest),
+         Request("Host : t\r\n" + length, kSmuggledRequest),
+         Request("Content-Length : 0\r\n", kSmuggledRequest),
+         Request("Content-Length : 38\r\n", kSmuggledRequest),
+         Request(std::string("X-V: \0\r\n", 8) + length, kSmuggledRequest),
+         Request("Transfer-Encoding: gzip, chunked\r\n",
+                 "0\r\n\r\n" + kSmuggledRequest),
+         Request("Transfer-Encoding : chunked\r\n",
+                 "0\r\n\r\n" + kSmuggledRequest),
+         Request(chunked, "2\r\nokXX0\r\n\r\n" + kSmuggledRequest),
+         Request(chunked, "0\r\nX Foo: 1\r\n\r\n" + kSmuggledRequest) }) {
+    CAPTURE(request);
+    const auto answer = SendRaw(fleet, request);
+    CAPTURE(answer);
+    CHECK(StatusOf(answer) == 400);
+    CHECK(CountAnswers(answer) == 1);
+  }
+  CHECK(fleet.Server(0).Runs() == 0);
+}
+
 TEST_CASE("Oversized and malformed requests get a specific status and reach no "
           "server, and a request without a route gets 404")
 {
