http: interim answers, 204, 304 and answers to HEAD have no body

What callers saw: after a 103, 204 or 304 with a Content-Length or chunks, the bytes behind it were taken for its body. A 103 with "Content-Length: 2" lost the answer that followed; a 304, for which the field is allowed, was held until the deadline. An answer to HEAD whose Content-Length is over the limit of a body was refused although it has none.

Cause: http_parser frames these by their fields, unlike RFC 9112, 6.3.

Change: MessageReader has the parser skip their bodies.

Evidence: "Interim answers, 204 and 304 have no body" and the HEAD of "Bodies in chunks, until the end, and of no length are read" failed before and pass now.

--- a/packages/http/src/MessageReader.cpp
+++ b/packages/http/src/MessageReader.cpp
@@ -89,6 +89,17 @@
   bool IsDone() const { return mComplete || mAwaited > 0; }
   bool IsValidHead();
   bool IsValidCoding();
+  bool IsInterim() const
+  {
+    return mKind == MessageKind::kAnswer &&
+           mAnswer.mStatus / kStatusClass == kInformational;
+  }
+  // Whatever its fields say; http_parser goes by them.
+  bool HasNoBody() const
+  {
+    return mKind == MessageKind::kAnswer &&
+           (mAnswersHead || IsInterim() || IsBodyless(mAnswer.mStatus));
+  }
   int OnTarget(std::string_view aBytes);
   int OnName(std::string_view aBytes);
   int OnValue(std::string_view aBytes);
@@ -348,15 +359,15 @@
   } else {
     mAnswer.mStatus = static_cast<int>(mState.status_code);
   }
+  if (HasNoBody()) {
+    return 1; // http_parser: skips the body
+  }
   const bool hasLength = mState.content_length != ULLONG_MAX;
   mMaxBodyBytes = mLimits.mMaxBodyBytes;
   if (hasLength && mState.content_length > mMaxBodyBytes) {
     mFault = MessageFault::kBodyTooLarge;
     return -1;
   }
-  if (mAnswersHead) {
-    return 1; // http_parser: skips the body
-  }
   if ((mState.flags & F_CHUNKED) != 0) {
     mSyntax.Begin(LineKind::kChunkSize);
   } else {
@@ -409,12 +420,9 @@
 int
 MessageReader::Parser::OnMessageComplete()
 {
-  if (mKind == MessageKind::kAnswer &&
-      mAnswer.mStatus / kStatusClass == kInformational) {
+  if (IsInterim()) {
     mAnswer = {};
-    mBody = BodyBuffer(mBudget);
     mSyntax.Begin(LineKind::kStatus);
-    mSection = Section::kLines;
     return ++mInterimAnswers > kMaxInterimAnswers ? -1 : 0;
   }
   mComplete = true;
--- a/packages/http/tests/MalformedAnswerTest.cpp
+++ b/packages/http/tests/MalformedAnswerTest.cpp
@@ -261,6 +261,29 @@
   CheckRead(kOk + "Content-Length: 2\r\n\r\n",
             { .mStatus = 200, .mHeaders = { kLength } },
             true);
+  // Of a body that is over the limit, and not sent.
+  const HttpHeader large{ .mName = "Content-Length", .mValue = "99999999999" };
+  CheckRead(kOk + "Content-Length: 99999999999\r\n\r\n",
+            { .mStatus = 200, .mHeaders = { large } },
+            true);
+}
+
+// RFC 9112, 6.3: whatever its fields say.
+TEST_CASE("Interim answers, 204 and 304 have no body")
+{
+  const HttpAnswer ok{ .mStatus = 200, .mHeaders = { kLength }, .mBody = "ok" };
+  CheckRead(
+    "HTTP/1.1 103 Early Hints\r\nContent-Length: 2\r\n\r\n" + kOk + kBody, ok);
+  CheckRead("HTTP/1.1 103 Early Hints\r\n" + kChunked + kOk + kBody, ok);
+  for (const int status : { 204, 304 }) {
+    const auto line = "HTTP/1.1 " + std::to_string(status) + " X\r\n";
+    CheckRead(line + "Content-Length: 2\r\n\r\n",
+              { .mStatus = status, .mHeaders = { kLength } });
+    CheckRead(line + kChunked, { .mStatus = status, .mHeaders = { kCoding } });
+    // The next answer is not its body.
+    CheckRead(line + "Content-Length: 2\r\n\r\n" + kOk + kBody,
+              { .mStatus = status, .mHeaders = { kLength } });
+  }
 }
 
 TEST_CASE("A mutated answer is well-formed or refused, however it is split")
