home: count answers of servers that are no valid HTTP

Cause: operators had log lines of each failed attempt, and no figure to alarm on when a server begins to answer with what is no HTTP.

Change: porttiller_malformed_answers, of the servers of a box since its start.

--- a/packages/home/include/porttiller/home/Home.h
+++ b/packages/home/include/porttiller/home/Home.h
@@ -63,6 +63,8 @@
   std::vector<LocalServerPtr> Servers() const;
   int InFlight() const;
   HedgeCounts Hedges() const;
+  // Answers of servers that were no valid HTTP, since the start of the box.
+  std::uint64_t MalformedAnswers() const { return mMalformedAnswers; }
 
 private:
   static constexpr std::size_t kShards = 8;
@@ -98,6 +100,7 @@
   bool mLeaving = false;                   // under mServersMutex
   std::atomic<std::uint64_t> mHedgesAdmitted{ 0 };
   std::atomic<std::uint64_t> mHedgesRejected{ 0 };
+  std::atomic<std::uint64_t> mMalformedAnswers{ 0 };
 };
 
 } // namespace porttiller
--- a/packages/home/src/Home.cpp
+++ b/packages/home/src/Home.cpp
@@ -126,6 +126,9 @@
     answer = server->Run(aRequest);
   }
   CountHedge(aRequest, answer);
+  if (answer.mReason == kMalformedReason) {
+    ++mMalformedAnswers;
+  }
   auto record = MakeRecord(aRequest, answer);
   const std::lock_guard lock(aShard.mMutex);
   if (answer.mOutcome == Outcome::kNotRun) {
--- a/packages/hop/include/porttiller/hop/HomeTypes.h
+++ b/packages/hop/include/porttiller/hop/HomeTypes.h
@@ -20,6 +20,8 @@
 // Reason of an unknown outcome when the server did not answer in time. It is
 // evidence that the server hangs.
 inline constexpr const char* kTimeoutReason = "server-timeout";
+// Reason of an unknown outcome when the server's answer is no valid HTTP.
+inline constexpr const char* kMalformedReason = "server-malformed";
 
 // The limit that a server names, as one box tells it to another.
 struct LimitNote
--- a/packages/node/src/NodeReport.cpp
+++ b/packages/node/src/NodeReport.cpp
@@ -34,6 +34,8 @@
   const auto hedges = mHome.Hedges();
   mMetrics.HedgesAdmitted().Set(static_cast<double>(hedges.mAdmitted));
   mMetrics.HedgesRejected().Set(static_cast<double>(hedges.mRejected));
+  mMetrics.MalformedAnswers().Set(
+    static_cast<double>(mHome.MalformedAnswers()));
   const auto now = Now();
   for (const auto& [kind, budget] : BodyBudgetsByKind()) {
     mMetrics.BodyBytesOf(kind).Set(static_cast<double>(budget->Reserved()));
--- a/packages/telemetry/include/porttiller/telemetry/Metrics.h
+++ b/packages/telemetry/include/porttiller/telemetry/Metrics.h
@@ -78,6 +78,8 @@
   // withheld, since its start.
   prometheus::Gauge& HedgesAdmitted() { return *mHedgesAdmitted; }
   prometheus::Gauge& HedgesRejected() { return *mHedgesRejected; }
+  // Answers of this box's servers that were no valid HTTP, since its start.
+  prometheus::Gauge& MalformedAnswers() { return *mMalformedAnswers; }
 
   // Of this box's servers: those that name a limit, the sum of their limits in
   // requests per second, and the requests that they were sent in the last 4 s.
@@ -124,6 +126,7 @@
   prometheus::Gauge* mQuarantinedRequests;
   prometheus::Gauge* mHedgesAdmitted;
   prometheus::Gauge* mHedgesRejected;
+  prometheus::Gauge* mMalformedAnswers;
   prometheus::Gauge* mLimitedServers;
   prometheus::Gauge* mServerLimit;
   prometheus::Gauge* mLimitedServersSent;
--- a/packages/telemetry/src/Metrics.cpp
+++ b/packages/telemetry/src/Metrics.cpp
@@ -144,6 +144,10 @@
   , mHedgesRejected(MakeGauge(*mRegistry,
                               "porttiller_hedges_rejected",
                               "Hedges for which no retry was left here"))
+  , mMalformedAnswers(
+      MakeGauge(*mRegistry,
+                "porttiller_malformed_answers",
+                "Answers of servers here that were no valid HTTP"))
   , mLimitedServers(MakeGauge(*mRegistry,
                               "porttiller_limited_servers",
                               "Backend servers here that name a limit"))
--- a/testing/fleet/tests/MalformedAnswerTest.cpp
+++ b/testing/fleet/tests/MalformedAnswerTest.cpp
@@ -19,6 +19,7 @@
 constexpr int kPortBase = 23'200;
 constexpr int kBoxes = 2;
 constexpr int kMaxRequests = 24;
+constexpr Millis kWait{ 15'000 };
 constexpr int kSeenRequests = 1; // of each kind, through each box
 
 const std::string kSigned =
@@ -170,6 +171,13 @@
     CHECK(broken.Requests() >= kBoxes);
     CHECK(broken.RequestsOnUsedConnections() == 0);
     CHECK(fleet.LogOf(0).find("server-malformed") != std::string::npos);
+    CHECK(WaitUntil(kWait, [&] {
+      const auto metrics = fleet.MetricsOf(0);
+      return metrics.find("porttiller_malformed_answers ") !=
+               std::string::npos &&
+             metrics.find("porttiller_malformed_answers 0\n") ==
+               std::string::npos;
+    }));
   }
 }
 
