entry: a recorded answer that is no valid HTTP counts as not recorded

What callers saw: if the connection to a home failed, the entry took the answer that the home had recorded, whatever its status. A box of an older version records the 000 of a broken server.

Cause: AttemptReply was copied without a look at it.

Change: the translation of attempt replies moves from Dispatcher to AttemptStatus, which leaves out an answer without a final status or with a control character in its content type; the outcome is then unknown.

Evidence: DispatcherTest plays a home of an older version. All pass now.

--- a/packages/entry/include/porttiller/entry/Dispatcher.h
+++ b/packages/entry/include/porttiller/entry/Dispatcher.h
@@ -3,6 +3,7 @@
 
 #include "porttiller/config/Settings.h"
 #include "porttiller/config/Snapshot.h"
+#include "porttiller/entry/AttemptStatus.h"
 #include "porttiller/entry/EntryView.h"
 #include "porttiller/home/Home.h"
 #include "porttiller/hop/ShutdownDeadline.h"
@@ -45,14 +46,6 @@
 using AttemptResult =
   std::variant<AttemptAnswered, AttemptNotRun, AttemptUnknown>;
 
-// State of an earlier attempt, as reported by its home.
-struct AttemptStatus
-{
-  AttemptState mState = AttemptState::kForgotten;
-  Outcome mOutcome = Outcome::kUnknown; // valid when kFinished
-  RecordedAnswerPtr mAnswer; // null: not recorded, or another request key
-};
-
 // Owned by the node. Thread-safe.
 class Dispatcher
 {
--- a/packages/http/include/porttiller/http/HttpTypes.h
+++ b/packages/http/include/porttiller/http/HttpTypes.h
@@ -46,6 +46,14 @@
 std::string
 HeadToWire(const HttpAnswer& aAnswer, bool aClose);
 
+// Whether this is the status of an answer that ends an exchange: 200 to 599.
+bool
+IsFinalStatus(int aStatus);
+
+// Whether the text has no control character but tabs.
+bool
+IsFieldValue(std::string_view aText);
+
 // Whether an answer with this status never has a body.
 bool
 IsBodyless(int aStatus);
--- a/packages/http/src/HttpTypes.cpp
+++ b/packages/http/src/HttpTypes.cpp
@@ -1,5 +1,7 @@
 #include "porttiller/http/HttpTypes.h"
 
+#include "LineSyntaxPriv.h"
+
 #include <Poco/Ascii.h>
 #include <Poco/Net/HTTPResponse.h>
 #include <Poco/String.h>
@@ -22,6 +24,7 @@
                                      "expect",
                                      "proxy-authorization",
                                      "content-length" };
+constexpr int kMinFinalStatus = 200;
 constexpr std::string_view kOwnPrefix = "porttiller-";
 // Of headers in which a backend server describes itself, for callers as well.
 constexpr std::string_view kServerPrefix = "porttiller-server-";
@@ -78,6 +81,20 @@
   return text + "\r\n";
 }
 
+bool
+IsFinalStatus(int aStatus)
+{
+  return aStatus >= kMinFinalStatus && aStatus <= kMaxStatus;
+}
+
+bool
+IsFieldValue(std::string_view aText)
+{
+  return std::all_of(aText.begin(), aText.end(), [](char aByte) {
+    return IsText(static_cast<unsigned char>(aByte));
+  });
+}
+
 bool
 IsBodyless(int aStatus)
 {
--- a/packages/http/src/LineSyntaxPriv.cpp
+++ b/packages/http/src/LineSyntaxPriv.cpp
@@ -35,15 +35,14 @@
   return aByte == ' ' || aByte == '\t';
 }
 
-// No control character but a tab.
+} // namespace
+
 bool
 IsText(unsigned char aByte)
 {
   return (aByte >= ' ' && aByte != kDelete) || aByte == '\t';
 }
 
-} // namespace
-
 void
 LineSyntax::Begin(LineKind aKind)
 {
--- a/packages/http/src/LineSyntaxPriv.h
+++ b/packages/http/src/LineSyntaxPriv.h
@@ -6,6 +6,13 @@
 
 namespace porttiller {
 
+constexpr int kMaxStatus = 599;
+
+// Whether the byte may be in a field value or a reason phrase: no control
+// character but a tab.
+bool
+IsText(unsigned char aByte);
+
 enum class LineKind
 {
   kRequest,   // request line
--- a/packages/http/src/MessageReader.cpp
+++ b/packages/http/src/MessageReader.cpp
@@ -15,7 +15,6 @@
 constexpr int kInformational = 1; // 1xx: interim, the final answer follows
 constexpr int kStatusClass = 100;
 constexpr int kMinStatus = 100;
-constexpr int kMaxStatus = 599;
 // Before a final answer; more are no answer.
 constexpr int kMaxInterimAnswers = 8;
 constexpr const char* kTransferEncoding = "Transfer-Encoding";
