store: the answers of the store are read by MessageReader

What boxes saw: answers of the store of which the head is no valid HTTP/1.x were taken as answers: a write answered with 000 or 600 counted as never sent, though it may have taken effect, and a read with "X Foo: 1" in its head as whole. Bytes behind an answer were taken for the answer to the next call: a write got the 404 of nobody. An answer without end was kept until memory ran out.

Cause: ObjectClient used the HTTP session of POCO, which has its own, lenient reader, keeps what follows an answer, and whose body was copied without a bound.

Change: ObjectClient sends over an HttpPool of one connection, whose reader, limits and handling of surplus bytes hold for servers and boxes already. A body is at most 16 MiB; from its first byte on an answer may take 30 s, and stall for as long as it may take to begin. A write that gets 5xx other than 503 is ambiguous. An answer that ends with its connection is whole if its brackets match; whether it can be parsed, also if nested too deeply, is the dialect's matter. As before, a read that finds its connection closed reports that.

--- a/packages/config/include/porttiller/config/JsonText.h
+++ b/packages/config/include/porttiller/config/JsonText.h
@@ -6,6 +6,7 @@
 
 #include <Poco/Exception.h>
 #include <string>
+#include <string_view>
 #include <tl/expected.hpp>
 
 namespace porttiller {
@@ -14,6 +15,11 @@
 tl::expected<Poco::JSON::Object::Ptr, FieldErrors>
 ParseJsonObject(const std::string& aText);
 
+// Whether aText has as many closing as opening brackets, and an object at
+// least: text that was cut has not.
+bool
+IsClosedJson(std::string_view aText);
+
 // Replaces each number that does not fit a 64-bit type with null, so that the
 // rest of the text can be parsed.
 std::string
--- a/packages/config/src/JsonText.cpp
+++ b/packages/config/src/JsonText.cpp
@@ -81,6 +81,28 @@
 
 } // namespace
 
+bool
+IsClosedJson(std::string_view aText)
+{
+  std::int64_t depth = 0;
+  bool inString = false;
+  bool opened = false;
+  for (std::size_t i = 0; i < aText.size(); ++i) {
+    const char each = aText[i];
+    if (inString && each == '\\') {
+      ++i;
+    } else if (each == '"') {
+      inString = !inString;
+    } else if (!inString && (each == '{' || each == '[')) {
+      opened = true;
+      ++depth;
+    } else if (!inString && (each == '}' || each == ']')) {
+      --depth;
+    }
+  }
+  return opened && depth == 0 && !inString;
+}
+
 std::string
 ReplaceOutOfRangeNumbers(std::string aText)
 {
--- a/packages/config/tests/FieldReaderTest.cpp
+++ b/packages/config/tests/FieldReaderTest.cpp
@@ -97,3 +97,16 @@
     CHECK_FALSE(accepts(wrong));
   }
 }
+
+TEST_CASE("Text that was cut is no closed JSON")
+{
+  const std::string whole = R"({"a":["}",{"b":"\\\"]"}],"c":{}})";
+  CHECK(IsClosedJson(whole));
+  for (std::size_t size = 0; size < whole.size(); ++size) {
+    CHECK_FALSE(IsClosedJson(whole.substr(0, size)));
+  }
+  CHECK_FALSE(IsClosedJson("7"));
+  // Also text that is nested too deeply to be parsed.
+  constexpr std::size_t kDeep = 100'000;
+  CHECK(IsClosedJson(std::string(kDeep, '[') + std::string(kDeep, ']')));
+}
--- a/packages/http/include/porttiller/http/HttpExchange.h
+++ b/packages/http/include/porttiller/http/HttpExchange.h
@@ -5,6 +5,7 @@
 #include "porttiller/http/Cancellation.h"
 #include "porttiller/http/HttpTypes.h"
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <tl/expected.hpp>
@@ -62,6 +63,8 @@
     const StopCheck& aStop = {},
     const AnswerCheck& aBelongs = {});
 
+  // Bytes received so far, of the answer and of those before it.
+  std::uint64_t ReceivedBytes() const { return mReceivedBytes; }
   // How long the connection was idle before it was reused for this request;
   // zero for a new one. The peer may close an idle connection at the moment
   // when a request is sent on it.
@@ -77,6 +80,7 @@
   HttpPool& mPool;
   std::unique_ptr<ClientConnection> mConnection;
   CancelFlag mCancelled;
+  std::uint64_t mReceivedBytes = 0;
   bool mHeadOnly;
   bool mInSync = true; // every answer so far belonged to its request
 };
--- a/packages/http/include/porttiller/http/HttpPool.h
+++ b/packages/http/include/porttiller/http/HttpPool.h
@@ -55,6 +55,8 @@
   // later request.
   ListenerState Probe();
 
+  // Whether the pool has an idle connection, which the peer may have closed.
+  bool HasIdle() const;
   // Whether the peer keeps an idle connection of the pool open.
   bool HasOpenIdle() const;
 
--- a/packages/http/src/HttpExchange.cpp
+++ b/packages/http/src/HttpExchange.cpp
@@ -211,6 +211,7 @@
   }
   if (size > 0) {
     connection.mIn.append(buffer.data(), static_cast<std::size_t>(size));
+    mReceivedBytes += static_cast<std::uint64_t>(size);
     return {};
   }
   mInSync = false;
--- a/packages/http/src/HttpPool.cpp
+++ b/packages/http/src/HttpPool.cpp
@@ -89,6 +89,13 @@
   idle.swap(mIdle);
 }
 
+bool
+HttpPool::HasIdle() const
+{
+  const std::lock_guard lock(mMutex);
+  return !mIdle.empty();
+}
+
 bool
 HttpPool::HasOpenIdle() const
 {
--- a/packages/store/include/porttiller/store/ObjectClient.h
+++ b/packages/store/include/porttiller/store/ObjectClient.h
@@ -4,14 +4,12 @@
 
 #include "porttiller/config/ObjectSet.h"
 #include "porttiller/core/Time.h"
+#include "porttiller/http/HttpPool.h"
 #include "porttiller/platform/ObjectStoreDialect.h"
 #include "porttiller/store/NativeDialect.h"
 #include "porttiller/store/StoreError.h"
 
-#include <Poco/Net/HTTPClientSession.h>
 #include <functional>
-#include <memory>
-#include <mutex>
 #include <string>
 #include <tl/expected.hpp>
 #include <variant>
@@ -24,6 +22,7 @@
 struct ObjectClientOptions
 {
   std::string mAddress; // "ip:port"
+  // To connect, to send, and then to wait for each part of an answer.
   Millis mTimeout{ 3000 };
   // A read over a reused connection that has no answer after this is sent again
   // over a new one. A watch gets the time of its long poll in addition.
@@ -77,6 +76,8 @@
   void Abort();
 
 private:
+  using Exchanged = tl::expected<HttpAnswer, ExchangeError>;
+
   // Returns the body of the answer.
   Result<std::string> Send(const StoreCall& aCall);
   // Waits for aExtraWait beyond the time-out. aRepeat is sent over a new
@@ -85,20 +86,16 @@
                            Millis aExtraWait,
                            const StoreCall* aRepeat);
   // Sends once, without a retry over a new connection.
-  Result<std::string> SendOnce(const StoreCall& aCall, Millis aAnswerTime);
-  bool IsConnected();
-  void Configure(Poco::Net::HTTPClientSession& aSession, Millis aAnswerTime);
+  Exchanged SendOnce(const StoreCall& aCall, Millis aAnswerTime);
+  static Result<std::string> BodyOf(const StoreCall& aCall, Exchanged aAnswer);
+  HttpRequestData RequestOf(const StoreCall& aCall) const;
   Result<std::uint64_t> Write(const StoreCall& aCall);
   Result<ObjectPage> ReadPage(const std::string& aKind,
                               const std::string& aAfter);
 
-  Poco::Net::HTTPClientSession& Session();
-  void DropSession();
-
-  ObjectClientOptions mOptions;
-  std::mutex mMutex;
-  std::unique_ptr<Poco::Net::HTTPClientSession> mSession; // under mMutex
-  bool mAborted = false;                                  // under mMutex
+  const ObjectClientOptions mOptions;
+  HttpPool mPool; // of one connection
+  const CancelFlag mAborted = Cancellation::Make();
 };
 
 } // namespace porttiller
--- a/packages/store/include/porttiller/store/StoreError.h
+++ b/packages/store/include/porttiller/store/StoreError.h
@@ -10,7 +10,9 @@
   // No answer, or an error status without a kind of its own. A write without an
   // answer was not sent.
   kUnavailable,
-  kAmbiguous, // a write was sent without an answer: it may take effect
+  // A write was sent and had no answer, or a failure of the platform for one:
+  // it may take effect.
+  kAmbiguous,
   kNotFound,
   kConflict,  // the object has another version or already exists
   kBadAnswer, // the platform's answer cannot be decoded
--- a/packages/store/src/ObjectClient.cpp
+++ b/packages/store/src/ObjectClient.cpp
@@ -2,19 +2,22 @@
 
 #include "porttiller/config/JsonText.h"
 
-#include <Poco/Exception.h>
-#include <Poco/Net/HTTPRequest.h>
-#include <Poco/Net/HTTPResponse.h>
-#include <Poco/Net/NetException.h>
-#include <Poco/Net/SocketAddress.h>
-#include <Poco/StreamCopier.h>
+#include <algorithm>
 
 namespace porttiller {
 
 namespace {
 
-using Poco::Net::HTTPRequest;
-using Poco::Net::HTTPResponse;
+// An idle connection is not reused after this.
+constexpr Millis kIdleClose{ 8000 };
+// From the first byte of an answer to its last.
+constexpr Millis kMaxTransferTime{ 30'000 };
+// A page of a list has about 1 MB; a list without pages, as of a whole fleet,
+// some MB.
+constexpr std::size_t kMaxAnswerBytes = 16 << 20;
+constexpr int kSuccessClass = 2;
+constexpr int kStatusClass = 100;
+constexpr int kFirstServerErrorStatus = 500;
 
 StoreError
 MakeError(StoreErrorKind aKind, std::string aDetail)
@@ -22,41 +25,45 @@
   return { .mKind = aKind, .mDetail = std::move(aDetail) };
 }
 
-Poco::Timespan
-ToTimespan(Millis aTime)
+bool
+IsRead(const StoreCall& aCall)
 {
-  return { std::chrono::duration_cast<Micros>(aTime).count() };
+  return aCall.mMethod == "GET";
 }
 
+// 503 says that nothing was done; another failure of the store may come after
+// a write took effect.
 StoreErrorKind
-ErrorKindOf(HTTPResponse::HTTPStatus aStatus)
+ErrorKindOf(const StoreCall& aCall, int aStatus)
 {
   switch (aStatus) {
-    case HTTPResponse::HTTP_NOT_FOUND:
+    case 404: // Not Found
       return StoreErrorKind::kNotFound;
-    case HTTPResponse::HTTP_CONFLICT:
-    case HTTPResponse::HTTP_GONE:
-    case HTTPResponse::HTTP_PRECONDITION_FAILED:
+    case 409: // Conflict
+    case 410: // Gone
+    case 412: // Precondition Failed
       return StoreErrorKind::kConflict;
-    case HTTPResponse::HTTP_BAD_REQUEST:
+    case 400: // Bad Request
       return StoreErrorKind::kRejected;
-    default:
+    case 503: // Service Unavailable
       return StoreErrorKind::kUnavailable;
+    default:
+      return !IsRead(aCall) && aStatus >= kFirstServerErrorStatus
+               ? StoreErrorKind::kAmbiguous
+               : StoreErrorKind::kUnavailable;
   }
 }
 
-// Whether an answer arrived whole. POCO takes a head or a body that the end of
-// the connection cuts off for a whole one. Without a length only the body
-// itself can tell.
+// Whether the answer arrived whole. One that ends with its connection may have
+// been cut, which only the body can show.
 bool
-IsWhole(const HTTPResponse& aResponse, const std::string& aBody)
+IsWhole(const HttpAnswer& aAnswer)
 {
-  if (aResponse.hasContentLength()) {
-    return aResponse.getContentLength64() ==
-           static_cast<std::int64_t>(aBody.size());
-  }
-  return aResponse.getStatus() == HTTPResponse::HTTP_NO_CONTENT ||
-         ParseJsonObject(aBody).has_value();
+  const bool endsByClose =
+    !IsBodyless(aAnswer.mStatus) &&
+    HeaderValue(aAnswer.mHeaders, "Content-Length").empty() &&
+    HeaderValue(aAnswer.mHeaders, "Transfer-Encoding").empty();
+  return !endsByClose || IsClosedJson(aAnswer.mBody.View());
 }
 
 // An answer that the dialect cannot decode becomes kBadAnswer.
@@ -95,64 +102,34 @@
 
 ObjectClient::ObjectClient(ObjectClientOptions aOptions)
   : mOptions(std::move(aOptions))
+  , mPool({ .mAddress = mOptions.mAddress,
+            .mMaxConnections = 1,
+            .mIdleClose = kIdleClose,
+            .mConnectTimeout = mOptions.mTimeout,
+            .mLimits = { .mMaxBodyBytes = kMaxAnswerBytes } })
 {
 }
 
-Poco::Net::HTTPClientSession&
-ObjectClient::Session()
-{
-  const std::lock_guard lock(mMutex);
-  if (mAborted) {
-    throw Poco::Net::ConnectionAbortedException("client aborted");
-  }
-  if (!mSession) {
-    mSession = std::make_unique<Poco::Net::HTTPClientSession>(
-      Poco::Net::SocketAddress(mOptions.mAddress));
-    mSession->setKeepAlive(true);
-  }
-  return *mSession;
-}
-
-void
-ObjectClient::DropSession()
-{
-  const std::lock_guard lock(mMutex);
-  mSession.reset();
-}
-
 void
 ObjectClient::Abort()
 {
-  const std::lock_guard lock(mMutex);
-  mAborted = true;
-  if (mSession && mSession->connected()) {
-    try {
-      mSession->abort();
-    } catch (const Poco::Exception&) {
-      return; // already closed
-    }
-  }
-}
-
-// Whether the connection of an earlier call is open and can be reused.
-bool
-ObjectClient::IsConnected()
-{
-  const std::lock_guard lock(mMutex);
-  return mSession && mSession->connected();
+  mAborted->Cancel();
 }
 
-void
-ObjectClient::Configure(Poco::Net::HTTPClientSession& aSession,
-                        Millis aAnswerTime)
+HttpRequestData
+ObjectClient::RequestOf(const StoreCall& aCall) const
 {
-  const auto limit = ToTimespan(aAnswerTime);
-  const auto timeout = ToTimespan(mOptions.mTimeout);
-  aSession.setTimeout(timeout, timeout, limit);
-  if (aSession.connected()) {
-    // POCO applies setTimeout only when it connects.
-    aSession.socket().setReceiveTimeout(limit);
+  HttpRequestData request{ .mMethod = aCall.mMethod,
+                           .mTarget = aCall.mPath,
+                           .mHeaders = { { "Host", mOptions.mAddress },
+                                         { "Content-Type",
+                                           "application/json" } },
+                           .mBody = aCall.mBody };
+  if (aCall.mIfVersion != 0) {
+    request.mHeaders.push_back(
+      { "If-Match", std::to_string(aCall.mIfVersion) });
   }
+  return request;
 }
 
 ObjectClient::Result<std::string>
@@ -166,65 +143,84 @@
                    Millis aExtraWait,
                    const StoreCall* aRepeat)
 {
-  const bool isRead = aCall.mMethod == HTTPRequest::HTTP_GET;
-  if (isRead && IsConnected()) {
-    const auto begin = Now();
-    const auto readTimeout =
-      std::min(mOptions.mReusedReadTimeout, mOptions.mTimeout);
-    auto answer = SendOnce(aCall, aExtraWait + readTimeout);
-    if (answer || IsConnected()) {
-      return answer; // an error is then the store's own answer
-    }
+  if (!IsRead(aCall) || !mPool.HasIdle()) {
+    return BodyOf(aCall, SendOnce(aCall, aExtraWait + mOptions.mTimeout));
+  }
+  const auto begin = Now();
+  const auto readTimeout =
+    std::min(mOptions.mReusedReadTimeout, mOptions.mTimeout);
+  // Not silently over a new connection: a store that closed this one may fail.
+  auto answer = mPool.HasOpenIdle()
+                  ? SendOnce(aCall, aExtraWait + readTimeout)
+                  : Exchanged(tl::make_unexpected(ExchangeError::kClosed));
+  if (!answer) {
+    mPool.DropIdle();
     if (mOptions.mOnReusedReadFailed) {
       mOptions.mOnReusedReadFailed(
         std::chrono::duration_cast<Millis>(Now() - begin),
-        answer.error().mDetail);
+        ToText(answer.error()));
     }
-    if (aRepeat == nullptr) {
-      return answer;
+    if (aRepeat != nullptr) {
+      answer = SendOnce(*aRepeat, mOptions.mTimeout);
     }
-    return SendOnce(*aRepeat, mOptions.mTimeout);
   }
-  return SendOnce(aCall, aExtraWait + mOptions.mTimeout);
+  return BodyOf(aCall, std::move(answer));
 }
 
-ObjectClient::Result<std::string>
+ObjectClient::Exchanged
 ObjectClient::SendOnce(const StoreCall& aCall, Millis aAnswerTime)
 {
-  bool sent = false;
-  try {
-    auto& session = Session();
-    Configure(session, aAnswerTime);
-    HTTPRequest request(
-      aCall.mMethod, aCall.mPath, Poco::Net::HTTPMessage::HTTP_1_1);
-    if (aCall.mIfVersion != 0) {
-      request.set("If-Match", std::to_string(aCall.mIfVersion));
-    }
-    request.setContentType("application/json");
-    request.setContentLength64(static_cast<std::int64_t>(aCall.mBody.size()));
-    auto& out = session.sendRequest(request);
-    sent = true;
-    out << aCall.mBody << std::flush;
-    HTTPResponse response;
-    auto& in = session.receiveResponse(response);
-    std::string body;
-    Poco::StreamCopier::copyToString(in, body);
-    if (!IsWhole(response, body)) {
-      throw Poco::Net::MessageException("the answer was cut");
-    }
-    if (response.getStatus() / 100 == 2) {
-      return body;
+  if (mAborted->IsCancelled()) {
+    return tl::make_unexpected(ExchangeError::kNotSent);
+  }
+  auto begun = mPool.Begin(RequestOf(aCall), Now() + mOptions.mTimeout);
+  if (!begun) {
+    return tl::make_unexpected(begun.error());
+  }
+  auto& exchange = **begun;
+  exchange.CancelWith(mAborted);
+  // One wait for the first byte: a long poll wakes the thread once.
+  if (!exchange.WaitReadable(Now() + aAnswerTime)) {
+    return tl::make_unexpected(ExchangeError::kTimeout);
+  }
+  auto lastBytes = exchange.ReceivedBytes();
+  auto lastReceived = Now();
+  const auto isStalled = [&] {
+    if (exchange.ReceivedBytes() != lastBytes) {
+      lastBytes = exchange.ReceivedBytes();
+      lastReceived = Now();
     }
-    return tl::make_unexpected(
-      MakeError(ErrorKindOf(response.getStatus()),
-                std::to_string(response.getStatus()) + " " + body));
-  } catch (const Poco::Exception& e) {
-    DropSession();
-    const bool write = aCall.mMethod != HTTPRequest::HTTP_GET;
-    return tl::make_unexpected(MakeError(
-      sent && write ? StoreErrorKind::kAmbiguous : StoreErrorKind::kUnavailable,
-      e.displayText()));
+    return Now() >= lastReceived + aAnswerTime;
+  };
+  auto answer = exchange.ReadAnswer(Now() + kMaxTransferTime, isStalled);
+  if (!answer && answer.error() == ExchangeError::kCancelled &&
+      !mAborted->IsCancelled()) {
+    return tl::make_unexpected(ExchangeError::kTimeout);
+  }
+  if (answer && !IsWhole(*answer)) {
+    mPool.DropIdle();
+    return tl::make_unexpected(ExchangeError::kTruncated);
+  }
+  return answer;
+}
+
+ObjectClient::Result<std::string>
+ObjectClient::BodyOf(const StoreCall& aCall, Exchanged aAnswer)
+{
+  if (!aAnswer) {
+    const bool sent = aAnswer.error() != ExchangeError::kNotSent;
+    return tl::make_unexpected(MakeError(sent && !IsRead(aCall)
+                                           ? StoreErrorKind::kAmbiguous
+                                           : StoreErrorKind::kUnavailable,
+                                         ToText(aAnswer.error())));
+  }
+  auto body = aAnswer->mBody.ToString();
+  if (aAnswer->mStatus / kStatusClass == kSuccessClass) {
+    return body;
   }
+  return tl::make_unexpected(
+    MakeError(ErrorKindOf(aCall, aAnswer->mStatus),
+              std::to_string(aAnswer->mStatus) + " " + body));
 }
 
 ObjectClient::Result<Object>
