control, porttillerctl: cases of malformed answers

Cause: health checks of servers and porttillerctl read answers by the reader of packages/http, and the store's by ObjectClient; no case showed it.

--- a/testing/fleet/tests/CommandLineTest.cpp
+++ b/testing/fleet/tests/CommandLineTest.cpp
@@ -2,6 +2,7 @@
 #include "fleet/Ports.h"
 #include "standin/ChildProcess.h"
 #include "standin/PlatformStandIn.h"
+#include "standin/RawServerStandIn.h"
 
 #include <Poco/TemporaryFile.h>
 #include <doctest/doctest.h>
@@ -238,3 +239,26 @@
   CHECK(bad.mText.find("key 3") != std::string::npos);
   CHECK(bad.mText.find("secret") == std::string::npos);
 }
+
+TEST_CASE("porttillerctl prints nothing of a malformed answer")
+{
+  const std::string body = "Content-Length: 33\r\n\r\n"
+                           R"({"kind":"Service","name":"broken"})";
+  for (const char* head : { "HTTP/1.1 000 X\r\n",
+                            "HTTP/1.1 999 X\r\n",
+                            "HTTP/1.1 200 OK\r\nX Foo: 1\r\n",
+                            "HTTP/1.1 200 O\rK\r\n" }) {
+    CAPTURE(head);
+    const standin::RawServerStandIn server("127.0.0.1:0", head + body);
+    const auto dumped =
+      RunProgram(PORTTILLER_CTL, { "dump", server.Address() });
+    CHECK(dumped.mExitCode != 0);
+    CHECK(dumped.mText.find("malformed") != std::string::npos);
+    CHECK(dumped.mText.find("broken") == std::string::npos);
+    const auto listed = RunProgram(
+      PORTTILLER_CTL, { "--platform", server.Address(), "list", "Service" });
+    CHECK(listed.mExitCode != 0);
+    CHECK(listed.mText.find("malformed") != std::string::npos);
+    CHECK(listed.mText.find("broken") == std::string::npos);
+  }
+}
