peer: an address that cannot be connected to ends no process

What operators saw: an object among the boxes with a control address such as "*:80" or "no such host:80" ended every daemon that read it, again after each start.

Cause: zmq_connect refuses such an address, and the exception left the thread of PeerLoop.

Change: LinkTo returns no link then; a one-way message is dropped and a request fails at once with PeerErrorKind::kAddress.

Evidence: "Addresses that cannot be connected to end no other exchange" ended the test program with SIGABRT before.

--- a/packages/peer/include/porttiller/peer/PeerTransport.h
+++ b/packages/peer/include/porttiller/peer/PeerTransport.h
@@ -25,6 +25,7 @@
   kTimeout, // no reply in time; the peer may have handled the request
   kBusy,    // too many requests wait for replies; this one is not sent
   kClosed,  // the transport is stopping
+  kAddress, // the peer's address cannot be connected to; nothing is sent
   kBind     // the address is in use or does not belong to this machine
 };
 
--- a/packages/peer/src/PeerLoopPriv.cpp
+++ b/packages/peer/src/PeerLoopPriv.cpp
@@ -243,11 +243,14 @@
 void
 PeerLoop::SendMessage(PeerCommand aCommand)
 {
-  const auto& link = LinkTo(aCommand.mAddress);
-  if (!mSilenceDetector.IsQuiet(link.mRoute, Now()) ||
+  const auto* link = LinkTo(aCommand.mAddress);
+  if (link == nullptr) {
+    return;
+  }
+  if (!mSilenceDetector.IsQuiet(link->mRoute, Now()) ||
       !NeedsDeliveryCheck(aCommand.mMessage->body_case())) {
     SendOver(
-      mOutgoing, link.mRoute, MakeCommand(std::move(*aCommand.mMessage), 0));
+      mOutgoing, link->mRoute, MakeCommand(std::move(*aCommand.mMessage), 0));
     return;
   }
   std::uint64_t correlation = 0;
@@ -263,7 +266,9 @@
   SendRequest(std::move(request));
 }
 
-PeerLink&
+// Null for an address that cannot be connected to: addresses come from records
+// that other writers may have changed.
+PeerLink*
 PeerLoop::LinkTo(const std::string& aAddress)
 {
   auto it = mLinks.find(aAddress);
@@ -271,30 +276,40 @@
     // A reused routing ID could clash with a link that is still closing.
     const auto route = std::to_string(mNextRoute++);
     mOutgoing.set(zmq::sockopt::connect_routing_id, route);
-    mOutgoing.connect("tcp://" + aAddress);
+    try {
+      mOutgoing.connect("tcp://" + aAddress);
+    } catch (const zmq::error_t&) {
+      return nullptr;
+    }
     it = mLinks.emplace(aAddress, PeerLink{ .mRoute = route }).first;
     mAddressByRoute.emplace(route, aAddress);
     mSilenceDetector.OnOpened(route, Now());
     mLinkCount = mLinks.size();
   }
   it->second.mLastUse = Now();
-  return it->second;
+  return &it->second;
 }
 
 void
 PeerLoop::SendRequest(PeerCommand aCommand)
 {
-  auto& link = LinkTo(aCommand.mAddress);
+  const auto* link = LinkTo(aCommand.mAddress);
+  if (link == nullptr) {
+    --mPendingCount;
+    aCommand.mCallback(tl::make_unexpected(
+      MakeError(PeerErrorKind::kAddress, aCommand.mAddress)));
+    return;
+  }
   mPending[aCommand.mCorrelation] = { .mCallback =
                                         std::move(aCommand.mCallback),
                                       .mAddress = aCommand.mAddress,
                                       .mKind = aCommand.mKind,
                                       .mSent = Now(),
-                                      .mRoute = link.mRoute,
+                                      .mRoute = link->mRoute,
                                       .mPayload = aCommand.mPayload };
   mDeadlines.emplace(aCommand.mDeadline, aCommand.mCorrelation);
-  mSilenceDetector.OnRequest(link.mRoute, Now());
-  SendOver(mOutgoing, link.mRoute, aCommand);
+  mSilenceDetector.OnRequest(link->mRoute, Now());
+  SendOver(mOutgoing, link->mRoute, aCommand);
 }
 
 // Drops the message if the peer's queue is full; its request then times out.
@@ -422,10 +437,13 @@
     if (pending.mAddress != aAddress || !IsRepeatable(pending.mKind)) {
       continue;
     }
-    auto& link = LinkTo(aAddress);
-    mSilenceDetector.OnRequest(link.mRoute, Now());
+    const auto* link = LinkTo(aAddress);
+    if (link == nullptr) {
+      break; // its requests time out
+    }
+    mSilenceDetector.OnRequest(link->mRoute, Now());
     pending.mSent = Now();
-    pending.mRoute = link.mRoute;
+    pending.mRoute = link->mRoute;
     SendOver(mOutgoing,
              pending.mRoute,
              { .mKind = pending.mKind, .mPayload = pending.mPayload });
--- a/packages/peer/src/PeerLoopPriv.h
+++ b/packages/peer/src/PeerLoopPriv.h
@@ -100,7 +100,7 @@
   std::size_t ResendTo(const std::string& aAddress);
   Links::iterator Close(Links::iterator aLink);
   void ReportUnanswered(const PeerPending& aPending);
-  PeerLink& LinkTo(const std::string& aAddress);
+  PeerLink* LinkTo(const std::string& aAddress);
   void FailAll();
 
   PeerTransportOptions mOptions;
--- a/packages/peer/tests/PeerTransportTest.cpp
+++ b/packages/peer/tests/PeerTransportTest.cpp
@@ -62,6 +62,33 @@
   CHECK(again.error().mKind == PeerErrorKind::kBind);
 }
 
+TEST_CASE("Addresses that cannot be connected to end no other exchange")
+{
+  std::atomic<int> handled{ 0 };
+  const auto first = MakePeer(kFirst, "a", handled);
+  const auto second = MakePeer(kSecond, "b", handled);
+  for (const char* address : { "127.0.0.1:0",
+                               "127.0.0.1:65536",
+                               "127.0.0.1:99999",
+                               "127.0.0.1:-1",
+                               "127.0.0.1:80x",
+                               "127.0.0.1:",
+                               "127.0.0.1",
+                               ":80",
+                               "*:80",
+                               "no such host:80",
+                               "127.0.0.1:80 ",
+                               "" }) {
+    CAPTURE(address);
+    first->SendOneWay(address, Request());
+    CHECK_FALSE(first->Call(address, Request(), Millis(50)).has_value());
+  }
+  const auto refused = first->Call("no such host:80", Request(), Millis(5000));
+  REQUIRE_FALSE(refused.has_value());
+  CHECK(refused.error().mKind == PeerErrorKind::kAddress);
+  CHECK(first->Call(kSecond, Request(), Millis(5000)).has_value());
+}
+
 TEST_CASE("A reply that comes after its time-out is dropped and counted")
 {
   std::atomic<int> handled{ 0 };
