config: addresses of boxes and servers have a host and a port

What operators saw: an object of a box or server with the port 0, without a host, or with blanks in it was taken into the configuration; "status" did not tell of it, and requests to it failed.

Cause: the native dialect read these fields as addresses to listen on, for which port 0 is valid.

Change: FieldReader::RemoteAddress, for all three fields.

Evidence: "The address of a box or server has a host and a port to connect to" failed before for "10.0.0.1:0", "10.0.0.1:00", "*:80" and "no such host:80".

--- a/packages/config/include/porttiller/config/FieldReader.h
+++ b/packages/config/include/porttiller/config/FieldReader.h
@@ -59,6 +59,9 @@
   std::vector<std::string> Addresses(const std::string& aName);
   // A required "ip:port".
   std::string Address(const std::string& aName);
+  // A required "host:port" to connect to: a name or IP address and a port
+  // from 1 to 65535.
+  std::string RemoteAddress(const std::string& aName);
   // A required "ip:port" with an IPv4 address and a port other than 0.
   std::string Endpoint(const std::string& aName);
   std::string AddressOr(const std::string& aName, const std::string& aDefault);
--- a/packages/config/src/FieldReader.cpp
+++ b/packages/config/src/FieldReader.cpp
@@ -23,12 +23,24 @@
 }
 
 bool
-IsEndpoint(const std::string& aText)
+IsRemoteAddress(const std::string& aText)
 {
+  // Of names and of IP addresses.
+  constexpr const char* kHostChars = "abcdefghijklmnopqrstuvwxyz"
+                                     "ABCDEFGHIJKLMNOPQRSTUVWXYZ"
+                                     "0123456789.-_:[]";
   const auto colon = aText.rfind(':');
-  in_addr address{};
   return IsAddress(aText) && ParseUnsigned(aText.substr(colon + 1)) != 0 &&
-         inet_pton(AF_INET, aText.substr(0, colon).c_str(), &address) == 1;
+         aText.find_first_not_of(kHostChars) == std::string::npos;
+}
+
+bool
+IsEndpoint(const std::string& aText)
+{
+  in_addr address{};
+  return IsRemoteAddress(aText) &&
+         inet_pton(
+           AF_INET, aText.substr(0, aText.rfind(':')).c_str(), &address) == 1;
 }
 
 } // namespace
@@ -115,6 +127,16 @@
   return text;
 }
 
+std::string
+FieldReader::RemoteAddress(const std::string& aName)
+{
+  auto text = String(aName);
+  if (!text.empty() && !IsRemoteAddress(text)) {
+    Fail(aName, "must be \"host:port\" with a port from 1 to 65535");
+  }
+  return text;
+}
+
 std::string
 FieldReader::Endpoint(const std::string& aName)
 {
--- a/packages/config/src/Resources.cpp
+++ b/packages/config/src/Resources.cpp
@@ -52,7 +52,7 @@
   BackendServerSpec spec{ .mName = BackendServerName(aName) };
   spec.mService = ServiceName(aReader.String("service"));
   spec.mBox = BoxName(aReader.String("box"));
-  spec.mAddress = aReader.Address("address");
+  spec.mAddress = aReader.RemoteAddress("address");
   spec.mSlots = static_cast<int>(aReader.Integer("slots", kSlots));
   spec.mConnections = static_cast<int>(
     aReader.IntegerOr("connections", kSlots, kDefaultConnections));
@@ -136,8 +136,8 @@
     aReader.Fail("(name)", "must not contain \"/\"");
   }
   spec.mZone = AvailabilityZone(aReader.String("zone"));
-  spec.mHomeAddress = aReader.Address("home_address");
-  spec.mControlAddress = aReader.Address("control_address");
+  spec.mHomeAddress = aReader.RemoteAddress("home_address");
+  spec.mControlAddress = aReader.RemoteAddress("control_address");
   const auto state = aReader.StringOr("state", "live");
   if (state == "leaving") {
     spec.mState = BoxState::kLeaving;
--- a/packages/config/tests/FieldReaderTest.cpp
+++ b/packages/config/tests/FieldReaderTest.cpp
@@ -1,4 +1,5 @@
 #include "porttiller/config/JsonText.h"
+#include "porttiller/config/Resources.h"
 
 #include <doctest/doctest.h>
 #include <limits>
@@ -110,3 +111,47 @@
   constexpr std::size_t kDeep = 100'000;
   CHECK(IsClosedJson(std::string(kDeep, '[') + std::string(kDeep, ']')));
 }
+
+TEST_CASE("The address of a box or server has a host and a port to connect to")
+{
+  const auto isValid = [](const std::string& aAddress) {
+    const auto server = ParseResource(
+      kBackendServerKind,
+      "a",
+      R"({"service":"s","box":"b","slots":1,"address":")" + aAddress + "\"}");
+    const auto home = ParseResource(
+      kBoxKind,
+      "a",
+      R"({"zone":"z","control_address":"10.0.0.1:1","home_address":")" +
+        aAddress + "\"}");
+    const auto control =
+      ParseResource(kBoxKind,
+                    "a",
+                    R"({"zone":"z","home_address":"10.0.0.1:1",)"
+                    R"("control_address":")" +
+                      aAddress + "\"}");
+    CHECK(server.has_value() == home.has_value());
+    CHECK(server.has_value() == control.has_value());
+    return server.has_value();
+  };
+  for (const char* address :
+       { "10.0.0.1:1", "10.0.0.1:65535", "ledger.example:80", "[::1]:80" }) {
+    CAPTURE(address);
+    CHECK(isValid(address));
+  }
+  for (const char* address : { "10.0.0.1:0",
+                               "10.0.0.1:00",
+                               "10.0.0.1:65536",
+                               "10.0.0.1:99999",
+                               "10.0.0.1:-1",
+                               "10.0.0.1:80x",
+                               "10.0.0.1:80 ",
+                               "10.0.0.1:",
+                               "10.0.0.1",
+                               ":80",
+                               "*:80",
+                               "no such host:80" }) {
+    CAPTURE(address);
+    CHECK_FALSE(isValid(address));
+  }
+}
