config: a number out of range is not an absent field

Cause: ReplaceOutOfRangeNumbers put null in place of such a number, and null reads as an absent field.

Change: it puts kUnreadableJson, "[null]", which is of no type that a field has, so that the object is rejected with the field's name, and its last valid version stays in force.

--- a/packages/config/include/porttiller/config/JsonText.h
+++ b/packages/config/include/porttiller/config/JsonText.h
@@ -20,8 +20,12 @@
 bool
 IsClosedJson(std::string_view aText);
 
-// Replaces each number that does not fit a 64-bit type with null, so that the
-// rest of the text can be parsed.
+// Stands for a value that cannot be parsed: of no type that a field has, and not
+// null, which reads as an absent field.
+inline constexpr std::string_view kUnreadableJson = "[null]";
+
+// Replaces each number that does not fit a 64-bit type with kUnreadableJson, so
+// that the rest of the text can be parsed.
 std::string
 ReplaceOutOfRangeNumbers(std::string aText);
 
--- a/packages/config/src/JsonText.cpp
+++ b/packages/config/src/JsonText.cpp
@@ -106,13 +106,12 @@
 std::string
 ReplaceOutOfRangeNumbers(std::string aText)
 {
-  constexpr std::string_view kNull = "null";
   std::size_t from = 0;
   for (auto number = FindOutOfRangeNumber(aText); !number.empty();
        number = FindOutOfRangeNumber(aText, from)) {
     const auto at = static_cast<std::size_t>(number.data() - aText.data());
-    aText.replace(at, number.size(), kNull);
-    from = at + kNull.size();
+    aText.replace(at, number.size(), kUnreadableJson);
+    from = at + kUnreadableJson.size();
   }
   return aText;
 }
