config, store, platform: an odd item hides no other

What operators saw: one item that was nested 65 deep or more hid the whole list and the whole watch in which it stood. In the mesh's dialect a box that started knew no other box of the store's list; in the native one any item without a readable version or spec, with a number out of range or with invalid UTF-8 had the same effect, and boxes stopped following the configuration.

Cause: the text is parsed whole, with one bound on its depth; the native dialect then threw at the first item that it could not read, and had no second try.

Each item is read on its own and reported if it has no name. In the native dialect an object with a name and an invalid spec keeps its place, so that its last valid version stays in force and "status" tells why. PlatformStandIn sends specs as they were put.

Evidence: with the dialects as they were, 3 of the new cases of ForeignRecordsTest and 4 of 5 of NativeDialectTest failed; of OddObjectsTest, with real daemons, "Boxes of the mesh run on and start beside odd records" (the list was not read) and the subcase "values" of "Boxes run on, start and follow the store beside odd objects" (both boxes stayed at their revision). "Boxes of the mesh keep their configuration beside odd documents" held before.

--- a/packages/store/src/NativeDialect.cpp
+++ b/packages/store/src/NativeDialect.cpp
@@ -1,6 +1,6 @@
 #include "porttiller/store/NativeDialect.h"
 
-#include "porttiller/config/JsonText.h"
+#include "porttiller/config/ItemsJson.h"
 
 #include <Poco/Exception.h>
 #include <Poco/JSON/Array.h>
@@ -12,6 +12,10 @@
 
 constexpr const char* kConfigKinds = "Service,BackendServer,Route,Box,Limits";
 constexpr const char* kObjectsPath = "/v1/objects/";
+constexpr const char* kNoSpec = "null";
+// Brackets around the fields of an object: of its own, and in a list or watch.
+constexpr std::size_t kObjectLevel = 1;
+constexpr std::size_t kListLevel = 3;
 
 std::string
 PathOf(const ObjectKey& aKey)
@@ -21,16 +25,31 @@
   return kObjectsPath + aKey.mKind + "/" + name;
 }
 
-Object
-ObjectFrom(const Poco::JSON::Object& aJson)
+// A spec that is no object is kept as kNoSpec: whoever parses it rejects it,
+// and the last valid version of the object stays in force.
+ItemResult
+ReadItem(const Poco::JSON::Object::Ptr& aItem)
 {
-  Object object;
-  object.mKey = { aJson.getValue<std::string>("kind"),
-                  aJson.getValue<std::string>("name") };
-  object.mVersion = aJson.getValue<std::uint64_t>("version");
-  object.mDeleted = aJson.optValue("deleted", false);
+  UnreadableObject unreadable;
+  if (aItem.isNull()) {
+    return Unreadable(unreadable, UnreadableReason::kItem);
+  }
+  unreadable.mKind = TextIn(*aItem, "kind");
+  unreadable.mName = TextIn(*aItem, "name");
+  if (unreadable.mKind.empty() || unreadable.mName.empty()) {
+    return Unreadable(unreadable, UnreadableReason::kName);
+  }
+  const auto version = UnsignedIn(*aItem, "version");
+  if (!version) {
+    return Unreadable(unreadable, UnreadableReason::kVersion);
+  }
+  const auto deleted = aItem->get("deleted");
+  Object object{ .mKey = { unreadable.mKind, unreadable.mName },
+                 .mVersion = *version,
+                 .mDeleted = deleted.isBoolean() && deleted.extract<bool>() };
   if (!object.mDeleted) {
-    object.mSpecJson = ToJsonText(*aJson.getObject("spec"));
+    const auto spec = aItem->getObject("spec");
+    object.mSpecJson = spec.isNull() ? kNoSpec : ToJsonText(*spec);
   }
   return object;
 }
@@ -43,8 +62,7 @@
   delta.mCursor = delta.mTo;
   const auto items = aJson.getArray("items");
   for (std::size_t i = 0; i < items->size(); ++i) {
-    delta.mObjects.push_back(
-      ObjectFrom(*items->getObject(static_cast<unsigned>(i))));
+    AddItem(ReadItem(items->getObject(static_cast<unsigned>(i))), delta);
   }
   return delta;
 }
@@ -58,7 +76,7 @@
 Decoded<ObjectDelta>
 ReadList(const std::string& aBody)
 {
-  auto delta = DecodeJson(aBody, DeltaFrom);
+  auto delta = DecodeItems(aBody, kListLevel, DeltaFrom);
   if (delta) {
     delta->mFull = true;
   }
@@ -129,7 +147,11 @@
 NativeDialect::ReadObject(const std::string& /*aKind*/,
                           const std::string& aBody)
 {
-  return DecodeJson(aBody, ObjectFrom);
+  auto json = ParseJsonObject(ReplaceDeepValues(aBody, kObjectLevel));
+  if (!json) {
+    return tl::make_unexpected(DecodeError{ ToText(json.error()) });
+  }
+  return ReadItem(*json).map_error(ToDecodeError);
 }
 
 Decoded<ObjectPage>
@@ -158,7 +180,7 @@
                            std::uint64_t aFrom,
                            const std::string& aBody)
 {
-  auto delta = DecodeJson(aBody, DeltaFrom);
+  auto delta = DecodeItems(aBody, kListLevel, DeltaFrom);
   if (delta) {
     delta->mFrom = aFrom;
   }
--- a/testing/standin/PlatformStandIn.cpp
+++ b/testing/standin/PlatformStandIn.cpp
@@ -3,7 +3,6 @@
 #include "porttiller/config/JsonText.h"
 #include "porttiller/core/Ids.h"
 
-#include <Poco/JSON/Array.h>
 #include <Poco/URI.h>
 #include <algorithm>
 #include <thread>
@@ -33,28 +32,32 @@
   return ("," + aKinds + ",").find("," + aKind + ",") != std::string::npos;
 }
 
-Poco::JSON::Object::Ptr
-ToJson(const Object& aObject)
+// The spec as it was put, whether it can be parsed or not.
+std::string
+ToText(const Object& aObject)
 {
-  Poco::JSON::Object::Ptr json = new Poco::JSON::Object;
-  json->set("kind", aObject.mKey.mKind);
-  json->set("name", aObject.mKey.mName);
-  json->set("version", aObject.mVersion);
+  Poco::JSON::Object json;
+  json.set("kind", aObject.mKey.mKind);
+  json.set("name", aObject.mKey.mName);
+  json.set("version", aObject.mVersion);
   if (aObject.mDeleted) {
-    json->set("deleted", true);
-  } else {
-    json->set("spec", *ParseJsonObject(aObject.mSpecJson));
+    json.set("deleted", true);
+    return ToJsonText(json);
   }
-  return json;
+  auto text = ToJsonText(json);
+  text.pop_back();
+  return text + ",\"spec\":" + aObject.mSpecJson + "}";
 }
 
 std::string
-ItemsText(std::uint64_t aRevision, const Poco::JSON::Array& aItems)
+ItemsText(std::uint64_t aRevision, const std::vector<std::string>& aItems)
 {
-  Poco::JSON::Object json;
-  json.set("revision", aRevision);
-  json.set("items", aItems);
-  return ToJsonText(json);
+  std::string items;
+  for (const auto& item : aItems) {
+    items += (items.empty() ? "" : ",") + item;
+  }
+  return "{\"revision\":" + std::to_string(aRevision) + ",\"items\":[" + items +
+         "]}";
 }
 
 // The key of "/v1/objects/<kind>/<name>"; an empty kind for any other path. A
@@ -159,10 +162,10 @@
   const std::lock_guard lock(mMutex);
   if (uri.getPath() == kObjects) {
     const auto kinds = Parameter(uri, "kinds");
-    Poco::JSON::Array items;
+    std::vector<std::string> items;
     for (const auto& [key, object] : mObjects) {
       if (ListsKind(kinds, key.mKind)) {
-        items.add(ToJson(object));
+        items.push_back(ToText(object));
       }
     }
     return { 200, ItemsText(mRevision, items) };
@@ -171,7 +174,7 @@
   if (it == mObjects.end()) {
     return { 404, R"({"error":"not found"})" };
   }
-  return { 200, ToJsonText(*ToJson(it->second)) };
+  return { 200, ToText(it->second) };
 }
 
 PlatformStandIn::Reply
@@ -191,10 +194,10 @@
                                 });
   };
   mChanged.wait_for(lock, wait, hasChanges);
-  Poco::JSON::Array items;
+  std::vector<std::string> items;
   for (const auto& object : mChanges) {
     if (object.mVersion > from && ListsKind(kinds, object.mKey.mKind)) {
-      items.add(ToJson(object));
+      items.push_back(ToText(object));
     }
   }
   return { 200, ItemsText(mRevision, items) };
