testing, entry: answers without end, many at once and in the native dialect

Cause: a report of answers without end that filled a machine's memory, and one of connections to such servers that stayed open after the load had ended.

Result: both hold, without a change of code. 64 callers of one box while all four servers answer without end: each gets a 5xx, no daemon takes more than the 260 MB that it is given, all are ready, and no connection stays open.

--- a/packages/entry/tests/DispatcherTest.cpp
+++ b/packages/entry/tests/DispatcherTest.cpp
@@ -1,9 +1,10 @@
-// Answers of another box that are no valid HTTP: an older version passes on
-// what its servers answer.
+// Answers of another box that are no valid HTTP, as an older version passes on
+// what its servers answer, or that do not end.
 #include "porttiller/entry/Dispatcher.h"
 #include "porttiller/entry/AttemptFilter.h"
 #include "porttiller/hop/HopCodec.h"
 #include "porttiller/http/HttpListener.h"
+#include "standin/EndlessServerStandIn.h"
 
 #include <doctest/doctest.h>
 
@@ -16,16 +17,12 @@
 constexpr const char* kEntryControl = "127.0.0.1:22959";
 constexpr const char* kKey = "key";
 
-// An entry, and a home whose answers and records are given.
+// An entry, and the control address of a home with a recorded answer.
 class Fixture
 {
 public:
-  Fixture(HttpAnswer aAnswer, int aRecordedStatus)
-    : mAnswer(std::move(aAnswer))
-    , mHomeListener(*HttpListener::Make(
-        { .mAddress = kHomeAddress },
-        [this](HttpCall& aCall) { return ServeHome(aCall); }))
-    , mHomeTransport(*PeerTransport::Make(
+  explicit Fixture(int aRecordedStatus)
+    : mHomeTransport(*PeerTransport::Make(
         { .mBindAddress = kHomeControl, .mBox = BoxName("home") },
         [aRecordedStatus](const wire::Envelope&, const PeerReplier& aReply) {
           wire::Envelope envelope;
@@ -57,27 +54,10 @@
   }
 
 private:
-  HttpReply ServeHome(HttpCall& aCall)
-  {
-    const auto request =
-      DecodeHomeRequest(std::move(aCall.mHttp), aCall.mArrival);
-    REQUIRE(request);
-    HttpReply reply{ .mAnswer = mAnswer };
-    for (auto& header : EncodeHomeAnswer({ .mOutcome = Outcome::kRun },
-                                         request->mAttempt,
-                                         Incarnation(1),
-                                         Now())) {
-      reply.mAnswer.mHeaders.push_back(std::move(header));
-    }
-    return reply;
-  }
-
-  const HttpAnswer mAnswer;
   Settings mSettings;
   Metrics mMetrics;
   CrashMonitor mCrashes;
   ShutdownDeadline mShutdownDeadline;
-  std::unique_ptr<HttpListener> mHomeListener;
   std::unique_ptr<PeerTransport> mHomeTransport;
   std::unique_ptr<PeerTransport> mTransport;
   EntryView mView{ BoxName("entry"), AvailabilityZone("entry"), {} };
@@ -88,6 +68,26 @@
   AttemptIdGenerator mIds{ BoxName("entry"), Incarnation(1) };
 };
 
+// The listener of the home, which answers each attempt with aAnswer.
+std::unique_ptr<HttpListener>
+HomeThatAnswers(const HttpAnswer& aAnswer)
+{
+  return *HttpListener::Make(
+    { .mAddress = kHomeAddress }, [aAnswer](HttpCall& aCall) {
+      const auto request =
+        DecodeHomeRequest(std::move(aCall.mHttp), aCall.mArrival);
+      REQUIRE(request);
+      HttpReply reply{ .mAnswer = aAnswer };
+      for (auto& header : EncodeHomeAnswer({ .mOutcome = Outcome::kRun },
+                                           request->mAttempt,
+                                           Incarnation(1),
+                                           Now())) {
+        reply.mAnswer.mHeaders.push_back(std::move(header));
+      }
+      return reply;
+    });
+}
+
 const HttpAnswer kValid{ .mStatus = 200, .mBody = "live" };
 const HttpAnswer kNoStatus{ .mStatus = 0, .mBody = "live" };
 const HttpAnswer kNoName{ .mStatus = 200,
@@ -98,8 +98,9 @@
 
 TEST_CASE("A home's answer is taken")
 {
-  Fixture live(kValid, 200);
-  const auto taken = live.Send();
+  const auto home = HomeThatAnswers(kValid);
+  Fixture fixture(200);
+  const auto taken = fixture.Send();
   const auto* answered = std::get_if<AttemptAnswered>(&taken);
   REQUIRE(answered != nullptr);
   CHECK(answered->mHttp.mStatus == 200);
@@ -109,7 +110,8 @@
 TEST_CASE("A home's malformed answer is replaced by the recorded one")
 {
   for (const auto& malformed : { kNoStatus, kNoName }) {
-    Fixture fixture(malformed, 201);
+    const auto home = HomeThatAnswers(malformed);
+    Fixture fixture(201);
     const auto taken = fixture.Send();
     const auto* answered = std::get_if<AttemptAnswered>(&taken);
     REQUIRE(answered != nullptr);
@@ -123,8 +125,30 @@
   for (const auto& malformed : { kNoStatus, kNoName }) {
     for (const int recorded : { 0, 20, 103, 999 }) {
       CAPTURE(recorded);
-      Fixture fixture(malformed, recorded);
+      const auto home = HomeThatAnswers(malformed);
+      Fixture fixture(recorded);
       CHECK(std::holds_alternative<AttemptUnknown>(fixture.Send()));
     }
   }
 }
+
+TEST_CASE("A home's answer without end is cut off")
+{
+  // An answer has at most 16 MiB; the sockets of both ends hold some more.
+  constexpr std::uint64_t kMaxBytes = 40 << 20;
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  const std::string filler(4096, 'x');
+  for (const auto& answer :
+       { standin::EndlessAnswer{ .mBegin = "HTTP/1.1 200 ", .mRepeat = filler },
+         standin::EndlessAnswer{ .mBegin = ok, .mRepeat = "X: 1\r\n" },
+         standin::EndlessAnswer{ .mBegin = ok + "\r\n", .mRepeat = filler },
+         standin::EndlessAnswer{ .mBegin =
+                                   ok + "Transfer-Encoding: chunked\r\n\r\n",
+                                 .mRepeat = "1000\r\n" + filler + "\r\n" } }) {
+    CAPTURE(answer.mBegin);
+    const standin::EndlessServerStandIn home(kHomeAddress, answer);
+    Fixture fixture(0);
+    CHECK(std::holds_alternative<AttemptUnknown>(fixture.Send()));
+    CHECK(home.MostBytesSent() <= kMaxBytes);
+  }
+}
--- a/testing/fleet/tests/EndlessAnswerTest.cpp
+++ b/testing/fleet/tests/EndlessAnswerTest.cpp
@@ -2,6 +2,7 @@
 // bounded, callers get true outcomes, and the other servers go on.
 #include "ProcessStatus.h"
 #include "fleet/MeshFleet.h"
+#include "fleet/Ports.h"
 #include "standin/EndlessServerStandIn.h"
 
 #include <algorithm>
@@ -18,6 +19,7 @@
 namespace {
 
 constexpr int kPortBase = 23'600;
+constexpr int kSparePort = 700; // from the first port of a fleet
 constexpr Millis kWait{ 15'000 };
 constexpr int kBoxes = 4;
 constexpr int kThreads = 12;
@@ -176,6 +178,103 @@
   }
 }
 
+TEST_CASE("Many answers without end at once leave a box within its memory")
+{
+  constexpr double kMemoryMb = 260.0;
+  constexpr int kCallers = 64;
+  for (const auto& answer : kBodies) {
+    CAPTURE(answer.mBegin);
+    MeshFleet fleet(
+      { .mBoxes = kBoxes, .mPortBase = kPortBase, .mMemoryMb = kMemoryMb });
+    std::vector<std::unique_ptr<standin::EndlessServerStandIn>> servers;
+    for (int box = 0; box < kBoxes; ++box) {
+      const auto address = fleet.Server(box).Options().mAddress;
+      fleet.Server(box).Stop();
+      servers.push_back(
+        std::make_unique<standin::EndlessServerStandIn>(address, answer));
+    }
+    std::atomic<int> failed{ 0 };
+    std::vector<std::future<void>> callers;
+    callers.reserve(kCallers);
+    for (int caller = 0; caller < kCallers; ++caller) {
+      callers.push_back(std::async(std::launch::async, [&, caller] {
+        const auto reply =
+          fleet.Send(0, "GET", "/safe/x", "n-" + std::to_string(caller));
+        failed += reply.mStatus >= 500 ? 1 : 0;
+      }));
+    }
+    for (auto& caller : callers) {
+      caller.get();
+    }
+    CHECK(failed == kCallers);
+    for (int box = 0; box < kBoxes; ++box) {
+      CAPTURE(box);
+      CHECK(fleet.Ready(box));
+      CHECK(StatusMb("VmHWM", std::to_string(fleet.PidOf(box))) <= kMemoryMb);
+      const auto& server = *servers.at(static_cast<std::size_t>(box));
+      CHECK(WaitUntil(kWait, [&] { return server.OpenConnections() == 0; }));
+    }
+  }
+}
+
+// In the native dialect, where boxes eject servers.
+TEST_CASE("Answers that stop before their end are closed with their requests")
+{
+  constexpr int kNativeBoxes = 6;
+  constexpr int kServersPerBox = 2;
+  constexpr int kCallers = 24;
+  constexpr int kRequests = 60;
+  Fleet fleet({ .mBoxes = kNativeBoxes,
+                .mServersPerBox = kServersPerBox,
+                .mPortBase = kPortBase });
+  std::vector<std::unique_ptr<standin::EndlessServerStandIn>> servers;
+  for (int i = 0; i < 3; ++i) {
+    const int index = i * 2 * kServersPerBox;
+    const auto address =
+      "127.0.0.1:" + std::to_string(TestPort(kPortBase) + kSparePort + i);
+    servers.push_back(
+      std::make_unique<standin::EndlessServerStandIn>(address, kBodies.back()));
+    fleet.Put("BackendServer",
+              Fleet::ServerName(index),
+              R"({"service":"ledger","box":")" +
+                Fleet::BoxName(fleet.BoxOfServer(index)) + R"(","address":")" +
+                address + R"(","slots":9})");
+  }
+  for (int box = 0; box < kNativeBoxes; ++box) {
+    REQUIRE(fleet.WaitInForce(box, kWait));
+  }
+  std::atomic<int> unaffected{ 0 };
+  std::atomic<int> served{ 0 };
+  std::vector<std::future<void>> callers;
+  callers.reserve(kCallers);
+  for (int caller = 0; caller < kCallers; ++caller) {
+    callers.push_back(std::async(std::launch::async, [&, caller] {
+      for (int i = 0; i < kRequests; ++i) {
+        const auto id = "s-" + std::to_string(caller * kRequests + i);
+        const auto reply = fleet.Send(
+          caller % kNativeBoxes, "GET", "/x", "", { { "X-Request-Id", id } });
+        const bool seen =
+          std::any_of(servers.begin(), servers.end(), [&](const auto& aServer) {
+            return aServer->HasSeen(id);
+          });
+        unaffected += seen ? 0 : 1;
+        served += !seen && reply.mStatus == 200 ? 1 : 0;
+      }
+    }));
+  }
+  for (auto& caller : callers) {
+    caller.get();
+  }
+  std::size_t seen = 0;
+  for (const auto& server : servers) {
+    seen += server->Requests();
+    CHECK(WaitUntil(kWait, [&] { return server->OpenConnections() == 0; }));
+  }
+  CHECK(seen > 0);
+  constexpr double kServedShare = 0.99;
+  CHECK(served >= kServedShare * unaffected);
+}
+
 TEST_CASE("A health check without end delays no start of a box")
 {
   MeshFleet fleet(kBoxes, kPortBase);
