entry: a request that comes too late in a planned stop is rejected as not run

What callers saw: a request whose last byte arrived after the box had closed to new connections, on one that was open, was taken and passed on. What had not ended at the end of the stop was cut there: 504 with an unknown outcome, also for a request that may run only once.

Cause: the entry looked at the end of the stop only while it waited for answers.

Change: LateRequestFilter, behind the filter that sets the deadline: once the box takes no new connections, a request whose deadline is behind the end of the stop gets 503, "leaving", not run, and its connection is closed, so that its caller can go to another box at once.

Evidence: "A request that is read late in a planned stop is rejected if it cannot end in time" failed before: 504 twice, one run of the request that may run once and two of the other; it passes in 3 of 3 runs. The other two cases of PlannedStopTest, over three boxes of the mesh, held before: in calm with requests of 0.3, 1.5 and 2.5 s on kept connections through all boxes none was lost, and a second SIGTERM shortens nothing.

--- a/packages/entry/include/porttiller/entry/Filters.h
+++ b/packages/entry/include/porttiller/entry/Filters.h
@@ -32,10 +32,26 @@
   std::optional<CallerAnswer> Apply(RequestContext& aContext) const;
 };
 
+// Rejects requests that arrive so late in a planned stop that they may not end
+// in time: another box can run them, and none has begun to.
+class LateRequestFilter
+{
+public:
+  explicit LateRequestFilter(const ShutdownDeadline& aShutdownDeadline)
+    : mShutdownDeadline(aShutdownDeadline)
+  {
+  }
+  std::optional<CallerAnswer> Apply(RequestContext& aContext) const;
+
+private:
+  const ShutdownDeadline& mShutdownDeadline;
+};
+
 using Filter = std::variant<VersionFilter,
                             RouteFilter,
                             WorkspaceFilter,
                             RequestOptionsFilter,
+                            LateRequestFilter,
                             LimitFilter,
                             TokenFilter,
                             AttemptFilter>;
--- a/packages/entry/src/EntryServer.cpp
+++ b/packages/entry/src/EntryServer.cpp
@@ -54,6 +54,7 @@
                RouteFilter(),
                WorkspaceFilter(),
                RequestOptionsFilter(),
+               LateRequestFilter(aDependencies.mShutdownDeadline),
                LimitFilter(aDependencies.mGate, aDependencies.mMetrics),
                TokenFilter(aDependencies),
                AttemptFilter(aDependencies) })
--- a/packages/entry/src/Filters.cpp
+++ b/packages/entry/src/Filters.cpp
@@ -153,6 +153,16 @@
   return std::nullopt;
 }
 
+std::optional<CallerAnswer>
+LateRequestFilter::Apply(RequestContext& aContext) const
+{
+  if (!mShutdownDeadline.IsTooLateFor(aContext.mDeadline)) {
+    return std::nullopt;
+  }
+  return RejectAndClose(kUnavailable,
+                        std::string(ToText(RejectReason::kLeaving)));
+}
+
 std::optional<CallerAnswer>
 RequestOptionsFilter::Apply(RequestContext& aContext) const
 {
--- a/packages/hop/include/porttiller/hop/ShutdownDeadline.h
+++ b/packages/hop/include/porttiller/hop/ShutdownDeadline.h
@@ -9,7 +9,7 @@
 
 namespace porttiller {
 
-// Shared by all threads that wait on behalf of a request; set once, when
+// Shared by all threads that work on behalf of a request; set once, when
 // draining begins. Thread-safe.
 class ShutdownDeadline
 {
@@ -33,6 +33,17 @@
     return mEnd != TimePoint::max().time_since_epoch().count();
   }
 
+  // The box takes no new connections of callers any more. Requests that arrive
+  // later come on connections that were open.
+  void CloseToCallers() { mClosedToCallers = true; }
+
+  // True for a request that arrives after CloseToCallers and may still run at
+  // the end of the planned stop.
+  bool IsTooLateFor(TimePoint aDeadline) const
+  {
+    return mClosedToCallers && Limit(aDeadline) < aDeadline;
+  }
+
   // Returns aUntil or the end of the planned stop, whichever is earlier.
   TimePoint Limit(TimePoint aUntil) const
   {
@@ -67,6 +78,7 @@
 
 private:
   std::atomic<std::int64_t> mEnd{ TimePoint::max().time_since_epoch().count() };
+  std::atomic<bool> mClosedToCallers{ false };
   const CancelFlag mBegun = Cancellation::Make();
 };
 
--- a/packages/node/src/Node.cpp
+++ b/packages/node/src/Node.cpp
@@ -425,6 +425,7 @@
   mShutdownDeadline.Set(bound);
   mEntryServer->BeginDrain();
   std::this_thread::sleep_for(mSettings.mTiming.mDrainNotice);
+  mShutdownDeadline.CloseToCallers();
   auto entryStopped =
     std::async(std::launch::async, [this] { mEntryServer->Stop(); });
   entryStopped.wait_until(bound -
