home: in the native dialect, too, a stopping home takes nothing it may cut

What callers saw: requests that may run only once, sent by other boxes to a box in a planned stop, were passed on up to half of the stop, as long as its own entry waited for an answer. What had not ended at the end of the stop was cut: 504 with an unknown outcome, in calm.

Cause: the check that keeps such requests from a stopping home stood in the admission of the mesh's dialect alone.

Change: it applies to both. The request is rejected as not run, and its entry sends it to another server; one that no other server accepts is still taken.

--- a/packages/home/src/LocalServerAdmission.cpp
+++ b/packages/home/src/LocalServerAdmission.cpp
@@ -57,6 +57,9 @@
     return RejectLocked(RejectReason::kNoServer, kLeavingRetryAfter);
   }
   auto rejected = RejectIfQuarantined(aRequest);
+  if (!rejected && MayBeInterrupted(aRequest)) {
+    rejected = RejectLocked(RejectReason::kDemoted, kLeavingRetryAfter);
+  }
   if (!rejected) {
     rejected = mOptions.mFailingServers == FailingServers::kBreak
                  ? RejectIfBroken(aRequest)
@@ -168,9 +171,6 @@
 LocalServer::RejectIfBroken(const HomeRequest& aRequest)
 {
   const auto now = Now();
-  if (MayBeInterrupted(aRequest)) {
-    return RejectLocked(RejectReason::kDemoted, kLeavingRetryAfter);
-  }
   // A trial is likely to fail and to need a retry at another server.
   const bool retryAvailable = mRetries.Affords(1);
   if (mBreaker.Admit(aRequest, retryAvailable, now)) {
--- a/testing/fleet/tests/PlannedStopTest.cpp
+++ b/testing/fleet/tests/PlannedStopTest.cpp
@@ -203,3 +203,51 @@
   CHECK(fleet.RunsOf("late-safe") == 0);
   CHECK(fleet.WaitForBoxExit(0, kExitWait) == 0);
 }
+
+// In the native dialect, where no home is asked for other servers before it
+// rejects.
+TEST_CASE("Requests of other boxes outlast a planned stop in the native "
+          "dialect")
+{
+  Fleet fleet({ .mBoxes = kBoxes,
+                .mPortBase = kPortBase,
+                .mExtraSettings = R"(,"timing":{"drain_ms":4000,)"
+                                  R"("drain_notice_ms":1500})" });
+  for (int server = 0; server < kBoxes; ++server) {
+    fleet.Server(server).Set({ .mServiceMs = 2500 });
+  }
+  std::atomic<bool> stop{ false };
+  std::atomic<int> served{ 0 };
+  std::vector<std::future<void>> callers;
+  for (int caller = 0; caller < 14; ++caller) {
+    callers.push_back(std::async(std::launch::async, [&, caller] {
+      for (int i = 0; !stop; ++i) {
+        const auto id = "n-" + std::to_string(caller) + "-" + std::to_string(i);
+        const auto reply = fleet.Send(1 + caller % (kBoxes - 1),
+                                      "POST",
+                                      "/x",
+                                      "",
+                                      { { "X-Request-Id", id } });
+        CAPTURE(id);
+        CAPTURE(reply.mOutcome);
+        CAPTURE(reply.mBody);
+        CHECK(reply.mStatus == 200);
+        served += reply.mStatus == 200 ? 1 : 0;
+        // Spreads the calls over the stop.
+        std::this_thread::sleep_for(Millis(50 + 50 * caller));
+      }
+    }));
+  }
+  std::this_thread::sleep_for(Millis(1000));
+  fleet.SignalBox(0, SIGTERM);
+  // Its home accepts requests as long as its entry waits for this answer, at
+  // most for half of the stop.
+  std::this_thread::sleep_for(Millis(1300));
+  CHECK(fleet.Send(0, "POST", "/x", "").mStatus == 200);
+  CHECK(fleet.WaitForBoxExit(0, kExitWait) == 0);
+  stop = true;
+  for (auto& caller : callers) {
+    caller.get();
+  }
+  CHECK(served > 0);
+}
