config: the property of nested items begins at a depth of 1

Cause: ItemsJsonTest drew depths from 0, and at 0 its text has no value behind "b" and is no JSON.

Change: depths from 1 on, all that are JSON.

--- a/packages/config/tests/ItemsJsonTest.cpp
+++ b/packages/config/tests/ItemsJsonTest.cpp
@@ -39,7 +39,7 @@
 TEST_CASE("Text with items of any depth can be parsed, or is no JSON at all")
 {
   CHECK(rc::check([] {
-    const auto depth = static_cast<std::size_t>(Draw(0, 200));
+    const auto depth = static_cast<std::size_t>(Draw(1, 200));
     const auto level = static_cast<std::size_t>(Draw(1, 5));
     const auto text = R"({"a":[{"b":)" + Nested(depth) + R"(,"c":"]"}]})";
     RC_ASSERT(ParseJsonObject(ReplaceDeepValues(text, level)).has_value());
