testing: a fleet that leaves its range of ports is an error

The log of its box 0: "cannot listen: 127.0.0.1:19400: Address already in use".

Cause: the store of KilledDaemonAnswerTest, whose fleets began 900 ports above a multiple of 1,000, lay 1,800 ports above the range of its part; fleet_14 ran it at that moment, at 17,600 + 1,800 = 19,400, the first port of fleet_15's fleet. LargeBodiesTest began 800 above. The bound of 600 stood in a comment only.

Change: FleetPort, for the first port of a fleet, throws if the fleet would leave its range; both tests begin lower.

--- a/testing/fleet/Fleet.cpp
+++ b/testing/fleet/Fleet.cpp
@@ -69,7 +69,7 @@
   : mOptions(std::move(aOptions))
   , mDirectory(Poco::TemporaryFile::tempName())
 {
-  mOptions.mPortBase = TestPort(mOptions.mPortBase);
+  mOptions.mPortBase = FleetPort(mOptions.mPortBase);
   std::filesystem::create_directories(mDirectory);
   StartStandIns();
   if (mOptions.mLinks) {
--- a/testing/fleet/Fleet.h
+++ b/testing/fleet/Fleet.h
@@ -24,7 +24,7 @@
   int mSlots = 9;          // concurrent requests per server
   int mFloorSlots = 9;
   std::string mDetection = "fast";
-  int mPortBase = 22000;      // first port, see TestPort; each box uses four
+  int mPortBase = 22000;      // first port, see FleetPort; each box uses four
   bool mOwnProcesses = false; // run each stand-in as a process
   // Puts a relay in front of the platform and of each box's home and control
   // address.
--- a/testing/fleet/MeshFleet.cpp
+++ b/testing/fleet/MeshFleet.cpp
@@ -33,9 +33,9 @@
 }
 
 MeshFleetOptions
-WithTestPort(MeshFleetOptions aOptions)
+WithFleetPort(MeshFleetOptions aOptions)
 {
-  aOptions.mPortBase = TestPort(aOptions.mPortBase);
+  aOptions.mPortBase = FleetPort(aOptions.mPortBase);
   return aOptions;
 }
 
@@ -51,7 +51,7 @@
 } // namespace
 
 MeshFleet::MeshFleet(MeshFleetOptions aOptions)
-  : mOptions(WithTestPort(std::move(aOptions)))
+  : mOptions(WithFleetPort(std::move(aOptions)))
   , mDirectory(Poco::TemporaryFile::tempName())
 {
   std::filesystem::create_directories(mDirectory);
--- a/testing/fleet/MeshFleet.h
+++ b/testing/fleet/MeshFleet.h
@@ -23,7 +23,7 @@
 struct MeshFleetOptions
 {
   int mBoxes = 3;
-  int mPortBase = 25000; // first port, see TestPort; each box uses eight
+  int mPortBase = 25000; // first port, see FleetPort; each box uses eight
   // Puts relays between each box and the store, and between each box and its
   // server.
   bool mLinks = false;
--- a/testing/fleet/Ports.h
+++ b/testing/fleet/Ports.h
@@ -3,10 +3,15 @@
 
 namespace porttiller::fleet {
 
-// The port to use for aPort, which is a fleet's first port or a single one: a
-// port of the range of 1,600 that begins at the environment variable
-// PORTTILLER_TEST_PORTS, or aPort itself if that is not set.
+// The port to use for aPort: a port of the range of 1,600 that begins at the
+// environment variable PORTTILLER_TEST_PORTS, or aPort itself if that is not
+// set.
 int
 TestPort(int aPort);
 
+// The same for the first port of a fleet. Throws std::logic_error if the fleet
+// would extend into the range of another test program.
+int
+FleetPort(int aPort);
+
 } // namespace porttiller::fleet
--- a/testing/fleet/tests/KilledDaemonAnswerTest.cpp
+++ b/testing/fleet/tests/KilledDaemonAnswerTest.cpp
@@ -15,7 +15,7 @@
 
 namespace {
 
-constexpr int kPortBase = 24'900;
+constexpr int kPortBase = 24'600;
 constexpr std::size_t kBytes = 4 << 20; // of an answer
 
 std::string
--- a/testing/fleet/tests/LargeBodiesTest.cpp
+++ b/testing/fleet/tests/LargeBodiesTest.cpp
@@ -17,7 +17,7 @@
 
 namespace {
 
-constexpr int kPortBase = 23'800;
+constexpr int kPortBase = 23'500;
 constexpr int kBoxes = 3;
 constexpr std::size_t kMaxBodyBytes = 64 << 20;
 constexpr double kMemoryMb = 260.0;
