--- a/testing/fleet/tests/CommandLineTest.cpp
+++ b/testing/fleet/tests/CommandLineTest.cpp
@@ -9,6 +9,7 @@
 #include <fstream>
 #include <sstream>
 #include <thread>
+#include <utility>
 
 using namespace porttiller;
 
@@ -157,6 +158,46 @@
   CHECK(status.find("unreadable: box-records/x") != std::string::npos);
 }
 
+TEST_CASE("porttillerctl shows the valid objects beside odd ones")
+{
+  constexpr std::size_t kDeep = 1000;
+  const auto deep = std::string(kDeep, '[') + std::string(kDeep, ']');
+  const Ctl ctl;
+  ctl.Apply(kService);
+  int count = 0;
+  for (const auto& spec :
+       { deep,
+         R"({"floor_slots":)" + deep + "}",
+         std::string(R"({"floor_slots":99999999999999999999})"),
+         std::string("1e999"),
+         std::string("null") }) {
+    const auto name = "odd-" + std::to_string(count++);
+    ctl.mPlatform.Put({ "Service", name }, spec);
+    ctl.mPlatform.Put({ "BackendServer", name }, spec);
+    ctl.mPlatform.Put({ "box-records", name }, spec);
+  }
+  for (const auto& [name, port] :
+       { std::pair("valid", "1"), std::pair("no-port", "0") }) {
+    ctl.mPlatform.Put(
+      { "BackendServer", name },
+      R"({"service":"ledger","box":"a","slots":1,"address":"10.0.0.1:)" +
+        std::string(port) + "\"}");
+  }
+  const auto status = ctl({ "status" });
+  CHECK(status.mExitCode == 0);
+  CHECK(status.mText.find("valid") != std::string::npos);
+  CHECK(status.mText.find("no-port") == std::string::npos);
+  for (int i = 0; i < count; ++i) {
+    CHECK(status.mText.find("unreadable: box-records/odd-" +
+                            std::to_string(i)) != std::string::npos);
+  }
+  const auto list = ctl({ "list", "Service" });
+  CHECK(list.mExitCode == 0);
+  CHECK(list.mText.find("ledger") != std::string::npos);
+  CHECK(list.mText.find("odd-4") != std::string::npos);
+  CHECK(ctl({ "get", "Service", "odd-0" }).mExitCode == 0);
+}
+
 TEST_CASE(
   "porttillerctl names the field of an invalid object and writes nothing")
 {
