testing, http: findings of the linter

Cause: two literals beside each other in a list of single ones, and a vector that grows in a loop.

Change: the answer with two interim ones is a check of its own; the callers of PlannedStopTest are counted and reserved. The checks are the same.

--- a/packages/http/tests/MalformedAnswerTest.cpp
+++ b/packages/http/tests/MalformedAnswerTest.cpp
@@ -198,19 +198,20 @@
 TEST_CASE("Valid answers of less common forms are read")
 {
   const HttpAnswer ok{ .mStatus = 200, .mHeaders = { kLength }, .mBody = "ok" };
-  for (const char* line : { "HTTP/1.1 200 OK\r\n",
-                            "HTTP/1.1 200 \r\n",
-                            "HTTP/1.1 200\r\n",
-                            "HTTP/1.1 200 \xc3\xa9t\xc3\xa9\r\n",
-                            "HTTP/1.1 200 a\tb\r\n",
-                            "HTTP/1.0 200 OK\r\n",
-                            "\r\nHTTP/1.1 200 OK\r\n",
-                            "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n",
-                            "HTTP/1.1 103 Early Hints\r\nLink: <a>\r\n\r\n"
-                            "HTTP/1.1 102 Processing\r\n\r\n"
-                            "HTTP/1.1 200 OK\r\n" }) {
+  for (const char* line :
+       { "HTTP/1.1 200 OK\r\n",
+         "HTTP/1.1 200 \r\n",
+         "HTTP/1.1 200\r\n",
+         "HTTP/1.1 200 \xc3\xa9t\xc3\xa9\r\n",
+         "HTTP/1.1 200 a\tb\r\n",
+         "HTTP/1.0 200 OK\r\n",
+         "\r\nHTTP/1.1 200 OK\r\n",
+         "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n" }) {
     CheckRead(line + kBody, ok);
   }
+  CheckRead("HTTP/1.1 103 Early Hints\r\nLink: <a>\r\n\r\n" +
+              "HTTP/1.1 102 Processing\r\n\r\n"s + kOk + kBody,
+            ok);
   for (const int status : { 200, 299, 404, 599 }) {
     CheckRead("HTTP/1.1 " + std::to_string(status) + " X\r\n" + kBody,
               { .mStatus = status, .mHeaders = { kLength }, .mBody = "ok" });
--- a/testing/fleet/tests/PlannedStopTest.cpp
+++ b/testing/fleet/tests/PlannedStopTest.cpp
@@ -219,7 +219,9 @@
   std::atomic<bool> stop{ false };
   std::atomic<int> served{ 0 };
   std::vector<std::future<void>> callers;
-  for (int caller = 0; caller < 14; ++caller) {
+  constexpr int kCallers = 14;
+  callers.reserve(kCallers);
+  for (int caller = 0; caller < kCallers; ++caller) {
     callers.push_back(std::async(std::launch::async, [&, caller] {
       for (int i = 0; !stop; ++i) {
         const auto id = "n-" + std::to_string(caller) + "-" + std::to_string(i);
