http: the table of token characters is made at compile time

Cause: LineSyntax looked up a static local, with its guard, for each byte of a field's name.

Result: 16 cases of MalformedAnswerTest and MalformedRequestTest pass as before; the time was not measured.

--- a/packages/http/src/LineSyntaxPriv.cpp
+++ b/packages/http/src/LineSyntaxPriv.cpp
@@ -16,18 +16,13 @@
                                          "ABCDEFGHIJKLMNOPQRSTUVWXYZ"
                                          "abcdefghijklmnopqrstuvwxyz";
 
-bool
-IsTokenChar(unsigned char aByte)
-{
-  static const auto table = [] {
-    std::array<bool, 256> made{};
-    for (const char c : kTokenChars) {
-      made.at(static_cast<unsigned char>(c)) = true;
-    }
-    return made;
-  }();
-  return table[aByte];
-}
+constexpr auto kIsTokenChar = [] {
+  std::array<bool, 256> table{};
+  for (const char each : kTokenChars) {
+    table.at(static_cast<unsigned char>(each)) = true;
+  }
+  return table;
+}();
 
 bool
 IsBlank(unsigned char aByte)
@@ -99,7 +94,7 @@
       mPart = Part::kText;
       return true;
     }
-    return IsTokenChar(aByte);
+    return kIsTokenChar.at(aByte);
   }
   return IsText(aByte);
 }
