config, testing: one scan of JSON text, one loop that reads a socket to its end

Cause: ReplaceDeepValues and IsClosedJson had the same loop over strings and escapes, and three fleet tests the same loop over a socket.

Change: ScanOutsideStrings and ReadToEnd; behaviour and checks are the same.

--- a/packages/config/src/ItemsJson.cpp
+++ b/packages/config/src/ItemsJson.cpp
@@ -1,5 +1,7 @@
 #include "porttiller/config/ItemsJson.h"
 
+#include "JsonScanPriv.h"
+
 #include <Poco/TextConverter.h>
 #include <Poco/UTF8Encoding.h>
 #include <string_view>
@@ -62,26 +64,20 @@
   std::size_t begin = 0;  // of the value within aLevel brackets
   std::size_t depth = 0;
   bool tooDeep = false;
-  bool inString = false;
-  for (std::size_t i = 0; i < aText.size(); ++i) {
-    const char each = aText[i];
-    if (inString && each == '\\') {
-      ++i;
-    } else if (each == '"') {
-      inString = !inString;
-    } else if (!inString && (each == '{' || each == '[')) {
-      begin = depth == aLevel ? i : begin;
+  ScanOutsideStrings(aText, [&](std::size_t aAt) {
+    if (IsOpening(aText[aAt])) {
+      begin = depth == aLevel ? aAt : begin;
       ++depth;
       tooDeep = tooDeep || depth > aLevel + kMaxItemDepth;
-    } else if (!inString && (each == '}' || each == ']') && depth > 0) {
+    } else if (IsClosing(aText[aAt]) && depth > 0) {
       --depth;
       if (depth == aLevel && tooDeep) {
         replaced.append(aText, copied, begin - copied).append(kUnreadableJson);
-        copied = i + 1;
+        copied = aAt + 1;
         tooDeep = false;
       }
     }
-  }
+  });
   return copied == 0 ? std::move(aText) : replaced + aText.substr(copied);
 }
 
--- a/packages/config/src/JsonText.cpp
+++ b/packages/config/src/JsonText.cpp
@@ -1,5 +1,7 @@
 #include "porttiller/config/JsonText.h"
 
+#include "JsonScanPriv.h"
+
 #include <Poco/Exception.h>
 #include <Poco/JSON/Parser.h>
 #include <charconv>
@@ -85,22 +87,13 @@
 IsClosedJson(std::string_view aText)
 {
   std::int64_t depth = 0;
-  bool inString = false;
   bool opened = false;
-  for (std::size_t i = 0; i < aText.size(); ++i) {
-    const char each = aText[i];
-    if (inString && each == '\\') {
-      ++i;
-    } else if (each == '"') {
-      inString = !inString;
-    } else if (!inString && (each == '{' || each == '[')) {
-      opened = true;
-      ++depth;
-    } else if (!inString && (each == '}' || each == ']')) {
-      --depth;
-    }
-  }
-  return opened && depth == 0 && !inString;
+  const bool whole = ScanOutsideStrings(aText, [&](std::size_t aAt) {
+    opened = opened || IsOpening(aText[aAt]);
+    depth += IsOpening(aText[aAt]) ? 1 : 0;
+    depth -= IsClosing(aText[aAt]) ? 1 : 0;
+  });
+  return whole && opened && depth == 0;
 }
 
 std::string
--- a/testing/fleet/tests/KilledDaemonAnswerTest.cpp
+++ b/testing/fleet/tests/KilledDaemonAnswerTest.cpp
@@ -1,10 +1,9 @@
 // Daemons that are killed while they write an answer: nobody takes what arrived
 // for a whole one.
 #include "fleet/MeshFleet.h"
+#include "fleet/RawCaller.h"
 
-#include <Poco/Exception.h>
 #include <Poco/Net/StreamSocket.h>
-#include <array>
 #include <csignal>
 #include <doctest/doctest.h>
 #include <future>
@@ -35,17 +34,7 @@
   const auto request =
     HeadOf({ .mTarget = Target(), .mId = aId }) + "Connection: close\r\n\r\n";
   socket.sendBytes(request.data(), static_cast<int>(request.size()));
-  std::string text;
-  std::array<char, 16384> buffer{};
-  try {
-    int size = 0;
-    while ((size = socket.receiveBytes(buffer.data(), buffer.size())) > 0) {
-      text.append(buffer.data(), static_cast<std::size_t>(size));
-    }
-  } catch (const Poco::Exception&) {
-    return text;
-  }
-  return text;
+  return ReadToEnd(socket);
 }
 
 // Whether the bytes are a whole answer by their own framing.
--- a/testing/fleet/tests/MalformedAnswerTest.cpp
+++ b/testing/fleet/tests/MalformedAnswerTest.cpp
@@ -1,9 +1,9 @@
 // A backend server whose answers are no valid HTTP, behind its home and behind
 // another box: no byte of them reaches a caller.
 #include "fleet/MeshFleet.h"
+#include "fleet/RawCaller.h"
 #include "standin/RawServerStandIn.h"
 
-#include <Poco/Exception.h>
 #include <Poco/Net/StreamSocket.h>
 #include <algorithm>
 #include <array>
@@ -57,17 +57,7 @@
   const auto request =
     HeadOf(aRequest) + "Content-Length: 0\r\nConnection: close\r\n\r\n";
   socket.sendBytes(request.data(), static_cast<int>(request.size()));
-  std::string text;
-  std::array<char, 4096> buffer{};
-  try {
-    int size = 0;
-    while ((size = socket.receiveBytes(buffer.data(), buffer.size())) > 0) {
-      text.append(buffer.data(), static_cast<std::size_t>(size));
-    }
-  } catch (const Poco::Exception&) {
-    return text;
-  }
-  return text;
+  return ReadToEnd(socket);
 }
 
 bool
--- a/testing/fleet/tests/PlannedStopTest.cpp
+++ b/testing/fleet/tests/PlannedStopTest.cpp
@@ -1,11 +1,11 @@
 // Requests during the planned stop of one box of a calm fleet: what a server
 // has begun is answered, and what cannot end in time is rejected as not run.
 #include "fleet/MeshFleet.h"
+#include "fleet/RawCaller.h"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/StreamSocket.h>
 #include <algorithm>
-#include <array>
 #include <atomic>
 #include <csignal>
 #include <doctest/doctest.h>
@@ -101,18 +101,12 @@
 
   std::string Finish()
   {
-    std::string text;
-    std::array<char, 4096> buffer{};
     try {
       Send("world");
-      int size = 0;
-      while ((size = mSocket.receiveBytes(buffer.data(), buffer.size())) > 0) {
-        text.append(buffer.data(), static_cast<std::size_t>(size));
-      }
     } catch (const Poco::Exception&) {
-      return text;
+      return "";
     }
-    return text;
+    return ReadToEnd(mSocket);
   }
 
 private:
