--- a/packages/config/src/ItemsJson.cpp
+++ b/packages/config/src/ItemsJson.cpp
@@ -4,14 +4,9 @@
 
 #include <Poco/TextConverter.h>
 #include <Poco/UTF8Encoding.h>
-#include <string_view>
 
 namespace porttiller {
 
-namespace {
-
-} // namespace
-
 tl::unexpected<UnreadableObject>
 Unreadable(UnreadableObject aObject, UnreadableReason aReason)
 {
