--- a/packages/config/include/porttiller/config/JsonText.h
+++ b/packages/config/include/porttiller/config/JsonText.h
@@ -20,8 +20,8 @@
 bool
 IsClosedJson(std::string_view aText);
 
-// Stands for a value that cannot be parsed: of no type that a field has, and not
-// null, which reads as an absent field.
+// Stands for a value that cannot be parsed: of no type that a field has, and
+// not null, which reads as an absent field.
 inline constexpr std::string_view kUnreadableJson = "[null]";
 
 // Replaces each number that does not fit a 64-bit type with kUnreadableJson, so
