hop, home: one question for a stop that ends before a deadline

Cause: LateRequestFilter and LocalServer::MayBeInterrupted compared the same two times, each in its own words.

Change: ShutdownDeadline::EndsBefore, which both ask; behaviour is the same.

--- a/packages/home/src/LocalServerAdmission.cpp
+++ b/packages/home/src/LocalServerAdmission.cpp
@@ -186,7 +186,7 @@
 LocalServer::MayBeInterrupted(const HomeRequest& aRequest) const
 {
   return !aRequest.mRepeatable && !aRequest.mLastResort &&
-         mShutdownDeadline.Limit(aRequest.mDeadline) < aRequest.mDeadline;
+         mShutdownDeadline.EndsBefore(aRequest.mDeadline);
 }
 
 std::optional<HomeAnswer>
--- a/packages/hop/include/porttiller/hop/ShutdownDeadline.h
+++ b/packages/hop/include/porttiller/hop/ShutdownDeadline.h
@@ -41,7 +41,13 @@
   // the end of the planned stop.
   bool IsTooLateFor(TimePoint aDeadline) const
   {
-    return mClosedToCallers && Limit(aDeadline) < aDeadline;
+    return mClosedToCallers && EndsBefore(aDeadline);
+  }
+
+  // Whether a planned stop has begun that ends before aDeadline.
+  bool EndsBefore(TimePoint aDeadline) const
+  {
+    return Limit(aDeadline) < aDeadline;
   }
 
   // Returns aUntil or the end of the planned stop, whichever is earlier.
